--- /dev/null
+++ b/src/config/Configuration.hpp
@@ -0,0 +1,162 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Value types of the operators' configuration document.
+namespace redwing {
+
+using Labels = std::map<std::string, std::string, std::less<>>;
+
+struct Workspace
+{
+  std::string id_;
+  /// Requests per second over all instances together.
+  double rate_ = 0;
+  /// Requests that may come at once on top of the rate.
+  double burst_ = 0;
+  /// Weight in the fair queues.
+  std::uint32_t weight_ = 1;
+
+  bool operator==(const Workspace&) const = default;
+};
+
+/// A caller key; only its SHA-256 hash (lower-case hexadecimal) is kept.
+struct CallerKey
+{
+  std::string id_;
+  std::string workspace_;
+  std::string hash_;
+
+  bool operator==(const CallerKey&) const = default;
+};
+
+enum class ServiceMode : std::uint8_t
+{
+  /// Each key is served by the one owner of its shard.
+  Keyed,
+  /// Any backend server may serve any request.
+  Pooled,
+};
+
+struct ColdStart
+{
+  /// Concurrency given to a cold backend server at first.
+  std::uint32_t initial_ = 1;
+  /// Time within which a healthy backend server reaches its full slots.
+  std::chrono::milliseconds ramp_{ 5000 };
+
+  bool operator==(const ColdStart&) const = default;
+};
+
+struct Service
+{
+  std::string id_;
+  ServiceMode mode_ = ServiceMode::Pooled;
+  /// Number of shards of a keyed service; fixed for its lifetime.
+  std::uint32_t shards_ = 0;
+  ColdStart coldStart_;
+
+  bool operator==(const Service&) const = default;
+};
+
+enum class SelectorOperator : std::uint8_t
+{
+  Equals,
+  NotEquals,
+  In,
+  NotIn,
+  Exists,
+  NotExists,
+};
+
+/// One condition on the labels of a backend server or its data centre.
+struct SelectorTerm
+{
+  std::string label_;
+  SelectorOperator operator_ = SelectorOperator::Exists;
+  std::vector<std::string> values_;
+
+  bool operator==(const SelectorTerm&) const = default;
+};
+
+/// Terms that must all hold, and the share of traffic for what they select.
+struct Selector
+{
+  std::vector<SelectorTerm> terms_;
+  std::uint32_t weight_ = 1;
+
+  bool operator==(const Selector&) const = default;
+};
+
+enum class KeySource : std::uint8_t
+{
+  None,
+  PathSegment,
+  Header,
+};
+
+struct Route
+{
+  std::string id_;
+  std::string pathPrefix_;
+  /// Empty: all methods.
+  std::vector<std::string> methods_;
+  std::string service_;
+  KeySource keySource_ = KeySource::None;
+  /// Segment of the path that holds the key, counted from 0.
+  std::uint32_t keySegment_ = 0;
+  std::string keyHeader_;
+  /// Open routes need no caller key.
+  bool open_ = false;
+  /// Workspace that open requests are charged to.
+  std::string openWorkspace_;
+  bool idempotent_ = false;
+  /// 0 is served first.
+  std::uint8_t priority_ = 1;
+  std::chrono::milliseconds timeout_{ 5000 };
+  /// Workspaces that may use the route; empty: all.
+  std::vector<std::string> workspaces_;
+  /// Tried in order of weight; empty: all backend servers of the service.
+  std::vector<Selector> selectors_;
+
+  bool operator==(const Route&) const = default;
+};
+
+struct DataCentre
+{
+  std::string id_;
+  std::string region_;
+  bool withdrawn_ = false;
+  Labels labels_;
+
+  bool operator==(const DataCentre&) const = default;
+};
+
+/// The whole configuration document.
+struct Configuration
+{
+  std::uint32_t version_ = 1;
+  std::vector<Workspace> workspaces_;
+  std::vector<CallerKey> keys_;
+  std::vector<Service> services_;
+  std::vector<Route> routes_;
+  std::vector<DataCentre> dataCentres_;
+
+  bool operator==(const Configuration&) const = default;
+};
+
+/// A configuration with the store revision under which it was accepted.
+struct ConfigurationRevision
+{
+  /// 0 when none has been received yet.
+  std::uint64_t revision_ = 0;
+  std::string operationId_;
+  Configuration configuration_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/tests/UnitTestMain.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE redwing
+#include <boost/test/unit_test.hpp>
