--- /dev/null
+++ b/src/limits/ShareBucket.cpp
@@ -0,0 +1,133 @@
+#include "limits/ShareBucket.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace redwing {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+/// Slices larger than half of the level would leave other instances without tokens.
+constexpr double kLargestPartOfLevel = 0.5;
+
+} // namespace
+
+ShareBucket::ShareBucket(WorkspaceLimit aLimit, TimePoint aNow)
+  : limit_(aLimit)
+  , outstanding_(aLimit.burst_)
+  , refilledAt_(aNow)
+{
+  // The earlier owner may have used an older limit, hence the longest time to live.
+  slices_.push_back({ "", 0, aLimit.burst_, aNow + kMaxSliceTimeToLive });
+}
+
+SliceReply
+ShareBucket::Grant(std::string_view aInstance, const SliceRequest& aRequest, TimePoint aNow)
+{
+  Advance(aNow);
+  SliceReply reply;
+  reply.workspace_ = aRequest.workspace_;
+  reply.requestId_ = aRequest.requestId_;
+  const Duration timeToLive = limit_.SliceTimeToLive();
+  reply.timeToLiveMs_ = static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(timeToLive).count());
+  if (IsKnown(aInstance, aRequest.requestId_)) {
+    return reply;
+  }
+  const double fair = std::max(1.0, std::floor(level_ * kLargestPartOfLevel));
+  const double granted =
+    std::min({ static_cast<double>(aRequest.tokens_), std::floor(level_), fair });
+  if (granted < 1) {
+    reply.retryAfterMs_ = RetryAfterMs(aNow);
+    return reply;
+  }
+  level_ -= granted;
+  outstanding_ += granted;
+  const auto withDrift = std::chrono::duration_cast<Duration>(timeToLive * (1 + kLimitClockDrift));
+  Slice slice{ std::string(aInstance), aRequest.requestId_, granted, aNow + withDrift };
+  const auto place = std::upper_bound(
+    slices_.begin(), slices_.end(), slice, [](const Slice& aLeft, const Slice& aRight) {
+      return aLeft.expiry_ < aRight.expiry_;
+    });
+  slices_.insert(place, std::move(slice));
+  reply.tokens_ = static_cast<std::uint32_t>(granted);
+  return reply;
+}
+
+void
+ShareBucket::Close(std::string_view aInstance, const SliceReport& aReport, TimePoint aNow)
+{
+  Advance(aNow);
+  const auto found = std::find_if(slices_.begin(), slices_.end(), [&](const Slice& aSlice) {
+    return aSlice.requestId_ == aReport.requestId_ && aSlice.instance_ == aInstance;
+  });
+  if (found == slices_.end()) {
+    return;
+  }
+  const double returned = std::min(static_cast<double>(aReport.unused_), found->tokens_);
+  outstanding_ -= found->tokens_;
+  slices_.erase(found);
+  level_ = std::min(level_ + returned, std::max(0.0, limit_.burst_ - outstanding_));
+}
+
+void
+ShareBucket::SetLimit(WorkspaceLimit aLimit, TimePoint aNow)
+{
+  Advance(aNow);
+  limit_ = aLimit;
+  level_ = std::min(level_, std::max(0.0, limit_.burst_ - outstanding_));
+}
+
+void
+ShareBucket::Advance(TimePoint aNow)
+{
+  while (!slices_.empty() && slices_.front().expiry_ <= aNow) {
+    Refill(slices_.front().expiry_);
+    outstanding_ -= slices_.front().tokens_;
+    slices_.pop_front();
+  }
+  if (slices_.empty()) {
+    // Sums of fractions must not leave a remainder behind.
+    outstanding_ = 0;
+  }
+  Refill(aNow);
+}
+
+void
+ShareBucket::Refill(TimePoint aUntil)
+{
+  if (aUntil <= refilledAt_) {
+    return;
+  }
+  // A clock that runs fast by the tolerated drift must not exceed the rate.
+  const double rate = limit_.rate_ / (1 + kLimitClockDrift);
+  const double added = rate * Seconds(aUntil - refilledAt_).count();
+  const double cap = std::max(0.0, limit_.burst_ - outstanding_);
+  level_ = std::max(std::min(level_ + added, cap), std::min(level_, cap));
+  refilledAt_ = aUntil;
+}
+
+bool
+ShareBucket::IsKnown(std::string_view aInstance, std::uint64_t aRequestId) const
+{
+  return std::any_of(slices_.begin(), slices_.end(), [&](const Slice& aSlice) {
+    return aSlice.requestId_ == aRequestId && aSlice.instance_ == aInstance;
+  });
+}
+
+std::uint32_t
+ShareBucket::RetryAfterMs(TimePoint aNow) const
+{
+  const double refill = (1 - level_) / limit_.rate_;
+  double wait = std::max(refill, 0.0);
+  if (limit_.burst_ - outstanding_ < 1 && !slices_.empty()) {
+    wait += Seconds(slices_.front().expiry_ - aNow).count();
+  }
+  constexpr double kMillisecondsPerSecond = 1000;
+  return std::max<std::uint32_t>(
+    1, static_cast<std::uint32_t>(std::ceil(wait * kMillisecondsPerSecond)));
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/limits/SliceHolder.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "core/Clock.hpp"
+#include "limits/SliceMessages.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+/// Decision about a request that waited for a token.
+struct WaiterDecision
+{
+  std::uint64_t waiterId_ = 0;
+  bool admitted_ = false;
+  std::uint32_t retryAfterMs_ = 0;
+};
+
+/// Tokens of one workspace at one instance: uses slices, asks the owner for more according to
+/// demand, and lets requests wait for a short time while an answer is on its way.
+class SliceHolder
+{
+public:
+  enum class Admission
+  {
+    Admitted,
+    Refused,
+    /// The decision follows from OnReply or Tick.
+    Waiting,
+  };
+
+  explicit SliceHolder(std::string aWorkspace);
+
+  /// Admits a request, refuses it, or lets it wait at most until aDeadline.
+  ///
+  /// Preconditions: aNow does not go back; aWaiterId is unique. Thread safety: not thread-safe.
+  Admission Admit(std::uint64_t aWaiterId, TimePoint aDeadline, TimePoint aNow);
+
+  /// Adds tokens that the owner granted; returns decisions for waiting requests.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  std::vector<WaiterDecision> OnReply(const SliceReply& aReply, TimePoint aNow);
+
+  /// Drops expired slices and waiters whose time has run out.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  std::vector<WaiterDecision> Tick(TimePoint aNow);
+
+  /// Returns the request to send to the owner now, if any. One request is under way at a time; a
+  /// lost one is repeated with a new id after kReplyTimeout.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  std::optional<SliceRequest> TakeRequest(TimePoint aNow);
+
+  /// Returns the reports to send to the owner now: slices that are used up, and slices that are
+  /// unused because demand has ended.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  std::vector<SliceReport> TakeReports(TimePoint aNow);
+
+  /// Returns the retry time to tell a caller that is refused now.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::uint32_t RetryAfterMs() const { return retryAfterMs_; }
+
+private:
+  struct Slice
+  {
+    std::uint64_t requestId_ = 0;
+    std::uint32_t tokens_ = 0;
+    TimePoint expiry_;
+  };
+  struct Waiter
+  {
+    std::uint64_t id_ = 0;
+    TimePoint until_;
+  };
+
+  void ReturnLateSlice(const SliceReply& aReply);
+  bool UseToken(TimePoint aNow);
+  void CountDemand(TimePoint aNow);
+  double DemandPerSecond(TimePoint aNow) const;
+  std::uint32_t Available(TimePoint aNow) const;
+  std::vector<WaiterDecision> ServeWaiters(TimePoint aNow);
+
+  std::string workspace_;
+  std::deque<Slice> slices_;
+  std::deque<Waiter> waiters_;
+  std::vector<SliceReport> reports_;
+  std::uint64_t nextRequestId_ = 1;
+  std::optional<std::uint64_t> pendingId_;
+  std::deque<std::uint64_t> givenUp_;
+  TimePoint pendingSince_;
+  TimePoint askAgainAt_;
+  std::uint32_t retryAfterMs_ = 1;
+  Duration emptyPause_;
+  Duration timeToLive_;
+  double demand_ = 0;
+  TimePoint demandAt_;
+  TimePoint lastUse_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/membership/ConfigurationFreshness.cpp
@@ -0,0 +1,81 @@
+#include "membership/ConfigurationFreshness.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+ConfigurationFreshness::ConfigurationFreshness(Duration aMaxAge)
+  : maxAge_(aMaxAge)
+{
+}
+
+void
+ConfigurationFreshness::OnOwnCall(std::string_view aDataCentre,
+                                  std::uint64_t aRevision,
+                                  bool aStoreReachable,
+                                  TimePoint aSentAt)
+{
+  Record(aDataCentre, { aRevision, aStoreReachable, aSentAt });
+}
+
+void
+ConfigurationFreshness::Merge(std::span<const WatcherReport> aReports, TimePoint aNow)
+{
+  for (const WatcherReport& report : aReports) {
+    const TimePoint at = aNow - milliseconds(report.ageMs_);
+    Record(report.dataCentre_, { report.revision_, report.storeReachable_, at });
+  }
+}
+
+std::vector<WatcherReport>
+ConfigurationFreshness::Reports(TimePoint aNow) const
+{
+  std::vector<WatcherReport> reports;
+  for (const auto& [dataCentre, entry] : entries_) {
+    const Duration age = aNow - entry.at_;
+    if (age > maxAge_) {
+      continue;
+    }
+    const auto ageMs = std::chrono::ceil<milliseconds>(std::max(age, Duration(0))).count();
+    reports.push_back(
+      { dataCentre, entry.revision_, entry.storeReachable_, static_cast<std::uint32_t>(ageMs) });
+  }
+  return reports;
+}
+
+bool
+ConfigurationFreshness::IsCurrent(std::uint64_t aRevision,
+                                  std::size_t aDataCentres,
+                                  TimePoint aNow) const
+{
+  if (aRevision == 0 || aRevision < highestRevision_) {
+    return false;
+  }
+  std::size_t unreachable = 0;
+  for (const auto& [dataCentre, entry] : entries_) {
+    if (aNow - entry.at_ > maxAge_) {
+      continue;
+    }
+    if (entry.storeReachable_ && entry.revision_ == aRevision) {
+      return true;
+    }
+    if (!entry.storeReachable_) {
+      ++unreachable;
+    }
+  }
+  return 2 * unreachable > aDataCentres;
+}
+
+void
+ConfigurationFreshness::Record(std::string_view aDataCentre, const Entry& aEntry)
+{
+  highestRevision_ = std::max(highestRevision_, aEntry.revision_);
+  const auto [place, inserted] = entries_.try_emplace(std::string(aDataCentre), aEntry);
+  if (!inserted && aEntry.at_ > place->second.at_) {
+    place->second = aEntry;
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/membership/Gossip.hpp
@@ -0,0 +1,121 @@
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Spread of small facts (members, shard rows, poison fingerprints) to all instances.
+namespace redwing {
+
+/// Orders the versions of one fact: first by incarnation or token, then by a counter.
+struct GossipVersion
+{
+  std::uint64_t major_ = 0;
+  std::uint64_t minor_ = 0;
+
+  auto operator<=>(const GossipVersion&) const = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(major_, minor_);
+  }
+};
+
+struct GossipItem
+{
+  std::string key_;
+  GossipVersion version_;
+  std::string payload_;
+
+  bool operator==(const GossipItem&) const = default;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(key_, version_, payload_);
+  }
+};
+
+/// Holds the newest version of each fact and decides what to send.
+///
+/// A new fact is sent in a limited number of rounds (about 3 log2 of the number of members), with a
+/// fan-out chosen by the caller. A digest of all facts lets two instances notice that one lacks
+/// something; then they exchange the versions they hold, and the newer items.
+class Gossip
+{
+public:
+  /// Called for each fact that is new or newer than the one held.
+  using OnNewer = std::function<void(const GossipItem& aItem)>;
+
+  explicit Gossip(OnNewer aOnNewer);
+
+  /// Sets or replaces a fact of this instance's own; ignored unless its version is newer.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Publish(const GossipItem& aItem);
+
+  /// Adopts the items that are newer than those held.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Merge(std::span<const GossipItem> aItems);
+
+  /// Sets the number of members, from which the number of sending rounds follows.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void SetFleetSize(std::size_t aMembers);
+
+  /// Returns the items to send to each partner of this round, at most aMaxBytes in all; those sent
+  /// least often come first.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::vector<GossipItem> TakeRound(std::size_t aMaxBytes);
+
+  /// Returns a hash over all keys and versions; equal digests mean equal facts.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::uint64_t Digest() const { return digest_; }
+
+  /// Returns the items that a holder of aTheirVersions lacks, at most aMaxBytes in all.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::vector<GossipItem> NewerThan(std::span<const GossipItem> aTheirVersions,
+                                    std::size_t aMaxBytes) const;
+
+  /// Returns all keys and versions without payloads.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::vector<GossipItem> Versions() const;
+
+  /// Removes facts for which aExpired returns true. They do not come back unless someone still
+  /// sends them, so a fact is removed only after it has expired everywhere.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Remove(const std::function<bool(std::string_view aKey)>& aExpired);
+
+private:
+  struct Fact
+  {
+    GossipVersion version_;
+    std::string payload_;
+    std::uint32_t roundsLeft_ = 0;
+  };
+
+  bool Adopt(const GossipItem& aItem);
+  static std::uint64_t HashOf(std::string_view aKey, GossipVersion aVersion);
+
+  OnNewer onNewer_;
+  std::uint32_t rounds_ = 1;
+  std::uint64_t digest_ = 0;
+  std::map<std::string, Fact, std::less<>> facts_;
+  /// Keys that still have rounds left.
+  std::vector<std::string> spreading_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/tests/unit/membership/ConfigurationFreshnessTest.cpp
@@ -0,0 +1,36 @@
+#include "membership/ConfigurationFreshness.hpp"
+#include "support/ManualClock.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+
+// Guards against a partitioned data centre that trusts an old configuration.
+BOOST_AUTO_TEST_CASE(AMinorityOfDataCentresCannotConfirmAStoreOutage)
+{
+  test::ManualClock clock;
+  ConfigurationFreshness freshness(3s);
+  freshness.OnOwnCall("braga", 7, true, clock.Now());
+  BOOST_TEST(freshness.IsCurrent(7, 3, clock.Now()));
+  clock.Advance(4s);
+  freshness.OnOwnCall("braga", 7, false, clock.Now());
+  BOOST_TEST(!freshness.IsCurrent(7, 3, clock.Now()));
+  const std::vector<WatcherReport> others{ { "porto", 7, false, 100 } };
+  freshness.Merge(others, clock.Now());
+  BOOST_TEST(freshness.IsCurrent(7, 3, clock.Now()));
+  clock.Advance(3100ms);
+  BOOST_TEST(!freshness.IsCurrent(7, 3, clock.Now()));
+}
+
+// Guards against an old revision that counts as current although a newer one is known.
+BOOST_AUTO_TEST_CASE(AnOlderRevisionIsNotCurrent)
+{
+  test::ManualClock clock;
+  ConfigurationFreshness freshness(3s);
+  freshness.OnOwnCall("braga", 7, true, clock.Now());
+  const std::vector<WatcherReport> others{ { "porto", 8, true, 0 } };
+  freshness.Merge(others, clock.Now());
+  BOOST_TEST(!freshness.IsCurrent(7, 2, clock.Now()));
+  BOOST_TEST(freshness.IsCurrent(8, 2, clock.Now()));
+}
