--- /dev/null
+++ b/src/ownership/LeaseHolder.cpp
@@ -0,0 +1,251 @@
+#include "ownership/LeaseHolder.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::size_t kProbedPredecessors = 3;
+
+std::int64_t ToWire(TimePoint aTime)
+{
+  return aTime.time_since_epoch().count();
+}
+
+TimePoint FromWire(std::int64_t aTime)
+{
+  return TimePoint(Duration(aTime));
+}
+
+} // namespace
+
+LeaseHolder::LeaseHolder(InstanceRef aSelf, const OwnershipSettings& aSettings, const Clock& aClock)
+  : self_(std::move(aSelf))
+  , settings_(aSettings)
+  , clock_(aClock)
+  , unboundSince_(aClock.Now())
+{
+}
+
+void LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
+{
+  predecessors_.assign(aPredecessors.begin(), aPredecessors.end());
+  ringKnown_ = true;
+}
+
+bool LeaseHolder::LeaseValid() const
+{
+  return !expired_ && clock_.Now() < instanceDeadline_;
+}
+
+bool LeaseHolder::GrantorLeaseValid() const
+{
+  return !expired_ && clock_.Now() < grantorDeadline_;
+}
+
+void LeaseHolder::CheckExpiry(TimePoint aNow)
+{
+  const bool hadLease = instanceDeadline_ != TimePoint{};
+  if (hadLease ? aNow >= instanceDeadline_
+               : everBound_ && aNow - boundAt_ > settings_.bindTimeout_) {
+    expired_ = true;
+  }
+}
+
+void LeaseHolder::Tick(Effects& aEffects)
+{
+  const TimePoint now = clock_.Now();
+  CheckExpiry(now);
+  if (expired_ || !ringKnown_) {
+    return;
+  }
+  if (!everBound_) {
+    TickUnbound(now, aEffects);
+  } else {
+    TickBound(now, aEffects);
+  }
+}
+
+void LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
+{
+  if (predecessors_.empty()) {
+    // Nobody can decide that an incarnation that was never bound is dead, so it may grant itself
+    // the lease.
+    instanceDeadline_ = aNow + settings_.instanceLease_;
+    return;
+  }
+  const std::size_t count = std::min(kProbedPredecessors, predecessors_.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto offer = offers_.find(predecessors_[i]);
+    // A farther predecessor is chosen only when the nearest one stays silent for a while.
+    if (offer != offers_.end() && (i == 0 || aNow - unboundSince_ > settings_.askBackupAfter_)) {
+      BindTo(predecessors_[i], offer->second.generation_, aNow);
+      SendHeartbeat(aNow, aEffects);
+      return;
+    }
+  }
+  if (aNow - lastProbe_ >= settings_.resend_) {
+    lastProbe_ = aNow;
+    for (std::size_t i = 0; i < count; ++i) {
+      Probe(predecessors_[i], aEffects);
+    }
+  }
+  if (instanceDeadline_ != TimePoint{}) {
+    // Alone until now: the lease continues until a grantor is asked for the first time.
+    instanceDeadline_ = aNow + settings_.instanceLease_;
+  }
+}
+
+void LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
+{
+  const bool late = aNow - lastRenewal_ > settings_.heartbeat_ + settings_.resend_;
+  if (aNow - lastHeartbeat_ >= (late ? settings_.resend_ : settings_.heartbeat_)) {
+    SendHeartbeat(aNow, aEffects);
+  }
+  if (aNow - lastRenewal_ >= settings_.askBackupAfter_) {
+    Seek(aNow, aEffects);
+  }
+  TickRebind(aNow, aEffects);
+}
+
+void LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
+{
+  if (aNow - lastSeek_ < settings_.resend_) {
+    return;
+  }
+  lastSeek_ = aNow;
+  std::vector<InstanceRef> targets(predecessors_.begin(),
+                                   predecessors_.begin() +
+                                     std::min(kProbedPredecessors, predecessors_.size()));
+  if (std::find(targets.begin(), targets.end(), backup_) == targets.end()) {
+    targets.push_back(backup_);
+  }
+  for (const InstanceRef& target : targets) {
+    if (!target.Empty() && target != grantor_ && target != self_) {
+      aEffects.push_back(SendMessage{ target, Heartbeat{ 0, ToWire(aNow) } });
+    }
+  }
+}
+
+void LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
+{
+  if (next_) {
+    if (aNow - lastUnbind_ >= settings_.resend_) {
+      lastUnbind_ = aNow;
+      aEffects.push_back(SendMessage{ grantor_, Unbind{ generation_ } });
+    }
+    return;
+  }
+  if (predecessors_.empty() || predecessors_.front() == grantor_ || !GrantorLeaseValid() ||
+      !LeaseValid() || aNow - boundAt_ < settings_.heartbeat_) {
+    return;
+  }
+  const auto offer = offers_.find(predecessors_.front());
+  if (offer != offers_.end() && offer->second.ready_ &&
+      aNow - offer->second.receivedAt_ < settings_.heartbeat_) {
+    next_ = offer->first;
+    nextGeneration_ = offer->second.generation_;
+    lastUnbind_ = aNow;
+    aEffects.push_back(SendMessage{ grantor_, Unbind{ generation_ } });
+  } else if (aNow - lastProbe_ >= settings_.heartbeat_) {
+    lastProbe_ = aNow;
+    Probe(predecessors_.front(), aEffects);
+  }
+}
+
+void LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
+{
+  lastHeartbeat_ = aNow;
+  aEffects.push_back(SendMessage{ grantor_, Heartbeat{ generation_, ToWire(aNow) } });
+}
+
+void LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
+{
+  aEffects.push_back(SendMessage{ aTo, BindProbe{} });
+}
+
+void LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
+{
+  grantor_ = aGrantor;
+  generation_ = aGeneration;
+  backup_ = InstanceRef{};
+  // The promise of the former grantor does not bind the new one.
+  grantorDeadline_ = TimePoint{};
+  everBound_ = true;
+  boundAt_ = aNow;
+  lastRenewal_ = aNow;
+  next_.reset();
+  offers_.clear();
+}
+
+void LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer)
+{
+  offers_[aFrom] = Offer{ aOffer.generation_, aOffer.ready_, clock_.Now() };
+}
+
+bool LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
+{
+  const TimePoint now = clock_.Now();
+  CheckExpiry(now);
+  if (aReply.dead_) {
+    expired_ = true;
+  }
+  if (expired_) {
+    return false;
+  }
+  if (aFrom != grantor_) {
+    return Adopt(aFrom, aReply, now, aEffects) && aReply.inherited_;
+  }
+  if (aReply.generation_ > generation_) {
+    generation_ = aReply.generation_;
+    grantorDeadline_ = TimePoint{};
+    SendHeartbeat(now, aEffects);
+    return aReply.inherited_;
+  }
+  if (aReply.generation_ != generation_) {
+    return false;
+  }
+  const TimePoint sentAt = FromWire(aReply.sentAt_);
+  backup_ = aReply.backup_;
+  if (aReply.grantorLease_) {
+    grantorDeadline_ = std::max(grantorDeadline_, sentAt + settings_.grantorLease_);
+  }
+  if (aReply.instanceLease_) {
+    // A grantor that lost its own grantor lease answers without renewing; its backup is asked then.
+    lastRenewal_ = std::max(lastRenewal_, sentAt);
+    instanceDeadline_ = std::max(instanceDeadline_, sentAt + settings_.instanceLease_);
+  }
+  return false;
+}
+
+bool LeaseHolder::Adopt(const InstanceRef& aFrom,
+                        const HeartbeatReply& aReply,
+                        TimePoint aNow,
+                        Effects& aEffects)
+{
+  const auto left = left_.find(aFrom);
+  const bool fresh = left == left_.end() || aReply.generation_ > left->second;
+  if (!everBound_ || !fresh || aReply.generation_ == 0 ||
+      FromWire(aReply.sentAt_) < lastRenewal_ + settings_.askBackupAfter_) {
+    return false;
+  }
+  left_[grantor_] = std::max(left_[grantor_], generation_);
+  BindTo(aFrom, aReply.generation_, aNow);
+  SendHeartbeat(aNow, aEffects);
+  return true;
+}
+
+void LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
+{
+  const TimePoint now = clock_.Now();
+  CheckExpiry(now);
+  if (expired_ || aFrom != grantor_ || aAck.generation_ != generation_ || !next_) {
+    return;
+  }
+  left_[grantor_] = std::max(left_[grantor_], generation_);
+  BindTo(InstanceRef(*next_), nextGeneration_, now);
+  SendHeartbeat(now, aEffects);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/ownership/ReleaseQueue.cpp
@@ -0,0 +1,44 @@
+#include "ownership/ReleaseQueue.hpp"
+
+namespace redwing {
+
+ReleaseQueue::ReleaseQueue(const OwnershipSettings& aSettings)
+  : settings_(aSettings)
+{
+}
+
+void ReleaseQueue::Add(const ShardRow& aRow)
+{
+  entries_[aRow.shard_] = Entry{ aRow, TimePoint{} };
+}
+
+bool ReleaseQueue::OnAck(const ReleaseAck& aAck)
+{
+  const auto it = entries_.find(aAck.row_.shard_);
+  if (it == entries_.end() || it->second.row_ != aAck.row_) {
+    return false;
+  }
+  entries_.erase(it);
+  return true;
+}
+
+std::vector<ShardRow> ReleaseQueue::Pending() const
+{
+  std::vector<ShardRow> rows;
+  for (const auto& [shard, entry] : entries_) {
+    rows.push_back(entry.row_);
+  }
+  return rows;
+}
+
+void ReleaseQueue::Tick(TimePoint aNow, Effects& aEffects)
+{
+  for (auto& [shard, entry] : entries_) {
+    if (entry.lastSent_ == TimePoint{} || aNow - entry.lastSent_ >= settings_.resend_) {
+      entry.lastSent_ = aNow;
+      aEffects.push_back(SendMessage{ entry.row_.successor_, Release{ entry.row_ } });
+    }
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/ownership/ReleaseQueue.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "ownership/Effects.hpp"
+#include "ownership/OwnershipSettings.hpp"
+
+#include <map>
+#include <vector>
+
+namespace redwing {
+
+/// Rows that this instance gave up in favour of their successors, sent until acknowledged.
+class ReleaseQueue
+{
+public:
+  /// Preconditions: aSettings outlives the object. Thread safety: not thread-safe.
+  explicit ReleaseQueue(const OwnershipSettings& aSettings);
+
+  /// Preconditions: this instance does not act for the shard any more. Thread safety: not
+  /// thread-safe.
+  void Add(const ShardRow& aRow);
+
+  /// Returns whether the acknowledgement ended a release.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool OnAck(const ReleaseAck& aAck);
+
+  /// Removes a release whose successor is gone.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Remove(const ShardId& aShard) { entries_.erase(aShard); }
+
+  /// Returns the rows whose release is not acknowledged.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::vector<ShardRow> Pending() const;
+
+  /// Sends what is due.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Tick(TimePoint aNow, Effects& aEffects);
+
+private:
+  struct Entry
+  {
+    ShardRow row_;
+    TimePoint lastSent_{};
+  };
+
+  const OwnershipSettings& settings_;
+  std::map<ShardId, Entry> entries_;
+};
+
+} // namespace redwing
