--- /dev/null
+++ b/src/routing/HedgePolicy.cpp
@@ -0,0 +1,44 @@
+#include "routing/HedgePolicy.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+/// Hedges per request; the extra work of hedging stays below this share.
+constexpr double kShare = 0.05;
+/// A straggler holds a handful of requests before it is noticed; the reserve covers those.
+constexpr double kReserve = 20.0;
+constexpr double kQuantileWithFullReserve = 0.95;
+constexpr double kQuantileWithoutReserve = 0.99;
+constexpr std::uint32_t kMinSamples = 20;
+/// Below this a hedge costs more than it can save.
+constexpr Duration kMinDelay = std::chrono::milliseconds(1);
+
+} // namespace
+
+std::optional<Duration>
+HedgePolicy::OnRequest()
+{
+  tokens_ = std::min(kReserve, tokens_ + kShare);
+  if (latencies_.Samples() < kMinSamples) {
+    return std::nullopt;
+  }
+  const double fill = tokens_ / kReserve;
+  const double quantile =
+    kQuantileWithoutReserve - fill * (kQuantileWithoutReserve - kQuantileWithFullReserve);
+  return std::max(kMinDelay, latencies_.Quantile(quantile));
+}
+
+bool
+HedgePolicy::TryTake()
+{
+  if (tokens_ < 1.0) {
+    return false;
+  }
+  tokens_ -= 1.0;
+  return true;
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/HedgePolicy.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "routing/LatencyTracker.hpp"
+
+#include <optional>
+
+namespace redwing {
+
+/// Decides when a second attempt of an idempotent request of one service starts.
+class HedgePolicy
+{
+public:
+  /// Counts a request and returns the delay after which it may be hedged; nothing while too few
+  /// latencies are known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::optional<Duration> OnRequest();
+
+  /// Adds the latency of a request from its first attempt to its first response.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void OnLatency(Duration aLatency) { latencies_.Add(aLatency); }
+
+  /// Takes one hedge from the budget if there is one.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool TryTake();
+
+private:
+  LatencyTracker latencies_;
+  double tokens_ = 0;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/MemberLoad.cpp
@@ -0,0 +1,108 @@
+#include "routing/MemberLoad.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+/// A report loses its weight over this time; reports of a straggler are late and mislead.
+constexpr Duration kReportLife = std::chrono::milliseconds(200);
+/// Share of the newest sample in the fast-moving average.
+constexpr int kRecentDivisor = 4;
+
+} // namespace
+
+void
+MemberLoad::OnStart(std::uint64_t aAttemptId, TimePoint aNow)
+{
+  attempts_.push_back({ aAttemptId, aNow, true });
+  ++outstanding_;
+}
+
+void
+MemberLoad::OnResponse(std::uint64_t aAttemptId, TimePoint aNow)
+{
+  if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
+    attempt->waiting_ = false;
+    AddSample(aNow - attempt->start_);
+    DropAnswered();
+  }
+}
+
+void
+MemberLoad::OnEnd(std::uint64_t aAttemptId, TimePoint aNow, bool aGivenUp)
+{
+  if (outstanding_ > 0) {
+    --outstanding_;
+  }
+  if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
+    attempt->waiting_ = false;
+    const Duration age = aNow - attempt->start_;
+    if (aGivenUp && age > recent_) {
+      AddSample(age);
+    }
+    DropAnswered();
+  }
+}
+
+void
+MemberLoad::OnReport(const LoadReport& aReport, TimePoint aNow)
+{
+  report_ = aReport;
+  reportAt_ = aNow;
+}
+
+double
+MemberLoad::Score(double aSlots, TimePoint aNow) const
+{
+  double load = outstanding_;
+  if (const Duration age = aNow - reportAt_; age < kReportLife) {
+    const double fresh =
+      1.0 - static_cast<double>(age.count()) / static_cast<double>(kReportLife.count());
+    load += fresh * (report_.running_ + report_.queued_);
+  }
+  return load / aSlots;
+}
+
+Duration
+MemberLoad::WaitingAge(std::size_t aSkip, TimePoint aNow) const
+{
+  for (const Attempt& attempt : attempts_) {
+    if (!attempt.waiting_) {
+      continue;
+    }
+    if (aSkip == 0) {
+      return aNow - attempt.start_;
+    }
+    --aSkip;
+  }
+  return Duration::zero();
+}
+
+MemberLoad::Attempt*
+MemberLoad::Find(std::uint64_t aAttemptId)
+{
+  const auto found = std::lower_bound(
+    attempts_.begin(), attempts_.end(), aAttemptId, [](const Attempt& aLeft, std::uint64_t aId) {
+      return aLeft.id_ < aId;
+    });
+  return found != attempts_.end() && found->id_ == aAttemptId ? &*found : nullptr;
+}
+
+void
+MemberLoad::AddSample(Duration aLatency)
+{
+  latencies_.Add(aLatency);
+  recent_ += (aLatency - recent_) / kRecentDivisor;
+}
+
+void
+MemberLoad::DropAnswered()
+{
+  while (!attempts_.empty() && !attempts_.front().waiting_) {
+    attempts_.pop_front();
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/MemberLoad.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/Clock.hpp"
+#include "exchange/Events.hpp"
+#include "routing/LatencyTracker.hpp"
+
+#include <cstdint>
+#include <deque>
+
+namespace redwing {
+
+/// What the ingress knows about the load and speed of one pooled backend server.
+class MemberLoad
+{
+public:
+  /// Records an attempt that was sent.
+  ///
+  /// Preconditions: aAttemptId is greater than that of earlier attempts. Thread safety: not
+  /// thread-safe.
+  void OnStart(std::uint64_t aAttemptId, TimePoint aNow);
+
+  /// Records the first response of an attempt.
+  ///
+  /// Preconditions: OnStart was called with aAttemptId. Thread safety: not thread-safe.
+  void OnResponse(std::uint64_t aAttemptId, TimePoint aNow);
+
+  /// Records the end of an attempt. One that was given up without a response counts as a sample of
+  /// its age when it is slower than the usual latency, because a server that never answers has no
+  /// other samples.
+  ///
+  /// Preconditions: OnStart was called with aAttemptId. Thread safety: not thread-safe.
+  void OnEnd(std::uint64_t aAttemptId, TimePoint aNow, bool aGivenUp);
+
+  /// Records a load report received at aNow.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void OnReport(const LoadReport& aReport, TimePoint aNow);
+
+  /// Returns (own outstanding + aged report) / aSlots.
+  ///
+  /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
+  double Score(double aSlots, TimePoint aNow) const;
+
+  /// Returns the age of the oldest attempt without a response, apart from the aSkip oldest; zero if
+  /// there is none.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  Duration WaitingAge(std::size_t aSkip, TimePoint aNow) const;
+
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::uint32_t Outstanding() const { return outstanding_; }
+  const LatencyTracker& Latencies() const { return latencies_; }
+  /// Fast-moving average of the latest latencies.
+  Duration Recent() const { return recent_; }
+  /// Replaces the average; used when an ejected server is given another chance.
+  void ResetRecent(Duration aRecent) { recent_ = aRecent; }
+
+private:
+  struct Attempt
+  {
+    std::uint64_t id_;
+    TimePoint start_;
+    bool waiting_;
+  };
+
+  Attempt* Find(std::uint64_t aAttemptId);
+  void AddSample(Duration aLatency);
+  void DropAnswered();
+
+  std::deque<Attempt> attempts_;
+  std::uint32_t outstanding_ = 0;
+  LatencyTracker latencies_;
+  Duration recent_{};
+  LoadReport report_;
+  TimePoint reportAt_{};
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/PoolSelector.cpp
@@ -0,0 +1,256 @@
+#include "routing/PoolSelector.hpp"
+
+#include "routing/SelectorMatch.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+/// A near member up to this load is preferred to any far one.
+constexpr double kNearLoad = 0.75;
+/// Above kNearLoad a far member is chosen when its load is lower by this much.
+constexpr double kFarPenalty = 0.25;
+/// Slots assumed for a member that does not announce them.
+constexpr double kDefaultSlots = 4.0;
+/// A cold member counts with this share of its slots; its own instance limits it further.
+constexpr double kColdShare = 0.25;
+constexpr Duration kEvaluationInterval = std::chrono::milliseconds(2);
+
+const DataCentre*
+FindDataCentre(const RoutingView& aView, const std::string& aId)
+{
+  if (!aView.configuration_) {
+    return nullptr;
+  }
+  for (const DataCentre& dataCentre : aView.configuration_->configuration_.dataCentres_) {
+    if (dataCentre.id_ == aId) {
+      return &dataCentre;
+    }
+  }
+  return nullptr;
+}
+
+bool
+MayServe(const Member& aMember, const DataCentre* aDataCentre)
+{
+  return aMember.reachable_ && !aMember.leaving_ &&
+         (aMember.state_ == BackendState::Ready || aMember.state_ == BackendState::Cold) &&
+         (aDataCentre == nullptr || !aDataCentre->withdrawn_);
+}
+
+} // namespace
+
+PoolSelector::PoolSelector(const Clock& aClock, std::uint64_t aSeed, RoutingSettings aSettings)
+  : clock_(aClock)
+  , random_(aSeed)
+  , settings_(aSettings)
+{
+}
+
+void
+PoolSelector::SetView(std::shared_ptr<const RoutingView> aView)
+{
+  view_ = std::move(aView);
+  pools_.clear();
+  std::erase_if(tracked_, [&](const auto& aEntry) {
+    return aEntry.second->load_.Outstanding() == 0 && !view_->members_.contains(aEntry.first);
+  });
+}
+
+const Member*
+PoolSelector::Choose(const Route& aRoute, std::span<const std::string> aExcluded)
+{
+  now_ = clock_.Now();
+  Pool& pool = PoolOf(aRoute);
+  if (settings_.outlierEjection_ && now_ >= pool.nextEvaluation_) {
+    pool.detector_.Evaluate(pool.outliers_, now_);
+    pool.nextEvaluation_ = now_ + kEvaluationInterval;
+  }
+  if (pool.groups_.size() == 1) {
+    return ChooseInGroup(pool, pool.groups_.front(), aExcluded);
+  }
+  std::uint64_t total = 0;
+  for (const Group& group : pool.groups_) {
+    total += group.weight_;
+  }
+  if (total > 0) {
+    std::uint64_t ticket = random_.Below(total);
+    for (const Group& group : pool.groups_) {
+      if (ticket < group.weight_) {
+        if (const Member* member = ChooseInGroup(pool, group, aExcluded)) {
+          return member;
+        }
+        break;
+      }
+      ticket -= group.weight_;
+    }
+  }
+  for (const Group& group : pool.groups_) {
+    if (const Member* member = ChooseInGroup(pool, group, aExcluded)) {
+      return member;
+    }
+  }
+  return nullptr;
+}
+
+MemberLoad&
+PoolSelector::LoadOf(const std::string& aInstanceId)
+{
+  return TrackedOf(aInstanceId).load_;
+}
+
+PoolSelector::Pool&
+PoolSelector::PoolOf(const Route& aRoute)
+{
+  auto& pool = pools_[&aRoute];
+  if (!pool) {
+    pool = BuildPool(aRoute);
+  }
+  return *pool;
+}
+
+std::unique_ptr<PoolSelector::Pool>
+PoolSelector::BuildPool(const Route& aRoute)
+{
+  auto pool = std::make_unique<Pool>();
+  std::vector<Candidate> members = EligibleMembers(aRoute.service_);
+  for (const Candidate& candidate : members) {
+    pool->outliers_.push_back(&candidate.tracked_->outlier_);
+  }
+  if (aRoute.selectors_.empty()) {
+    pool->groups_.push_back({ 1, std::move(members) });
+    return pool;
+  }
+  static const Labels kNoLabels;
+  for (const Selector& selector : aRoute.selectors_) {
+    Group group{ selector.weight_, {} };
+    for (const Candidate& candidate : members) {
+      const DataCentre* dataCentre = FindDataCentre(*view_, candidate.member_->dataCentre_);
+      if (Selects(selector,
+                  candidate.member_->labels_,
+                  dataCentre == nullptr ? kNoLabels : dataCentre->labels_)) {
+        group.candidates_.push_back(candidate);
+      }
+    }
+    if (!group.candidates_.empty()) {
+      pool->groups_.push_back(std::move(group));
+    }
+  }
+  return pool;
+}
+
+std::vector<PoolSelector::Candidate>
+PoolSelector::EligibleMembers(const std::string& aService)
+{
+  std::vector<Candidate> members;
+  for (const auto& [id, member] : view_->members_) {
+    if (member.service_ != aService ||
+        !MayServe(member, FindDataCentre(*view_, member.dataCentre_))) {
+      continue;
+    }
+    double slots = member.slots_ == 0 ? kDefaultSlots : member.slots_;
+    if (member.state_ == BackendState::Cold) {
+      slots = std::max(1.0, slots * kColdShare);
+    }
+    members.push_back(
+      { &member, &TrackedOf(id), slots, member.dataCentre_ == view_->selfDataCentre_ });
+  }
+  return members;
+}
+
+PoolSelector::Tracked&
+PoolSelector::TrackedOf(const std::string& aInstanceId)
+{
+  auto& tracked = tracked_[aInstanceId];
+  if (!tracked) {
+    tracked = std::make_unique<Tracked>();
+    tracked->outlier_.load_ = &tracked->load_;
+  }
+  return *tracked;
+}
+
+const Member*
+PoolSelector::ChooseInGroup(Pool& aPool,
+                            const Group& aGroup,
+                            std::span<const std::string> aExcluded)
+{
+  Collect(aGroup, aExcluded, settings_.outlierEjection_);
+  if (near_.empty() && far_.empty() && settings_.outlierEjection_) {
+    // A slow server is better than none.
+    Collect(aGroup, aExcluded, false);
+  }
+  if (near_.empty() && far_.empty()) {
+    return nullptr;
+  }
+  return Balance(aPool)->member_;
+}
+
+void
+PoolSelector::Collect(const Group& aGroup,
+                      std::span<const std::string> aExcluded,
+                      bool aAdmittedOnly)
+{
+  near_.clear();
+  far_.clear();
+  for (const Candidate& candidate : aGroup.candidates_) {
+    const bool excluded =
+      std::find(aExcluded.begin(), aExcluded.end(), candidate.member_->ref_.id_) != aExcluded.end();
+    if (excluded ||
+        (aAdmittedOnly && !OutlierDetector::Admits(candidate.tracked_->outlier_, now_))) {
+      continue;
+    }
+    (candidate.near_ ? near_ : far_).push_back(&candidate);
+  }
+}
+
+const PoolSelector::Candidate*
+PoolSelector::Balance(Pool& aPool)
+{
+  if (settings_.balancing_ == Balancing::TwoChoices) {
+    return TwoChoices();
+  }
+  near_.insert(near_.end(), far_.begin(), far_.end());
+  if (settings_.balancing_ == Balancing::RoundRobin) {
+    return near_[aPool.turn_++ % near_.size()];
+  }
+  return *std::min_element(
+    near_.begin(), near_.end(), [](const Candidate* aLeft, const Candidate* aRight) {
+      return aLeft->tracked_->load_.Outstanding() < aRight->tracked_->load_.Outstanding();
+    });
+}
+
+const PoolSelector::Candidate*
+PoolSelector::TwoChoices()
+{
+  if (near_.empty()) {
+    return BetterOfTwo(far_);
+  }
+  const Candidate* near = BetterOfTwo(near_);
+  if (far_.empty() || Score(*near) <= kNearLoad) {
+    return near;
+  }
+  const Candidate* far = BetterOfTwo(far_);
+  return Score(*far) + kFarPenalty < Score(*near) ? far : near;
+}
+
+const PoolSelector::Candidate*
+PoolSelector::BetterOfTwo(const std::vector<const Candidate*>& aFrom)
+{
+  if (aFrom.size() == 1) {
+    return aFrom.front();
+  }
+  const std::size_t first = random_.Below(aFrom.size());
+  std::size_t second = random_.Below(aFrom.size() - 1);
+  second += second >= first ? 1 : 0;
+  return Score(*aFrom[second]) < Score(*aFrom[first]) ? aFrom[second] : aFrom[first];
+}
+
+double
+PoolSelector::Score(const Candidate& aCandidate) const
+{
+  return aCandidate.tracked_->load_.Score(aCandidate.slots_, now_);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/PoolSelector.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "core/Clock.hpp"
+#include "core/Random.hpp"
+#include "routing/OutlierDetector.hpp"
+#include "routing/RoutingSettings.hpp"
+#include "routing/RoutingView.hpp"
+
+#include <memory>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace redwing {
+
+/// Chooses the backend server of a pooled service for each attempt.
+class PoolSelector
+{
+public:
+  PoolSelector(const Clock& aClock, std::uint64_t aSeed, RoutingSettings aSettings);
+
+  /// Adopts a new view. Load and ejection of members that stay are kept.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void SetView(std::shared_ptr<const RoutingView> aView);
+
+  /// Returns the member for an attempt of aRoute, or null when none may be chosen. Members in
+  /// aExcluded are not chosen again.
+  ///
+  /// Preconditions: aRoute is from the configuration of the current view. Thread safety: not
+  /// thread-safe.
+  const Member* Choose(const Route& aRoute, std::span<const std::string> aExcluded);
+
+  /// Returns the load of aInstanceId; the reference stays valid for the selector's lifetime.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  MemberLoad& LoadOf(const std::string& aInstanceId);
+
+private:
+  struct Tracked
+  {
+    MemberLoad load_;
+    OutlierState outlier_;
+  };
+  struct Candidate
+  {
+    const Member* member_;
+    Tracked* tracked_;
+    double slots_;
+    bool near_;
+  };
+  struct Group
+  {
+    std::uint32_t weight_;
+    std::vector<Candidate> candidates_;
+  };
+  struct Pool
+  {
+    std::vector<Group> groups_;
+    std::vector<OutlierState*> outliers_;
+    OutlierDetector detector_;
+    TimePoint nextEvaluation_{};
+    std::size_t turn_ = 0;
+  };
+
+  Pool& PoolOf(const Route& aRoute);
+  std::unique_ptr<Pool> BuildPool(const Route& aRoute);
+  std::vector<Candidate> EligibleMembers(const std::string& aService);
+  Tracked& TrackedOf(const std::string& aInstanceId);
+  const Member* ChooseInGroup(Pool& aPool,
+                              const Group& aGroup,
+                              std::span<const std::string> aExcluded);
+  void Collect(const Group& aGroup, std::span<const std::string> aExcluded, bool aAdmittedOnly);
+  const Candidate* Balance(Pool& aPool);
+  const Candidate* TwoChoices();
+  const Candidate* BetterOfTwo(const std::vector<const Candidate*>& aFrom);
+  double Score(const Candidate& aCandidate) const;
+
+  const Clock& clock_;
+  Random random_;
+  RoutingSettings settings_;
+  std::shared_ptr<const RoutingView> view_;
+  std::unordered_map<std::string, std::unique_ptr<Tracked>> tracked_;
+  std::unordered_map<const Route*, std::unique_ptr<Pool>> pools_;
+  std::vector<const Candidate*> near_;
+  std::vector<const Candidate*> far_;
+  TimePoint now_{};
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/routing/RouteTable.cpp
@@ -0,0 +1,165 @@
+#include "routing/RouteTable.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+namespace {
+
+constexpr int kHexBase = 16;
+constexpr int kDecimalDigits = 10;
+
+int
+HexValue(char aDigit)
+{
+  if (aDigit >= '0' && aDigit <= '9') {
+    return aDigit - '0';
+  }
+  if (aDigit >= 'a' && aDigit <= 'f') {
+    return aDigit - 'a' + kDecimalDigits;
+  }
+  if (aDigit >= 'A' && aDigit <= 'F') {
+    return aDigit - 'A' + kDecimalDigits;
+  }
+  return -1;
+}
+
+std::optional<std::string>
+PercentDecode(std::string_view aText)
+{
+  std::string decoded;
+  decoded.reserve(aText.size());
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (aText[i] != '%') {
+      decoded.push_back(aText[i]);
+      continue;
+    }
+    if (i + 2 >= aText.size()) {
+      return std::nullopt;
+    }
+    const int high = HexValue(aText[i + 1]);
+    const int low = HexValue(aText[i + 2]);
+    if (high < 0 || low < 0) {
+      return std::nullopt;
+    }
+    decoded.push_back(static_cast<char>(high * kHexBase + low));
+    i += 2;
+  }
+  return decoded;
+}
+
+std::string_view
+WithoutTrailingSlash(std::string_view aPrefix)
+{
+  while (!aPrefix.empty() && aPrefix.back() == '/') {
+    aPrefix.remove_suffix(1);
+  }
+  return aPrefix;
+}
+
+bool
+AllowsMethod(const Route& aRoute, std::string_view aMethod)
+{
+  return aRoute.methods_.empty() ||
+         std::find(aRoute.methods_.begin(), aRoute.methods_.end(), aMethod) !=
+           aRoute.methods_.end();
+}
+
+} // namespace
+
+RouteTable::RouteTable(std::shared_ptr<const ConfigurationRevision> aRevision)
+  : revision_(std::move(aRevision))
+{
+  const Configuration& configuration = revision_->configuration_;
+  for (const Workspace& workspace : configuration.workspaces_) {
+    workspaces_.emplace(workspace.id_, &workspace);
+  }
+  for (const Route& route : configuration.routes_) {
+    const auto service =
+      std::find_if(configuration.services_.begin(),
+                   configuration.services_.end(),
+                   [&](const Service& aService) { return aService.id_ == route.service_; });
+    if (service == configuration.services_.end()) {
+      continue;
+    }
+    byPrefix_[WithoutTrailingSlash(route.pathPrefix_)].push_back(
+      { &route, &*service, route.open_ ? FindWorkspace(route.openWorkspace_) : nullptr });
+  }
+}
+
+const RouteEntry*
+RouteTable::Match(std::string_view aMethod, std::string_view aPath) const
+{
+  std::string_view prefix = WithoutTrailingSlash(aPath);
+  while (true) {
+    if (const auto found = byPrefix_.find(prefix); found != byPrefix_.end()) {
+      for (const RouteEntry& entry : found->second) {
+        if (AllowsMethod(*entry.route_, aMethod)) {
+          return &entry;
+        }
+      }
+    }
+    const std::size_t slash = prefix.rfind('/');
+    if (slash == std::string_view::npos) {
+      return nullptr;
+    }
+    prefix = prefix.substr(0, slash);
+  }
+}
+
+bool
+RouteTable::Allows(const RouteEntry& aEntry, std::string_view aWorkspace)
+{
+  const auto& allowed = aEntry.route_->workspaces_;
+  return allowed.empty() || std::find(allowed.begin(), allowed.end(), aWorkspace) != allowed.end();
+}
+
+const Workspace*
+RouteTable::FindWorkspace(std::string_view aId) const
+{
+  const auto found = workspaces_.find(aId);
+  return found == workspaces_.end() ? nullptr : found->second;
+}
+
+std::optional<std::string>
+PathSegment(std::string_view aPath, std::uint32_t aIndex)
+{
+  if (aPath.empty() || aPath.front() != '/') {
+    return std::nullopt;
+  }
+  aPath.remove_prefix(1);
+  for (; aIndex > 0; --aIndex) {
+    const std::size_t slash = aPath.find('/');
+    if (slash == std::string_view::npos) {
+      return std::nullopt;
+    }
+    aPath.remove_prefix(slash + 1);
+  }
+  auto decoded = PercentDecode(aPath.substr(0, aPath.find('/')));
+  if (decoded && decoded->empty()) {
+    return std::nullopt;
+  }
+  return decoded;
+}
+
+bool
+HasDotSegment(std::string_view aPath)
+{
+  if (aPath.find('.') == std::string_view::npos && aPath.find('%') == std::string_view::npos) {
+    return false;
+  }
+  while (!aPath.empty()) {
+    const std::size_t slash = aPath.find('/');
+    const auto segment = PercentDecode(aPath.substr(0, slash));
+    if (segment && (*segment == "." || *segment == "..")) {
+      return true;
+    }
+    if (slash == std::string_view::npos) {
+      break;
+    }
+    aPath.remove_prefix(slash + 1);
+  }
+  return false;
+}
+
+} // namespace redwing
