--- /dev/null
+++ b/src/intake/Exchange.cpp
@@ -0,0 +1,324 @@
+#include "intake/Exchange.hpp"
+
+#include "core/Hash.hpp"
+#include "intake/CallerConnection.hpp"
+#include "intake/IntakeCore.hpp"
+#include "routing/ShardMap.hpp"
+
+#include <algorithm>
+
+namespace redwing::Detail {
+
+namespace {
+
+constexpr std::uint32_t kDefaultRetryAfterMs = 1000;
+constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
+
+std::uint64_t
+Combine(std::uint64_t aSeed, std::string_view aText)
+{
+  return aSeed * kMultiplier ^ HashBytes(aText);
+}
+
+bool
+IsTemporary(ErrorCode aCode)
+{
+  return HttpStatus(aCode) == 503 && aCode != ErrorCode::PoisonRequest; // NOLINT: HTTP status
+}
+
+const std::string*
+FindHeader(const HeaderList& aHeaders, std::string_view aName)
+{
+  for (const Header& header : aHeaders) {
+    if (SameName(header.name_, aName)) {
+      return &header.value_;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace
+
+Exchange::Exchange(IntakeCore& aCore, CallerConnection& aConnection)
+  : core_(aCore)
+  , connection_(aConnection)
+  , id_(aCore.NextExchangeId())
+  , requestId_(aCore.NextRequestId())
+  , begun_(aCore.Now())
+{
+  core_.AddExchange(id_, *this);
+}
+
+Exchange::~Exchange()
+{
+  Finish();
+}
+
+void
+Exchange::Begin(std::string&& aMethod,
+                std::string&& aTarget,
+                HeaderList&& aHeaders,
+                std::optional<std::uint64_t> aContentLength,
+                bool aBodyDone)
+{
+  bodyDone_ = aBodyDone;
+  if (const char* fault =
+        CleanHead(std::move(aMethod), std::move(aTarget), std::move(aHeaders), head_)) {
+    Refuse(ErrorCode::BadRequest, fault);
+    return;
+  }
+  if (core_.ExchangeCount() > core_.Settings().maxExchanges_) {
+    Refuse(ErrorCode::QueueFull, "too many requests in progress");
+    return;
+  }
+  routes_ = core_.Routes();
+  entry_ = routes_->Match(head_.method_, head_.Path());
+  if (entry_ == nullptr) {
+    Refuse(ErrorCode::NoRoute, "no route matches the method and path");
+    return;
+  }
+  if (!Authenticate() || !FindShard()) {
+    return;
+  }
+  const Route& route = *entry_->route_;
+  deadline_ = begun_ + std::min(route.timeout_, head_.timeout_.value_or(route.timeout_));
+  BuildStart(aContentLength);
+  deadlineTimer_ = core_.Timers().Add(deadline_, id_, TimerKind::Deadline);
+  if (workspace_ == nullptr) {
+    OnRateDecision(true, 0);
+    return;
+  }
+  core_.Dependencies().rateLimiter_(
+    *workspace_, deadline_, [core = &core_, id = id_](bool aAdmitted, std::uint32_t aRetryAfterMs) {
+      core->OnRateDecision(id, aAdmitted, aRetryAfterMs);
+    });
+}
+
+void
+Exchange::Reject(const char* aFault)
+{
+  bodyDone_ = false;
+  Refuse(ErrorCode::BadRequest, aFault);
+}
+
+bool
+Exchange::Authenticate()
+{
+  if (entry_->route_->open_) {
+    workspace_ = entry_->openWorkspace_;
+    return true;
+  }
+  if (!head_.hasAuthorization_) {
+    Refuse(ErrorCode::MissingKey, "the route needs an API key");
+    return false;
+  }
+  if (!core_.View().configurationCurrent_) {
+    Refuse(ErrorCode::ConfigurationStale, "the configuration is not confirmed to be current");
+    return false;
+  }
+  const CallerKey* key = core_.Credentials().Find(head_.apiKey_);
+  const Workspace* workspace = key == nullptr ? nullptr : routes_->FindWorkspace(key->workspace_);
+  if (workspace == nullptr) {
+    Refuse(ErrorCode::InvalidKey, "the API key is unknown");
+    return false;
+  }
+  key_ = key;
+  workspace_ = workspace;
+  if (!RouteTable::Allows(*entry_, workspace->id_)) {
+    Refuse(ErrorCode::KeyNotAllowed, "the workspace may not use this route");
+    return false;
+  }
+  return true;
+}
+
+bool
+Exchange::FindShard()
+{
+  const Service& service = *entry_->service_;
+  if (service.mode_ != ServiceMode::Keyed) {
+    return true;
+  }
+  const Route& route = *entry_->route_;
+  std::optional<std::string> key;
+  if (route.keySource_ == KeySource::PathSegment) {
+    key = PathSegment(head_.Path(), route.keySegment_);
+  } else if (route.keySource_ == KeySource::Header) {
+    if (const std::string* value = FindHeader(head_.headers_, route.keyHeader_)) {
+      key = *value;
+    }
+  }
+  if (!key || key->empty()) {
+    Refuse(ErrorCode::MissingRoutingKey, "the request has no routing key");
+    return false;
+  }
+  if (service.shards_ == 0) {
+    Refuse(ErrorCode::NoOwner, "the service has no shards");
+    return false;
+  }
+  start_.shard_ = ShardTarget{ ShardOf(*key, service.shards_), 0 };
+  return true;
+}
+
+void
+Exchange::BuildStart(std::optional<std::uint64_t> aContentLength)
+{
+  const Route& route = *entry_->route_;
+  start_.requestId_ = requestId_;
+  start_.service_ = route.service_;
+  if (workspace_ != nullptr) {
+    start_.workspace_ = workspace_->id_;
+    start_.weight_ = workspace_->weight_;
+  }
+  start_.method_ = head_.method_;
+  start_.target_ = head_.target_;
+  start_.headers_ = std::move(head_.headers_);
+  start_.deadline_ = deadline_;
+  start_.priority_ = route.priority_;
+  start_.idempotent_ = route.idempotent_;
+  start_.idempotencyKey_ = head_.idempotencyKey_;
+  start_.contentLength_ = aContentLength;
+  start_.configurationRevision_ = routes_->Revision().revision_;
+  if (key_ != nullptr) {
+    start_.keyId_ = key_->id_;
+  }
+  // The API key is of no use from here on.
+  head_.apiKey_.clear();
+}
+
+void
+Exchange::OnRateDecision(bool aAdmitted, std::uint32_t aRetryAfterMs)
+{
+  if (finished_ || admitted_) {
+    return;
+  }
+  if (!aAdmitted) {
+    Refuse(
+      ErrorCode::RateLimited, "the workspace is over its rate", Outcome::NotRun, aRetryAfterMs);
+    return;
+  }
+  admitted_ = true;
+  if (!bodyDone_ && head_.expectsContinue_) {
+    connection_.Out().append("HTTP/1.1 100 Continue\r\n\r\n");
+    connection_.Flush(0);
+  }
+  BeginWhenReady();
+}
+
+void
+Exchange::OnBody(std::string&& aBytes, bool aLast)
+{
+  bodyDone_ = aLast;
+  if (pending_.empty()) {
+    pending_ = std::move(aBytes);
+  } else {
+    pending_.append(aBytes);
+  }
+  if (attemptCount_ == 0) {
+    BeginWhenReady();
+  } else {
+    SendBody();
+  }
+}
+
+void
+Exchange::OnMalformedBody()
+{
+  if (responding_) {
+    AbortResponse();
+    return;
+  }
+  const bool mayHaveRun = !attempts_.empty() || unknownCount_ > 0;
+  Refuse(ErrorCode::BadRequest,
+         "the request body is malformed",
+         mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
+}
+
+bool
+Exchange::WantsBody() const
+{
+  return !finished_ && pending_.size() < kMaxChunkBytes;
+}
+
+void
+Exchange::BeginWhenReady()
+{
+  // Waiting for a whole chunk keeps a slow upload from holding a slot and makes small bodies
+  // replayable.
+  if (finished_ || !admitted_ || attemptCount_ > 0 ||
+      (!bodyDone_ && pending_.size() < kMaxChunkBytes)) {
+    return;
+  }
+  streamed_ = !bodyDone_ || pending_.size() > kMaxChunkBytes;
+  if (streamed_) {
+    start_.body_ = pending_.substr(0, kMaxChunkBytes);
+    pending_.erase(0, kMaxChunkBytes);
+  } else {
+    start_.body_ = std::move(pending_);
+    pending_.clear();
+    start_.contentLength_ = start_.body_.size();
+  }
+  start_.last_ = !streamed_;
+  bodySent_ = !streamed_;
+  requestOutstanding_ = start_.body_.size();
+  start_.fingerprint_ = Combine(
+    Combine(Combine(HashBytes(start_.workspace_), start_.method_), start_.target_), start_.body_);
+  core_.Retries().OnRequest(start_.workspace_, start_.service_);
+  SendAttempt("first");
+}
+
+void
+Exchange::Refuse(ErrorCode aCode,
+                 std::string aDetail,
+                 Outcome aOutcome,
+                 std::optional<std::uint32_t> aRetryAfterMs)
+{
+  if (finished_) {
+    return;
+  }
+  CancelAttempts(0);
+  Finish();
+  core_.Outcomes().OnRefusal(WorkspaceId(), aCode, aOutcome);
+  if (!aRetryAfterMs && IsTemporary(aCode)) {
+    aRetryAfterMs = kDefaultRetryAfterMs;
+  }
+  Refusal refusal;
+  refusal.outcome_ = aOutcome;
+  refusal.code_ = aCode;
+  refusal.detail_ = std::move(aDetail);
+  refusal.retryAfterMs_ = aRetryAfterMs;
+  keepsConnection_ = connection_.KeepsAlive();
+  AppendRefusal(connection_.Out(), refusal, requestId_, head_.method_ == "HEAD", !keepsConnection_);
+  connection_.Flush(0);
+  connection_.EndResponse();
+}
+
+const std::string&
+Exchange::WorkspaceId() const
+{
+  static const std::string kNone;
+  return workspace_ == nullptr ? kNone : workspace_->id_;
+}
+
+void
+Exchange::Finish()
+{
+  if (finished_) {
+    return;
+  }
+  finished_ = true;
+  core_.Timers().Remove(deadlineTimer_);
+  core_.Timers().Remove(retryTimer_);
+  core_.Timers().Remove(hedgeTimer_);
+  core_.RemoveExchange(id_);
+}
+
+void
+Exchange::OnCallerGone()
+{
+  if (!finished_) {
+    CancelAttempts(0);
+    Finish();
+  }
+}
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/intake/Exchange.hpp
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "exchange/Events.hpp"
+#include "intake/RequestHead.hpp"
+#include "intake/ResponseText.hpp"
+#include "intake/TimerQueue.hpp"
+#include "routing/RouteTable.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+class MemberLoad;
+
+namespace Detail {
+
+class CallerConnection;
+class IntakeCore;
+
+/// One request of a caller from its head to the end of its response: admission, attempts at
+/// serving instances, retries and hedges, and the streams of both bodies.
+class Exchange
+{
+public:
+  Exchange(IntakeCore& aCore, CallerConnection& aConnection);
+  ~Exchange();
+  Exchange(const Exchange&) = delete;
+  Exchange& operator=(const Exchange&) = delete;
+
+  /// Checks the request and asks for admission.
+  ///
+  /// Preconditions: called once. Thread safety: intake thread only, like all functions here. The
+  /// connection may retire the exchange in any function that ends the response.
+  void Begin(std::string&& aMethod,
+             std::string&& aTarget,
+             HeaderList&& aHeaders,
+             std::optional<std::uint64_t> aContentLength,
+             bool aBodyDone);
+
+  /// Refuses a request whose head could not be parsed.
+  void Reject(const char* aFault);
+
+  void OnBody(std::string&& aBytes, bool aLast);
+  void OnMalformedBody();
+  void OnRateDecision(bool aAdmitted, std::uint32_t aRetryAfterMs);
+  void OnResponseEvent(std::uint64_t aAttemptId, ResponseEvent&& aEvent);
+  void OnPeerDown(const std::string& aInstanceId);
+  void OnTimer(TimerKind aKind);
+  /// Bytes of the response body have left the connection's buffer.
+  void OnResponseWritten(std::size_t aBytes);
+  /// The caller's connection is gone; running attempts are cancelled.
+  void OnCallerGone();
+
+  /// Returns whether more of the request body can be buffered.
+  bool WantsBody() const;
+  bool KeepsConnection() const { return keepsConnection_; }
+  bool Uses(const std::string& aInstanceId) const;
+
+private:
+  struct Attempt
+  {
+    std::uint64_t id_;
+    std::string instanceId_;
+    MemberLoad* load_;
+    bool local_;
+  };
+
+  // Admission, in Exchange.cpp
+  bool Authenticate();
+  bool FindShard();
+  void BuildStart(std::optional<std::uint64_t> aContentLength);
+  void BeginWhenReady();
+  void Refuse(ErrorCode aCode,
+              std::string aDetail,
+              Outcome aOutcome = Outcome::NotRun,
+              std::optional<std::uint32_t> aRetryAfterMs = std::nullopt);
+  void Finish();
+  /// Id of the charged workspace; empty if there is none.
+  const std::string& WorkspaceId() const;
+
+  // Attempts, in ExchangeAttempts.cpp
+  void SendAttempt(const char* aReason);
+  bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
+  void LogAttempt(const Attempt& aAttempt, const char* aReason);
+  void OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal);
+  bool RetryAfter(const Attempt& aAttempt, const Refusal& aRefusal);
+  bool RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal);
+  bool RetryPooled(const Attempt& aAttempt, const Refusal& aRefusal);
+  void RetryLater();
+  bool CanReplay() const;
+  void SendToAttempt(const Attempt& aAttempt, RequestEvent&& aEvent);
+  void CancelAttempts(std::uint64_t aExceptId);
+  void EndAttempt(const Attempt& aAttempt, bool aGivenUp);
+  void OnDeadline();
+  void OnHedgeTimer();
+  void ArmHedge();
+
+  // Bodies, in ExchangeBodies.cpp
+  void SendBody();
+  void OnResponseStart(std::uint64_t aAttemptId, ResponseStart&& aStart);
+  void OnResponseBody(ResponseBody&& aBody);
+  void AppendBody(std::string_view aBytes, bool aLast);
+  void EndResponse();
+  void AbortResponse();
+  BodyFraming FramingOf(const ResponseStart& aStart) const;
+
+  IntakeCore& core_;
+  CallerConnection& connection_;
+  std::uint64_t id_;
+  std::string requestId_;
+  RequestHead head_;
+  std::shared_ptr<const RouteTable> routes_;
+  const RouteEntry* entry_ = nullptr;
+  const Workspace* workspace_ = nullptr;
+  const CallerKey* key_ = nullptr;
+  RequestStart start_;
+  TimePoint begun_;
+  TimePoint deadline_ = TimePoint::max();
+  TimerQueue::Handle deadlineTimer_{};
+  TimerQueue::Handle retryTimer_{};
+  TimerQueue::Handle hedgeTimer_{};
+
+  bool admitted_ = false;
+  bool finished_ = false;
+  bool responding_ = false;
+  bool keepsConnection_ = false;
+
+  std::string pending_;
+  bool bodyDone_ = true;
+  bool bodySent_ = false;
+  bool streamed_ = false;
+  std::size_t requestOutstanding_ = 0;
+
+  std::vector<Attempt> attempts_;
+  std::vector<std::string> excluded_;
+  std::string lastFailed_;
+  std::string ownerHint_;
+  TimePoint firstSent_{};
+  std::uint32_t attemptCount_ = 0;
+  std::uint32_t unknownCount_ = 0;
+  std::uint32_t backoffs_ = 0;
+
+  BodyFraming framing_ = BodyFraming::None;
+  std::optional<std::uint64_t> responseLength_;
+  std::uint64_t received_ = 0;
+};
+
+} // namespace Detail
+} // namespace redwing
--- /dev/null
+++ b/src/intake/ExchangeAttempts.cpp
@@ -0,0 +1,411 @@
+#include "intake/CallerConnection.hpp"
+#include "intake/Exchange.hpp"
+#include "intake/IntakeCore.hpp"
+
+#include <algorithm>
+
+namespace redwing::Detail {
+
+namespace {
+
+/// Time after the deadline for the serving instance, which has the same deadline, to say whether
+/// the request ran.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(25);
+constexpr Duration kFirstBackoff = std::chrono::milliseconds(2);
+constexpr Duration kMaxBackoff = std::chrono::milliseconds(16);
+constexpr std::uint32_t kMaxBackoffDoublings = 3;
+/// A request that crashes its backend server must not reach a third one.
+constexpr std::uint32_t kMaxPossibleRuns = 2;
+
+/// Refusals that end when ownership of the shard settles.
+bool
+ConcernsOwnership(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::NotOwner:
+    case ErrorCode::NoOwner:
+    case ErrorCode::PeerUnreachable:
+    case ErrorCode::LinkLost:
+    case ErrorCode::NoBackendServer:
+    case ErrorCode::BackendFailed:
+    case ErrorCode::Draining:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/// Refusals that another member of the pool may not repeat.
+bool
+ConcernsMember(ErrorCode aCode)
+{
+  switch (aCode) {
+    case ErrorCode::Overloaded:
+    case ErrorCode::QueueFull:
+      return true;
+    default:
+      return ConcernsOwnership(aCode);
+  }
+}
+
+} // namespace
+
+void
+Exchange::SendAttempt(const char* aReason)
+{
+  Attempt attempt{ 0, {}, nullptr, false };
+  if (!ChooseTarget(attempt.instanceId_, attempt.load_)) {
+    return;
+  }
+  const TimePoint now = core_.Now();
+  attempt.id_ = core_.NextAttemptId();
+  attempt.local_ = attempt.instanceId_ == core_.Dependencies().instanceId_;
+  const std::uint64_t id = attempt.id_;
+  start_.key_ = { kLocalLink, id };
+  ++attemptCount_;
+  LogAttempt(attempt, aReason);
+  core_.AddAttempt(id, *this);
+  if (attempt.load_ != nullptr) {
+    attempt.load_->OnStart(id, now);
+  }
+  const bool local = attempt.local_;
+  const std::string instanceId = attempt.instanceId_;
+  attempts_.push_back(std::move(attempt));
+  if (attemptCount_ == 1) {
+    firstSent_ = now;
+    ArmHedge();
+  }
+  RequestStart start = CanReplay() ? start_ : std::move(start_);
+  const IntakeDependencies& dependencies = core_.Dependencies();
+  const bool taken = local ? dependencies.tryStartLocal_(std::move(start))
+                           : dependencies.tryStartRemote_(instanceId, std::move(start));
+  if (!taken) {
+    Refusal refusal;
+    refusal.key_ = { kLocalLink, id };
+    refusal.code_ = ErrorCode::QueueFull;
+    refusal.detail_ = "the queue of this instance is full";
+    OnResponseEvent(id, std::move(refusal));
+    return;
+  }
+  SendBody();
+}
+
+bool
+Exchange::ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad)
+{
+  core_.RefreshView();
+  if (start_.shard_) {
+    if (!ownerHint_.empty()) {
+      aInstanceId = std::exchange(ownerHint_, {});
+      return true;
+    }
+    const OwnerChoice choice =
+      core_.Owners().Choose(core_.View(), start_.service_, start_.shard_->shard_, lastFailed_);
+    if (choice.instanceId_.empty()) {
+      lastFailed_.clear();
+      RetryLater();
+      return false;
+    }
+    aInstanceId = choice.instanceId_;
+    start_.shard_->token_ = choice.token_;
+    return true;
+  }
+  const Member* member = core_.Selector().Choose(*entry_->route_, excluded_);
+  if (member == nullptr) {
+    Refuse(ErrorCode::NoBackendServer,
+           "no backend server of the service can take the request",
+           unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
+    return false;
+  }
+  aInstanceId = member->ref_.id_;
+  aLoad = &core_.Selector().LoadOf(aInstanceId);
+  return true;
+}
+
+void
+Exchange::LogAttempt(const Attempt& aAttempt, const char* aReason)
+{
+  core_.Log().Write({ requestId_,
+                      WorkspaceId(),
+                      entry_->route_->id_,
+                      entry_->route_->service_,
+                      start_.shard_ ? static_cast<std::int64_t>(start_.shard_->shard_) : -1,
+                      aAttempt.instanceId_,
+                      attemptCount_,
+                      aReason });
+}
+
+bool
+Exchange::CanReplay() const
+{
+  return !streamed_;
+}
+
+void
+Exchange::OnResponseEvent(std::uint64_t aAttemptId, ResponseEvent&& aEvent)
+{
+  const auto found = std::find_if(attempts_.begin(), attempts_.end(), [&](const Attempt& aAttempt) {
+    return aAttempt.id_ == aAttemptId;
+  });
+  if (finished_ || found == attempts_.end()) {
+    return;
+  }
+  if (auto* start = std::get_if<ResponseStart>(&aEvent)) {
+    OnResponseStart(aAttemptId, std::move(*start));
+  } else if (auto* body = std::get_if<ResponseBody>(&aEvent)) {
+    OnResponseBody(std::move(*body));
+  } else if (auto* credit = std::get_if<RequestCredit>(&aEvent)) {
+    requestOutstanding_ -= std::min<std::size_t>(requestOutstanding_, credit->bytes_);
+    SendBody();
+  } else if (auto* refusal = std::get_if<Refusal>(&aEvent)) {
+    Attempt attempt = std::move(*found);
+    attempts_.erase(found);
+    EndAttempt(attempt, refusal->outcome_ == Outcome::Unknown);
+    OnRefusal(std::move(attempt), std::move(*refusal));
+  } else if (responding_) {
+    AbortResponse();
+  } else {
+    Refusal broken;
+    broken.outcome_ = Outcome::Unknown;
+    broken.code_ = ErrorCode::BackendFailed;
+    OnResponseEvent(aAttemptId, std::move(broken));
+  }
+}
+
+void
+Exchange::OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal)
+{
+  if (responding_) {
+    AbortResponse();
+    return;
+  }
+  if (aAttempt.load_ != nullptr && aRefusal.load_.slots_ > 0) {
+    aAttempt.load_->OnReport(aRefusal.load_, core_.Now());
+  }
+  if (aRefusal.outcome_ == Outcome::Unknown) {
+    ++unknownCount_;
+  }
+  if (!attempts_.empty()) {
+    // The other attempt of a hedged request is still running.
+    excluded_.push_back(aAttempt.instanceId_);
+    return;
+  }
+  if (core_.Now() < deadline_ && CanReplay() && RetryAfter(aAttempt, aRefusal)) {
+    return;
+  }
+  Refuse(aRefusal.code_,
+         std::move(aRefusal.detail_),
+         unknownCount_ > 0 ? Outcome::Unknown : aRefusal.outcome_,
+         aRefusal.retryAfterMs_);
+}
+
+bool
+Exchange::RetryAfter(const Attempt& aAttempt, const Refusal& aRefusal)
+{
+  if (aRefusal.outcome_ == Outcome::Unknown) {
+    const bool repeatable =
+      start_.idempotent_ && unknownCount_ < kMaxPossibleRuns && ConcernsOwnership(aRefusal.code_);
+    if (!repeatable || !core_.Retries().TryTake(start_.workspace_, start_.service_)) {
+      return false;
+    }
+  }
+  return start_.shard_ ? RetryKeyed(aAttempt, aRefusal) : RetryPooled(aAttempt, aRefusal);
+}
+
+bool
+Exchange::RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal)
+{
+  if (!ConcernsOwnership(aRefusal.code_)) {
+    return false;
+  }
+  lastFailed_ = aAttempt.instanceId_;
+  core_.RetryCounter().Add();
+  const bool hinted = aRefusal.code_ == ErrorCode::NotOwner && !aRefusal.ownerHint_.empty() &&
+                      aRefusal.ownerHint_ != lastFailed_;
+  if (hinted) {
+    ownerHint_ = aRefusal.ownerHint_;
+    core_.Owners().Learn(start_.service_, start_.shard_->shard_, ownerHint_, aRefusal.ownerToken_);
+    // A first hint is followed at once; hints that go in circles wait for ownership to settle.
+    if (backoffs_ == 0) {
+      ++backoffs_;
+      SendAttempt("owner-hint");
+      return true;
+    }
+  }
+  RetryLater();
+  return true;
+}
+
+bool
+Exchange::RetryPooled(const Attempt& aAttempt, const Refusal& aRefusal)
+{
+  if (!ConcernsMember(aRefusal.code_)) {
+    return false;
+  }
+  excluded_.push_back(aAttempt.instanceId_);
+  core_.RefreshView();
+  if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
+    return false;
+  }
+  if (aRefusal.outcome_ == Outcome::NotRun &&
+      !core_.Retries().TryTake(start_.workspace_, start_.service_)) {
+    return false;
+  }
+  core_.RetryCounter().Add();
+  SendAttempt("retry");
+  return true;
+}
+
+void
+Exchange::RetryLater()
+{
+  const TimePoint now = core_.Now();
+  if (now - begun_ >= core_.Settings().ownerWait_ || now >= deadline_) {
+    Refuse(ErrorCode::NoOwner,
+           "no instance serves the shard at present",
+           unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
+    return;
+  }
+  const Duration backoff =
+    std::min(kMaxBackoff, kFirstBackoff * (1 << std::min(backoffs_, kMaxBackoffDoublings)));
+  ++backoffs_;
+  // Jitter keeps the waiting requests of a shard from arriving at its new owner together.
+  const auto jitter =
+    Duration(core_.Randomness().Below(static_cast<std::uint64_t>(backoff.count())));
+  core_.Timers().Remove(retryTimer_);
+  retryTimer_ = core_.Timers().Add(now + backoff / 2 + jitter, id_, TimerKind::Retry);
+}
+
+void
+Exchange::SendToAttempt(const Attempt& aAttempt, RequestEvent&& aEvent)
+{
+  if (aAttempt.local_) {
+    core_.Dependencies().sendLocal_(std::move(aEvent));
+  } else {
+    core_.Dependencies().sendRemote_(aAttempt.instanceId_, std::move(aEvent));
+  }
+}
+
+void
+Exchange::CancelAttempts(std::uint64_t aExceptId)
+{
+  std::vector<Attempt> cancelled;
+  for (auto attempt = attempts_.begin(); attempt != attempts_.end();) {
+    if (attempt->id_ == aExceptId) {
+      ++attempt;
+      continue;
+    }
+    cancelled.push_back(std::move(*attempt));
+    attempt = attempts_.erase(attempt);
+  }
+  for (const Attempt& attempt : cancelled) {
+    EndAttempt(attempt, true);
+    SendToAttempt(attempt, RequestCancel{ { kLocalLink, attempt.id_ } });
+  }
+}
+
+void
+Exchange::EndAttempt(const Attempt& aAttempt, bool aGivenUp)
+{
+  core_.RemoveAttempt(aAttempt.id_);
+  if (aAttempt.load_ != nullptr) {
+    aAttempt.load_->OnEnd(aAttempt.id_, core_.Now(), aGivenUp);
+  }
+}
+
+bool
+Exchange::Uses(const std::string& aInstanceId) const
+{
+  return std::any_of(attempts_.begin(), attempts_.end(), [&](const Attempt& aAttempt) {
+    return !aAttempt.local_ && aAttempt.instanceId_ == aInstanceId;
+  });
+}
+
+void
+Exchange::OnPeerDown(const std::string& aInstanceId)
+{
+  std::vector<std::uint64_t> lost;
+  for (const Attempt& attempt : attempts_) {
+    if (!attempt.local_ && attempt.instanceId_ == aInstanceId) {
+      lost.push_back(attempt.id_);
+    }
+  }
+  for (const std::uint64_t id : lost) {
+    Refusal refusal;
+    refusal.key_ = { kLocalLink, id };
+    refusal.outcome_ = Outcome::Unknown;
+    refusal.code_ = ErrorCode::LinkLost;
+    refusal.detail_ = "the link to the serving instance was lost";
+    OnResponseEvent(id, std::move(refusal));
+  }
+}
+
+void
+Exchange::OnTimer(TimerKind aKind)
+{
+  if (finished_) {
+    return;
+  }
+  switch (aKind) {
+    case TimerKind::Deadline:
+      deadlineTimer_ = {};
+      OnDeadline();
+      break;
+    case TimerKind::Retry:
+      retryTimer_ = {};
+      SendAttempt("retry");
+      break;
+    case TimerKind::Hedge:
+      hedgeTimer_ = {};
+      OnHedgeTimer();
+      break;
+  }
+}
+
+void
+Exchange::OnDeadline()
+{
+  if (responding_) {
+    return;
+  }
+  const TimePoint now = core_.Now();
+  if (!attempts_.empty() && now < deadline_ + kDeadlineGrace) {
+    deadlineTimer_ = core_.Timers().Add(deadline_ + kDeadlineGrace, id_, TimerKind::Deadline);
+    return;
+  }
+  const bool mayHaveRun = !attempts_.empty() || unknownCount_ > 0;
+  Refuse(ErrorCode::DeadlineExceeded,
+         "the deadline of the request has passed",
+         mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
+}
+
+void
+Exchange::ArmHedge()
+{
+  if (!core_.Settings().routing_.hedging_ || start_.shard_ || !start_.idempotent_ || !CanReplay()) {
+    return;
+  }
+  if (const auto delay = core_.HedgesOf(start_.service_).OnRequest()) {
+    hedgeTimer_ = core_.Timers().Add(firstSent_ + *delay, id_, TimerKind::Hedge);
+  }
+}
+
+void
+Exchange::OnHedgeTimer()
+{
+  if (responding_ || attempts_.size() != 1 || unknownCount_ > 0 ||
+      attempts_.size() >= kMaxPossibleRuns) {
+    return;
+  }
+  excluded_.push_back(attempts_.front().instanceId_);
+  core_.RefreshView();
+  if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr ||
+      !core_.HedgesOf(start_.service_).TryTake()) {
+    excluded_.pop_back();
+    return;
+  }
+  core_.HedgeCounter().Add();
+  SendAttempt("hedge");
+}
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/intake/ExchangeBodies.cpp
@@ -0,0 +1,172 @@
+#include "intake/CallerConnection.hpp"
+#include "intake/Exchange.hpp"
+#include "intake/IntakeCore.hpp"
+
+#include <algorithm>
+
+namespace redwing::Detail {
+
+namespace {
+
+constexpr unsigned kNoContent = 204;
+constexpr unsigned kNotModified = 304;
+
+} // namespace
+
+void
+Exchange::SendBody()
+{
+  if (finished_ || bodySent_ || attempts_.size() != 1) {
+    return;
+  }
+  while (!bodySent_ && (!pending_.empty() || bodyDone_)) {
+    const std::size_t bytes = std::min(pending_.size(), kMaxChunkBytes);
+    if (requestOutstanding_ + bytes > kBodyWindowBytes) {
+      return;
+    }
+    RequestBody body;
+    body.key_ = { kLocalLink, attempts_.front().id_ };
+    if (bytes == pending_.size()) {
+      body.bytes_ = std::move(pending_);
+      pending_.clear();
+      body.last_ = bodyDone_;
+    } else {
+      body.bytes_ = pending_.substr(0, bytes);
+      pending_.erase(0, bytes);
+    }
+    bodySent_ = body.last_;
+    requestOutstanding_ += bytes;
+    SendToAttempt(attempts_.front(), std::move(body));
+  }
+  if (!bodyDone_) {
+    connection_.ResumeBody();
+  }
+}
+
+BodyFraming
+Exchange::FramingOf(const ResponseStart& aStart) const
+{
+  if (head_.method_ == "HEAD" || aStart.status_ == kNoContent || aStart.status_ == kNotModified) {
+    return BodyFraming::None;
+  }
+  if (aStart.last_ || aStart.contentLength_) {
+    return BodyFraming::ContentLength;
+  }
+  return connection_.SpeaksHttp11() ? BodyFraming::Chunked : BodyFraming::UntilClose;
+}
+
+void
+Exchange::OnResponseStart(std::uint64_t aAttemptId, ResponseStart&& aStart)
+{
+  if (responding_) {
+    AbortResponse();
+    return;
+  }
+  framing_ = FramingOf(aStart);
+  const bool truncated = framing_ == BodyFraming::ContentLength && aStart.last_ &&
+                         aStart.contentLength_ && *aStart.contentLength_ != aStart.body_.size();
+  if (truncated) {
+    Refusal broken;
+    broken.key_ = aStart.key_;
+    broken.outcome_ = Outcome::Unknown;
+    broken.code_ = ErrorCode::BackendFailed;
+    broken.detail_ = "the response body is incomplete";
+    OnResponseEvent(aAttemptId, std::move(broken));
+    return;
+  }
+  responding_ = true;
+  const TimePoint now = core_.Now();
+  CancelAttempts(aAttemptId);
+  core_.Timers().Remove(deadlineTimer_);
+  core_.Timers().Remove(hedgeTimer_);
+  if (MemberLoad* load = attempts_.front().load_) {
+    load->OnResponse(aAttemptId, now);
+    if (aStart.load_.slots_ > 0) {
+      load->OnReport(aStart.load_, now);
+    }
+    core_.HedgesOf(entry_->route_->service_).OnLatency(now - firstSent_);
+  }
+  responseLength_ = aStart.contentLength_;
+  if (aStart.last_ && !responseLength_) {
+    responseLength_ = aStart.body_.size();
+  }
+  keepsConnection_ = connection_.KeepsAlive() && framing_ != BodyFraming::UntilClose;
+  const bool showLength =
+    responseLength_ && aStart.status_ != kNoContent &&
+    (framing_ == BodyFraming::ContentLength || aStart.contentLength_.has_value());
+  AppendResponseHead(
+    connection_.Out(),
+    { aStart, requestId_, framing_, responseLength_.value_or(0), showLength, !keepsConnection_ });
+  core_.Outcomes().OnResponse(WorkspaceId(), aStart.status_);
+  AppendBody(aStart.body_, aStart.last_);
+}
+
+void
+Exchange::OnResponseBody(ResponseBody&& aBody)
+{
+  if (!responding_) {
+    return;
+  }
+  AppendBody(aBody.bytes_, aBody.last_);
+}
+
+void
+Exchange::AppendBody(std::string_view aBytes, bool aLast)
+{
+  received_ += aBytes.size();
+  std::string& out = connection_.Out();
+  if (framing_ == BodyFraming::ContentLength) {
+    const bool wrongLength =
+      received_ > *responseLength_ || (aLast && received_ != *responseLength_);
+    if (wrongLength) {
+      AbortResponse();
+      return;
+    }
+  }
+  if (framing_ == BodyFraming::Chunked) {
+    AppendChunk(out, aBytes);
+    out.append(aLast ? "0\r\n\r\n" : "");
+  } else if (framing_ != BodyFraming::None) {
+    out.append(aBytes);
+  }
+  connection_.Flush(aLast ? 0 : aBytes.size());
+  if (aLast) {
+    EndResponse();
+  }
+}
+
+void
+Exchange::OnResponseWritten(std::size_t aBytes)
+{
+  if (finished_ || attempts_.empty()) {
+    return;
+  }
+  SendToAttempt(
+    attempts_.front(),
+    ResponseCredit{ { kLocalLink, attempts_.front().id_ }, static_cast<std::uint32_t>(aBytes) });
+}
+
+void
+Exchange::EndResponse()
+{
+  if (bodySent_) {
+    EndAttempt(attempts_.front(), false);
+    attempts_.clear();
+  } else {
+    // The response came before the end of the request body; the rest of the body is not sent.
+    CancelAttempts(0);
+  }
+  keepsConnection_ = keepsConnection_ && bodyDone_;
+  Finish();
+  connection_.EndResponse();
+}
+
+void
+Exchange::AbortResponse()
+{
+  CancelAttempts(0);
+  Finish();
+  connection_.AbortResponse();
+}
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/intake/IntakeCore.cpp
@@ -0,0 +1,126 @@
+#include "intake/IntakeCore.hpp"
+
+#include "intake/Exchange.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace redwing::Detail {
+
+IntakeCore::Scope::Scope(IntakeCore& aCore)
+  : core_(aCore)
+{
+  ++core_.depth_;
+}
+
+IntakeCore::Scope::~Scope()
+{
+  if (--core_.depth_ == 0 && !core_.retired_.empty()) {
+    core_.retired_.clear();
+  }
+}
+
+IntakeCore::IntakeCore(IntakeDependencies aDependencies)
+  : dependencies_(std::move(aDependencies))
+  , reader_(dependencies_.view_)
+  , random_(dependencies_.seed_)
+  , selector_(dependencies_.clock_, random_.Bits(), dependencies_.settings_.routing_)
+  , outcomes_(dependencies_.counters_)
+  , hedgeCounter_(dependencies_.counters_.GetCounter("redwing_hedges_total"))
+  , retryCounter_(dependencies_.counters_.GetCounter("redwing_retries_total"))
+  , log_(dependencies_.clock_, dependencies_.settings_.routeLogLinesPerSecond_)
+  , timers_(dependencies_.io_,
+            dependencies_.clock_,
+            [this](std::uint64_t aExchangeId, TimerKind aKind) { OnTimer(aExchangeId, aKind); })
+  , requestIdBase_(random_.Bits())
+{
+  RefreshView();
+}
+
+IntakeCore::~IntakeCore() = default;
+
+void
+IntakeCore::RefreshView()
+{
+  const auto& current = reader_.Get();
+  if (current == view_) {
+    return;
+  }
+  view_ = current;
+  const auto& revision = view_->configuration_;
+  if (!routes_ || (revision && &routes_->Revision() != revision.get())) {
+    const auto adopted = revision ? revision : std::make_shared<const ConfigurationRevision>();
+    routes_ = std::make_shared<const RouteTable>(adopted);
+    credentials_ = std::make_unique<CredentialTable>(adopted);
+  }
+  selector_.SetView(view_);
+}
+
+std::string
+IntakeCore::NextRequestId()
+{
+  // Seed-dependent base plus a counter: unique within a process, and between processes with
+  // different seeds.
+  constexpr std::size_t kIdBytes = 40;
+  std::array<char, kIdBytes> text{};
+  const int length = std::snprintf(text.data(),
+                                   text.size(),
+                                   "%016llx-%llx",
+                                   static_cast<unsigned long long>(requestIdBase_),
+                                   static_cast<unsigned long long>(++lastRequestId_));
+  return { text.data(), static_cast<std::size_t>(length) };
+}
+
+void
+IntakeCore::Retire(std::unique_ptr<Exchange> aExchange)
+{
+  retired_.push_back(std::move(aExchange));
+}
+
+void
+IntakeCore::OnResponseEvent(ResponseEvent&& aEvent)
+{
+  const Scope scope(*this);
+  const std::uint64_t attemptId = KeyOf(aEvent).exchangeId_;
+  // An event of an attempt that was given up finds no entry and is dropped.
+  if (const auto found = attempts_.find(attemptId); found != attempts_.end()) {
+    found->second->OnResponseEvent(attemptId, std::move(aEvent));
+  }
+}
+
+void
+IntakeCore::OnPeerDown(const std::string& aInstanceId)
+{
+  const Scope scope(*this);
+  std::vector<std::uint64_t> affected;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->Uses(aInstanceId)) {
+      affected.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : affected) {
+    if (const auto found = exchanges_.find(id); found != exchanges_.end()) {
+      found->second->OnPeerDown(aInstanceId);
+    }
+  }
+}
+
+void
+IntakeCore::OnRateDecision(std::uint64_t aExchangeId, bool aAdmitted, std::uint32_t aRetryAfterMs)
+{
+  const Scope scope(*this);
+  if (const auto found = exchanges_.find(aExchangeId); found != exchanges_.end()) {
+    found->second->OnRateDecision(aAdmitted, aRetryAfterMs);
+  }
+}
+
+void
+IntakeCore::OnTimer(std::uint64_t aExchangeId, TimerKind aKind)
+{
+  const Scope scope(*this);
+  if (const auto found = exchanges_.find(aExchangeId); found != exchanges_.end()) {
+    found->second->OnTimer(aKind);
+  }
+}
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/intake/IntakeCore.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "core/Random.hpp"
+#include "intake/CredentialTable.hpp"
+#include "intake/IntakeDependencies.hpp"
+#include "intake/OutcomeCounters.hpp"
+#include "intake/RouteLog.hpp"
+#include "intake/TimerQueue.hpp"
+#include "routing/HedgePolicy.hpp"
+#include "routing/OwnerDirectory.hpp"
+#include "routing/PoolSelector.hpp"
+#include "routing/RetryBudget.hpp"
+#include "routing/RouteTable.hpp"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace redwing::Detail {
+
+class Exchange;
+
+/// State of the intake thread that its connections and exchanges share.
+class IntakeCore
+{
+public:
+  explicit IntakeCore(IntakeDependencies aDependencies);
+  ~IntakeCore();
+  IntakeCore(const IntakeCore&) = delete;
+  IntakeCore& operator=(const IntakeCore&) = delete;
+
+  /// Delays the destruction of exchanges that end while their own functions are on the stack.
+  class Scope
+  {
+  public:
+    explicit Scope(IntakeCore& aCore);
+    ~Scope();
+    Scope(const Scope&) = delete;
+    Scope& operator=(const Scope&) = delete;
+
+  private:
+    IntakeCore& core_;
+  };
+
+  /// Adopts the published view if it changed.
+  ///
+  /// Preconditions: none. Thread safety: intake thread only, like all functions here.
+  void RefreshView();
+
+  const IntakeDependencies& Dependencies() const { return dependencies_; }
+  const IntakeSettings& Settings() const { return dependencies_.settings_; }
+  TimePoint Now() const { return dependencies_.clock_.Now(); }
+  const RoutingView& View() const { return *view_; }
+  const std::shared_ptr<const RouteTable>& Routes() const { return routes_; }
+  const CredentialTable& Credentials() const { return *credentials_; }
+  PoolSelector& Selector() { return selector_; }
+  OwnerDirectory& Owners() { return owners_; }
+  RetryBudget& Retries() { return retries_; }
+  HedgePolicy& HedgesOf(const std::string& aService) { return hedges_[aService]; }
+  OutcomeCounters& Outcomes() { return outcomes_; }
+  RouteLog& Log() { return log_; }
+  TimerQueue& Timers() { return timers_; }
+  Counter& HedgeCounter() { return hedgeCounter_; }
+  Counter& RetryCounter() { return retryCounter_; }
+  Random& Randomness() { return random_; }
+  bool ShuttingDown() const { return shuttingDown_; }
+  void SetShuttingDown() { shuttingDown_ = true; }
+
+  std::string NextRequestId();
+  std::uint64_t NextAttemptId() { return ++lastAttemptId_; }
+  std::uint64_t NextExchangeId() { return ++lastExchangeId_; }
+
+  void AddExchange(std::uint64_t aId, Exchange& aExchange) { exchanges_[aId] = &aExchange; }
+  void RemoveExchange(std::uint64_t aId) { exchanges_.erase(aId); }
+  std::size_t ExchangeCount() const { return exchanges_.size(); }
+  void AddAttempt(std::uint64_t aId, Exchange& aExchange) { attempts_[aId] = &aExchange; }
+  void RemoveAttempt(std::uint64_t aId) { attempts_.erase(aId); }
+  void Retire(std::unique_ptr<Exchange> aExchange);
+
+  void OnResponseEvent(ResponseEvent&& aEvent);
+  void OnPeerDown(const std::string& aInstanceId);
+  void OnRateDecision(std::uint64_t aExchangeId, bool aAdmitted, std::uint32_t aRetryAfterMs);
+
+private:
+  void OnTimer(std::uint64_t aExchangeId, TimerKind aKind);
+
+  IntakeDependencies dependencies_;
+  PublishedReader<RoutingView> reader_;
+  std::shared_ptr<const RoutingView> view_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::unique_ptr<CredentialTable> credentials_;
+  Random random_;
+  PoolSelector selector_;
+  OwnerDirectory owners_;
+  RetryBudget retries_;
+  std::unordered_map<std::string, HedgePolicy> hedges_;
+  OutcomeCounters outcomes_;
+  Counter& hedgeCounter_;
+  Counter& retryCounter_;
+  RouteLog log_;
+  TimerQueue timers_;
+  std::uint64_t requestIdBase_;
+  std::uint64_t lastRequestId_ = 0;
+  std::uint64_t lastAttemptId_ = 0;
+  std::uint64_t lastExchangeId_ = 0;
+  std::unordered_map<std::uint64_t, Exchange*> exchanges_;
+  std::unordered_map<std::uint64_t, Exchange*> attempts_;
+  std::vector<std::unique_ptr<Exchange>> retired_;
+  unsigned depth_ = 0;
+  bool shuttingDown_ = false;
+};
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/intake/IntakeDependencies.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "config/Configuration.hpp"
+#include "core/Address.hpp"
+#include "core/Clock.hpp"
+#include "core/Counters.hpp"
+#include "core/Published.hpp"
+#include "exchange/Events.hpp"
+#include "routing/RoutingSettings.hpp"
+#include "routing/RoutingView.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace redwing {
+
+struct IntakeSettings
+{
+  /// Port 0 takes any free port; see IntakeService::Port.
+  Address callersAddress_;
+  std::size_t maxHeaderBytes_ = 16 * 1024;
+  std::size_t maxConnections_ = 20'000;
+  std::size_t maxExchanges_ = 20'000;
+  std::chrono::milliseconds idleTimeout_{ 75'000 };
+  /// Time for a request head to arrive, and for a caller to take response bytes.
+  std::chrono::milliseconds progressTimeout_{ 30'000 };
+  /// Time for which idle kept-alive connections are still served during a shutdown, so that a
+  /// request already on its way to us is answered.
+  std::chrono::milliseconds shutdownGrace_{ 500 };
+  /// Time for which a shard without a serving owner is retried.
+  std::chrono::milliseconds ownerWait_{ 2'000 };
+  std::uint32_t routeLogLinesPerSecond_ = 200;
+  RoutingSettings routing_;
+};
+
+/// Called on the intake thread; with aAdmitted false, aRetryAfterMs says when a token is expected.
+using RateDecision = std::function<void(bool aAdmitted, std::uint32_t aRetryAfterMs)>;
+/// Asks for one token of a workspace. The decision arrives on the intake thread, possibly before
+/// the call returns.
+using RateLimiter =
+  std::function<void(const Workspace& aWorkspace, TimePoint aDeadline, RateDecision aDecide)>;
+
+/// What IntakeService needs from its surroundings; references outlive the service.
+struct IntakeDependencies
+{
+  boost::asio::io_context& io_;
+  const Clock& clock_;
+  const Published<RoutingView>& view_;
+  CounterRegistry& counters_;
+  std::uint64_t seed_;
+  std::string instanceId_;
+  IntakeSettings settings_;
+  TryStartLocal tryStartLocal_;
+  SendRequestEvent sendLocal_;
+  TryStartRemote tryStartRemote_;
+  SendRemoteEvent sendRemote_;
+  RateLimiter rateLimiter_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/intake/IntakeService.cpp
@@ -0,0 +1,235 @@
+#include "intake/IntakeService.hpp"
+
+#include "core/Log.hpp"
+#include "intake/CallerConnection.hpp"
+#include "intake/Exchange.hpp"
+#include "intake/IntakeCore.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <unordered_map>
+#include <vector>
+
+namespace redwing {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr auto kSweepInterval = std::chrono::seconds(1);
+constexpr auto kShutdownSweepInterval = std::chrono::milliseconds(20);
+/// Pause after a failed accept, such as when no file descriptor is free.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+class IntakeService::Impl
+{
+public:
+  explicit Impl(IntakeDependencies aDependencies)
+    : core_(std::move(aDependencies))
+    , acceptor_(core_.Dependencies().io_)
+    , sweepTimer_(core_.Dependencies().io_)
+    , acceptTimer_(core_.Dependencies().io_)
+    , connectionGauge_(core_.Dependencies().counters_.GetGauge("redwing_caller_connections"))
+  {
+  }
+
+  ~Impl() { CloseAll(); }
+
+  std::string Start();
+  void Accept();
+  void Adopt(tcp::socket aSocket);
+  void Sweep();
+  void BeginShutdown(std::function<void()> aDone);
+  void CloseAll();
+
+  Detail::IntakeCore core_;
+  tcp::acceptor acceptor_;
+
+private:
+  std::vector<std::shared_ptr<Detail::CallerConnection>> Connections() const;
+  void ArmSweep();
+
+  boost::asio::steady_timer sweepTimer_;
+  boost::asio::steady_timer acceptTimer_;
+  std::unordered_map<Detail::CallerConnection*, std::shared_ptr<Detail::CallerConnection>>
+    connections_;
+  Gauge& connectionGauge_;
+  std::function<void()> done_;
+  TimePoint idleCloseAt_{};
+};
+
+std::string
+IntakeService::Impl::Start()
+{
+  error_code error;
+  const Address& address = core_.Settings().callersAddress_;
+  const auto ip = boost::asio::ip::make_address(address.ip_, error);
+  if (!error) {
+    acceptor_.open(tcp::v4(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind({ ip, address.port_ }, error);
+  }
+  if (!error) {
+    acceptor_.listen(tcp::acceptor::max_listen_connections, error);
+  }
+  if (error) {
+    return error.message();
+  }
+  Accept();
+  ArmSweep();
+  return {};
+}
+
+void
+IntakeService::Impl::Accept()
+{
+  acceptor_.async_accept([this](const error_code& aError, tcp::socket aSocket) {
+    if (aError == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (aError) {
+      LogLine(LogLevel::Warning, "accept_failed").With("error", aError.message());
+      acceptTimer_.expires_after(kAcceptPause);
+      acceptTimer_.async_wait([this](const error_code& aWaitError) {
+        if (!aWaitError && acceptor_.is_open()) {
+          Accept();
+        }
+      });
+      return;
+    }
+    Adopt(std::move(aSocket));
+    if (acceptor_.is_open()) {
+      Accept();
+    }
+  });
+}
+
+void
+IntakeService::Impl::Adopt(tcp::socket aSocket)
+{
+  if (connections_.size() >= core_.Settings().maxConnections_) {
+    // Closing at once costs less than an answer, which a flood of connections would exploit.
+    core_.Dependencies().counters_.GetCounter("redwing_caller_connections_refused_total").Add();
+    return;
+  }
+  auto connection = std::make_shared<Detail::CallerConnection>(
+    core_, std::move(aSocket), [this](Detail::CallerConnection& aClosed) {
+      connections_.erase(&aClosed);
+      connectionGauge_.Set(static_cast<std::int64_t>(connections_.size()));
+    });
+  connections_.emplace(connection.get(), connection);
+  connectionGauge_.Set(static_cast<std::int64_t>(connections_.size()));
+  connection->Start();
+}
+
+std::vector<std::shared_ptr<Detail::CallerConnection>>
+IntakeService::Impl::Connections() const
+{
+  std::vector<std::shared_ptr<Detail::CallerConnection>> connections;
+  connections.reserve(connections_.size());
+  for (const auto& [pointer, connection] : connections_) {
+    connections.push_back(connection);
+  }
+  return connections;
+}
+
+void
+IntakeService::Impl::ArmSweep()
+{
+  if (core_.ShuttingDown()) {
+    sweepTimer_.expires_after(kShutdownSweepInterval);
+  } else {
+    sweepTimer_.expires_after(kSweepInterval);
+  }
+  sweepTimer_.async_wait([this](const error_code& aError) {
+    if (!aError) {
+      Sweep();
+    }
+  });
+}
+
+void
+IntakeService::Impl::Sweep()
+{
+  const TimePoint now = core_.Now();
+  for (const auto& connection : Connections()) {
+    connection->Sweep(now);
+    if (core_.ShuttingDown() && now >= idleCloseAt_) {
+      connection->CloseIfIdle();
+    }
+  }
+  if (core_.ShuttingDown() && connections_.empty()) {
+    if (auto done = std::exchange(done_, nullptr)) {
+      done();
+    }
+    return;
+  }
+  ArmSweep();
+}
+
+void
+IntakeService::Impl::BeginShutdown(std::function<void()> aDone)
+{
+  done_ = std::move(aDone);
+  core_.SetShuttingDown();
+  error_code ignored;
+  acceptor_.close(ignored);
+  acceptTimer_.cancel();
+  idleCloseAt_ = core_.Now() + core_.Settings().shutdownGrace_;
+  ArmSweep();
+}
+
+void
+IntakeService::Impl::CloseAll()
+{
+  for (const auto& connection : Connections()) {
+    connection->Close();
+  }
+}
+
+IntakeService::IntakeService(IntakeDependencies aDependencies)
+  : impl_(std::make_unique<Impl>(std::move(aDependencies)))
+{
+}
+
+IntakeService::~IntakeService() = default;
+
+std::string
+IntakeService::Start()
+{
+  return impl_->Start();
+}
+
+std::uint16_t
+IntakeService::Port() const
+{
+  return impl_->acceptor_.local_endpoint().port();
+}
+
+void
+IntakeService::OnResponseEvent(ResponseEvent&& aEvent)
+{
+  impl_->core_.OnResponseEvent(std::move(aEvent));
+}
+
+void
+IntakeService::OnPeerDown(const std::string& aInstanceId)
+{
+  impl_->core_.OnPeerDown(aInstanceId);
+}
+
+void
+IntakeService::BeginShutdown(std::function<void()> aDone)
+{
+  impl_->BeginShutdown(std::move(aDone));
+}
+
+} // namespace redwing
