--- /dev/null
+++ b/src/admission/FairQueue.cpp
@@ -0,0 +1,149 @@
+#include "admission/FairQueue.hpp"
+
+#include <algorithm>
+
+namespace redwing {
+
+FairQueue::FairQueue(std::size_t aCapacity)
+  : capacity_(aCapacity)
+{
+}
+
+QueueVerdict
+FairQueue::Push(QueueItem aItem, const ServiceRate& aRate, TimePoint aNow)
+{
+  const auto limit = std::max(1U, aRate.limit_);
+  // An idle server takes any request, so that a wrong estimate is corrected by a new sample.
+  if (aRate.running_ > 0 || size_ > 0) {
+    const bool mustWait = aRate.running_ >= limit || size_ > 0;
+    const double rounds = mustWait ? (ExpectedAhead(aItem) + 1) / limit : 0;
+    const auto wait = Duration(
+      static_cast<Duration::rep>(rounds * static_cast<double>(aRate.serviceTime_.count())));
+    if (aNow + wait + aRate.serviceTime_ > aItem.deadline_) {
+      return QueueVerdict::TooLate;
+    }
+  }
+  if (size_ >= capacity_) {
+    return QueueVerdict::Full;
+  }
+  auto& priorityClass = classes_[aItem.priority_];
+  auto& flow = priorityClass.flows_[aItem.workspace_];
+  flow.weight_ = std::max(1U, aItem.weight_);
+  const double start = std::max(priorityClass.virtualTime_, flow.lastFinish_);
+  const double finish = start + 1.0 / flow.weight_;
+  if (flow.waiting_.empty()) {
+    priorityClass.active_.emplace(finish, aItem.workspace_);
+    priorityClass.activeWeight_ += flow.weight_;
+  }
+  flow.lastFinish_ = finish;
+  flow.waiting_.push_back({ std::move(aItem), start, finish });
+  ++priorityClass.size_;
+  ++size_;
+  return QueueVerdict::Queued;
+}
+
+std::optional<QueueItem>
+FairQueue::Pop()
+{
+  for (auto& [priority, priorityClass] : classes_) {
+    if (priorityClass.active_.empty()) {
+      continue;
+    }
+    const auto first = priorityClass.active_.begin();
+    auto& flow = priorityClass.flows_.find(first->second)->second;
+    Waiting next = std::move(flow.waiting_.front());
+    flow.waiting_.pop_front();
+    priorityClass.virtualTime_ = std::max(priorityClass.virtualTime_, next.start_);
+    auto node = priorityClass.active_.extract(first);
+    if (flow.waiting_.empty()) {
+      priorityClass.activeWeight_ -= flow.weight_;
+    } else {
+      node.value().first = flow.waiting_.front().finish_;
+      priorityClass.active_.insert(std::move(node));
+    }
+    --size_;
+    if (--priorityClass.size_ == 0) {
+      // Nobody waits, so no workspace has a claim left over from the past.
+      priorityClass = {};
+    }
+    return std::move(next.item_);
+  }
+  return std::nullopt;
+}
+
+bool
+FairQueue::Remove(const ExchangeKey& aKey)
+{
+  return !Extract([&](const QueueItem& aItem) { return aItem.key_ == aKey; }).empty();
+}
+
+std::vector<QueueItem>
+FairQueue::TakeExpired(Duration aServiceTime, TimePoint aNow)
+{
+  return Extract([&](const QueueItem& aItem) { return aNow + aServiceTime > aItem.deadline_; });
+}
+
+double
+FairQueue::ExpectedAhead(const QueueItem& aItem) const
+{
+  double ahead = 0;
+  for (const auto& [priority, priorityClass] : classes_) {
+    if (priority < aItem.priority_) {
+      ahead += static_cast<double>(priorityClass.size_);
+    } else if (priority == aItem.priority_) {
+      const auto flow = priorityClass.flows_.find(aItem.workspace_);
+      const bool waits = flow != priorityClass.flows_.end() && !flow->second.waiting_.empty();
+      const double own = waits ? static_cast<double>(flow->second.waiting_.size()) : 0;
+      const double weight = std::max(1U, aItem.weight_);
+      const double total = priorityClass.activeWeight_ + (waits ? 0 : weight);
+      // While this workspace is served own + 1 times, the others get their shares.
+      const double fair = own + (own + 1) * (total - weight) / weight;
+      ahead += std::min(fair, static_cast<double>(priorityClass.size_));
+    }
+  }
+  return ahead;
+}
+
+template<typename Predicate>
+std::vector<QueueItem>
+FairQueue::Extract(Predicate aPredicate)
+{
+  std::vector<QueueItem> taken;
+  for (auto& [priority, priorityClass] : classes_) {
+    const auto before = taken.size();
+    for (auto& [workspace, flow] : priorityClass.flows_) {
+      std::erase_if(flow.waiting_, [&](Waiting& aWaiting) {
+        if (!aPredicate(aWaiting.item_)) {
+          return false;
+        }
+        taken.push_back(std::move(aWaiting.item_));
+        return true;
+      });
+    }
+    if (taken.size() > before) {
+      priorityClass.size_ -= taken.size() - before;
+      Reindex(priorityClass);
+    }
+  }
+  size_ -= taken.size();
+  return taken;
+}
+
+void
+FairQueue::Reindex(PriorityClass& aClass)
+{
+  if (aClass.size_ == 0) {
+    aClass = {};
+    return;
+  }
+  aClass.active_.clear();
+  aClass.activeWeight_ = 0;
+  for (const auto& [workspace, flow] : aClass.flows_) {
+    if (!flow.waiting_.empty()) {
+      aClass.active_.emplace(flow.waiting_.front().finish_, workspace);
+      aClass.activeWeight_ += flow.weight_;
+    }
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/admission/PoisonRegistry.cpp
@@ -0,0 +1,111 @@
+#include "admission/PoisonRegistry.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::chrono::minutes kExpiry{ 10 };
+constexpr std::size_t kCrashesOfPoison = 2;
+/// Bounds memory; the entry that expires first makes room.
+constexpr std::size_t kMaxEntries = 4096;
+
+std::string
+ClearedId(const std::string& aCrashId, std::uint64_t aFingerprint)
+{
+  return aCrashId + '/' + std::to_string(aFingerprint);
+}
+
+} // namespace
+
+std::vector<PoisonEntry>
+PoisonRegistry::RecordCrash(const std::string& aService,
+                            std::span<const std::uint64_t> aFingerprints,
+                            const std::string& aCrashId,
+                            TimePoint aNow)
+{
+  std::vector<PoisonEntry> changed;
+  for (const auto fingerprint : aFingerprints) {
+    PoisonEntry entry{ aService, fingerprint, { aCrashId }, aNow + kExpiry };
+    Merge({ &entry, 1 });
+    if (const auto it = entries_.find({ aService, fingerprint }); it != entries_.end()) {
+      changed.push_back(it->second);
+    }
+  }
+  return changed;
+}
+
+void
+PoisonRegistry::Merge(std::span<const PoisonEntry> aEntries)
+{
+  for (const auto& received : aEntries) {
+    std::set<std::string> crashes;
+    for (const auto& crash : received.crashes_) {
+      if (!cleared_.contains(ClearedId(crash, received.fingerprint_))) {
+        crashes.insert(crash);
+      }
+    }
+    if (crashes.empty()) {
+      continue;
+    }
+    auto& entry = entries_[{ received.service_, received.fingerprint_ }];
+    entry.service_ = received.service_;
+    entry.fingerprint_ = received.fingerprint_;
+    entry.crashes_.merge(crashes);
+    entry.expiry_ = std::max(entry.expiry_, received.expiry_);
+  }
+  while (entries_.size() > kMaxEntries) {
+    entries_.erase(
+      std::min_element(entries_.begin(), entries_.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.expiry_ < aRight.second.expiry_;
+      }));
+  }
+}
+
+PoisonVerdict
+PoisonRegistry::Check(const std::string& aService, std::uint64_t aFingerprint, TimePoint aNow) const
+{
+  if (entries_.empty()) {
+    return PoisonVerdict::Clear;
+  }
+  const auto it = entries_.find({ aService, aFingerprint });
+  if (it == entries_.end() || it->second.expiry_ <= aNow) {
+    return PoisonVerdict::Clear;
+  }
+  return it->second.crashes_.size() >= kCrashesOfPoison ? PoisonVerdict::Poisoned
+                                                        : PoisonVerdict::Suspect;
+}
+
+bool
+PoisonRegistry::BeginTrial(const std::string& aService, std::uint64_t aFingerprint)
+{
+  return trials_.emplace(aService, aFingerprint).second;
+}
+
+void
+PoisonRegistry::EndTrial(const std::string& aService, std::uint64_t aFingerprint, bool aCompleted)
+{
+  const Key key{ aService, aFingerprint };
+  trials_.erase(key);
+  const auto it = entries_.find(key);
+  if (!aCompleted || it == entries_.end()) {
+    return;
+  }
+  if (cleared_.size() > kMaxEntries) {
+    cleared_.clear();
+  }
+  for (const auto& crash : it->second.crashes_) {
+    cleared_.insert(ClearedId(crash, aFingerprint));
+  }
+  entries_.erase(it);
+}
+
+void
+PoisonRegistry::Expire(TimePoint aNow)
+{
+  std::erase_if(entries_, [&](const auto& aEntry) { return aEntry.second.expiry_ <= aNow; });
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/BackendAdmission.cpp
@@ -0,0 +1,278 @@
+// Part of BackendService: from the arrival of a request to the decision to dispatch it.
+
+#include "backend/BackendService.hpp"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+/// No request is dispatched this close to the end of the lease, because the way to the server and
+/// its own check take time.
+constexpr std::chrono::milliseconds kLeaseMargin{ 20 };
+
+} // namespace
+
+void
+BackendService::Admit(RequestStart&& aStart)
+{
+  const auto now = clock_.Now();
+  started_.Add();
+  auto exchange = std::make_shared<ServedExchange>();
+  exchange->bodyComplete_ = aStart.last_;
+  exchange->start_ = std::move(aStart);
+  const auto& start = exchange->start_;
+  exchanges_[start.key_] = exchange;
+  if (const auto code = CheckArrival(start, now)) {
+    RefuseNotRun(exchange, *code);
+    return;
+  }
+  if (start.shard_) {
+    const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
+    if (!answer.owned_ || answer.releasing_) {
+      RefuseNotRun(exchange, ErrorCode::NotOwner);
+      return;
+    }
+  }
+  if (PeekTable(exchange, now)) {
+    return;
+  }
+  QueueItem item{ start.key_, start.workspace_, start.weight_, start.priority_, start.deadline_ };
+  switch (queue_.Push(std::move(item), Rate(now), now)) {
+    case QueueVerdict::Queued:
+      break;
+    case QueueVerdict::Full:
+      RefuseNotRun(exchange, ErrorCode::QueueFull);
+      break;
+    case QueueVerdict::TooLate:
+      RefuseNotRun(exchange, ErrorCode::Overloaded, "deadline_cannot_be_met");
+      break;
+  }
+}
+
+std::optional<ErrorCode>
+BackendService::CheckArrival(const RequestStart& aStart, TimePoint aNow)
+{
+  if (!Serving() || announcement_->service_ != aStart.service_) {
+    return ErrorCode::NoBackendServer;
+  }
+  if (draining_ || leaving_ || health_.draining_) {
+    return ErrorCode::Draining;
+  }
+  return checks_.Refuses(aStart, aNow);
+}
+
+bool
+BackendService::PeekTable(const ExchangePtr& aExchange, TimePoint aNow)
+{
+  const auto& start = aExchange->start_;
+  if (start.idempotencyKey_.empty()) {
+    return false;
+  }
+  const auto key = EntryKey(start);
+  const auto* entry = entries_.Find(key);
+  if (!entry) {
+    return false;
+  }
+  const auto verdict = entries_.Begin(key, start.fingerprint_, aNow);
+  if (verdict == IdempotencyVerdict::New) {
+    // The old entry had expired; this one is entered when the request is dispatched.
+    entries_.Abandon(key);
+  }
+  return AnswerFromTable(aExchange, verdict);
+}
+
+bool
+BackendService::AnswerFromTable(const ExchangePtr& aExchange, IdempotencyVerdict aVerdict)
+{
+  switch (aVerdict) {
+    case IdempotencyVerdict::New:
+      return false;
+    case IdempotencyVerdict::Full:
+      RefuseNotRun(aExchange, ErrorCode::Overloaded, "idempotency_table_full");
+      return true;
+    case IdempotencyVerdict::Conflict:
+      RefuseNotRun(aExchange, ErrorCode::IdempotencyConflict);
+      return true;
+    case IdempotencyVerdict::InFlight:
+      Refuse(aExchange, Outcome::Unknown, ErrorCode::IdempotencyInFlight);
+      return true;
+    case IdempotencyVerdict::Unknown:
+      Refuse(aExchange, Outcome::Unknown, ErrorCode::OutcomeUnknown);
+      return true;
+    case IdempotencyVerdict::Replay:
+      break;
+  }
+  const auto& stored = *entries_.Find(EntryKey(aExchange->start_))->response_;
+  ResponseStart response;
+  response.key_ = aExchange->start_.key_;
+  response.status_ = stored.status_;
+  response.headers_ = stored.headers_;
+  response.contentLength_ = stored.body_.size();
+  response.body_ = stored.body_;
+  response.load_ = Load();
+  if (!aExchange->detached_) {
+    hooks_.sendResponse_(std::move(response));
+  }
+  answered_.Add();
+  End(aExchange, Ending::Answered);
+  return true;
+}
+
+void
+BackendService::Pump()
+{
+  // Refusals inside Prepare free slots and call Pump again; the outer loop goes on with those.
+  if (pumping_) {
+    return;
+  }
+  pumping_ = true;
+  limiter_.SetCap(ramp_.Allowed());
+  while (Serving() && !queue_.Empty() && pool_->Available() && limiter_.TryAcquire()) {
+    const auto item = queue_.Pop();
+    const auto exchange = exchanges_[item->key_];
+    exchange->phase_ = ServedPhase::Running;
+    Prepare(exchange);
+    limiter_.SetCap(ramp_.Allowed());
+  }
+  pumping_ = false;
+}
+
+void
+BackendService::Prepare(const ExchangePtr& aExchange)
+{
+  const auto now = clock_.Now();
+  if (const auto code = checks_.Refuses(aExchange->start_, now)) {
+    RefuseNotRun(aExchange, *code);
+    return;
+  }
+  if (limiter_.Running() > 1 && now + estimator_.ServiceTime(now) > aExchange->start_.deadline_) {
+    RefuseNotRun(aExchange, ErrorCode::DeadlineExceeded, "deadline_cannot_be_met");
+    return;
+  }
+  if (!CheckPoison(aExchange, now) || !CheckOwnership(aExchange, now)) {
+    return;
+  }
+  if (aExchange->start_.idempotencyKey_.empty()) {
+    Dispatch(aExchange, false);
+  } else {
+    EnterTable(aExchange, now);
+  }
+}
+
+bool
+BackendService::CheckPoison(const ExchangePtr& aExchange, TimePoint aNow)
+{
+  const auto& start = aExchange->start_;
+  const auto verdict = poison_.Check(start.service_, start.fingerprint_, aNow);
+  if (verdict == PoisonVerdict::Clear) {
+    return true;
+  }
+  if (verdict == PoisonVerdict::Suspect && checks_.MayTry(start) &&
+      poison_.BeginTrial(start.service_, start.fingerprint_)) {
+    aExchange->trial_ = true;
+    return true;
+  }
+  RefuseNotRun(aExchange,
+               ErrorCode::PoisonRequest,
+               verdict == PoisonVerdict::Suspect ? "ran_during_a_crash" : "");
+  return false;
+}
+
+bool
+BackendService::CheckOwnership(const ExchangePtr& aExchange, TimePoint aNow)
+{
+  const auto& start = aExchange->start_;
+  if (!start.shard_) {
+    return true;
+  }
+  const ShardId shard{ start.service_, start.shard_->shard_ };
+  const auto answer = gate_.BeginRequest(shard, aNow + kLeaseMargin);
+  aExchange->counted_ = answer.owned_;
+  aExchange->token_ = answer.token_;
+  if (answer.owned_ && !answer.releasing_) {
+    return true;
+  }
+  RefuseNotRun(aExchange, ErrorCode::NotOwner);
+  return false;
+}
+
+void
+BackendService::EnterTable(const ExchangePtr& aExchange, TimePoint aNow)
+{
+  const auto key = EntryKey(aExchange->start_);
+  const auto verdict = entries_.Begin(key, aExchange->start_.fingerprint_, aNow);
+  if (AnswerFromTable(aExchange, verdict)) {
+    return;
+  }
+  aExchange->entered_ = true;
+  if (!hooks_.replicate_ || !aExchange->start_.shard_) {
+    Dispatch(aExchange, false);
+    return;
+  }
+  aExchange->phase_ = ServedPhase::Replicating;
+  hooks_.replicate_(*entries_.Find(key), [this, aExchange](bool aAllowed) {
+    Post([this, aExchange, aAllowed] { OnReplicated(aExchange, aAllowed); });
+  });
+}
+
+void
+BackendService::OnReplicated(const ExchangePtr& aExchange, bool aAllowed)
+{
+  if (aExchange->phase_ != ServedPhase::Replicating) {
+    return;
+  }
+  aExchange->phase_ = ServedPhase::Running;
+  const auto now = clock_.Now();
+  const auto& start = aExchange->start_;
+  // Time has passed since the lease was checked.
+  const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now + kLeaseMargin);
+  if (!aAllowed || !answer.owned_ || answer.token_ != aExchange->token_) {
+    RefuseNotRun(aExchange, aAllowed ? ErrorCode::NotOwner : ErrorCode::NoOwner, "not_replicated");
+  } else if (const auto code = checks_.Refuses(start, now)) {
+    RefuseNotRun(aExchange, *code);
+  } else if (aExchange->detached_) {
+    End(aExchange, Ending::NotRun);
+  } else {
+    Dispatch(aExchange, false);
+  }
+}
+
+void
+BackendService::RefuseNotRun(const ExchangePtr& aExchange,
+                             ErrorCode aCode,
+                             std::string_view aDetail)
+{
+  Refuse(aExchange, Outcome::NotRun, aCode, aDetail);
+}
+
+void
+BackendService::Refuse(const ExchangePtr& aExchange,
+                       Outcome aOutcome,
+                       ErrorCode aCode,
+                       std::string_view aDetail)
+{
+  const auto now = clock_.Now();
+  const auto& start = aExchange->start_;
+  (aOutcome == Outcome::NotRun ? notRun_ : unknown_).Add();
+  refusalLog_.Write(start, aOutcome, aCode, aDetail, now);
+  if (!aExchange->detached_) {
+    Refusal refusal;
+    refusal.key_ = start.key_;
+    refusal.outcome_ = aOutcome;
+    refusal.code_ = aCode;
+    refusal.detail_ = aDetail;
+    refusal.load_ = Load();
+    if (start.shard_ && aCode == ErrorCode::NotOwner) {
+      const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
+      refusal.ownerHint_ = answer.owner_.id_;
+      refusal.ownerToken_ = answer.token_;
+    }
+    hooks_.sendResponse_(std::move(refusal));
+  }
+  End(aExchange, aOutcome == Outcome::NotRun ? Ending::NotRun : Ending::Unknown);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/BackendExchanges.cpp
@@ -0,0 +1,361 @@
+// Part of BackendService: dispatch to the backend server, bodies, responses and failures.
+
+#include "backend/BackendService.hpp"
+#include "backend/RequestText.hpp"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::uint16_t kStatusUnavailable = 503;
+
+bool
+IsShed(const HttpHead& aHead)
+{
+  if (aHead.status_ != kStatusUnavailable) {
+    return false;
+  }
+  for (const auto& header : aHead.headers_) {
+    if (boost::algorithm::iequals(header.name_, "redwing-shed")) {
+      return header.value_ == "not-run";
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+/// Passes what happens on a connection to the exchange that uses it. An exchange that was resent
+/// ignores its old connection.
+class BackendService::Observer final : public HttpObserver
+{
+public:
+  Observer(BackendService& aService, ExchangePtr aExchange)
+    : service_(aService)
+    , exchange_(std::move(aExchange))
+  {
+  }
+
+  void OnResponse(HttpHead&& aHead, std::string&& aBody, bool aLast) override
+  {
+    service_.OnResponse(exchange_, std::move(aHead), std::move(aBody), aLast);
+  }
+  void OnResponseBody(std::string&& aBytes, bool aLast) override
+  {
+    service_.OnResponseBody(exchange_, std::move(aBytes), aLast);
+  }
+  void OnRequestWritten(std::size_t aBytes) override
+  {
+    service_.OnRequestWritten(exchange_, aBytes);
+  }
+  void OnFailed(const HttpFailure& aFailure) override { service_.OnFailed(exchange_, aFailure); }
+
+private:
+  BackendService& service_;
+  ExchangePtr exchange_;
+};
+
+void
+BackendService::Dispatch(const ExchangePtr& aExchange, bool aFresh)
+{
+  auto& start = aExchange->start_;
+  auto connection = pool_->Acquire(aFresh);
+  const auto fail = [&](ErrorCode aCode, std::string_view aDetail) {
+    if (aExchange->resent_) {
+      FailUnknown(aExchange, aDetail);
+    } else {
+      RefuseNotRun(aExchange, aCode, aDetail);
+    }
+  };
+  if (!connection) {
+    fail(ErrorCode::Overloaded, "connection_limit");
+    return;
+  }
+  const auto now = clock_.Now();
+  auto request = BuildRequest(start, aExchange->token_, connection->Target(), now);
+  if (!request) {
+    pool_->Release(connection);
+    fail(ErrorCode::BadRequest, "bad_request_line");
+    return;
+  }
+  const bool mayResend = start.idempotent_ && start.last_ && !aExchange->resent_;
+  request->body_ = mayResend ? start.body_ : std::move(start.body_);
+  request->body_.append(aExchange->pendingBody_);
+  request->last_ = aExchange->bodyComplete_;
+  aExchange->pendingBody_.clear();
+  aExchange->phase_ = ServedPhase::Running;
+  aExchange->dispatchedAt_ = now;
+  aExchange->connection_ = connection;
+  connection->Start(std::move(*request), std::make_shared<Observer>(*this, aExchange));
+}
+
+void
+BackendService::OnBody(RequestBody&& aEvent)
+{
+  const auto it = exchanges_.find(aEvent.key_);
+  if (it == exchanges_.end() || it->second->bodyComplete_) {
+    return;
+  }
+  const ExchangePtr exchange = it->second;
+  exchange->bodyComplete_ = aEvent.last_;
+  if (exchange->connection_) {
+    exchange->connection_->SendBody(std::move(aEvent.bytes_), aEvent.last_);
+  } else {
+    exchange->pendingBody_.append(aEvent.bytes_);
+  }
+}
+
+void
+BackendService::OnRequestWritten(const ExchangePtr& aExchange, std::size_t aBytes)
+{
+  // A request that arrived whole needs no credit.
+  if (!aExchange->start_.last_ && !aExchange->detached_) {
+    hooks_.sendResponse_(
+      RequestCredit{ aExchange->start_.key_, static_cast<std::uint32_t>(aBytes) });
+  }
+}
+
+void
+BackendService::OnCredit(const ResponseCredit& aEvent)
+{
+  const auto it = exchanges_.find(aEvent.key_);
+  if (it != exchanges_.end() && it->second->connection_) {
+    const auto connection = it->second->connection_;
+    connection->AddReadCredit(aEvent.bytes_);
+  }
+}
+
+void
+BackendService::OnCancel(const ExchangePtr& aExchange)
+{
+  if (aExchange->detached_) {
+    return;
+  }
+  if (aExchange->phase_ == ServedPhase::Queued) {
+    queue_.Remove(aExchange->start_.key_);
+    RefuseNotRun(aExchange, ErrorCode::Cancelled);
+    return;
+  }
+  Detach(aExchange, ErrorCode::Cancelled);
+}
+
+void
+BackendService::Detach(const ExchangePtr& aExchange, ErrorCode aCode)
+{
+  const auto& start = aExchange->start_;
+  if (aExchange->headSent_) {
+    hooks_.sendResponse_(ResponseAbort{ start.key_ });
+  } else {
+    const bool sent = aExchange->phase_ != ServedPhase::Replicating;
+    Refusal refusal;
+    refusal.key_ = start.key_;
+    refusal.outcome_ = sent ? Outcome::Unknown : Outcome::NotRun;
+    refusal.code_ = aCode;
+    refusal.load_ = Load();
+    hooks_.sendResponse_(std::move(refusal));
+    (sent ? unknown_ : notRun_).Add();
+  }
+  aExchange->detached_ = true;
+  aExchange->detachedAt_ = clock_.Now();
+  const auto connection = aExchange->connection_;
+  if (!connection) {
+    return;
+  }
+  // With an Idempotency-Key the caller may come back for the response.
+  if (!aExchange->entered_) {
+    monitor_.Cancel(start.requestId_);
+  }
+  if (!aExchange->bodyComplete_) {
+    connection->Close();
+  } else {
+    constexpr std::size_t kNoLimit = 1ULL << 40U;
+    connection->AddReadCredit(kNoLimit);
+  }
+}
+
+bool
+BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
+{
+  // A shed of a resent request says nothing about its first dispatch.
+  if (!IsShed(aHead) || aExchange->resent_) {
+    return false;
+  }
+  const auto now = clock_.Now();
+  sheds_.Add();
+  limiter_.OnShed(now);
+  ramp_.OnShed(now);
+  const auto connection = std::exchange(aExchange->connection_, nullptr);
+  if (aLast) {
+    pool_->Release(connection);
+  }
+  RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
+  if (!aLast) {
+    // A connection with an unread response is never reused; End made later callbacks harmless.
+    connection->Close();
+  }
+  return true;
+}
+
+void
+BackendService::OnResponse(const ExchangePtr& aExchange,
+                           HttpHead&& aHead,
+                           std::string&& aBody,
+                           bool aLast)
+{
+  if (aExchange->phase_ == ServedPhase::Ended || OnShed(aExchange, aHead, aLast)) {
+    return;
+  }
+  if (aExchange->entered_) {
+    aExchange->kept_ = StoredResponse{ aHead.status_, aHead.headers_, aBody };
+  }
+  if (!aExchange->detached_) {
+    aExchange->headSent_ = true;
+    ResponseStart response;
+    response.key_ = aExchange->start_.key_;
+    response.status_ = aHead.status_;
+    response.headers_ = std::move(aHead.headers_);
+    response.contentLength_ = aHead.contentLength_;
+    response.body_ = std::move(aBody);
+    response.last_ = aLast;
+    response.load_ = Load();
+    if (aLast && aExchange->entered_) {
+      // The entry is complete before the caller can send the same key again.
+      Complete(aExchange);
+      hooks_.sendResponse_(std::move(response));
+      return;
+    }
+    hooks_.sendResponse_(std::move(response));
+  }
+  if (aLast) {
+    Complete(aExchange);
+  }
+}
+
+void
+BackendService::OnResponseBody(const ExchangePtr& aExchange, std::string&& aBytes, bool aLast)
+{
+  if (aExchange->phase_ == ServedPhase::Ended) {
+    return;
+  }
+  if (aExchange->kept_) {
+    aExchange->kept_->body_.append(aBytes);
+    if (aExchange->kept_->body_.size() > IdempotencyLimits{}.responseBytesEach_) {
+      aExchange->kept_.reset();
+    }
+  }
+  const auto key = aExchange->start_.key_;
+  const bool wanted = !aExchange->detached_;
+  if (aLast) {
+    Complete(aExchange);
+  }
+  if (wanted) {
+    hooks_.sendResponse_(ResponseBody{ key, std::move(aBytes), aLast });
+  }
+}
+
+void
+BackendService::Complete(const ExchangePtr& aExchange)
+{
+  const auto now = clock_.Now();
+  answered_.Add();
+  estimator_.Add(now - aExchange->dispatchedAt_, now);
+  limiter_.OnSuccess();
+  ramp_.OnSuccess(now);
+  if (estimator_.LatencyJumped()) {
+    ramp_.OnLatencyJump(now);
+  }
+  pool_->Release(std::exchange(aExchange->connection_, nullptr));
+  End(aExchange, Ending::Answered);
+}
+
+void
+BackendService::OnFailed(const ExchangePtr& aExchange, const HttpFailure& aFailure)
+{
+  if (aExchange->phase_ == ServedPhase::Ended) {
+    return;
+  }
+  aExchange->connection_.reset();
+  if (!aFailure.wrote_ && !aExchange->resent_) {
+    if (aFailure.refused_) {
+      SuspectCrash();
+    }
+    RefuseNotRun(aExchange, ErrorCode::BackendFailed, "connect_failed");
+    return;
+  }
+  const bool silent = aFailure.closedByServer_ && !aFailure.responseStarted_;
+  if (silent && aFailure.reused_ && aExchange->start_.idempotent_ && aExchange->start_.last_ &&
+      !aExchange->resent_ && !aExchange->detached_ && !aExchange->trial_ && !stopped_) {
+    aExchange->resent_ = true;
+    Dispatch(aExchange, true);
+    return;
+  }
+  if (aFailure.closedByServer_) {
+    // Held back until it is known whether the server crashed, so that a request that crashed it is
+    // known as such before its caller can send it again.
+    aExchange->phase_ = ServedPhase::Failing;
+    SuspectCrash();
+    return;
+  }
+  FailUnknown(aExchange, "connection_given_up");
+}
+
+void
+BackendService::FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail)
+{
+  if (aExchange->headSent_ && !aExchange->detached_) {
+    hooks_.sendResponse_(ResponseAbort{ aExchange->start_.key_ });
+    aExchange->detached_ = true;
+  }
+  Refuse(aExchange, Outcome::Unknown, ErrorCode::BackendFailed, aDetail);
+}
+
+void
+BackendService::End(const ExchangePtr& aExchange, Ending aEnding)
+{
+  const auto& start = aExchange->start_;
+  const auto phase = std::exchange(aExchange->phase_, ServedPhase::Ended);
+  // A request that never left the queue holds nothing; one that was refused at arrival is not in
+  // the queue either.
+  if (phase != ServedPhase::Queued) {
+    limiter_.Release();
+  }
+  if (aExchange->entered_) {
+    EndEntry(aExchange, aEnding);
+  }
+  if (aExchange->trial_) {
+    poison_.EndTrial(start.service_, start.fingerprint_, aEnding == Ending::Answered);
+  }
+  if (std::exchange(aExchange->counted_, false)) {
+    gate_.EndRequest({ start.service_, start.shard_->shard_ });
+  }
+  exchanges_.erase(start.key_);
+  CheckDrained();
+  Pump();
+}
+
+void
+BackendService::EndEntry(const ExchangePtr& aExchange, Ending aEnding)
+{
+  const auto key = EntryKey(aExchange->start_);
+  const auto ignore = [](bool) {};
+  if (aEnding == Ending::NotRun) {
+    const auto abandoned = entries_.Abandon(key);
+    if (hooks_.replicate_ && aExchange->start_.shard_) {
+      hooks_.replicate_(abandoned, ignore);
+    }
+    return;
+  }
+  std::optional<StoredResponse> response;
+  if (aEnding == Ending::Answered) {
+    response = std::move(aExchange->kept_);
+  }
+  const auto* entry = entries_.Complete(key, std::move(response), clock_.Now());
+  if (entry && hooks_.replicate_ && aExchange->start_.shard_) {
+    hooks_.replicate_(*entry, ignore);
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/BackendHealth.cpp
@@ -0,0 +1,357 @@
+// Part of BackendService: timers, health, crashes, stalled connections and status.
+
+#include "backend/BackendService.hpp"
+#include "core/Log.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTickInterval{ 20 };
+constexpr milliseconds kHealthInterval{ 200 };
+constexpr milliseconds kSweepInterval{ 1000 };
+/// An announcement comes each second; a server that missed three is considered gone.
+constexpr milliseconds kAnnouncementExpiry{ 3000 };
+/// Failed polls for this long, without a refused connection, mean that the server is frozen.
+constexpr milliseconds kHealthExpiry{ 1500 };
+constexpr milliseconds kProgressTimeout{ 1000 };
+/// A response is overdue after this many expected service times; stragglers are 20 times slower
+/// than usual.
+constexpr int kOverdueFactor = 30;
+constexpr milliseconds kProbeInterval{ 500 };
+/// Time for the server to end a cancelled request before its connection is closed.
+constexpr milliseconds kCancelGrace{ 1000 };
+/// Time for a request with an Idempotency-Key to end after its caller has gone.
+constexpr milliseconds kEntryGrace{ 30000 };
+/// Connections for health, grants, cancellation and probes, out of the server's limit.
+constexpr std::uint32_t kControlConnections = 4;
+constexpr std::uint32_t kDefaultConnections = 64;
+/// Opening a connection costs the server about a millisecond, so only a few are opened in advance.
+constexpr std::uint32_t kWarmConnections = 8;
+
+} // namespace
+
+void
+BackendService::Tick()
+{
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& aError) {
+    if (aError || stopped_) {
+      return;
+    }
+    const auto now = clock_.Now();
+    if (announcement_ && now - announcedAt_ > kAnnouncementExpiry) {
+      LogLine(LogLevel::Warning, "backend_announcement_expired")
+        .With("service", announcement_->service_);
+      GoDown("announcement_expired");
+      announcement_.reset();
+      monitor_.SetTarget(std::nullopt);
+    }
+    if (now >= nextPoll_) {
+      nextPoll_ = now + kHealthInterval;
+      monitor_.Poll();
+    }
+    if (now >= nextSweep_) {
+      nextSweep_ = now + kSweepInterval;
+      entries_.Expire(now);
+      poison_.Expire(now);
+    }
+    ExpireRequests(now);
+    CheckLeases(now);
+    CheckProgress(now);
+    Pump();
+    PublishStatus();
+    Tick();
+  });
+}
+
+void
+BackendService::ExpireRequests(TimePoint aNow)
+{
+  for (const auto& item : queue_.TakeExpired(Duration::zero(), aNow)) {
+    RefuseNotRun(ExchangePtr(exchanges_[item.key_]), ErrorCode::DeadlineExceeded);
+  }
+  std::vector<ExchangePtr> late;
+  for (const auto& [key, exchange] : exchanges_) {
+    const auto grace = exchange->entered_ ? kEntryGrace : kCancelGrace;
+    const bool overdue = exchange->detached_ ? aNow - exchange->detachedAt_ > grace
+                                             : aNow >= exchange->start_.deadline_;
+    if (overdue && exchange->connection_) {
+      late.push_back(exchange);
+    }
+  }
+  for (const auto& exchange : late) {
+    if (exchange->phase_ == ServedPhase::Ended) {
+      continue;
+    }
+    if (!exchange->detached_) {
+      Detach(exchange, ErrorCode::DeadlineExceeded);
+    } else if (const auto connection = exchange->connection_) {
+      connection->Close();
+    }
+  }
+}
+
+void
+BackendService::CheckLeases(TimePoint aNow)
+{
+  // Servers that do not check grants rely on this: what still runs when the lease ends is
+  // cancelled.
+  for (const auto& [key, exchange] : exchanges_) {
+    const auto& start = exchange->start_;
+    if (!exchange->counted_ || !exchange->connection_ || exchange->leaseLost_) {
+      continue;
+    }
+    const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, aNow);
+    if (!answer.owned_ || answer.token_ != exchange->token_) {
+      exchange->leaseLost_ = true;
+      monitor_.Cancel(start.requestId_);
+    }
+  }
+}
+
+void
+BackendService::CheckProgress(TimePoint aNow)
+{
+  if (probingProgress_ || aNow < nextProbe_) {
+    return;
+  }
+  const Duration overdue =
+    std::max<Duration>(kProgressTimeout, estimator_.ServiceTime(aNow) * kOverdueFactor);
+  const bool stalled = std::any_of(exchanges_.begin(), exchanges_.end(), [&](const auto& aEntry) {
+    const auto& connection = aEntry.second->connection_;
+    return connection && connection->AwaitsServer() && aNow - connection->LastProgress() > overdue;
+  });
+  if (!stalled) {
+    return;
+  }
+  probingProgress_ = true;
+  monitor_.Probe([this](const std::optional<HealthReport>& aReport, bool /*aRefused*/) {
+    probingProgress_ = false;
+    nextProbe_ = clock_.Now() + kProbeInterval;
+    if (aReport) {
+      OnProgressProbe(*aReport);
+    }
+  });
+}
+
+void
+BackendService::OnProgressProbe(const HealthReport& aReport)
+{
+  const auto now = clock_.Now();
+  const Duration overdue =
+    std::max<Duration>(kProgressTimeout, estimator_.ServiceTime(now) * kOverdueFactor);
+  std::vector<ExchangePtr> stalled;
+  std::uint32_t sent = 0;
+  for (const auto& [key, exchange] : exchanges_) {
+    const auto& connection = exchange->connection_;
+    sent += connection ? 1 : 0;
+    if (connection && connection->AwaitsServer() && now - connection->LastProgress() > overdue) {
+      stalled.push_back(exchange);
+    }
+  }
+  // A server that counts as many requests as were sent still works on all of them.
+  if (aReport.outstanding_ >= sent) {
+    return;
+  }
+  for (const auto& exchange : stalled) {
+    if (const auto connection = exchange->connection_) {
+      stalls_.Add();
+      LogLine(LogLevel::Warning, "backend_connection_stalled")
+        .With("request", exchange->start_.requestId_);
+      connection->Close();
+    }
+  }
+}
+
+void
+BackendService::Announce(BackendAnnouncement&& aAnnouncement)
+{
+  const auto now = clock_.Now();
+  announcedAt_ = now;
+  leaving_ = false;
+  if (announcement_ == aAnnouncement) {
+    return;
+  }
+  const bool moved = !announcement_ || announcement_->address_ != aAnnouncement.address_;
+  announcement_ = std::move(aAnnouncement);
+  const auto coldStart = checks_.ColdStartOf(announcement_->service_);
+  const auto slots = announcement_->slots_;
+  limiter_.SetSlots(slots);
+  ramp_.Configure(coldStart.initial_, coldStart.ramp_, slots);
+  const auto connections =
+    announcement_->connections_ == 0 ? kDefaultConnections : announcement_->connections_;
+  // At least one connection is left for requests, however small the limit is.
+  pool_->SetTarget(announcement_->address_,
+                   std::max(1U, connections - std::min(connections, kControlConnections)));
+  if (moved) {
+    LogLine(LogLevel::Info, "backend_announced")
+      .With("service", announcement_->service_)
+      .With("address", announcement_->address_.ToString())
+      .With("slots", slots);
+    ramp_.Begin(now);
+    estimator_.Reset();
+    down_ = true;
+    lastHealthy_ = now;
+    nextPoll_ = now + kHealthInterval;
+    monitor_.SetTarget(announcement_->address_);
+    monitor_.Poll();
+  }
+  PublishStatus();
+}
+
+void
+BackendService::Leave()
+{
+  leaving_ = true;
+  if (announcement_) {
+    LogLine(LogLevel::Info, "backend_leaves").With("service", announcement_->service_);
+  }
+  PublishStatus();
+}
+
+void
+BackendService::OnHealth(const HealthReport& aReport)
+{
+  const auto now = clock_.Now();
+  lastHealthy_ = now;
+  health_ = aReport;
+  ramp_.SetCold(aReport.cold_ || !aReport.ready_, now);
+  if (announcement_ && down_ && aReport.ready_) {
+    down_ = false;
+    LogLine(LogLevel::Info, "backend_up").With("service", announcement_->service_);
+    ramp_.Begin(now);
+    // The first requests shall not pay for connecting.
+    pool_->Warm(std::min(announcement_->slots_, kWarmConnections));
+  }
+  PublishStatus();
+  Pump();
+}
+
+void
+BackendService::OnHealthFailed(bool aRefused)
+{
+  if (aRefused && !down_) {
+    OnCrash();
+  } else if (!down_ && clock_.Now() - lastHealthy_ > kHealthExpiry) {
+    GoDown("health_failed");
+  }
+}
+
+void
+BackendService::SuspectCrash()
+{
+  if (probingCrash_) {
+    return;
+  }
+  probingCrash_ = true;
+  monitor_.Probe([this](const std::optional<HealthReport>& /*aReport*/, bool aRefused) {
+    probingCrash_ = false;
+    if (aRefused && !down_) {
+      OnCrash();
+    }
+    FinishFailing(aRefused);
+  });
+}
+
+void
+BackendService::OnCrash()
+{
+  crashCount_.Add();
+  ++crashes_;
+  std::vector<std::uint64_t> fingerprints;
+  for (const auto& [key, exchange] : exchanges_) {
+    if (exchange->connection_ || exchange->phase_ == ServedPhase::Failing) {
+      fingerprints.push_back(exchange->start_.fingerprint_);
+    }
+  }
+  const auto crashId = settings_.self_.id_ + '/' + std::to_string(settings_.self_.incarnation_) +
+                       '/' + std::to_string(crashes_);
+  const auto changed =
+    poison_.RecordCrash(announcement_->service_, fingerprints, crashId, clock_.Now());
+  LogLine(LogLevel::Error, "backend_crashed")
+    .With("service", announcement_->service_)
+    .With("running", fingerprints.size());
+  if (hooks_.onPoison_ && !changed.empty()) {
+    hooks_.onPoison_(changed);
+  }
+  GoDown("connection_refused");
+}
+
+void
+BackendService::FinishFailing(bool aCrashed)
+{
+  std::vector<ExchangePtr> failing;
+  for (const auto& [key, exchange] : exchanges_) {
+    if (exchange->phase_ == ServedPhase::Failing) {
+      failing.push_back(exchange);
+    }
+  }
+  for (const auto& exchange : failing) {
+    if (exchange->phase_ == ServedPhase::Failing) {
+      FailUnknown(exchange, aCrashed ? "server_crashed" : "connection_closed");
+    }
+  }
+}
+
+void
+BackendService::GoDown(std::string_view aReason)
+{
+  down_ = true;
+  LogLine(LogLevel::Warning, "backend_down").With("reason", aReason);
+  pool_->Clear();
+  while (const auto item = queue_.Pop()) {
+    RefuseNotRun(ExchangePtr(exchanges_[item->key_]), ErrorCode::NoBackendServer);
+  }
+  PublishStatus();
+}
+
+void
+BackendService::PublishStatus()
+{
+  BackendStatus next;
+  if (announcement_) {
+    next.announcement_ = *announcement_;
+  }
+  if (!Serving()) {
+    next.state_ = BackendState::Down;
+  } else if (draining_ || leaving_ || health_.draining_) {
+    next.state_ = BackendState::Draining;
+  } else if (health_.cold_ || ramp_.Ramping()) {
+    next.state_ = BackendState::Cold;
+  } else {
+    next.state_ = BackendState::Ready;
+  }
+  next.limit_ = limiter_.Limit();
+  next.running_ = limiter_.Running();
+  next.queued_ = static_cast<std::uint32_t>(queue_.Size());
+  bool changed = false;
+  {
+    std::lock_guard lock(statusMutex_);
+    changed = status_.state_ != next.state_ || status_.limit_ != next.limit_ ||
+              status_.announcement_ != next.announcement_;
+    status_ = next;
+  }
+  if (changed && hooks_.onStatus_) {
+    hooks_.onStatus_(next);
+  }
+}
+
+void
+BackendService::CheckDrained()
+{
+  if (!draining_ || !exchanges_.empty()) {
+    return;
+  }
+  for (const auto& drained : std::exchange(drained_, {})) {
+    drained();
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/BackendService.cpp
@@ -0,0 +1,195 @@
+#include "backend/BackendService.hpp"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace asio = boost::asio;
+
+BackendService::BackendService(asio::io_context& aContext,
+                               const Clock& aClock,
+                               const Published<RoutingView>& aView,
+                               OwnershipGate& aGate,
+                               CounterRegistry& aCounters,
+                               BackendSettings aSettings,
+                               BackendHooks aHooks)
+  : context_(aContext)
+  , clock_(aClock)
+  , gate_(aGate)
+  , settings_(std::move(aSettings))
+  , hooks_(std::move(aHooks))
+  , checks_(aView)
+  , mailbox_(settings_.mailboxCapacity_)
+  , timer_(aContext)
+  , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
+  , monitor_(aContext,
+             aClock,
+             aCounters,
+             settings_.self_,
+             { [this](const HealthReport& aReport) { OnHealth(aReport); },
+               [this](bool aRefused) { OnHealthFailed(aRefused); } })
+  , queue_(settings_.queueCapacity_)
+  , started_(aCounters.GetCounter("redwing_backend_requests_total"))
+  , answered_(aCounters.GetCounter("redwing_backend_answered_total"))
+  , notRun_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"not-run\""))
+  , unknown_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"unknown\""))
+  , sheds_(aCounters.GetCounter("redwing_backend_sheds_total"))
+  , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
+  , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
+{
+  mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
+}
+
+BackendService::~BackendService() = default;
+
+void
+BackendService::Start()
+{
+  Tick();
+}
+
+void
+BackendService::Stop()
+{
+  Post([this] {
+    stopped_ = true;
+    timer_.cancel();
+    pool_->Clear();
+    for (const auto& [key, exchange] : std::unordered_map(exchanges_)) {
+      if (exchange->connection_) {
+        exchange->connection_->Close();
+      }
+    }
+  });
+}
+
+void
+BackendService::Post(std::function<void()> aTask)
+{
+  asio::post(context_, std::move(aTask));
+}
+
+bool
+BackendService::TryStart(RequestStart&& aStart)
+{
+  RequestEvent event(std::move(aStart));
+  if (mailbox_.TryPush(std::move(event))) {
+    return true;
+  }
+  // Not taken: the caller gets its event back.
+  aStart = std::get<RequestStart>(std::move(event));
+  return false;
+}
+
+void
+BackendService::Handle(RequestEvent&& aEvent)
+{
+  mailbox_.Push(std::move(aEvent));
+}
+
+void
+BackendService::Drain()
+{
+  mailbox_.Drain([this](RequestEvent&& aEvent) {
+    if (auto* start = std::get_if<RequestStart>(&aEvent)) {
+      Admit(std::move(*start));
+    } else if (auto* body = std::get_if<RequestBody>(&aEvent)) {
+      OnBody(std::move(*body));
+    } else if (const auto* credit = std::get_if<ResponseCredit>(&aEvent)) {
+      OnCredit(*credit);
+    } else if (const auto it = exchanges_.find(KeyOf(aEvent)); it != exchanges_.end()) {
+      OnCancel(ExchangePtr(it->second));
+    }
+  });
+  Pump();
+}
+
+void
+BackendService::OnAnnounce(BackendAnnouncement aAnnouncement)
+{
+  Post([this, announcement = std::move(aAnnouncement)]() mutable {
+    Announce(std::move(announcement));
+  });
+}
+
+void
+BackendService::OnLeave()
+{
+  Post([this] { Leave(); });
+}
+
+void
+BackendService::BeginDrain(std::function<void()> aDrained)
+{
+  Post([this, drained = std::move(aDrained)]() mutable {
+    draining_ = true;
+    drained_.push_back(std::move(drained));
+    CheckDrained();
+    PublishStatus();
+  });
+}
+
+void
+BackendService::SetGrants(std::vector<ShardGrant> aGrants,
+                          TimePoint aDeadline,
+                          std::function<void(bool)> aAcknowledged)
+{
+  Post([this,
+        grants = std::move(aGrants),
+        aDeadline,
+        acknowledged = std::move(aAcknowledged)]() mutable {
+    monitor_.SetGrants(std::move(grants), aDeadline, std::move(acknowledged));
+  });
+}
+
+BackendStatus
+BackendService::Status() const
+{
+  std::lock_guard lock(statusMutex_);
+  return status_;
+}
+
+void
+BackendService::ImportEntries(std::vector<IdempotencyEntry> aEntries, std::function<void()> aDone)
+{
+  Post([this, entries = std::move(aEntries), done = std::move(aDone)] {
+    entries_.Import(entries);
+    done();
+  });
+}
+
+void
+BackendService::ExportEntries(ShardId aShard,
+                              std::function<void(std::vector<IdempotencyEntry>)> aTake)
+{
+  Post(
+    [this, shard = std::move(aShard), take = std::move(aTake)] { take(entries_.Export(shard)); });
+}
+
+void
+BackendService::MergePoison(std::vector<PoisonEntry> aEntries)
+{
+  Post([this, entries = std::move(aEntries)] { poison_.Merge(entries); });
+}
+
+IdempotencyKey
+BackendService::EntryKey(const RequestStart& aStart) const
+{
+  const auto shard = aStart.shard_ ? aStart.shard_->shard_ : 0;
+  return { { aStart.service_, shard }, aStart.workspace_, aStart.idempotencyKey_ };
+}
+
+LoadReport
+BackendService::Load() const
+{
+  return { limiter_.Running(), static_cast<std::uint32_t>(queue_.Size()), limiter_.Limit() };
+}
+
+ServiceRate
+BackendService::Rate(TimePoint aNow) const
+{
+  return { estimator_.ServiceTime(aNow), limiter_.Running(), limiter_.Limit() };
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/BackendService.hpp
@@ -0,0 +1,221 @@
+#pragma once
+
+#include "admission/ColdStartRamp.hpp"
+#include "admission/FairQueue.hpp"
+#include "admission/LoadEstimator.hpp"
+#include "admission/SlotLimiter.hpp"
+#include "backend/BackendTypes.hpp"
+#include "backend/ConnectionPool.hpp"
+#include "backend/RefusalLog.hpp"
+#include "backend/RequestChecks.hpp"
+#include "backend/ServedExchange.hpp"
+#include "backend/ServerMonitor.hpp"
+#include "core/Clock.hpp"
+#include "core/Counters.hpp"
+#include "core/Mailbox.hpp"
+#include "core/Published.hpp"
+#include "ownership/OwnershipGate.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace redwing {
+
+/// Serves requests with the backend server beside this instance: admission, dispatch over HTTP/1.1,
+/// and the outcome of each request. The owner runs the io_context on one thread.
+class BackendService
+{
+public:
+  BackendService(boost::asio::io_context& aContext,
+                 const Clock& aClock,
+                 const Published<RoutingView>& aView,
+                 OwnershipGate& aGate,
+                 CounterRegistry& aCounters,
+                 BackendSettings aSettings,
+                 BackendHooks aHooks);
+  ~BackendService();
+
+  /// Starts the timers.
+  ///
+  /// Preconditions: called once before the io_context runs. Thread safety: not thread-safe.
+  void Start();
+
+  /// Stops the timers and closes all connections.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  void Stop();
+
+  /// Takes a new request; returns false, without taking it, when the mailbox is full.
+  ///
+  /// Preconditions: key_ is unique among the open exchanges. Thread safety: any thread.
+  bool TryStart(RequestStart&& aStart);
+
+  /// Takes a later event of an accepted exchange.
+  ///
+  /// Preconditions: TryStart returned true for its exchange. Thread safety: any thread.
+  void Handle(RequestEvent&& aEvent);
+
+  /// Records the backend server's announcement.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void OnAnnounce(BackendAnnouncement aAnnouncement);
+
+  /// The backend server leaves: running requests end, new ones are refused.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void OnLeave();
+
+  /// Refuses new requests; aDrained is called once no request is queued or runs.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void BeginDrain(std::function<void()> aDrained);
+
+  /// Replaces the backend server's grants, valid until aDeadline; a grant that is missing from the
+  /// set is revoked. aAcknowledged tells whether the server accepted this very set.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void SetGrants(std::vector<ShardGrant> aGrants,
+                 TimePoint aDeadline,
+                 std::function<void(bool)> aAcknowledged);
+
+  /// Returns the last status.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  BackendStatus Status() const;
+
+  /// Adds idempotency entries received from a shard's owner, then calls aDone.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void ImportEntries(std::vector<IdempotencyEntry> aEntries, std::function<void()> aDone);
+
+  /// Passes the idempotency entries of aShard to aTake on the backend thread.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void ExportEntries(ShardId aShard, std::function<void(std::vector<IdempotencyEntry>)> aTake);
+
+  /// Adds poison entries received by gossip.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void MergePoison(std::vector<PoisonEntry> aEntries);
+
+private:
+  class Observer;
+  using ExchangePtr = std::shared_ptr<ServedExchange>;
+  enum class Ending
+  {
+    Answered,
+    NotRun,
+    Unknown,
+  };
+
+  void Post(std::function<void()> aTask);
+  void Drain();
+
+  // Admission (BackendAdmission.cpp).
+  void Admit(RequestStart&& aStart);
+  std::optional<ErrorCode> CheckArrival(const RequestStart& aStart, TimePoint aNow);
+  bool AnswerFromTable(const ExchangePtr& aExchange, IdempotencyVerdict aVerdict);
+  bool PeekTable(const ExchangePtr& aExchange, TimePoint aNow);
+  void Pump();
+  void Prepare(const ExchangePtr& aExchange);
+  bool CheckPoison(const ExchangePtr& aExchange, TimePoint aNow);
+  bool CheckOwnership(const ExchangePtr& aExchange, TimePoint aNow);
+  void EnterTable(const ExchangePtr& aExchange, TimePoint aNow);
+  void OnReplicated(const ExchangePtr& aExchange, bool aAllowed);
+  void RefuseNotRun(const ExchangePtr& aExchange, ErrorCode aCode, std::string_view aDetail = {});
+  void Refuse(const ExchangePtr& aExchange,
+              Outcome aOutcome,
+              ErrorCode aCode,
+              std::string_view aDetail = {});
+
+  // Dispatch and responses (BackendExchanges.cpp).
+  void Dispatch(const ExchangePtr& aExchange, bool aFresh);
+  void OnBody(RequestBody&& aEvent);
+  void OnCancel(const ExchangePtr& aExchange);
+  void OnCredit(const ResponseCredit& aEvent);
+  void OnResponse(const ExchangePtr& aExchange, HttpHead&& aHead, std::string&& aBody, bool aLast);
+  void OnResponseBody(const ExchangePtr& aExchange, std::string&& aBytes, bool aLast);
+  void OnRequestWritten(const ExchangePtr& aExchange, std::size_t aBytes);
+  void OnFailed(const ExchangePtr& aExchange, const HttpFailure& aFailure);
+  bool OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast);
+  void FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail);
+  void Complete(const ExchangePtr& aExchange);
+  void Detach(const ExchangePtr& aExchange, ErrorCode aCode);
+  void End(const ExchangePtr& aExchange, Ending aEnding);
+  void EndEntry(const ExchangePtr& aExchange, Ending aEnding);
+
+  // Health and timers (BackendHealth.cpp).
+  void Tick();
+  void ExpireRequests(TimePoint aNow);
+  void CheckProgress(TimePoint aNow);
+  void CheckLeases(TimePoint aNow);
+  void OnProgressProbe(const HealthReport& aReport);
+  void Announce(BackendAnnouncement&& aAnnouncement);
+  void Leave();
+  void OnHealth(const HealthReport& aReport);
+  void OnHealthFailed(bool aRefused);
+  void SuspectCrash();
+  void OnCrash();
+  void GoDown(std::string_view aReason);
+  void FinishFailing(bool aCrashed);
+  void PublishStatus();
+  void CheckDrained();
+
+  IdempotencyKey EntryKey(const RequestStart& aStart) const;
+  LoadReport Load() const;
+  ServiceRate Rate(TimePoint aNow) const;
+  bool Serving() const { return announcement_ && !down_; }
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  OwnershipGate& gate_;
+  BackendSettings settings_;
+  BackendHooks hooks_;
+  RequestChecks checks_;
+  RefusalLog refusalLog_;
+  Mailbox<RequestEvent> mailbox_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<ConnectionPool> pool_;
+  ServerMonitor monitor_;
+  SlotLimiter limiter_;
+  FairQueue queue_;
+  ColdStartRamp ramp_;
+  LoadEstimator estimator_;
+  IdempotencyTable entries_;
+  PoisonRegistry poison_;
+  std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
+  std::optional<BackendAnnouncement> announcement_;
+  TimePoint announcedAt_{};
+  TimePoint lastHealthy_{};
+  TimePoint nextPoll_{};
+  TimePoint nextSweep_{};
+  TimePoint nextProbe_{};
+  HealthReport health_;
+  bool down_ = true;
+  bool leaving_ = false;
+  bool stopped_ = false;
+  bool pumping_ = false;
+  bool probingCrash_ = false;
+  bool probingProgress_ = false;
+  std::uint64_t crashes_ = 0;
+  std::vector<std::function<void()>> drained_;
+  bool draining_ = false;
+  mutable std::mutex statusMutex_;
+  BackendStatus status_;
+  Counter& started_;
+  Counter& answered_;
+  Counter& notRun_;
+  Counter& unknown_;
+  Counter& sheds_;
+  Counter& stalls_;
+  Counter& crashCount_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/ConnectionPool.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "backend/HttpConnection.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace redwing {
+
+/// Keep-alive connections to the backend server, within its connection limit. Backend thread only.
+class ConnectionPool : public std::enable_shared_from_this<ConnectionPool>
+{
+public:
+  ConnectionPool(boost::asio::io_context& aContext, const Clock& aClock);
+
+  /// Sets the server's address and the connections it accepts; a new address drops the old
+  /// connections.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  void SetTarget(const Address& aAddress, std::size_t aLimit);
+
+  /// Opens connections until aCount are idle.
+  ///
+  /// Preconditions: SetTarget was called. Thread safety: backend thread only.
+  void Warm(std::size_t aCount);
+
+  /// Returns an idle connection, or a new one; null at the limit. The most recently used one comes
+  /// first, because it is the least likely to have been closed.
+  ///
+  /// Preconditions: SetTarget was called. Thread safety: backend thread only.
+  std::shared_ptr<HttpConnection> Acquire(bool aFresh);
+
+  /// Returns whether Acquire would succeed.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  bool Available() const { return !idle_.empty() || open_ < limit_; }
+
+  /// Gives a connection back; one that can't be reused is dropped.
+  ///
+  /// Preconditions: aConnection is from Acquire. Thread safety: backend thread only.
+  void Release(const std::shared_ptr<HttpConnection>& aConnection);
+
+  /// Closes the idle connections.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  void Clear();
+
+  std::size_t Open() const { return open_; }
+
+private:
+  std::shared_ptr<HttpConnection> Make();
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  Address address_;
+  std::size_t limit_ = 0;
+  std::size_t open_ = 0;
+  std::vector<std::shared_ptr<HttpConnection>> idle_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/HttpConnection.cpp
@@ -0,0 +1,364 @@
+#include "backend/HttpConnection.hpp"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/field.hpp>
+#include <charconv>
+#include <cstring>
+#include <netinet/tcp.h>
+#include <utility>
+
+namespace redwing {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::beast::string_view;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kInputBytes = kMaxChunkBytes;
+constexpr int kTcpUserTimeoutMs = 2000;
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr std::uint16_t kFirstFinalStatus = 200;
+
+bool
+IsHopByHop(http::field aField)
+{
+  switch (aField) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::proxy_connection:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::content_length:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
+/// Parses one response and collects what is to be delivered.
+class HttpConnection::Reader : public http::basic_parser<false>
+{
+public:
+  explicit Reader(bool aHeadMethod)
+  {
+    eager(true);
+    skip(aHeadMethod);
+    header_limit(kMaxHeadBytes);
+    body_limit(boost::none);
+  }
+
+  HttpHead head_;
+  std::string body_;
+
+private:
+  void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
+  void on_response_impl(int aStatus, string_view, int, error_code&) override
+  {
+    head_.status_ = static_cast<std::uint16_t>(aStatus);
+  }
+  void on_field_impl(http::field aField,
+                     string_view aName,
+                     string_view aValue,
+                     error_code&) override
+  {
+    // Fields after the head are trailers, which are not forwarded.
+    if (!is_header_done() && !IsHopByHop(aField)) {
+      head_.headers_.push_back({ std::string(aName), std::string(aValue) });
+    }
+  }
+  void on_header_impl(error_code&) override
+  {
+    if (const auto length = content_length()) {
+      head_.contentLength_ = *length;
+    }
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
+  std::size_t on_body_impl(string_view aBody, error_code&) override
+  {
+    body_.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, string_view aBody, error_code&) override
+  {
+    body_.append(aBody.data(), aBody.size());
+    return aBody.size();
+  }
+  void on_finish_impl(error_code&) override {}
+};
+
+HttpConnection::HttpConnection(asio::io_context& aContext, Address aAddress, const Clock& aClock)
+  : socket_(aContext)
+  , address_(std::move(aAddress))
+  , clock_(aClock)
+  , lastProgress_(aClock.Now())
+{
+}
+
+HttpConnection::~HttpConnection() = default;
+
+void
+HttpConnection::Warm()
+{
+  used_ = true;
+  Connect();
+}
+
+void
+HttpConnection::Connect()
+{
+  state_ = State::Connecting;
+  error_code error;
+  const auto ip = asio::ip::make_address(address_.ip_, error);
+  if (error) {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Fail(false); });
+    return;
+  }
+  socket_.async_connect({ ip, address_.port_ }, [self = shared_from_this()](error_code aError) {
+    if (self->state_ != State::Connecting) {
+      return;
+    }
+    if (aError) {
+      self->progress_.refused_ = aError == asio::error::connection_refused;
+      self->Fail(true);
+      return;
+    }
+    error_code ignored;
+    using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->socket_.set_option(UserTimeout(kTcpUserTimeoutMs), ignored);
+    self->state_ = State::Open;
+    self->progress_.connected_ = true;
+    self->input_.resize(kInputBytes);
+    self->lastProgress_ = self->clock_.Now();
+    self->Read();
+    self->Write();
+  });
+}
+
+void
+HttpConnection::Start(HttpRequest&& aRequest, std::shared_ptr<HttpObserver> aObserver)
+{
+  observer_ = std::move(aObserver);
+  reader_ = std::make_unique<Reader>(aRequest.headMethod_);
+  progress_ = {};
+  progress_.connected_ = state_ == State::Open;
+  progress_.reused_ = used_;
+  used_ = true;
+  lastProgress_ = clock_.Now();
+  readCredit_ = kBodyWindowBytes;
+  chunked_ = aRequest.chunked_;
+  requestComplete_ = false;
+  headDelivered_ = false;
+  pending_ = std::move(aRequest.head_);
+  AppendBody(std::move(aRequest.body_), aRequest.last_);
+  if (state_ == State::New) {
+    Connect();
+  } else {
+    Read();
+    Write();
+  }
+}
+
+void
+HttpConnection::SendBody(std::string&& aBytes, bool aLast)
+{
+  if (state_ != State::Closed && observer_) {
+    AppendBody(std::move(aBytes), aLast);
+    Write();
+  }
+}
+
+void
+HttpConnection::AppendBody(std::string&& aBytes, bool aLast)
+{
+  pendingBody_ += aBytes.size();
+  if (!chunked_) {
+    pending_.append(aBytes);
+  } else {
+    if (!aBytes.empty()) {
+      constexpr int kHex = 16;
+      std::array<char, kHex> size{};
+      const auto end = std::to_chars(size.begin(), size.end(), aBytes.size(), kHex).ptr;
+      pending_.append(size.data(), end).append("\r\n").append(aBytes).append("\r\n");
+    }
+    if (aLast) {
+      pending_.append("0\r\n\r\n");
+    }
+  }
+  requestComplete_ = requestComplete_ || aLast;
+}
+
+void
+HttpConnection::AddReadCredit(std::size_t aBytes)
+{
+  readCredit_ += aBytes;
+  Read();
+}
+
+void
+HttpConnection::Write()
+{
+  if (writeActive_ || state_ != State::Open || pending_.empty()) {
+    return;
+  }
+  writeActive_ = true;
+  progress_.wrote_ = true;
+  writing_.swap(pending_);
+  pending_.clear();
+  writingBody_ = std::exchange(pendingBody_, 0);
+  asio::async_write(
+    socket_, asio::buffer(writing_), [self = shared_from_this()](error_code aError, std::size_t) {
+      self->writeActive_ = false;
+      if (self->state_ != State::Open) {
+        return;
+      }
+      if (aError) {
+        // A response may be on its way although the server stopped reading; the read decides.
+        return;
+      }
+      self->lastProgress_ = self->clock_.Now();
+      if (self->observer_ && self->writingBody_ > 0) {
+        const auto observer = self->observer_;
+        observer->OnRequestWritten(self->writingBody_);
+      }
+      self->Write();
+    });
+}
+
+void
+HttpConnection::Read()
+{
+  // A read is always pending on an idle connection too, so that its end is noticed at once.
+  if (reading_ || state_ != State::Open || (observer_ && readCredit_ == 0)) {
+    return;
+  }
+  reading_ = true;
+  const auto free = input_.size() - inputBytes_;
+  const auto room = observer_ ? std::min(free, readCredit_) : free;
+  socket_.async_read_some(asio::buffer(input_.data() + inputBytes_, room),
+                          [self = shared_from_this()](error_code aError, std::size_t aBytes) {
+                            self->reading_ = false;
+                            if (self->state_ != State::Open) {
+                              return;
+                            }
+                            if (aError) {
+                              self->OnEnd(aError == asio::error::eof);
+                            } else if (!self->observer_) {
+                              // Bytes that nobody asked for make the next response ambiguous.
+                              self->Fail(true);
+                            } else {
+                              self->OnRead(aBytes);
+                            }
+                          });
+}
+
+void
+HttpConnection::OnRead(std::size_t aBytes)
+{
+  lastProgress_ = clock_.Now();
+  progress_.responseStarted_ = true;
+  inputBytes_ += aBytes;
+  std::size_t used = 0;
+  error_code error;
+  while (used < inputBytes_ && !reader_->is_done()) {
+    used += reader_->put(asio::buffer(input_.data() + used, inputBytes_ - used), error);
+    if (error) {
+      break;
+    }
+    if (reader_->is_done() && reader_->head_.status_ < kFirstFinalStatus) {
+      reader_ = std::make_unique<Reader>(false);
+    }
+  }
+  if (error && error != http::error::need_more) {
+    Fail(true);
+    return;
+  }
+  std::memmove(input_.data(), input_.data() + used, inputBytes_ - used);
+  inputBytes_ -= used;
+  if (inputBytes_ == input_.size()) {
+    Fail(true);
+    return;
+  }
+  Deliver();
+  Read();
+}
+
+void
+HttpConnection::Deliver()
+{
+  if (!reader_->is_header_done() || reader_->head_.status_ < kFirstFinalStatus) {
+    return;
+  }
+  const bool last = reader_->is_done();
+  std::string body = std::move(reader_->body_);
+  reader_->body_.clear();
+  readCredit_ -= std::min(readCredit_, body.size());
+  auto observer = observer_;
+  if (last) {
+    const bool reusable = reader_->keep_alive() && !reader_->need_eof() && requestComplete_ &&
+                          pending_.empty() && !writeActive_ && inputBytes_ == 0;
+    observer_.reset();
+    if (!reusable) {
+      Close();
+    }
+  }
+  if (!headDelivered_) {
+    headDelivered_ = true;
+    observer->OnResponse(std::move(reader_->head_), std::move(body), last);
+  } else if (!body.empty() || last) {
+    observer->OnResponseBody(std::move(body), last);
+  }
+}
+
+void
+HttpConnection::OnEnd(bool aClean)
+{
+  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done()) {
+    error_code error;
+    reader_->put_eof(error);
+    if (!error && reader_->is_done()) {
+      Deliver();
+      return;
+    }
+  }
+  Fail(true);
+}
+
+void
+HttpConnection::Fail(bool aClosedByServer)
+{
+  if (state_ == State::Closed) {
+    return;
+  }
+  state_ = State::Closed;
+  error_code ignored;
+  socket_.close(ignored);
+  progress_.closedByServer_ = aClosedByServer;
+  // The hook comes first, so that the observer can already open another connection.
+  if (auto hook = std::exchange(closedHook_, nullptr)) {
+    hook();
+  }
+  if (auto observer = std::exchange(observer_, nullptr)) {
+    observer->OnFailed(progress_);
+  }
+}
+
+void
+HttpConnection::Close()
+{
+  Fail(false);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/RequestChecks.cpp
@@ -0,0 +1,105 @@
+#include "backend/RequestChecks.hpp"
+
+#include "core/Hash.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace redwing {
+
+namespace {
+
+/// Time in which the shards of a withdrawn data centre move away and are still served. New work
+/// must have stopped 3 s after the withdrawal.
+constexpr std::chrono::milliseconds kWithdrawalGrace{ 1500 };
+
+} // namespace
+
+RequestChecks::RequestChecks(const Published<RoutingView>& aView)
+  : view_(aView)
+{
+}
+
+void
+RequestChecks::Refresh(TimePoint aNow)
+{
+  const auto& view = view_.Get();
+  if (view->configuration_ == configuration_) {
+    return;
+  }
+  configuration_ = view->configuration_;
+  keys_.clear();
+  bool withdrawn = false;
+  if (configuration_) {
+    for (const auto& key : configuration_->configuration_.keys_) {
+      keys_.insert(key.id_);
+    }
+    const auto& centres = configuration_->configuration_.dataCentres_;
+    withdrawn = std::any_of(centres.begin(), centres.end(), [&](const DataCentre& aCentre) {
+      return aCentre.id_ == view->selfDataCentre_ && aCentre.withdrawn_;
+    });
+  }
+  if (!withdrawn) {
+    withdrawnSince_.reset();
+  } else if (!withdrawnSince_) {
+    withdrawnSince_ = aNow;
+  }
+}
+
+std::optional<ErrorCode>
+RequestChecks::Refuses(const RequestStart& aStart, TimePoint aNow)
+{
+  Refresh(aNow);
+  if (aNow >= aStart.deadline_) {
+    return ErrorCode::DeadlineExceeded;
+  }
+  if (withdrawnSince_ && (!aStart.shard_ || aNow - *withdrawnSince_ >= kWithdrawalGrace)) {
+    return ErrorCode::Draining;
+  }
+  if (aStart.keyId_.empty() || keys_.contains(aStart.keyId_)) {
+    return std::nullopt;
+  }
+  // A key issued a moment ago may be known to the ingress only; the request may go elsewhere.
+  const auto revision = configuration_ ? configuration_->revision_ : 0;
+  return aStart.configurationRevision_ > revision ? ErrorCode::ConfigurationStale
+                                                  : ErrorCode::InvalidKey;
+}
+
+bool
+RequestChecks::MayTry(const RequestStart& aStart)
+{
+  if (aStart.shard_) {
+    // Only the shard's owner runs it at all.
+    return true;
+  }
+  const auto& view = *view_.Get();
+  std::uint64_t best = 0;
+  std::string chosen = view.self_.id_;
+  for (const auto& [id, member] : view.members_) {
+    if (member.service_ != aStart.service_ || !member.reachable_ || member.leaving_) {
+      continue;
+    }
+    const auto score = HashBytes(id + '/' + std::to_string(aStart.fingerprint_));
+    if (score >= best) {
+      best = score;
+      chosen = id;
+    }
+  }
+  return chosen == view.self_.id_;
+}
+
+ColdStart
+RequestChecks::ColdStartOf(const std::string& aService)
+{
+  const auto& configuration = view_.Get()->configuration_;
+  if (configuration) {
+    for (const auto& service : configuration->configuration_.services_) {
+      if (service.id_ == aService) {
+        return service.coldStart_;
+      }
+    }
+  }
+  return {};
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/backend/RequestText.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "backend/HttpConnection.hpp"
+#include "exchange/Events.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace redwing {
+
+/// Builds the HTTP request for the backend server. Headers that the router sets itself, hop-by-hop
+/// headers and Authorization are left out whatever the caller sent; nothing is returned if method
+/// or target would break the request line.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::optional<HttpRequest> BuildRequest(const RequestStart& aStart,
+                                        std::uint64_t aToken,
+                                        const Address& aAddress,
+                                        TimePoint aNow);
+
+/// Returns `service/index`.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::string ShardName(const std::string& aService, std::uint32_t aIndex);
+
+} // namespace redwing
--- /dev/null
+++ b/src/peer/Link.hpp
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/Address.hpp"
+#include "core/Clock.hpp"
+#include "peer/FrameCodec.hpp"
+#include "peer/Handshake.hpp"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace redwing {
+
+enum class LinkState : std::uint8_t
+{
+  Connecting,
+  Established,
+  Closed,
+};
+
+class Link;
+
+/// Receiver of what happens on a link; all calls come from the peer thread.
+class LinkObserver
+{
+public:
+  virtual ~LinkObserver() = default;
+  virtual void OnEstablished(const std::shared_ptr<Link>& aLink) = 0;
+  virtual void OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage) = 0;
+  /// aMessage is about to be handed to the socket.
+  virtual void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) = 0;
+  virtual void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) = 0;
+};
+
+/// One TCP connection to another instance: handshake, frames, batched writes. All methods belong to
+/// the peer thread.
+class Link : public std::enable_shared_from_this<Link>
+{
+public:
+  Link(boost::asio::ip::tcp::socket aSocket,
+       std::uint64_t aId,
+       Handshake aHandshake,
+       const Clock& aClock,
+       LinkObserver& aObserver);
+
+  /// Connects as the initiator; aExpectedId is empty when any instance may answer.
+  ///
+  /// Preconditions: called once, and not Accept. Thread safety: peer thread only.
+  void Connect(const Address& aAddress, std::string aExpectedId);
+
+  /// Runs the acceptor's side on a connected socket.
+  ///
+  /// Preconditions: called once, and not Connect. Thread safety: peer thread only.
+  void Accept();
+
+  /// Queues aMessage; it goes out with all others that are queued by then.
+  ///
+  /// Preconditions: none. Thread safety: peer thread only.
+  void Send(LinkMessage&& aMessage);
+
+  /// Closes the socket; the observer is told once.
+  ///
+  /// Preconditions: none. Thread safety: peer thread only.
+  void Close(std::string_view aReason);
+
+  std::uint64_t Id() const { return id_; }
+  bool Inbound() const { return inbound_; }
+  LinkState State() const { return state_; }
+  const InstanceRef& Peer() const { return handshake_.Peer(); }
+  const std::string& ExpectedId() const { return expectedId_; }
+  TimePoint LastReceived() const { return lastReceived_; }
+  TimePoint Started() const { return started_; }
+
+  /// Starts the progress time-out anew, for instance after this process itself was paused.
+  ///
+  /// Preconditions: none. Thread safety: peer thread only.
+  void ResetProgress(TimePoint aNow) { lastReceived_ = aNow; }
+
+private:
+  static constexpr std::size_t kReadBufferBytes = 128 * 1024;
+
+  void SetOptions();
+  void ReadHandshake(std::function<void(std::string_view)> aNext);
+  void SendHandshake(std::string_view aText, std::function<void()> aNext);
+  void Establish();
+  void Read();
+  void ScheduleFlush();
+  void Flush();
+
+  boost::asio::ip::tcp::socket socket_;
+  std::uint64_t id_;
+  Handshake handshake_;
+  const Clock& clock_;
+  LinkObserver& observer_;
+  bool inbound_ = false;
+  LinkState state_ = LinkState::Connecting;
+  std::string expectedId_;
+  TimePoint started_;
+  TimePoint lastReceived_;
+  std::optional<FrameEncoder> encoder_;
+  std::optional<FrameDecoder> decoder_;
+  std::vector<LinkMessage> queue_;
+  std::vector<LinkMessage> batch_;
+  std::string output_;
+  std::string handshakeBuffer_;
+  std::vector<char> input_;
+  bool writing_ = false;
+  bool flushScheduled_ = false;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/peer/PeerService.cpp
@@ -0,0 +1,361 @@
+#include "peer/PeerService.hpp"
+
+#include "core/Log.hpp"
+#include "peer/PeerDetail.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTickInterval{ 50 };
+constexpr milliseconds kPingInterval{ 200 };
+/// A link with open exchanges that delivers nothing for this long, pongs included, is stalled.
+constexpr milliseconds kProgressTimeout{ 600 };
+constexpr milliseconds kConnectTimeout{ 600 };
+/// A tick this late means that this process was paused, which says nothing about its links.
+constexpr milliseconds kOwnPause{ 300 };
+constexpr std::size_t kMaxLinksPerPeer = 2;
+/// Open attempts on the first link from which a second one is opened.
+constexpr std::size_t kSecondLinkThreshold = 64;
+
+} // namespace
+
+PeerService::PeerService(asio::io_context& aContext,
+                         const Clock& aClock,
+                         const Published<RoutingView>& aView,
+                         CounterRegistry& aCounters,
+                         PeerSettings aSettings,
+                         PeerHooks aHooks)
+  : context_(aContext)
+  , clock_(aClock)
+  , view_(aView)
+  , settings_(std::move(aSettings))
+  , hooks_(std::move(aHooks))
+  , acceptor_(aContext)
+  , timer_(aContext)
+  , mailbox_(settings_.queueCapacity_)
+  , linksOpened_(aCounters.GetCounter("redwing_peer_links_opened_total"))
+  , linksLost_(aCounters.GetCounter("redwing_peer_links_lost_total"))
+  , linksStalled_(aCounters.GetCounter("redwing_peer_links_stalled_total"))
+  , linksRejected_(aCounters.GetCounter("redwing_peer_links_rejected_total"))
+  , requestsSent_(aCounters.GetCounter("redwing_peer_requests_sent_total"))
+  , requestsReceived_(aCounters.GetCounter("redwing_peer_requests_received_total"))
+{
+  mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
+}
+
+PeerService::~PeerService() = default;
+
+bool
+PeerService::Start()
+{
+  error_code error;
+  const auto ip = asio::ip::make_address(settings_.peersAddress_.ip_, error);
+  if (error) {
+    return false;
+  }
+  acceptor_.open(asio::ip::tcp::v4(), error);
+  if (!error) {
+    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    acceptor_.bind({ ip, settings_.peersAddress_.port_ }, error);
+  }
+  if (!error) {
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    LogLine(LogLevel::Error, "peer_bind_failed")
+      .With("address", settings_.peersAddress_.ToString())
+      .With("error", error.message());
+    return false;
+  }
+  port_ = acceptor_.local_endpoint().port();
+  lastTick_ = clock_.Now();
+  Accept();
+  Tick();
+  return true;
+}
+
+void
+PeerService::Stop()
+{
+  asio::post(context_, [this] {
+    stopped_ = true;
+    error_code ignored;
+    acceptor_.close(ignored);
+    timer_.cancel();
+    std::vector<std::shared_ptr<Link>> open;
+    for (auto& [id, entry] : links_) {
+      open.push_back(entry.link_);
+    }
+    for (auto& link : open) {
+      link->Close("stopped");
+    }
+  });
+}
+
+bool
+PeerService::TryStart(const std::string& aInstanceId, RequestStart&& aStart)
+{
+  OutboundCommand command{ aInstanceId, std::move(aStart) };
+  Command wrapped(std::move(command));
+  if (mailbox_.TryPush(std::move(wrapped))) {
+    return true;
+  }
+  // Not taken: the caller gets its event back.
+  aStart = std::get<RequestStart>(std::move(std::get<OutboundCommand>(wrapped).event_));
+  return false;
+}
+
+void
+PeerService::Send(const std::string& aInstanceId, RequestEvent&& aEvent)
+{
+  mailbox_.Push(OutboundCommand{ aInstanceId, std::move(aEvent) });
+}
+
+void
+PeerService::Respond(ResponseEvent&& aEvent)
+{
+  mailbox_.Push(Command(std::move(aEvent)));
+}
+
+void
+PeerService::Call(CallTarget aTarget,
+                  std::string aPayload,
+                  Duration aTimeout,
+                  CallCallback aCallback)
+{
+  mailbox_.Push(
+    CallCommand{ std::move(aTarget), std::move(aPayload), aTimeout, std::move(aCallback) });
+}
+
+void
+PeerService::Accept()
+{
+  acceptor_.async_accept([this](error_code aError, asio::ip::tcp::socket aSocket) {
+    if (stopped_ || aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      const auto id = nextLinkId_++;
+      LinkObserver& observer = *this;
+      auto link = std::make_shared<Link>(
+        std::move(aSocket),
+        id,
+        Handshake(Handshake::Side::Acceptor, settings_.self_, settings_.fleetKey_),
+        clock_,
+        observer);
+      links_[id].link_ = link;
+      link->Accept();
+    }
+    Accept();
+  });
+}
+
+void
+PeerService::Tick()
+{
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](error_code aError) {
+    if (aError || stopped_) {
+      return;
+    }
+    const auto now = clock_.Now();
+    if (now - lastTick_ > kOwnPause) {
+      for (auto& [id, entry] : links_) {
+        entry.link_->ResetProgress(now);
+      }
+    }
+    lastTick_ = now;
+    CheckProgress(now);
+    ExpireCalls(now);
+    Tick();
+  });
+}
+
+void
+PeerService::CheckProgress(TimePoint aNow)
+{
+  std::vector<std::pair<std::shared_ptr<Link>, std::string_view>> failed;
+  for (auto& [id, entry] : links_) {
+    auto& link = *entry.link_;
+    if (link.State() == LinkState::Connecting) {
+      if (aNow - link.Started() > kConnectTimeout) {
+        failed.emplace_back(entry.link_, "connect_timeout");
+      }
+    } else if (entry.outboundOpen_ > 0) {
+      if (aNow - link.LastReceived() > kProgressTimeout) {
+        linksStalled_.Add();
+        failed.emplace_back(entry.link_, "stalled");
+      } else if (aNow - entry.lastPing_ >= kPingInterval) {
+        entry.lastPing_ = aNow;
+        link.Send(Ping{});
+      }
+    } else if (!link.Inbound()) {
+      // The time without open exchanges does not count as lack of progress.
+      link.ResetProgress(aNow);
+    }
+  }
+  for (auto& [link, reason] : failed) {
+    link->Close(reason);
+  }
+}
+
+void
+PeerService::ExpireCalls(TimePoint aNow)
+{
+  std::vector<CallCallback> expired;
+  for (auto it = calls_.begin(); it != calls_.end();) {
+    if (aNow < it->second.deadline_) {
+      ++it;
+      continue;
+    }
+    if (const auto entry = links_.find(it->second.link_->Id()); entry != links_.end()) {
+      --entry->second.outboundOpen_;
+    }
+    expired.push_back(std::move(it->second.callback_));
+    it = calls_.erase(it);
+  }
+  for (auto& callback : expired) {
+    callback(tl::unexpected(PeerError::TimedOut));
+  }
+}
+
+void
+PeerService::Drain()
+{
+  mailbox_.Drain([this](Command&& aCommand) {
+    std::visit([this](auto&& aAlternative) { Execute(std::move(aAlternative)); },
+               std::move(aCommand));
+  });
+}
+
+void
+PeerService::Execute(OutboundCommand&& aCommand)
+{
+  if (auto* start = std::get_if<RequestStart>(&aCommand.event_)) {
+    StartAttempt(aCommand.instanceId_, std::move(*start));
+    return;
+  }
+  const auto attempt = attempts_.find(KeyOf(aCommand.event_).exchangeId_);
+  if (attempt == attempts_.end() || attempt->second.instanceId_ != aCommand.instanceId_) {
+    return;
+  }
+  std::visit([&](auto&& aEvent) { attempt->second.link_->Send(std::move(aEvent)); },
+             std::move(aCommand.event_));
+}
+
+void
+PeerService::StartAttempt(const std::string& aInstanceId, RequestStart&& aStart)
+{
+  const auto exchangeId = aStart.key_.exchangeId_;
+  auto link = LinkTo(aInstanceId);
+  if (!link) {
+    Refuse(exchangeId, Outcome::NotRun, ErrorCode::PeerUnreachable);
+    return;
+  }
+  attempts_[exchangeId] = Attempt{ aInstanceId, link, false };
+  auto& entry = links_[link->Id()];
+  if (entry.outboundOpen_++ == 0) {
+    entry.lastPing_ = clock_.Now();
+    link->ResetProgress(entry.lastPing_);
+  }
+  link->Send(std::move(aStart));
+}
+
+void
+PeerService::Execute(ResponseEvent&& aEvent)
+{
+  const auto key = KeyOf(aEvent);
+  const auto entry = links_.find(key.linkId_);
+  if (entry == links_.end() || !entry->second.inbound_.contains(key.exchangeId_)) {
+    return;
+  }
+  if (Detail::IsFinal(aEvent)) {
+    entry->second.inbound_.erase(key.exchangeId_);
+  }
+  std::visit([&](auto&& aAlternative) { entry->second.link_->Send(std::move(aAlternative)); },
+             std::move(aEvent));
+}
+
+void
+PeerService::Execute(CallCommand&& aCommand)
+{
+  auto link = std::visit(
+    Detail::Overloaded{ [this](const std::string& aInstanceId) { return LinkTo(aInstanceId); },
+                        [this](const Address& aAddress) { return OpenLink(aAddress, {}); } },
+    aCommand.target_);
+  if (!link) {
+    aCommand.callback_(tl::unexpected(PeerError::Unreachable));
+    return;
+  }
+  const auto id = nextCallId_++;
+  const auto now = clock_.Now();
+  calls_[id] = OpenCall{ link, false, now + aCommand.timeout_, std::move(aCommand.callback_) };
+  auto& entry = links_[link->Id()];
+  if (entry.outboundOpen_++ == 0) {
+    entry.lastPing_ = now;
+    link->ResetProgress(now);
+  }
+  link->Send(CallRequest{ id, std::move(aCommand.payload_) });
+}
+
+void
+PeerService::Execute(CallReplyCommand&& aCommand)
+{
+  if (const auto entry = links_.find(aCommand.linkId_); entry != links_.end()) {
+    entry->second.link_->Send(std::move(aCommand.reply_));
+  }
+}
+
+std::shared_ptr<Link>
+PeerService::LinkTo(const std::string& aInstanceId)
+{
+  auto& open = outbound_[aInstanceId];
+  const auto load = [this](const auto& aLink) { return links_[aLink->Id()].outboundOpen_; };
+  const auto best =
+    std::min_element(open.begin(), open.end(), [&](const auto& aLeft, const auto& aRight) {
+      return load(aLeft) < load(aRight);
+    });
+  if (best != open.end() &&
+      (open.size() >= kMaxLinksPerPeer || load(*best) < kSecondLinkThreshold)) {
+    return *best;
+  }
+  const auto& members = view_.Get()->members_;
+  const auto member = members.find(aInstanceId);
+  if (member == members.end()) {
+    return best != open.end() ? *best : nullptr;
+  }
+  return OpenLink(member->second.peersAddress_, aInstanceId);
+}
+
+std::shared_ptr<Link>
+PeerService::OpenLink(const Address& aAddress, const std::string& aInstanceId)
+{
+  const std::string& slot = aInstanceId.empty() ? aAddress.ToString() : aInstanceId;
+  auto& open = outbound_[slot];
+  if (aInstanceId.empty() && !open.empty()) {
+    return open.front();
+  }
+  const auto id = nextLinkId_++;
+  LinkObserver& observer = *this;
+  auto link = std::make_shared<Link>(
+    asio::ip::tcp::socket(context_),
+    id,
+    Handshake(Handshake::Side::Initiator, settings_.self_, settings_.fleetKey_),
+    clock_,
+    observer);
+  links_[id].link_ = link;
+  open.push_back(link);
+  link->Connect(aAddress, aInstanceId);
+  return link;
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/peer/PeerService.hpp
@@ -0,0 +1,214 @@
+#pragma once
+
+#include "core/Address.hpp"
+#include "core/Clock.hpp"
+#include "core/Counters.hpp"
+#include "core/Mailbox.hpp"
+#include "core/Published.hpp"
+#include "exchange/Events.hpp"
+#include "peer/Link.hpp"
+#include "routing/RoutingView.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace redwing {
+
+enum class PeerError : std::uint8_t
+{
+  /// No link could be established; the call was not sent.
+  Unreachable,
+  /// The link was lost after the call may have been sent.
+  LinkLost,
+  TimedOut,
+};
+
+struct PeerSettings
+{
+  InstanceRef self_;
+  /// Port 0 lets the system choose one.
+  Address peersAddress_;
+  std::string fleetKey_;
+  /// New requests that may wait for the peer thread.
+  std::size_t queueCapacity_ = 8192;
+};
+
+using CallReplyHook = std::function<void(std::string)>;
+using CallCallback = std::function<void(tl::expected<std::string, PeerError>)>;
+
+struct PeerHooks
+{
+  /// Inbound requests; key_.linkId_ is the id of the inbound link.
+  TryStartLocal tryStartLocal_;
+  SendRequestEvent sendRequest_;
+  /// Events for our own attempts; key_.linkId_ is kLocalLink.
+  SendResponseEvent sendResponse_;
+  std::function<void(const std::string& aInstanceId)> onPeerDown_;
+  /// Control calls; the reply may be called later, once, from any thread.
+  std::function<void(const InstanceRef& aFrom, std::string aPayload, CallReplyHook aReply)> onCall_;
+};
+
+/// Where a call goes: an instance id, or the address of an instance whose id is not known yet.
+using CallTarget = std::variant<std::string, Address>;
+
+/// Authenticated, multiplexed TCP links to other instances.
+///
+/// An instance carries its own attempts and calls on links that it opened, and serves those of
+/// others on the links that they opened. The owner runs the io_context on one thread.
+class PeerService : private LinkObserver
+{
+public:
+  PeerService(boost::asio::io_context& aContext,
+              const Clock& aClock,
+              const Published<RoutingView>& aView,
+              CounterRegistry& aCounters,
+              PeerSettings aSettings,
+              PeerHooks aHooks);
+  ~PeerService() override;
+
+  /// Binds the peers' address and starts to accept; returns false if it can't be bound.
+  ///
+  /// Preconditions: called once before the io_context runs. Thread safety: not thread-safe.
+  bool Start();
+
+  /// Closes all links and the acceptor.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  void Stop();
+
+  /// Returns the bound port.
+  ///
+  /// Preconditions: Start returned true. Thread safety: callable from any thread.
+  std::uint16_t Port() const { return port_; }
+
+  /// Starts an attempt at aInstanceId; returns false, without taking it, when the queue is full.
+  ///
+  /// Preconditions: exchangeId_ is unique among the open attempts. Thread safety: any thread.
+  bool TryStart(const std::string& aInstanceId, RequestStart&& aStart);
+
+  /// Sends a later event of a started attempt.
+  ///
+  /// Preconditions: TryStart returned true for its exchange. Thread safety: any thread.
+  void Send(const std::string& aInstanceId, RequestEvent&& aEvent);
+
+  /// Sends an event of an inbound exchange to its caller's instance.
+  ///
+  /// Preconditions: linkId_ is that of an inbound link. Thread safety: any thread.
+  void Respond(ResponseEvent&& aEvent);
+
+  /// Sends aPayload to aTarget; aCallback is called once, on the peer thread.
+  ///
+  /// Preconditions: aPayload is smaller than a frame. Thread safety: any thread.
+  void Call(CallTarget aTarget, std::string aPayload, Duration aTimeout, CallCallback aCallback);
+
+private:
+  struct Attempt
+  {
+    std::string instanceId_;
+    std::shared_ptr<Link> link_;
+    bool written_ = false;
+  };
+  struct OpenCall
+  {
+    std::shared_ptr<Link> link_;
+    bool written_ = false;
+    TimePoint deadline_;
+    CallCallback callback_;
+  };
+  struct InboundExchange
+  {
+    bool idempotent_ = false;
+  };
+  struct LinkEntry
+  {
+    std::shared_ptr<Link> link_;
+    std::unordered_map<std::uint64_t, InboundExchange> inbound_;
+    std::size_t outboundOpen_ = 0;
+    TimePoint lastPing_{};
+  };
+  struct OutboundCommand
+  {
+    std::string instanceId_;
+    RequestEvent event_;
+  };
+  struct CallCommand
+  {
+    CallTarget target_;
+    std::string payload_;
+    Duration timeout_;
+    CallCallback callback_;
+  };
+  struct CallReplyCommand
+  {
+    std::uint64_t linkId_ = 0;
+    CallReply reply_;
+  };
+  using Command = std::variant<OutboundCommand, ResponseEvent, CallCommand, CallReplyCommand>;
+
+  void OnEstablished(const std::shared_ptr<Link>& aLink) override;
+  void OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage) override;
+  void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) override;
+  void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) override;
+
+  void Accept();
+  void Tick();
+  void CheckProgress(TimePoint aNow);
+  void ExpireCalls(TimePoint aNow);
+  void Drain();
+  void Execute(OutboundCommand&& aCommand);
+  void Execute(ResponseEvent&& aEvent);
+  void Execute(CallCommand&& aCommand);
+  void Execute(CallReplyCommand&& aCommand);
+  void StartAttempt(const std::string& aInstanceId, RequestStart&& aStart);
+
+  void Receive(LinkEntry& aEntry, RequestStart&& aEvent);
+  template<typename Event>
+  void ReceiveRequestEvent(LinkEntry& aEntry, Event&& aEvent);
+  template<typename Event>
+  void ReceiveResponseEvent(LinkEntry& aEntry, Event&& aEvent);
+  void ReceiveCall(LinkEntry& aEntry, CallRequest&& aCall);
+  void ReceiveReply(CallReply&& aReply);
+
+  std::shared_ptr<Link> LinkTo(const std::string& aInstanceId);
+  std::shared_ptr<Link> OpenLink(const Address& aAddress, const std::string& aInstanceId);
+  void FailAttempts(const std::shared_ptr<Link>& aLink);
+  void FailCalls(const std::shared_ptr<Link>& aLink);
+  void FailInbound(std::uint64_t aLinkId, LinkEntry& aEntry);
+  void Refuse(std::uint64_t aExchangeId, Outcome aOutcome, ErrorCode aCode);
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  PublishedReader<RoutingView> view_;
+  PeerSettings settings_;
+  PeerHooks hooks_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer timer_;
+  Mailbox<Command> mailbox_;
+  std::uint16_t port_ = 0;
+  bool stopped_ = false;
+  std::uint64_t nextLinkId_ = kLocalLink + 1;
+  std::uint64_t nextCallId_ = 1;
+  TimePoint lastTick_{};
+  std::unordered_map<std::uint64_t, LinkEntry> links_;
+  std::unordered_map<std::string, std::vector<std::shared_ptr<Link>>> outbound_;
+  std::unordered_map<std::uint64_t, Attempt> attempts_;
+  std::map<std::uint64_t, OpenCall> calls_;
+  Counter& linksOpened_;
+  Counter& linksLost_;
+  Counter& linksStalled_;
+  Counter& linksRejected_;
+  Counter& requestsSent_;
+  Counter& requestsReceived_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -0,0 +1,287 @@
+#include "peer/PeerService.hpp"
+
+#include "core/SteadyClock.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <condition_variable>
+#include <thread>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+
+namespace {
+
+/// Collects items from another thread and waits for them.
+template<typename T>
+class Inbox
+{
+public:
+  void Add(T aItem)
+  {
+    std::lock_guard lock(mutex_);
+    items_.push_back(std::move(aItem));
+    changed_.notify_all();
+  }
+  std::vector<T> Await(std::size_t aCount)
+  {
+    std::unique_lock lock(mutex_);
+    const bool arrived = changed_.wait_for(lock, 20s, [&] { return items_.size() >= aCount; });
+    BOOST_REQUIRE(arrived);
+    return items_;
+  }
+
+private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<T> items_;
+};
+
+class Node
+{
+public:
+  Node(std::string aId, std::string aFleetKey)
+    : view_(std::make_shared<RoutingView>())
+    , service_(context_,
+               clock_,
+               view_,
+               counters_,
+               { { aId, 1 }, { "127.0.0.1", 0 }, std::move(aFleetKey), 1024 },
+               { [this](RequestStart&& aStart) {
+                  requests_.Add(std::move(aStart));
+                  return accept_.load();
+                },
+                 [this](RequestEvent&& aEvent) { events_.Add(std::move(aEvent)); },
+                 [this](ResponseEvent&& aEvent) { responses_.Add(std::move(aEvent)); },
+                 [this](const std::string& aPeer) { down_.Add(aPeer); },
+                 [](const InstanceRef& aFrom, std::string aPayload, CallReplyHook aReply) {
+                   aReply(aFrom.id_ + ":" + aPayload);
+                 } })
+  {
+    BOOST_REQUIRE(service_.Start());
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~Node()
+  {
+    service_.Stop();
+    context_.stop();
+    thread_.join();
+  }
+  void Knows(const std::string& aId, std::uint16_t aPort)
+  {
+    auto view = std::make_shared<RoutingView>(*view_.Get());
+    view->members_[aId].peersAddress_ = { "127.0.0.1", aPort };
+    view_.Set(view);
+  }
+
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_{ context_.get_executor() };
+  SteadyClock clock_;
+  CounterRegistry counters_;
+  Published<RoutingView> view_;
+  std::atomic<bool> accept_{ true };
+  Inbox<RequestStart> requests_;
+  Inbox<RequestEvent> events_;
+  Inbox<ResponseEvent> responses_;
+  Inbox<std::string> down_;
+  PeerService service_;
+  std::thread thread_;
+};
+
+RequestStart
+MakeStart(std::uint64_t aId, bool aIdempotent = false)
+{
+  RequestStart start;
+  start.key_ = { kLocalLink, aId };
+  start.requestId_ = std::to_string(aId);
+  start.deadline_ = SteadyClock().Now() + 10s;
+  start.idempotent_ = aIdempotent;
+  return start;
+}
+
+ResponseStart
+MakeResponse(const RequestStart& aRequest)
+{
+  ResponseStart response;
+  response.key_ = aRequest.key_;
+  response.status_ = 200;
+  response.body_ = "response to " + aRequest.requestId_;
+  return response;
+}
+
+/// Relays one connection, which it can stall or kill.
+class FaultyRelay
+{
+public:
+  explicit FaultyRelay(std::uint16_t aTargetPort)
+    : acceptor_(context_, { asio::ip::make_address("127.0.0.1"), 0 })
+    , targetPort_(aTargetPort)
+  {
+  }
+  std::uint16_t Port() { return acceptor_.local_endpoint().port(); }
+
+  /// Accepts the connection and relays it.
+  void Relay()
+  {
+    inner_.emplace(context_);
+    outer_.emplace(acceptor_.accept());
+    inner_->connect({ asio::ip::make_address("127.0.0.1"), targetPort_ });
+    Pump(*outer_, *inner_, toInner_);
+    Pump(*inner_, *outer_, toOuter_);
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  void Stall() { stalled_ = true; }
+  void Kill()
+  {
+    asio::post(context_, [this] {
+      outer_->close();
+      inner_->close();
+    });
+  }
+  ~FaultyRelay()
+  {
+    context_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+private:
+  using Socket = asio::ip::tcp::socket;
+  void Pump(Socket& aFrom, Socket& aTo, std::array<char, 65536>& aBuffer)
+  {
+    aFrom.async_read_some(asio::buffer(aBuffer), [&](auto aError, std::size_t aSize) {
+      if (aError || stalled_) {
+        return;
+      }
+      boost::system::error_code error;
+      asio::write(aTo, asio::buffer(aBuffer, aSize), error);
+      if (!error) {
+        Pump(aFrom, aTo, aBuffer);
+      }
+    });
+  }
+
+  asio::io_context context_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::uint16_t targetPort_;
+  std::optional<Socket> outer_;
+  std::optional<Socket> inner_;
+  std::array<char, 65536> toInner_{};
+  std::array<char, 65536> toOuter_{};
+  std::atomic<bool> stalled_{ false };
+  std::thread thread_;
+};
+
+} // namespace
+
+// Guards against crossed responses: many requests answered in reverse order must each get their
+// own.
+BOOST_AUTO_TEST_CASE(ResponsesReachTheirRequestsInAnyOrder)
+{
+  constexpr std::uint64_t kRequests = 500;
+  Node a("a", "key");
+  Node b("b", "key");
+  a.Knows("b", b.service_.Port());
+  for (std::uint64_t id = 1; id <= kRequests; ++id) {
+    BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(id)));
+  }
+  auto requests = b.requests_.Await(kRequests);
+  for (auto it = requests.rbegin(); it != requests.rend(); ++it) {
+    BOOST_TEST(it->key_.linkId_ != kLocalLink);
+    b.service_.Respond(MakeResponse(*it));
+  }
+  for (const auto& event : a.responses_.Await(kRequests)) {
+    const auto& response = std::get<ResponseStart>(event);
+    BOOST_TEST(response.key_.linkId_ == kLocalLink);
+    BOOST_TEST(response.body_ == "response to " + std::to_string(response.key_.exchangeId_));
+  }
+}
+
+// Guards against accepting a peer without the fleet key, and against calling its requests unknown.
+BOOST_AUTO_TEST_CASE(PeerWithAnotherKeyIsRejectedAndNothingRan)
+{
+  Node a("a", "key");
+  Node b("b", "other key");
+  a.Knows("b", b.service_.Port());
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(1)));
+  const auto refusal = std::get<Refusal>(a.responses_.Await(1).front());
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refusal.code_ == ErrorCode::PeerUnreachable));
+  BOOST_TEST(a.down_.Await(1).front() == "b");
+  BOOST_TEST(a.counters_.GetCounter("redwing_peer_links_rejected_total").Value() == 1U);
+}
+
+// Guards against a false "not run" when the link dies after a request was written, and against
+// cancelling a non-idempotent request that runs.
+BOOST_AUTO_TEST_CASE(LostLinkMakesWrittenRequestsUnknown)
+{
+  Node a("a", "key");
+  Node b("b", "key");
+  FaultyRelay relay(b.service_.Port());
+  a.Knows("b", relay.Port());
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(1, false)));
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(2, true)));
+  relay.Relay();
+  b.requests_.Await(2);
+  relay.Kill();
+  for (const auto& event : a.responses_.Await(2)) {
+    BOOST_TEST((std::get<Refusal>(event).outcome_ == Outcome::Unknown));
+    BOOST_TEST((std::get<Refusal>(event).code_ == ErrorCode::LinkLost));
+  }
+  const auto cancels = b.events_.Await(1);
+  BOOST_TEST(cancels.size() == 1U);
+  BOOST_TEST(KeyOf(cancels.front()).exchangeId_ == 2U);
+}
+
+// Guards against requests that hang on a link which stays open but delivers nothing.
+BOOST_AUTO_TEST_CASE(StalledLinkIsReplaced)
+{
+  Node a("a", "key");
+  Node b("b", "key");
+  FaultyRelay relay(b.service_.Port());
+  a.Knows("b", relay.Port());
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(1)));
+  relay.Relay();
+  b.requests_.Await(1);
+  relay.Stall();
+  const auto refusal = std::get<Refusal>(a.responses_.Await(1).front());
+  BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
+  BOOST_TEST(a.counters_.GetCounter("redwing_peer_links_stalled_total").Value() == 1U);
+  a.Knows("b", b.service_.Port());
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(2)));
+  b.service_.Respond(MakeResponse(b.requests_.Await(2).back()));
+  BOOST_TEST(std::get<ResponseStart>(a.responses_.Await(2).back()).status_ == 200);
+}
+
+// Guards against a full backend queue that leaves the caller without an answer.
+BOOST_AUTO_TEST_CASE(FullQueueAtTheReceiverIsNotRun)
+{
+  Node a("a", "key");
+  Node b("b", "key");
+  a.Knows("b", b.service_.Port());
+  b.accept_ = false;
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(1)));
+  const auto refusal = std::get<Refusal>(a.responses_.Await(1).front());
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refusal.code_ == ErrorCode::QueueFull));
+}
+
+// Guards against control calls whose callback is lost.
+BOOST_AUTO_TEST_CASE(CallsAreAnsweredByIdAndAddress)
+{
+  Node a("a", "key");
+  Node b("b", "key");
+  a.Knows("b", b.service_.Port());
+  Inbox<tl::expected<std::string, PeerError>> replies;
+  const auto collect = [&](auto aReply) { replies.Add(std::move(aReply)); };
+  a.service_.Call(std::string("b"), "one", 5s, collect);
+  BOOST_TEST(replies.Await(1).back().value() == "a:one");
+  a.service_.Call(Address{ "127.0.0.1", b.service_.Port() }, "two", 5s, collect);
+  BOOST_TEST(replies.Await(2).back().value() == "a:two");
+  a.service_.Call(std::string("nobody"), "three", 5s, collect);
+  BOOST_TEST((replies.Await(3).back().error() == PeerError::Unreachable));
+}
