--- /dev/null
+++ b/src/store/EtcdCall.cpp
@@ -0,0 +1,151 @@
+#include "store/EtcdCall.hpp"
+
+#include "store/EtcdHttp.hpp"
+
+#include <utility>
+
+namespace redwing::Detail {
+
+namespace {
+
+/// Above the largest range the product reads: the row chunks of one service.
+constexpr std::size_t kReplyLimitBytes = std::size_t{ 64 } * 1024 * 1024;
+
+} // namespace
+
+struct EtcdCall::State
+{
+  State(std::shared_ptr<EtcdClient> aClient,
+        EtcdRequest aRequest,
+        StoreCallback<std::string> aDone)
+    : client_(std::move(aClient))
+    , writes_(aRequest.writes_)
+    , request_(MakeHttpRequest(std::move(aRequest), client_->Settings().address_))
+    , done_(std::move(aDone))
+    , stream_(client_->TakeConnection())
+  {
+    parser_.body_limit(kReplyLimitBytes);
+  }
+
+  std::shared_ptr<EtcdClient> client_;
+  bool writes_;
+  HttpRequest request_;
+  StoreCallback<std::string> done_;
+  boost::beast::tcp_stream stream_;
+  boost::beast::flat_buffer buffer_;
+  boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+};
+
+EtcdCall::EtcdCall(std::shared_ptr<EtcdClient> aClient,
+                   EtcdRequest aRequest,
+                   StoreCallback<std::string> aDone)
+  : state_(std::make_unique<State>(std::move(aClient), std::move(aRequest), std::move(aDone)))
+{
+}
+
+EtcdCall::~EtcdCall() = default;
+
+void
+EtcdCall::Start()
+{
+  state_->stream_.expires_after(state_->client_->Settings().timeout_);
+  if (state_->stream_.socket().is_open()) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void
+EtcdCall::Cancel()
+{
+  state_->done_ = nullptr;
+  state_->stream_.close();
+}
+
+void
+EtcdCall::Connect()
+{
+  state_->stream_.async_connect(
+    ToEndpoint(state_->client_->Settings().address_),
+    [self = shared_from_this()](boost::system::error_code aError) {
+      if (aError) {
+        self->Fail(false, "connect: " + aError.message());
+        return;
+      }
+      boost::system::error_code ignored;
+      self->state_->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+      self->Send();
+    });
+}
+
+void
+EtcdCall::Send()
+{
+  boost::beast::http::async_write(
+    state_->stream_,
+    state_->request_,
+    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+      if (aError) {
+        self->Fail(true, "send: " + aError.message());
+        return;
+      }
+      self->Read();
+    });
+}
+
+void
+EtcdCall::Read()
+{
+  boost::beast::http::async_read(
+    state_->stream_,
+    state_->buffer_,
+    state_->parser_,
+    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+      if (aError) {
+        self->Fail(true, "receive: " + aError.message());
+        return;
+      }
+      self->Finish();
+    });
+}
+
+void
+EtcdCall::Finish()
+{
+  if (!state_->done_) {
+    return;
+  }
+  auto reply = state_->parser_.release();
+  if (reply.keep_alive()) {
+    state_->stream_.expires_never();
+    state_->client_->KeepConnection(state_->stream_.release_socket());
+  } else {
+    state_->stream_.close();
+  }
+  const auto status = reply.result_int();
+  const auto kind = ClassifyStatus(status, state_->writes_);
+  state_->client_->ReportCall(!kind || *kind == StoreErrorKind::Rejected);
+  const auto done = std::exchange(state_->done_, nullptr);
+  if (kind) {
+    done(tl::unexpected(StoreError{ *kind, "status " + std::to_string(status) }));
+    return;
+  }
+  done(std::move(reply.body()));
+}
+
+void
+EtcdCall::Fail(bool aSent, const std::string& aMessage)
+{
+  if (!state_->done_) {
+    return;
+  }
+  state_->stream_.close();
+  state_->client_->ReportCall(false);
+  const bool unknown = aSent && state_->writes_;
+  const auto done = std::exchange(state_->done_, nullptr);
+  done(tl::unexpected(StoreError{
+    unknown ? StoreErrorKind::OutcomeUnknown : StoreErrorKind::Unavailable, aMessage }));
+}
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/store/EtcdCodec.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "store/Store.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+/// Requests and replies of etcd's v3 JSON gateway as text. All functions are callable from any
+/// thread and have no preconditions; decoders return a description of what is malformed.
+namespace redwing::Detail {
+
+template<typename T>
+using Decoded = tl::expected<T, std::string>;
+
+/// One message of a watch stream.
+struct WatchMessage
+{
+  std::vector<StoreWatchEvent> events_;
+  /// Set when the store ended the watch.
+  std::optional<std::string> cancelReason_;
+};
+
+/// Returns the first key after all keys that start with aPrefix.
+std::string PrefixEnd(std::string aPrefix);
+
+std::string EncodeBase64(std::string_view aData);
+std::optional<std::string> DecodeBase64(std::string_view aText);
+
+std::string EncodeRange(std::string_view aPrefix, bool aExact);
+std::string EncodeTransaction(const StoreTransaction& aTransaction);
+std::string EncodeLeaseGrant(std::chrono::seconds aTimeToLive);
+std::string EncodeKeepAlive(std::int64_t aLease);
+std::string EncodeWatch(std::string_view aPrefix, std::uint64_t aFromRevision);
+
+Decoded<StoreRange> DecodeRange(std::string_view aBody);
+Decoded<StoreTransactionResult> DecodeTransaction(std::string_view aBody);
+Decoded<std::int64_t> DecodeLeaseGrant(std::string_view aBody);
+Decoded<std::chrono::seconds> DecodeKeepAlive(std::string_view aBody);
+Decoded<WatchMessage> DecodeWatch(std::string_view aLine);
+
+} // namespace redwing::Detail
--- /dev/null
+++ b/src/store/EtcdStore.cpp
@@ -0,0 +1,94 @@
+#include "store/EtcdStore.hpp"
+
+#include "store/EtcdClient.hpp"
+#include "store/EtcdCodec.hpp"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+constexpr const char* kRangePath = "/v3/kv/range";
+constexpr const char* kTransactionPath = "/v3/kv/txn";
+constexpr const char* kGrantPath = "/v3/lease/grant";
+constexpr const char* kKeepAlivePath = "/v3/lease/keepalive";
+constexpr const char* kWatchPath = "/v3/watch";
+
+/// Returns a reply handler that decodes the body with aDecode and passes the result to aDone.
+template<typename T>
+StoreCallback<std::string>
+DecodeWith(Detail::Decoded<T> (*aDecode)(std::string_view),
+           StoreErrorKind aMalformedKind,
+           StoreCallback<T> aDone)
+{
+  return [aDecode, aMalformedKind, done = std::move(aDone)](StoreResult<std::string> aReply) {
+    if (!aReply) {
+      done(tl::unexpected(std::move(aReply.error())));
+      return;
+    }
+    auto decoded = aDecode(*aReply);
+    if (!decoded) {
+      done(tl::unexpected(StoreError{ aMalformedKind, "malformed reply: " + decoded.error() }));
+      return;
+    }
+    done(std::move(*decoded));
+  };
+}
+
+} // namespace
+
+EtcdStore::EtcdStore(boost::asio::io_context& aContext,
+                     const Clock& aClock,
+                     std::uint64_t aSeed,
+                     EtcdStoreSettings aSettings)
+  : client_(std::make_shared<Detail::EtcdClient>(aContext, aClock, aSeed, std::move(aSettings)))
+{
+}
+
+EtcdStore::~EtcdStore()
+{
+  boost::asio::post(client_->Context(), [client = client_] { client->Close(); });
+}
+
+void
+EtcdStore::Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone)
+{
+  client_->Post({ kRangePath, Detail::EncodeRange(aPrefix, aExact), false },
+                DecodeWith<StoreRange>(
+                  Detail::DecodeRange, StoreErrorKind::Unavailable, std::move(aDone)));
+}
+
+void
+EtcdStore::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
+{
+  client_->Post({ kTransactionPath, Detail::EncodeTransaction(aTransaction), true },
+                DecodeWith<StoreTransactionResult>(
+                  Detail::DecodeTransaction, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+}
+
+void
+EtcdStore::GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone)
+{
+  client_->Post({ kGrantPath, Detail::EncodeLeaseGrant(aTimeToLive), true },
+                DecodeWith<std::int64_t>(
+                  Detail::DecodeLeaseGrant, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+}
+
+void
+EtcdStore::KeepAlive(std::int64_t aLease, StoreCallback<std::chrono::seconds> aDone)
+{
+  client_->Post({ kKeepAlivePath, Detail::EncodeKeepAlive(aLease), true },
+                DecodeWith<std::chrono::seconds>(
+                  Detail::DecodeKeepAlive, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+}
+
+void
+EtcdStore::Watch(std::string aPrefix, std::uint64_t aFromRevision, WatchCallback aEvents)
+{
+  client_->PostWatch({ kWatchPath, Detail::EncodeWatch(aPrefix, aFromRevision), false },
+                     std::move(aEvents));
+}
+
+} // namespace redwing
