--- a/src/store/EtcdCall.cpp
+++ b/src/store/EtcdCall.cpp
@@ -15,9 +15,7 @@
 
 struct EtcdCall::State
 {
-  State(std::shared_ptr<EtcdClient> aClient,
-        EtcdRequest aRequest,
-        StoreCallback<std::string> aDone)
+  State(std::shared_ptr<EtcdClient> aClient, EtcdRequest aRequest, StoreCallback<std::string> aDone)
     : client_(std::move(aClient))
     , writes_(aRequest.writes_)
     , request_(MakeHttpRequest(std::move(aRequest), client_->Settings().address_))
@@ -66,17 +64,17 @@
 void
 EtcdCall::Connect()
 {
-  state_->stream_.async_connect(
-    ToEndpoint(state_->client_->Settings().address_),
-    [self = shared_from_this()](boost::system::error_code aError) {
-      if (aError) {
-        self->Fail(false, "connect: " + aError.message());
-        return;
-      }
-      boost::system::error_code ignored;
-      self->state_->stream_.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-      self->Send();
-    });
+  state_->stream_.async_connect(ToEndpoint(state_->client_->Settings().address_),
+                                [self = shared_from_this()](boost::system::error_code aError) {
+                                  if (aError) {
+                                    self->Fail(false, "connect: " + aError.message());
+                                    return;
+                                  }
+                                  boost::system::error_code ignored;
+                                  self->state_->stream_.socket().set_option(
+                                    boost::asio::ip::tcp::no_delay(true), ignored);
+                                  self->Send();
+                                });
 }
 
 void
--- a/src/store/EtcdClient.cpp
+++ b/src/store/EtcdClient.cpp
@@ -68,8 +68,7 @@
     aDone(tl::unexpected(BudgetError()));
     return;
   }
-  auto call =
-    std::make_shared<EtcdCall>(shared_from_this(), std::move(aRequest), std::move(aDone));
+  auto call = std::make_shared<EtcdCall>(shared_from_this(), std::move(aRequest), std::move(aDone));
   RemoveExpired(calls_);
   calls_.push_back(call);
   call->Start();
--- a/src/store/EtcdStore.cpp
+++ b/src/store/EtcdStore.cpp
@@ -55,9 +55,9 @@
 void
 EtcdStore::Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone)
 {
-  client_->Post({ kRangePath, Detail::EncodeRange(aPrefix, aExact), false },
-                DecodeWith<StoreRange>(
-                  Detail::DecodeRange, StoreErrorKind::Unavailable, std::move(aDone)));
+  client_->Post(
+    { kRangePath, Detail::EncodeRange(aPrefix, aExact), false },
+    DecodeWith<StoreRange>(Detail::DecodeRange, StoreErrorKind::Unavailable, std::move(aDone)));
 }
 
 void
--- a/src/store/EtcdWatch.cpp
+++ b/src/store/EtcdWatch.cpp
@@ -75,16 +75,16 @@
 EtcdWatch::Start()
 {
   state_->stream_.expires_after(state_->client_->Settings().timeout_);
-  state_->stream_.async_connect(
-    ToEndpoint(state_->client_->Settings().address_),
-    [self = shared_from_this()](boost::system::error_code aError) {
-      if (aError) {
-        self->Fail(StoreErrorKind::Unavailable, "connect: " + aError.message());
-        return;
-      }
-      SetOptions(self->state_->stream_.socket());
-      self->Send();
-    });
+  state_->stream_.async_connect(ToEndpoint(state_->client_->Settings().address_),
+                                [self = shared_from_this()](boost::system::error_code aError) {
+                                  if (aError) {
+                                    self->Fail(StoreErrorKind::Unavailable,
+                                               "connect: " + aError.message());
+                                    return;
+                                  }
+                                  SetOptions(self->state_->stream_.socket());
+                                  self->Send();
+                                });
 }
 
 void
--- a/src/store/EtcdWatch.hpp
+++ b/src/store/EtcdWatch.hpp
@@ -6,7 +6,8 @@
 
 namespace redwing::Detail {
 
-/// One watch stream on a connection of its own. Keeps itself alive until it ends. Store thread only.
+/// One watch stream on a connection of its own. Keeps itself alive until it ends. Store thread
+/// only.
 class EtcdWatch : public std::enable_shared_from_this<EtcdWatch>
 {
 public:
