--- a/src/config/JsonCheck.cpp
+++ b/src/config/JsonCheck.cpp
@@ -89,6 +89,9 @@
   {
     std::string pointer;
     for (const Level& level : levels_) {
+      if (!level.array_ && level.names_.empty()) {
+        break;
+      }
       pointer = AppendPointer(pointer, level.array_ ? std::to_string(level.index_) : level.name_);
     }
     return pointer;
