--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -5,6 +5,7 @@
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
 #include "exchange/Events.hpp"
+#include "exchange/ShardGrant.hpp"
 #include "ownership/ShardRow.hpp"
 #include "routing/RoutingView.hpp"
 
@@ -39,14 +40,6 @@
   std::uint32_t queued_ = 0;
 };
 
-/// A shard that the backend server may serve, with its fencing token.
-struct ShardGrant
-{
-  ShardId shard_;
-  std::uint64_t token_ = 0;
-
-  bool operator==(const ShardGrant&) const = default;
-};
 
 struct BackendSettings
 {
--- /dev/null
+++ b/src/control/ConfigurationKeeper.cpp
@@ -0,0 +1,112 @@
+#include "control/ConfigurationKeeper.hpp"
+
+#include "config/ConfigurationRecord.hpp"
+#include "core/Log.hpp"
+
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A configuration that is not confirmed for this long is not trusted. Below the 3 s in which a
+/// withdrawn key must stop working, to leave time for reports that are under way.
+constexpr Duration kMaxAge = milliseconds(2500);
+/// Interval of a watcher's reads; part of the time until a change is in force.
+constexpr Duration kReadInterval = milliseconds(300);
+
+} // namespace
+
+ConfigurationKeeper::ConfigurationKeeper(const Clock& aClock,
+                                         Store& aStore,
+                                         std::string aDataCentre,
+                                         OnAdopted aOnAdopted)
+  : clock_(aClock)
+  , store_(aStore)
+  , dataCentre_(std::move(aDataCentre))
+  , onAdopted_(std::move(aOnAdopted))
+  , freshness_(kMaxAge)
+  , current_(std::make_shared<const ConfigurationRevision>())
+{
+}
+
+void
+ConfigurationKeeper::Adopt(std::uint64_t aRevision, const std::string& aRecord)
+{
+  if (aRevision <= current_->revision_) {
+    return;
+  }
+  auto record = ConfigurationRecord::Parse(aRecord);
+  if (!record) {
+    LogLine(LogLevel::Error, "configuration_rejected")
+      .With("revision", aRevision)
+      .With("error", record.error());
+    return;
+  }
+  auto next = std::make_shared<ConfigurationRevision>();
+  next->revision_ = aRevision;
+  if (!record->operations_.empty()) {
+    next->operationId_ = record->operations_.front().id_;
+  }
+  next->configuration_ = std::move(record->configuration_);
+  LogLine(LogLevel::Info, "configuration_adopted")
+    .With("revision", aRevision)
+    .With("previous", current_->revision_)
+    .With("operation", next->operationId_);
+  current_ = std::move(next);
+  record_ = aRecord;
+  onAdopted_(current_);
+}
+
+void
+ConfigurationKeeper::Tick(bool aIsWatcher)
+{
+  if (!aIsWatcher || reading_ || clock_.Now() < nextRead_) {
+    return;
+  }
+  Read([](bool) {});
+}
+
+void
+ConfigurationKeeper::Read(std::function<void(bool aReached)> aDone)
+{
+  const TimePoint sentAt = clock_.Now();
+  reading_ = true;
+  nextRead_ = sentAt + kReadInterval;
+  store_.Range(kConfigurationKey,
+               true,
+               [this, sentAt, done = std::move(aDone)](const StoreResult<StoreRange>& aResult) {
+                 reading_ = false;
+                 const bool budget =
+                   !aResult && aResult.error().kind_ == StoreErrorKind::BudgetExceeded;
+                 if (budget) {
+                   done(false);
+                   return;
+                 }
+                 storeReachable_ = aResult.has_value();
+                 std::uint64_t revision = current_->revision_;
+                 if (aResult && !aResult->entries_.empty()) {
+                   const StoreEntry& entry = aResult->entries_.front();
+                   revision = entry.modRevision_;
+                   Adopt(entry.modRevision_, entry.value_);
+                 }
+                 freshness_.OnOwnCall(dataCentre_, revision, storeReachable_, sentAt);
+                 done(storeReachable_);
+               });
+}
+
+void
+ConfigurationKeeper::Merge(std::span<const WatcherReport> aReports)
+{
+  freshness_.Merge(aReports, clock_.Now());
+}
+
+bool
+ConfigurationKeeper::IsCurrent(std::size_t aDataCentres) const
+{
+  return freshness_.IsCurrent(current_->revision_, aDataCentres, clock_.Now());
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/ControlCodec.cpp
@@ -0,0 +1,132 @@
+#include "control/ControlCodec.hpp"
+
+#include "core/Hash.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <exception>
+#include <sstream>
+
+namespace cereal {
+
+template<typename Archive>
+void
+serialize(Archive&, std::monostate&)
+{
+}
+
+} // namespace cereal
+
+namespace redwing {
+
+namespace {
+
+constexpr std::size_t kTagBytes = 16;
+
+/// Returns nothing when aBytes are malformed. Only authentic bytes get here, so a hostile length
+/// cannot make the decoder reserve memory.
+template<typename Value>
+std::optional<Value>
+Read(std::string_view aBytes)
+{
+  try {
+    std::istringstream stream{ std::string(aBytes) };
+    cereal::PortableBinaryInputArchive archive(stream);
+    Value value;
+    archive(value);
+    return value;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+template<typename... Values>
+std::string
+Write(const Values&... aValues)
+{
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(aValues...);
+  return std::move(stream).str();
+}
+
+struct SignedPart
+{
+  InstanceRef from_;
+  ControlDatagram datagram_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(from_, datagram_);
+  }
+};
+
+std::string_view
+View(const Sha256Digest& aDigest)
+{
+  return { reinterpret_cast<const char*>(aDigest.data()), kTagBytes };
+}
+
+} // namespace
+
+ControlCodec::ControlCodec(std::string aFleetKey)
+  : fleetKey_(std::move(aFleetKey))
+{
+}
+
+std::string
+ControlCodec::EncodeDatagram(const InstanceRef& aFrom, const ControlDatagram& aDatagram) const
+{
+  const std::string body = Write(aFrom, aDatagram);
+  const Sha256Digest digest = HmacSha256(fleetKey_, body);
+  std::string bytes(View(digest));
+  bytes += body;
+  return bytes;
+}
+
+std::optional<ReceivedDatagram>
+ControlCodec::DecodeDatagram(std::string_view aBytes) const
+{
+  if (aBytes.size() < kTagBytes) {
+    return std::nullopt;
+  }
+  const std::string_view body = aBytes.substr(kTagBytes);
+  const Sha256Digest digest = HmacSha256(fleetKey_, body);
+  if (!EqualConstantTime(View(digest), aBytes.substr(0, kTagBytes))) {
+    return std::nullopt;
+  }
+  auto part = Read<SignedPart>(body);
+  if (!part) {
+    return std::nullopt;
+  }
+  return ReceivedDatagram{ std::move(part->from_), std::move(part->datagram_) };
+}
+
+std::string
+ControlCodec::Encode(const ControlCall& aCall)
+{
+  return Write(aCall);
+}
+
+std::string
+ControlCodec::Encode(const ControlReply& aReply)
+{
+  return Write(aReply);
+}
+
+std::optional<ControlCall>
+ControlCodec::DecodeCall(std::string_view aBytes)
+{
+  return Read<ControlCall>(aBytes);
+}
+
+std::optional<ControlReply>
+ControlCodec::DecodeReply(std::string_view aBytes)
+{
+  return Read<ControlReply>(aBytes);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/EntryCodec.cpp
@@ -0,0 +1,168 @@
+#include "control/EntryCodec.hpp"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <chrono>
+#include <exception>
+#include <sstream>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, Header& aHeader)
+{
+  aArchive(aHeader.name_, aHeader.value_);
+}
+
+template<typename Archive>
+void
+serialize(Archive& aArchive, StoredResponse& aResponse)
+{
+  aArchive(aResponse.status_, aResponse.headers_, aResponse.body_);
+}
+
+namespace {
+
+std::int64_t
+RemainingMs(TimePoint aExpiry, TimePoint aNow)
+{
+  return std::max<std::int64_t>(
+    0, std::chrono::duration_cast<milliseconds>(aExpiry - aNow).count());
+}
+
+/// Transport form of an IdempotencyEntry.
+struct WireEntry
+{
+  IdempotencyKey key_;
+  std::uint64_t fingerprint_ = 0;
+  std::uint8_t state_ = 0;
+  bool hasResponse_ = false;
+  StoredResponse response_;
+  std::int64_t remainingMs_ = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(key_.shard_,
+             key_.workspace_,
+             key_.key_,
+             fingerprint_,
+             state_,
+             hasResponse_,
+             response_,
+             remainingMs_);
+  }
+};
+
+struct WirePoison
+{
+  std::string service_;
+  std::uint64_t fingerprint_ = 0;
+  std::set<std::string> crashes_;
+  std::int64_t remainingMs_ = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service_, fingerprint_, crashes_, remainingMs_);
+  }
+};
+
+template<typename Value>
+std::string
+Write(const Value& aValue)
+{
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(aValue);
+  return std::move(stream).str();
+}
+
+template<typename Value>
+std::optional<Value>
+Read(std::string_view aBytes)
+{
+  try {
+    std::istringstream stream{ std::string(aBytes) };
+    cereal::PortableBinaryInputArchive archive(stream);
+    Value value;
+    archive(value);
+    return value;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::string
+EncodeEntries(std::span<const IdempotencyEntry> aEntries, TimePoint aNow)
+{
+  std::vector<WireEntry> wire;
+  wire.reserve(aEntries.size());
+  for (const IdempotencyEntry& entry : aEntries) {
+    wire.push_back({ entry.key_,
+                     entry.fingerprint_,
+                     static_cast<std::uint8_t>(entry.state_),
+                     entry.response_.has_value(),
+                     entry.response_.value_or(StoredResponse{}),
+                     RemainingMs(entry.expiry_, aNow) });
+  }
+  return Write(wire);
+}
+
+std::optional<std::vector<IdempotencyEntry>>
+DecodeEntries(std::string_view aBytes, TimePoint aNow)
+{
+  auto wire = Read<std::vector<WireEntry>>(aBytes);
+  if (!wire) {
+    return std::nullopt;
+  }
+  std::vector<IdempotencyEntry> entries;
+  entries.reserve(wire->size());
+  for (WireEntry& item : *wire) {
+    if (item.state_ > static_cast<std::uint8_t>(IdempotencyState::Abandoned)) {
+      return std::nullopt;
+    }
+    IdempotencyEntry entry;
+    entry.key_ = std::move(item.key_);
+    entry.fingerprint_ = item.fingerprint_;
+    entry.state_ = static_cast<IdempotencyState>(item.state_);
+    if (item.hasResponse_) {
+      entry.response_ = std::move(item.response_);
+    }
+    entry.expiry_ = aNow + milliseconds(item.remainingMs_);
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+std::string
+EncodePoison(const PoisonEntry& aEntry, TimePoint aNow)
+{
+  return Write(WirePoison{ aEntry.service_,
+                           aEntry.fingerprint_,
+                           aEntry.crashes_,
+                           RemainingMs(aEntry.expiry_, aNow) });
+}
+
+std::optional<PoisonEntry>
+DecodePoison(std::string_view aBytes, TimePoint aNow)
+{
+  auto wire = Read<WirePoison>(aBytes);
+  if (!wire) {
+    return std::nullopt;
+  }
+  return PoisonEntry{ std::move(wire->service_),
+                      wire->fingerprint_,
+                      std::move(wire->crashes_),
+                      aNow + milliseconds(wire->remainingMs_) };
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/EntryCodec.hpp
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "admission/IdempotencyTable.hpp"
+#include "admission/PoisonRegistry.hpp"
+#include "core/Clock.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+/// Transport form of entries that instances share. Expiry times travel as remaining time.
+namespace redwing {
+
+/// Preconditions: none. Thread safety: callable from any thread.
+std::string EncodeEntries(std::span<const IdempotencyEntry> aEntries, TimePoint aNow);
+
+/// Returns nothing when aBytes are malformed.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::optional<std::vector<IdempotencyEntry>> DecodeEntries(std::string_view aBytes, TimePoint aNow);
+
+/// Preconditions: none. Thread safety: callable from any thread.
+std::string EncodePoison(const PoisonEntry& aEntry, TimePoint aNow);
+
+/// Returns nothing when aBytes are malformed.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::optional<PoisonEntry> DecodePoison(std::string_view aBytes, TimePoint aNow);
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/FleetState.cpp
@@ -0,0 +1,183 @@
+#include "control/FleetState.hpp"
+
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::string_view kMemberPrefix = "m/";
+constexpr std::string_view kRowPrefix = "s/";
+
+/// Larger than any counter, so that the end of an incarnation outweighs its own late changes.
+constexpr std::uint64_t kGoneMinor = 1ULL << 62;
+
+bool
+SameFact(const Member& aLeft, const Member& aRight)
+{
+  return aLeft.ref_ == aRight.ref_ && aLeft.dataCentre_ == aRight.dataCentre_ &&
+         aLeft.region_ == aRight.region_ && aLeft.rack_ == aRight.rack_ &&
+         aLeft.peersAddress_ == aRight.peersAddress_ && aLeft.service_ == aRight.service_ &&
+         aLeft.slots_ == aRight.slots_ && aLeft.labels_ == aRight.labels_ &&
+         aLeft.state_ == aRight.state_ && aLeft.leaving_ == aRight.leaving_;
+}
+
+std::string
+RowKey(const ShardId& aShard)
+{
+  return std::string(kRowPrefix) + aShard.service_ + "/" + std::to_string(aShard.index_);
+}
+
+} // namespace
+
+FleetState::FleetState(OnOtherFact aOnOtherFact, OnMemberGone aOnMemberGone)
+  : onOtherFact_(std::move(aOnOtherFact))
+  , onMemberGone_(std::move(aOnMemberGone))
+  , gossip_([this](const GossipItem& aItem) { OnItem(aItem); })
+{
+}
+
+void
+FleetState::SetSelf(const Member& aMember)
+{
+  const auto known = members_.find(aMember.ref_.id_);
+  if (known != members_.end() && SameFact(known->second, aMember)) {
+    return;
+  }
+  PublishMember({ aMember, false });
+}
+
+void
+FleetState::SetGone(const InstanceRef& aRef)
+{
+  const auto known = members_.find(aRef.id_);
+  if (known == members_.end() || known->second.ref_.incarnation_ != aRef.incarnation_) {
+    return;
+  }
+  PublishMember({ known->second, true });
+}
+
+void
+FleetState::AddContact(const std::string& aId, const Address& aAddress)
+{
+  contacts_[aId] = aAddress;
+}
+
+std::optional<Address>
+FleetState::AddressOf(std::string_view aId) const
+{
+  if (const auto member = members_.find(aId); member != members_.end()) {
+    return member->second.peersAddress_;
+  }
+  if (const auto contact = contacts_.find(aId); contact != contacts_.end()) {
+    return contact->second;
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string>
+FleetState::Partners() const
+{
+  std::vector<std::string> ids;
+  for (const auto& [id, member] : members_) {
+    ids.push_back(id);
+  }
+  for (const auto& [id, address] : contacts_) {
+    if (!members_.contains(id)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
+void
+FleetState::SetRow(const ShardRow& aRow)
+{
+  const auto known = rows_.find(aRow.shard_);
+  const bool newer = known == rows_.end() || aRow.token_ > known->second.token_;
+  const bool changed = !newer && aRow.token_ == known->second.token_ && aRow != known->second;
+  if (!newer && !changed) {
+    return;
+  }
+  GossipVersion& version = rowVersions_[aRow.shard_];
+  version = newer ? GossipVersion{ aRow.token_, 1 }
+                  : GossipVersion{ version.major_, version.minor_ + 1 };
+  rows_[aRow.shard_] = aRow;
+  ++version_;
+  gossip_.Publish({ RowKey(aRow.shard_), version, EncodeRow(aRow) });
+}
+
+void
+FleetState::SetOther(const std::string& aKey, const std::string& aPayload)
+{
+  gossip_.Publish({ aKey, { 1, 1 }, aPayload });
+}
+
+void
+FleetState::OnItem(const GossipItem& aItem)
+{
+  if (aItem.key_.starts_with(kMemberPrefix)) {
+    OnMember(aItem);
+  } else if (aItem.key_.starts_with(kRowPrefix)) {
+    OnRow(aItem);
+  } else {
+    onOtherFact_(aItem);
+  }
+}
+
+void
+FleetState::OnMember(const GossipItem& aItem)
+{
+  auto fact = MemberFact::Decode(aItem.payload_);
+  if (!fact) {
+    return;
+  }
+  const std::string id = fact->member_.ref_.id_;
+  GossipVersion& version = memberVersions_[id];
+  if (version >= aItem.version_) {
+    return;
+  }
+  version = aItem.version_;
+  ++version_;
+  if (fact->gone_) {
+    members_.erase(id);
+    onMemberGone_(fact->member_.ref_);
+  } else {
+    members_[id] = std::move(fact->member_);
+  }
+}
+
+void
+FleetState::OnRow(const GossipItem& aItem)
+{
+  const auto row = DecodeRow(aItem.payload_);
+  if (!row) {
+    return;
+  }
+  GossipVersion& version = rowVersions_[row->shard_];
+  if (version >= aItem.version_) {
+    return;
+  }
+  version = aItem.version_;
+  rows_[row->shard_] = *row;
+  ++version_;
+}
+
+void
+FleetState::PublishMember(const MemberFact& aFact)
+{
+  const InstanceRef& ref = aFact.member_.ref_;
+  GossipVersion& version = memberVersions_[ref.id_];
+  version = version.major_ == ref.incarnation_ ? GossipVersion{ version.major_, version.minor_ + 1 }
+                                               : GossipVersion{ ref.incarnation_, 1 };
+  if (aFact.gone_) {
+    version.minor_ = kGoneMinor;
+    members_.erase(ref.id_);
+  } else {
+    members_[ref.id_] = aFact.member_;
+  }
+  ++version_;
+  gossip_.Publish({ std::string(kMemberPrefix) + ref.id_, version, aFact.Encode() });
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/GossipLoop.cpp
@@ -0,0 +1,101 @@
+#include "control/GossipLoop.hpp"
+
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace redwing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kRoundInterval = milliseconds(100);
+constexpr std::size_t kFanOut = 3;
+/// Items of one round; with the header and the watchers' reports a datagram stays below 1,400 bytes.
+constexpr std::size_t kRoundBytes = 900;
+/// Facts that are still spreading make digests differ; a pull waits until they had time to arrive.
+constexpr Duration kPullInterval = milliseconds(500);
+
+} // namespace
+
+GossipLoop::GossipLoop(const Clock& aClock,
+                       Random& aRandom,
+                       std::string aSelfId,
+                       FleetState& aFleet,
+                       ConfigurationKeeper& aKeeper,
+                       SendRound aSendRound,
+                       CallHook aCall)
+  : clock_(aClock)
+  , random_(aRandom)
+  , selfId_(std::move(aSelfId))
+  , fleet_(aFleet)
+  , keeper_(aKeeper)
+  , sendRound_(std::move(aSendRound))
+  , call_(std::move(aCall))
+{
+}
+
+void
+GossipLoop::Tick()
+{
+  const TimePoint now = clock_.Now();
+  if (now < nextRound_) {
+    return;
+  }
+  nextRound_ = now + kRoundInterval;
+  std::vector<std::string> partners = fleet_.Partners();
+  std::erase(partners, selfId_);
+  Gossip& gossip = fleet_.GetGossip();
+  gossip.SetFleetSize(partners.size() + 1);
+  GossipRound round;
+  round.items_ = gossip.TakeRound(kRoundBytes);
+  round.digest_ = gossip.Digest();
+  round.reports_ = keeper_.Reports();
+  round.configurationRevision_ = keeper_.Current()->revision_;
+  for (std::size_t i = 0; i < kFanOut && !partners.empty(); ++i) {
+    const std::size_t pick = random_.Below(partners.size());
+    sendRound_(partners[pick], round);
+    partners.erase(partners.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+void
+GossipLoop::OnRound(const InstanceRef& aFrom, const GossipRound& aRound)
+{
+  Gossip& gossip = fleet_.GetGossip();
+  gossip.Merge(aRound.items_);
+  keeper_.Merge(aRound.reports_);
+  if (aRound.configurationRevision_ > keeper_.Current()->revision_ && !pullingConfiguration_) {
+    PullConfiguration(aFrom.id_);
+  }
+  if (aRound.digest_ != gossip.Digest() && clock_.Now() >= nextPull_) {
+    nextPull_ = clock_.Now() + kPullInterval;
+    PullFacts(aFrom.id_);
+  }
+}
+
+void
+GossipLoop::PullFacts(const std::string& aFrom)
+{
+  call_(aFrom, GossipPull{ fleet_.GetGossip().Versions() }, [this](const ControlReply* aReply) {
+    if (const auto* reply = aReply ? std::get_if<GossipPullReply>(aReply) : nullptr) {
+      fleet_.GetGossip().Merge(reply->items_);
+    }
+  });
+}
+
+void
+GossipLoop::PullConfiguration(const std::string& aFrom)
+{
+  pullingConfiguration_ = true;
+  call_(aFrom, ConfigurationPull{}, [this](const ControlReply* aReply) {
+    pullingConfiguration_ = false;
+    if (const auto* reply = aReply ? std::get_if<ConfigurationPullReply>(aReply) : nullptr) {
+      keeper_.Adopt(reply->revision_, reply->record_);
+    }
+  });
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/OwnershipDriver.cpp
@@ -0,0 +1,319 @@
+#include "control/OwnershipDriver.hpp"
+
+#include "core/Log.hpp"
+
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Interval at which the backend server's grants are extended.
+constexpr Duration kGrantInterval = milliseconds(100);
+/// Grants end before the lease, because a server may check a grant and act a moment later.
+constexpr Duration kGrantMargin = milliseconds(20);
+/// Longest wait until the grantors hold "no successor".
+constexpr Duration kDropWait = milliseconds(500);
+
+void
+LogShard(std::string_view aEvent, const ShardId& aShard, std::uint64_t aToken)
+{
+  LogLine(LogLevel::Info, aEvent)
+    .With("service", aShard.service_)
+    .With("shard", aShard.index_)
+    .With("token", aToken);
+}
+
+} // namespace
+
+OwnershipDriver::OwnershipDriver(const Clock& aClock,
+                                 Random& aRandom,
+                                 OwnershipTable& aTable,
+                                 FleetState& aFleet,
+                                 Store& aStore,
+                                 OwnershipHooks aHooks)
+  : clock_(aClock)
+  , random_(aRandom)
+  , table_(aTable)
+  , fleet_(aFleet)
+  , hooks_(std::move(aHooks))
+  , rowStore_(aStore,
+              [this](std::uint64_t aOperation, CommitOutcome aOutcome, const ShardRow& aCurrent) {
+                OnCommitted(aOperation, aOutcome, aCurrent);
+              })
+{
+}
+
+void
+OwnershipDriver::Start(const InstanceRef& aSelf)
+{
+  owned_.clear();
+  successors_.clear();
+  seenRows_.clear();
+  grantsChanged_ = true;
+  node_ = std::make_unique<OwnershipNode>(aSelf, OwnershipSettings{}, clock_, random_, table_);
+  OnFleetChanged();
+}
+
+void
+OwnershipDriver::Tick()
+{
+  if (!node_) {
+    return;
+  }
+  node_->Tick();
+  RunEffects();
+  if (grantsChanged_ || clock_.Now() >= nextGrants_) {
+    UpdateGrants();
+  }
+  ExpireDropWaiters();
+}
+
+void
+OwnershipDriver::Receive(const InstanceRef& aFrom,
+                         const InstanceRef& aTo,
+                         const OwnershipMessage& aMessage)
+{
+  if (!node_ || aTo != node_->Self()) {
+    return;
+  }
+  node_->Receive(aFrom, aMessage);
+  RunEffects();
+}
+
+void
+OwnershipDriver::OnFleetChanged()
+{
+  if (!node_) {
+    return;
+  }
+  std::vector<RingMember> ring;
+  for (const auto& [id, member] : fleet_.Members()) {
+    if (id != node_->Self().id_ || member.ref_ == node_->Self()) {
+      ring.push_back({ member.ref_, member.dataCentre_, member.rack_, member.region_ });
+    }
+  }
+  node_->SetMembers(ring);
+  std::vector<ShardRow> changed;
+  for (const auto& [shard, row] : fleet_.Rows()) {
+    ShardRow& seen = seenRows_[shard];
+    if (seen != row) {
+      seen = row;
+      changed.push_back(row);
+      table_.SetOwner(row);
+    }
+  }
+  if (!changed.empty()) {
+    node_->OnStoreRows(changed);
+  }
+  RunEffects();
+}
+
+void
+OwnershipDriver::OnStoreRows(const std::vector<ShardRow>& aRows)
+{
+  for (const ShardRow& row : aRows) {
+    fleet_.SetRow(row);
+  }
+  if (node_) {
+    node_->OnStoreRows(aRows);
+    RunEffects();
+  }
+}
+
+std::optional<InstanceRef>
+OwnershipDriver::ReplicationTarget(const ShardId& aShard) const
+{
+  const auto found = successors_.find(aShard);
+  if (found == successors_.end() || found->second.Empty()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+OwnershipDriver::DropSuccessor(const ShardId& aShard, std::function<void(bool)> aDone)
+{
+  if (!node_ || !owned_.contains(aShard)) {
+    aDone(false);
+    return;
+  }
+  LogShard("successor_dropped", aShard, owned_[aShard]);
+  dropWaiters_[aShard].push_back({ std::move(aDone), clock_.Now() + kDropWait });
+  node_->DropSuccessor(aShard);
+  RunEffects();
+}
+
+void
+OwnershipDriver::ReleaseService(const std::string& aService)
+{
+  if (!node_) {
+    return;
+  }
+  for (const auto& [shard, token] : owned_) {
+    const ShardRow* row = shard.service_ == aService ? node_->Shards().Find(shard) : nullptr;
+    if (row != nullptr && !row->successor_.Empty()) {
+      node_->ProposeMove(shard, row->successor_);
+    }
+  }
+  RunEffects();
+}
+
+void
+OwnershipDriver::RunEffects()
+{
+  if (running_) {
+    return;
+  }
+  running_ = true;
+  for (Effects effects = node_->TakeEffects(); !effects.empty(); effects = node_->TakeEffects()) {
+    for (const Effect& effect : effects) {
+      std::visit([this](const auto& aEffect) { Run(aEffect); }, effect);
+    }
+  }
+  running_ = false;
+}
+
+void
+OwnershipDriver::Run(const SendMessage& aEffect)
+{
+  hooks_.send_(aEffect.to_, aEffect.message_);
+}
+
+void
+OwnershipDriver::Run(const CommitRow& aEffect)
+{
+  rowStore_.Commit(aEffect);
+}
+
+void
+OwnershipDriver::Run(const RowsChanged& aEffect)
+{
+  for (const ShardRow& row : aEffect.rows_) {
+    fleet_.SetRow(row);
+    table_.SetOwner(row);
+  }
+}
+
+void
+OwnershipDriver::Run(const OwnershipGained& aEffect)
+{
+  LogShard("ownership_gained", aEffect.shard_, aEffect.token_);
+  owned_[aEffect.shard_] = aEffect.token_;
+  grantsChanged_ = true;
+  hooks_.onShardsChanged_();
+}
+
+void
+OwnershipDriver::Run(const OwnershipLost& aEffect)
+{
+  LogShard("ownership_lost", aEffect.shard_, aEffect.token_);
+  owned_.erase(aEffect.shard_);
+  successors_.erase(aEffect.shard_);
+  grantsChanged_ = true;
+  hooks_.onShardsChanged_();
+}
+
+void
+OwnershipDriver::Run(const SuccessorPending& aEffect)
+{
+  successors_[aEffect.shard_] = aEffect.successor_;
+  hooks_.pushEntries_(
+    aEffect.shard_, aEffect.successor_, [this, effect = aEffect](bool aStored) {
+      const bool sameShard = node_ && owned_.contains(effect.shard_) &&
+                             owned_[effect.shard_] == effect.token_;
+      if (aStored && sameShard) {
+        node_->ConfirmSuccessor(effect.shard_, effect.successor_);
+        RunEffects();
+      } else if (sameShard) {
+        // The successor is unreachable; the planner will propose another one.
+        DropSuccessor(effect.shard_, [](bool) {});
+      }
+    });
+}
+
+void
+OwnershipDriver::Run(const SuccessorHeld& aEffect)
+{
+  if (!owned_.contains(aEffect.shard_)) {
+    return;
+  }
+  successors_[aEffect.shard_] = aEffect.successor_;
+  if (!aEffect.successor_.Empty()) {
+    return;
+  }
+  auto waiters = dropWaiters_.extract(aEffect.shard_);
+  if (!waiters.empty()) {
+    for (const DropWaiter& waiter : waiters.mapped()) {
+      waiter.done_(true);
+    }
+  }
+}
+
+void
+OwnershipDriver::Run(const LeaseExpired&)
+{
+  LogLine(LogLevel::Warning, "lease_expired").With("incarnation", node_->Self().incarnation_);
+  // Start replaces the node, which must not happen while its effects run.
+  hooks_.post_([this] { hooks_.onExpired_(); });
+}
+
+void
+OwnershipDriver::Run(const MemberDead& aEffect)
+{
+  LogLine(LogLevel::Warning, "member_dead")
+    .With("instance", aEffect.ref_.id_)
+    .With("incarnation", aEffect.ref_.incarnation_);
+  fleet_.SetGone(aEffect.ref_);
+}
+
+void
+OwnershipDriver::OnCommitted(std::uint64_t aOperation,
+                             CommitOutcome aOutcome,
+                             const ShardRow& aCurrent)
+{
+  if (!node_) {
+    return;
+  }
+  const bool known = aOutcome == CommitOutcome::Success || aOutcome == CommitOutcome::Conflict;
+  node_->OnStoreResult(
+    aOperation, aOutcome, known ? std::optional<ShardRow>(aCurrent) : std::nullopt);
+  if (known && !aCurrent.owner_.Empty()) {
+    fleet_.SetRow(aCurrent);
+  }
+  RunEffects();
+}
+
+void
+OwnershipDriver::UpdateGrants()
+{
+  grantsChanged_ = false;
+  nextGrants_ = clock_.Now() + kGrantInterval;
+  std::vector<ShardGrant> grants;
+  for (const auto& [shard, token] : owned_) {
+    if (shard.service_ != kShareService) {
+      grants.push_back({ shard, token });
+    }
+  }
+  hooks_.setGrants_(
+    std::move(grants), table_.LeaseDeadline() - kGrantMargin, [](bool) {});
+}
+
+void
+OwnershipDriver::ExpireDropWaiters()
+{
+  const TimePoint now = clock_.Now();
+  for (auto& [shard, waiters] : dropWaiters_) {
+    std::erase_if(waiters, [&](const DropWaiter& aWaiter) {
+      if (aWaiter.until_ > now) {
+        return false;
+      }
+      aWaiter.done_(false);
+      return true;
+    });
+  }
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/PlannerRole.cpp
@@ -0,0 +1,107 @@
+#include "control/PlannerRole.hpp"
+
+#include "core/Log.hpp"
+
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds kLeaseTime{ 5 };
+constexpr Duration kRenewInterval = milliseconds(1500);
+constexpr Duration kLookInterval = milliseconds(1500);
+
+} // namespace
+
+PlannerRole::PlannerRole(const Clock& aClock, Store& aStore, std::string aInstanceId)
+  : clock_(aClock)
+  , store_(aStore)
+  , instanceId_(std::move(aInstanceId))
+{
+}
+
+void
+PlannerRole::Tick(bool aIsCandidate)
+{
+  const TimePoint now = clock_.Now();
+  if (busy_ || now < nextCall_) {
+    return;
+  }
+  if (IsHeld() && lease_ != 0) {
+    nextCall_ = now + kRenewInterval;
+    Renew();
+  } else if (aIsCandidate) {
+    nextCall_ = now + kLookInterval;
+    Look();
+  }
+}
+
+void
+PlannerRole::Look()
+{
+  busy_ = true;
+  store_.Range(std::string(kPlannerKey), true, [this](const StoreResult<StoreRange>& aResult) {
+    busy_ = false;
+    if (aResult && aResult->entries_.empty()) {
+      Acquire();
+    }
+  });
+}
+
+void
+PlannerRole::Acquire()
+{
+  busy_ = true;
+  const TimePoint sentAt = clock_.Now();
+  store_.GrantLease(kLeaseTime, [this, sentAt](const StoreResult<std::int64_t>& aLease) {
+    busy_ = false;
+    if (aLease) {
+      Claim(*aLease, sentAt);
+    }
+  });
+}
+
+void
+PlannerRole::Claim(std::int64_t aLease, TimePoint aSentAt)
+{
+  busy_ = true;
+  StoreTransaction transaction;
+  transaction.compares_.push_back({ std::string(kPlannerKey), 0 });
+  transaction.writes_.push_back({ std::string(kPlannerKey), instanceId_, aLease });
+  store_.Commit(std::move(transaction),
+                [this, aLease, aSentAt](const StoreResult<StoreTransactionResult>& aResult) {
+                  busy_ = false;
+                  if (!aResult || !aResult->succeeded_) {
+                    return;
+                  }
+                  lease_ = aLease;
+                  heldUntil_ = aSentAt + kLeaseTime;
+                  LogLine(LogLevel::Info, "planner_role_taken").With("lease", aLease);
+                });
+}
+
+void
+PlannerRole::Renew()
+{
+  busy_ = true;
+  const TimePoint sentAt = clock_.Now();
+  store_.KeepAlive(lease_, [this, sentAt](const StoreResult<seconds>& aLeft) {
+    busy_ = false;
+    if (!aLeft) {
+      return;
+    }
+    if (aLeft->count() <= 0) {
+      lease_ = 0;
+      heldUntil_ = TimePoint{};
+      LogLine(LogLevel::Warning, "planner_role_lost");
+      return;
+    }
+    heldUntil_ = sentAt + *aLeft;
+  });
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/control/PlanningLoop.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "config/Configuration.hpp"
+#include "control/FleetState.hpp"
+#include "control/OwnershipDriver.hpp"
+#include "control/PlannerRole.hpp"
+#include "core/Clock.hpp"
+#include "placement/Planner.hpp"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+/// Runs the planner while this instance has the planner role, and passes its steps to the owners.
+class PlanningLoop
+{
+public:
+  PlanningLoop(const Clock& aClock,
+               std::string aInstanceId,
+               Store& aStore,
+               FleetState& aFleet,
+               OwnershipDriver& aDriver);
+
+  /// Plans a round if one is due.
+  ///
+  /// Preconditions: none. Thread safety: control thread only.
+  void Tick(const Configuration& aConfiguration, bool aIsCandidate);
+
+  /// Returns whether this instance is the planner.
+  ///
+  /// Preconditions: none. Thread safety: control thread only.
+  bool IsPlanner() const { return role_.IsHeld(); }
+
+private:
+  void ReadRows();
+  void PlanService(const std::string& aService,
+                   std::uint32_t aShards,
+                   const std::vector<Candidate>& aCandidates);
+  std::vector<Candidate> CandidatesOf(const std::string& aService,
+                                      const std::set<std::string>& aWithdrawn) const;
+  /// Returns whether the owner of aRow is gone and nobody took the shard over. The ownership
+  /// protocol checks again that neither owner nor successor can act.
+  bool IsOrphan(const ShardRow& aRow);
+  void Carry(const PlanStep& aStep);
+
+  const Clock& clock_;
+  FleetState& fleet_;
+  OwnershipDriver& driver_;
+  PlannerRole role_;
+  Planner planner_;
+  TimePoint nextRound_;
+  TimePoint nextRead_;
+  std::map<ShardId, TimePoint> absentSince_;
+  bool reading_ = false;
+  bool rowsRead_ = false;
+};
+
+} // namespace redwing
--- a/src/ownership/OwnedShards.hpp
+++ b/src/ownership/OwnedShards.hpp
@@ -108,6 +108,11 @@
 
   ReleaseQueue& Releases() { return releases_; }
 
+  /// Returns whether every release was acknowledged.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool ReleasesDone() const { return releases_.Pending().empty(); }
+
 private:
   struct Shard
   {
