--- a/src/config/ConfigurationEditor.cpp
+++ b/src/config/ConfigurationEditor.cpp
@@ -123,7 +123,7 @@
       Finish(Conflict(aCurrent));
       return;
     }
-    Write(std::move(aCurrent));
+    Write(aCurrent);
   }
 
   EditResult Conflict(const Current& aCurrent) const
@@ -142,7 +142,7 @@
     return conflict;
   }
 
-  void Write(Current aCurrent)
+  void Write(const Current& aCurrent)
   {
     Configuration next = mutation_ ? aCurrent.record_.configuration_ : document_;
     Findings findings = mutation_ ? mutation_(next) : Findings();
