--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -4,6 +4,7 @@
 #include "admission/PoisonRegistry.hpp"
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
+#include "exchange/BackendAnnouncement.hpp"
 #include "exchange/Events.hpp"
 #include "exchange/ShardGrant.hpp"
 #include "ownership/ShardRow.hpp"
@@ -17,19 +18,6 @@
 /// Value types and hooks of the backend thread.
 namespace redwing {
 
-/// What a backend server says about itself each second.
-struct BackendAnnouncement
-{
-  std::string service_;
-  Address address_;
-  std::uint32_t slots_ = 0;
-  /// Connections it accepts; 0 when it does not say.
-  std::uint32_t connections_ = 0;
-  Labels labels_;
-
-  bool operator==(const BackendAnnouncement&) const = default;
-};
-
 struct BackendStatus
 {
   BackendState state_ = BackendState::Down;
