--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -299,6 +299,12 @@
   return workspace_ == nullptr ? kNone : workspace_->id_;
 }
 
+const std::string&
+Exchange::ServiceId() const
+{
+  return entry_->route_->service_;
+}
+
 void
 Exchange::Finish()
 {
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -79,6 +79,7 @@
   void Finish();
   /// Id of the charged workspace; empty if there is none.
   const std::string& WorkspaceId() const;
+  const std::string& ServiceId() const;
 
   // Attempts, in ExchangeAttempts.cpp
   void SendAttempt(const char* aReason);
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -100,7 +100,7 @@
       return true;
     }
     const OwnerChoice choice =
-      core_.Owners().Choose(core_.View(), start_.service_, start_.shard_->shard_, lastFailed_);
+      core_.Owners().Choose(core_.View(), ServiceId(), start_.shard_->shard_, lastFailed_);
     if (choice.instanceId_.empty()) {
       lastFailed_.clear();
       RetryLater();
@@ -205,7 +205,7 @@
   if (aRefusal.outcome_ == Outcome::Unknown) {
     const bool repeatable =
       start_.idempotent_ && unknownCount_ < kMaxPossibleRuns && ConcernsOwnership(aRefusal.code_);
-    if (!repeatable || !core_.Retries().TryTake(start_.workspace_, start_.service_)) {
+    if (!repeatable || !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
       return false;
     }
   }
@@ -224,7 +224,7 @@
                       aRefusal.ownerHint_ != lastFailed_;
   if (hinted) {
     ownerHint_ = aRefusal.ownerHint_;
-    core_.Owners().Learn(start_.service_, start_.shard_->shard_, ownerHint_, aRefusal.ownerToken_);
+    core_.Owners().Learn(ServiceId(), start_.shard_->shard_, ownerHint_, aRefusal.ownerToken_);
     // A first hint is followed at once; hints that go in circles wait for ownership to settle.
     if (backoffs_ == 0) {
       ++backoffs_;
@@ -248,7 +248,7 @@
     return false;
   }
   if (aRefusal.outcome_ == Outcome::NotRun &&
-      !core_.Retries().TryTake(start_.workspace_, start_.service_)) {
+      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
     return false;
   }
   core_.RetryCounter().Add();
@@ -385,7 +385,7 @@
   if (!core_.Settings().routing_.hedging_ || start_.shard_ || !start_.idempotent_ || !CanReplay()) {
     return;
   }
-  if (const auto delay = core_.HedgesOf(start_.service_).OnRequest()) {
+  if (const auto delay = core_.HedgesOf(ServiceId()).OnRequest()) {
     hedgeTimer_ = core_.Timers().Add(firstSent_ + *delay, id_, TimerKind::Hedge);
   }
 }
@@ -400,7 +400,7 @@
   excluded_.push_back(attempts_.front().instanceId_);
   core_.RefreshView();
   if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr ||
-      !core_.HedgesOf(start_.service_).TryTake()) {
+      !core_.HedgesOf(ServiceId()).TryTake()) {
     excluded_.pop_back();
     return;
   }
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -18,15 +18,15 @@
 {
   attempts_.push_back({ aAttemptId, aNow, true });
   ++outstanding_;
+  ++waiting_;
 }
 
 void
 MemberLoad::OnResponse(std::uint64_t aAttemptId, TimePoint aNow)
 {
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
-    attempt->waiting_ = false;
     AddSample(aNow - attempt->start_);
-    DropAnswered();
+    StopWaiting(*attempt);
   }
 }
 
@@ -37,12 +37,11 @@
     --outstanding_;
   }
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
-    attempt->waiting_ = false;
     const Duration age = aNow - attempt->start_;
     if (aGivenUp && age > recent_) {
       AddSample(age);
     }
-    DropAnswered();
+    StopWaiting(*attempt);
   }
 }
 
@@ -98,8 +97,10 @@
 }
 
 void
-MemberLoad::DropAnswered()
+MemberLoad::StopWaiting(Attempt& aAttempt)
 {
+  aAttempt.waiting_ = false;
+  --waiting_;
   while (!attempts_.empty() && !attempts_.front().waiting_) {
     attempts_.pop_front();
   }
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -49,6 +49,8 @@
 
   /// Preconditions: none. Thread safety: not thread-safe.
   std::uint32_t Outstanding() const { return outstanding_; }
+  /// Number of attempts without a response; long responses in progress do not count.
+  std::uint32_t Waiting() const { return waiting_; }
   const LatencyTracker& Latencies() const { return latencies_; }
   /// Fast-moving average of the latest latencies.
   Duration Recent() const { return recent_; }
@@ -65,10 +67,11 @@
 
   Attempt* Find(std::uint64_t aAttemptId);
   void AddSample(Duration aLatency);
-  void DropAnswered();
+  void StopWaiting(Attempt& aAttempt);
 
   std::deque<Attempt> attempts_;
   std::uint32_t outstanding_ = 0;
+  std::uint32_t waiting_ = 0;
   LatencyTracker latencies_;
   Duration recent_{};
   LoadReport report_;
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -43,7 +43,7 @@
       if (!slow && aNow >= member->ejectedUntil_) {
         member->ejected_ = false;
         --ejected;
-      } else if (slow && aNow >= member->ejectedUntil_ && member->load_->Outstanding() == 0) {
+      } else if (slow && aNow >= member->ejectedUntil_ && member->load_->Waiting() == 0) {
         // The average is lowered to the threshold, so that one fast response to the trial request
         // ends the ejection and one slow response prolongs it.
         member->load_->ResetRecent(threshold);
@@ -60,7 +60,7 @@
 bool
 OutlierDetector::Admits(const OutlierState& aMember, TimePoint aNow)
 {
-  return !aMember.ejected_ || (aNow >= aMember.ejectedUntil_ && aMember.load_->Outstanding() == 0);
+  return !aMember.ejected_ || (aNow >= aMember.ejectedUntil_ && aMember.load_->Waiting() == 0);
 }
 
 Duration
