--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -112,7 +112,7 @@
 }
 
 std::string
-ControlCodec::Encode(const ControlReply& aReply)
+ControlCodec::Encode(const ControlCallReply& aReply)
 {
   return Write(aReply);
 }
@@ -123,10 +123,10 @@
   return Read<ControlCall>(aBytes);
 }
 
-std::optional<ControlReply>
+std::optional<ControlCallReply>
 ControlCodec::DecodeReply(std::string_view aBytes)
 {
-  return Read<ControlReply>(aBytes);
+  return Read<ControlCallReply>(aBytes);
 }
 
 } // namespace redwing
--- a/src/control/ControlCodec.hpp
+++ b/src/control/ControlCodec.hpp
@@ -35,9 +35,9 @@
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
   static std::string Encode(const ControlCall& aCall);
-  static std::string Encode(const ControlReply& aReply);
+  static std::string Encode(const ControlCallReply& aReply);
   static std::optional<ControlCall> DecodeCall(std::string_view aBytes);
-  static std::optional<ControlReply> DecodeReply(std::string_view aBytes);
+  static std::optional<ControlCallReply> DecodeReply(std::string_view aBytes);
 
 private:
   std::string fleetKey_;
--- a/src/control/ControlMessage.hpp
+++ b/src/control/ControlMessage.hpp
@@ -146,7 +146,7 @@
 
 using ControlCall =
   std::variant<GossipPull, ConfigurationPull, IdempotencyPush, StatusQuery>;
-using ControlReply = std::variant<std::monostate,
+using ControlCallReply = std::variant<std::monostate,
                                   GossipPullReply,
                                   ConfigurationPullReply,
                                   IdempotencyPushReply,
--- a/src/control/ControlMessages.cpp
+++ b/src/control/ControlMessages.cpp
@@ -150,7 +150,7 @@
     const auto call = ControlCodec::DecodeCall(payload);
     if (!call) {
       LogLine(LogLevel::Warning, "call_malformed").With("from", from.id_);
-      reply(ControlCodec::Encode(ControlReply{}));
+      reply(ControlCodec::Encode(ControlCallReply{}));
       return;
     }
     Answer(*call, [this, reply](std::string aBytes) {
@@ -165,21 +165,21 @@
 {
   if (const auto* pull = std::get_if<GossipPull>(&aCall)) {
     aReply(ControlCodec::Encode(
-      ControlReply{ GossipPullReply{ fleet_.GetGossip().NewerThan(pull->versions_, kPullBytes) } }));
+      ControlCallReply{ GossipPullReply{ fleet_.GetGossip().NewerThan(pull->versions_, kPullBytes) } }));
   } else if (std::holds_alternative<ConfigurationPull>(aCall)) {
     aReply(ControlCodec::Encode(
-      ControlReply{ ConfigurationPullReply{ keeper_.Current()->revision_, keeper_.Record() } }));
+      ControlCallReply{ ConfigurationPullReply{ keeper_.Current()->revision_, keeper_.Record() } }));
   } else if (const auto* push = std::get_if<IdempotencyPush>(&aCall)) {
     auto entries = DecodeEntries(push->entries_, clock_.Now());
     if (!entries) {
-      aReply(ControlCodec::Encode(ControlReply{ IdempotencyPushReply{ false } }));
+      aReply(ControlCodec::Encode(ControlCallReply{ IdempotencyPushReply{ false } }));
       return;
     }
     hooks_.importEntries_(std::move(*entries), [aReply] {
-      aReply(ControlCodec::Encode(ControlReply{ IdempotencyPushReply{ true } }));
+      aReply(ControlCodec::Encode(ControlCallReply{ IdempotencyPushReply{ true } }));
     });
   } else {
-    aReply(ControlCodec::Encode(ControlReply{ OwnStatus() }));
+    aReply(ControlCodec::Encode(ControlCallReply{ OwnStatus() }));
   }
 }
 
@@ -241,7 +241,7 @@
   CallInstance(aTo.id_,
                IdempotencyPush{ std::move(aEntries) },
                aTimeout,
-               [done = std::move(aDone)](const ControlReply* aReply) {
+               [done = std::move(aDone)](const ControlCallReply* aReply) {
                  const auto* reply =
                    aReply != nullptr ? std::get_if<IdempotencyPushReply>(aReply) : nullptr;
                  done(reply != nullptr && reply->stored_);
@@ -280,7 +280,7 @@
       }
       ++collection->open_;
       CallInstance(
-        member.ref_.id_, StatusQuery{}, kStatusTimeout, [collection, finish](const ControlReply* aReply) {
+        member.ref_.id_, StatusQuery{}, kStatusTimeout, [collection, finish](const ControlCallReply* aReply) {
           if (const auto* reply = aReply != nullptr ? std::get_if<StatusReply>(aReply) : nullptr) {
             collection->status_.reports_.push_back(*reply);
           }
--- a/src/control/GossipLoop.cpp
+++ b/src/control/GossipLoop.cpp
@@ -79,7 +79,7 @@
 void
 GossipLoop::PullFacts(const std::string& aFrom)
 {
-  call_(aFrom, GossipPull{ fleet_.GetGossip().Versions() }, [this](const ControlReply* aReply) {
+  call_(aFrom, GossipPull{ fleet_.GetGossip().Versions() }, [this](const ControlCallReply* aReply) {
     if (const auto* reply = aReply ? std::get_if<GossipPullReply>(aReply) : nullptr) {
       fleet_.GetGossip().Merge(reply->items_);
     }
@@ -90,7 +90,7 @@
 GossipLoop::PullConfiguration(const std::string& aFrom)
 {
   pullingConfiguration_ = true;
-  call_(aFrom, ConfigurationPull{}, [this](const ControlReply* aReply) {
+  call_(aFrom, ConfigurationPull{}, [this](const ControlCallReply* aReply) {
     pullingConfiguration_ = false;
     if (const auto* reply = aReply ? std::get_if<ConfigurationPullReply>(aReply) : nullptr) {
       keeper_.Adopt(reply->revision_, reply->record_);
--- a/src/control/GossipLoop.hpp
+++ b/src/control/GossipLoop.hpp
@@ -18,7 +18,7 @@
 {
 public:
   using SendRound = std::function<void(const std::string& aInstanceId, const GossipRound& aRound)>;
-  using CallDone = std::function<void(const ControlReply* aReply)>;
+  using CallDone = std::function<void(const ControlCallReply* aReply)>;
   /// Calls another instance; aReply is null when the call failed.
   using CallHook =
     std::function<void(const std::string& aInstanceId, const ControlCall& aCall, CallDone aDone)>;
