--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -28,7 +28,6 @@
   std::uint32_t queued_ = 0;
 };
 
-
 struct BackendSettings
 {
   InstanceRef self_;
--- a/src/control/ControlMessage.hpp
+++ b/src/control/ControlMessage.hpp
@@ -135,21 +135,16 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(ref_,
-             configurationRevision_,
-             configurationCurrent_,
-             leaseValid_,
-             storeReachable_,
-             shards_);
+    aArchive(
+      ref_, configurationRevision_, configurationCurrent_, leaseValid_, storeReachable_, shards_);
   }
 };
 
-using ControlCall =
-  std::variant<GossipPull, ConfigurationPull, IdempotencyPush, StatusQuery>;
+using ControlCall = std::variant<GossipPull, ConfigurationPull, IdempotencyPush, StatusQuery>;
 using ControlCallReply = std::variant<std::monostate,
-                                  GossipPullReply,
-                                  ConfigurationPullReply,
-                                  IdempotencyPushReply,
-                                  StatusReply>;
+                                      GossipPullReply,
+                                      ConfigurationPullReply,
+                                      IdempotencyPushReply,
+                                      StatusReply>;
 
 } // namespace redwing
--- a/src/control/ControlMessages.cpp
+++ b/src/control/ControlMessages.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kReplicateTimeout = milliseconds(100);
 /// Time in which a new successor acknowledges all entries of a shard.
 constexpr Duration kPushTimeout = std::chrono::seconds(2);
+/// After this time every instance has the limits in force, so an earlier owner of a bucket granted
+/// no slices under older ones.
+constexpr Duration kStableLimits = std::chrono::seconds(10);
 constexpr Duration kStatusTimeout = milliseconds(700);
 /// Payload of one GossipPull reply; below the largest frame of a peer link.
 constexpr std::size_t kPullBytes = 512 * 1024;
@@ -133,8 +136,7 @@
                [this, done = std::move(aDone)](bool aAnswered, std::string aReply) {
                  Post([this, done, aAnswered, reply = std::move(aReply)] {
                    bytesReceived_.Add(reply.size());
-                   const auto decoded =
-                     aAnswered ? ControlCodec::DecodeReply(reply) : std::nullopt;
+                   const auto decoded = aAnswered ? ControlCodec::DecodeReply(reply) : std::nullopt;
                    done(decoded ? &*decoded : nullptr);
                  });
                });
@@ -164,11 +166,11 @@
 ControlService::Answer(const ControlCall& aCall, const std::function<void(std::string)>& aReply)
 {
   if (const auto* pull = std::get_if<GossipPull>(&aCall)) {
-    aReply(ControlCodec::Encode(
-      ControlCallReply{ GossipPullReply{ fleet_.GetGossip().NewerThan(pull->versions_, kPullBytes) } }));
+    aReply(ControlCodec::Encode(ControlCallReply{
+      GossipPullReply{ fleet_.GetGossip().NewerThan(pull->versions_, kPullBytes) } }));
   } else if (std::holds_alternative<ConfigurationPull>(aCall)) {
-    aReply(ControlCodec::Encode(
-      ControlCallReply{ ConfigurationPullReply{ keeper_.Current()->revision_, keeper_.Record() } }));
+    aReply(ControlCodec::Encode(ControlCallReply{
+      ConfigurationPullReply{ keeper_.Current()->revision_, keeper_.Record() } }));
   } else if (const auto* push = std::get_if<IdempotencyPush>(&aCall)) {
     auto entries = DecodeEntries(push->entries_, clock_.Now());
     if (!entries) {
@@ -219,17 +221,18 @@
     aDone(true);
     return;
   }
-  hooks_.exportEntries_(
-    aShard,
-    [this, successor = aSuccessor, done = std::move(aDone)](std::vector<IdempotencyEntry> aEntries) {
-      Post([this, successor, done, entries = std::move(aEntries)] {
-        if (entries.empty()) {
-          done(true);
-          return;
-        }
-        SendEntries(successor, EncodeEntries(entries, clock_.Now()), kPushTimeout, done);
-      });
-    });
+  hooks_.exportEntries_(aShard,
+                        [this, successor = aSuccessor, done = std::move(aDone)](
+                          std::vector<IdempotencyEntry> aEntries) {
+                          Post([this, successor, done, entries = std::move(aEntries)] {
+                            if (entries.empty()) {
+                              done(true);
+                              return;
+                            }
+                            SendEntries(
+                              successor, EncodeEntries(entries, clock_.Now()), kPushTimeout, done);
+                          });
+                        });
 }
 
 void
@@ -279,13 +282,16 @@
         continue;
       }
       ++collection->open_;
-      CallInstance(
-        member.ref_.id_, StatusQuery{}, kStatusTimeout, [collection, finish](const ControlCallReply* aReply) {
-          if (const auto* reply = aReply != nullptr ? std::get_if<StatusReply>(aReply) : nullptr) {
-            collection->status_.reports_.push_back(*reply);
-          }
-          finish();
-        });
+      CallInstance(member.ref_.id_,
+                   StatusQuery{},
+                   kStatusTimeout,
+                   [collection, finish](const ControlCallReply* aReply) {
+                     if (const auto* reply =
+                           aReply != nullptr ? std::get_if<StatusReply>(aReply) : nullptr) {
+                       collection->status_.reports_.push_back(*reply);
+                     }
+                     finish();
+                   });
     }
     finish();
   });
@@ -305,17 +311,39 @@
   return row == fleet_.Rows().end() ? std::string() : row->second.owner_.id_;
 }
 
-std::optional<WorkspaceLimit>
+std::optional<ShareOwner::Limit>
 ControlService::LimitOf(std::string_view aWorkspace) const
 {
-  const auto& workspaces = keeper_.Current()->configuration_.workspaces_;
-  const auto found = std::find_if(workspaces.begin(),
-                                  workspaces.end(),
-                                  [&](const Workspace& aOther) { return aOther.id_ == aWorkspace; });
-  if (found == workspaces.end()) {
+  const auto found = limits_.find(aWorkspace);
+  if (found == limits_.end()) {
     return std::nullopt;
   }
-  return WorkspaceLimit{ found->rate_, found->burst_ };
+  const bool stable = clock_.Now() - limitsSince_ > kStableLimits;
+  const Duration own = found->second.SliceTimeToLive();
+  return ShareOwner::Limit{ found->second, stable ? own : kMaxSliceTimeToLive };
+}
+
+void
+ControlService::OnConfiguration(const ConfigurationRevision& aRevision)
+{
+  std::map<std::string, WorkspaceLimit, std::less<>> limits;
+  for (const Workspace& workspace : aRevision.configuration_.workspaces_) {
+    limits[workspace.id_] = { workspace.rate_, workspace.burst_ };
+  }
+  if (limits != limits_) {
+    limits_ = std::move(limits);
+    limitsSince_ = clock_.Now();
+    PrepareShares();
+  }
+}
+
+void
+ControlService::PrepareShares()
+{
+  shares_.OnOwnershipChanged();
+  for (const auto& [workspace, limit] : limits_) {
+    shares_.Prepare(workspace, clock_.Now());
+  }
 }
 
 StatusReply
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -55,7 +55,9 @@
   , keeper_(aClock,
             store_,
             settings_.self_.dataCentre_,
-            [](const std::shared_ptr<const ConfigurationRevision>&) {})
+            [this](const std::shared_ptr<const ConfigurationRevision>& aRevision) {
+              OnConfiguration(*aRevision);
+            })
   , gossip_(
       aClock,
       random_,
@@ -81,7 +83,7 @@
                 PushEntries(aShard, aSuccessor, std::move(aDone));
               },
               [this](Task aTask) { Post(std::move(aTask)); },
-              [this] { shares_.OnOwnershipChanged(); },
+              [this] { PrepareShares(); },
               [this] { Rejoin(); } })
   , planning_(aClock, settings_.self_.ref_.id_, store_, fleet_, driver_)
   , shares_([this](std::string_view aWorkspace) { return LimitOf(aWorkspace); },
--- a/src/control/ControlService.hpp
+++ b/src/control/ControlService.hpp
@@ -141,15 +141,16 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   void BeginLeave(std::function<void()> aDone);
 
-  /// Assigns a shard on an operator's word that neither owner nor successor acts; aDone tells whether
-  /// an instance was found for it.
+  /// Assigns a shard on an operator's word that neither owner nor successor acts; aDone tells
+  /// whether an instance was found for it.
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
   void ForceShard(ShardId aShard, std::function<void(bool)> aDone);
 
   /// Collects the overview; asks all members.
   ///
-  /// Preconditions: none. Thread safety: callable from any thread; aDone runs on the control thread.
+  /// Preconditions: none. Thread safety: callable from any thread; aDone runs on the control
+  /// thread.
   void CollectStatus(std::function<void(ControlStatus)> aDone);
 
 private:
@@ -192,7 +193,9 @@
                    std::function<void(bool)> aDone);
   ShardId ShareShard(std::string_view aWorkspace) const;
   std::string ShareOwnerId(std::string_view aWorkspace) const;
-  std::optional<WorkspaceLimit> LimitOf(std::string_view aWorkspace) const;
+  std::optional<ShareOwner::Limit> LimitOf(std::string_view aWorkspace) const;
+  void OnConfiguration(const ConfigurationRevision& aRevision);
+  void PrepareShares();
   StatusReply OwnStatus() const;
 
   boost::asio::io_context& context_;
@@ -221,6 +224,8 @@
   bool leaving_ = false;
   bool viewCurrent_ = false;
   std::vector<Task> leaveDone_;
+  std::map<std::string, WorkspaceLimit, std::less<>> limits_;
+  TimePoint limitsSince_;
   std::uint64_t seenFleetVersion_ = 0;
   std::uint64_t seenRevision_ = 0;
   std::uint64_t publishedFleetVersion_ = 0;
--- a/src/control/EntryCodec.cpp
+++ b/src/control/EntryCodec.cpp
@@ -32,8 +32,8 @@
 std::int64_t
 RemainingMs(TimePoint aExpiry, TimePoint aNow)
 {
-  return std::max<std::int64_t>(
-    0, std::chrono::duration_cast<milliseconds>(aExpiry - aNow).count());
+  return std::max<std::int64_t>(0,
+                                std::chrono::duration_cast<milliseconds>(aExpiry - aNow).count());
 }
 
 /// Transport form of an IdempotencyEntry.
@@ -146,10 +146,8 @@
 std::string
 EncodePoison(const PoisonEntry& aEntry, TimePoint aNow)
 {
-  return Write(WirePoison{ aEntry.service_,
-                           aEntry.fingerprint_,
-                           aEntry.crashes_,
-                           RemainingMs(aEntry.expiry_, aNow) });
+  return Write(WirePoison{
+    aEntry.service_, aEntry.fingerprint_, aEntry.crashes_, RemainingMs(aEntry.expiry_, aNow) });
 }
 
 std::optional<PoisonEntry>
--- a/src/control/FleetJoin.cpp
+++ b/src/control/FleetJoin.cpp
@@ -38,13 +38,14 @@
 std::string
 EncodeMemberRow(const Member& aMember, const MemberRow& aRow)
 {
-  return json{ { "process", aRow.process_ },
-               { "nonce", aRow.nonce_ },
-               { "peers_address", aRow.address_.ToString() },
-               { "data_centre", aMember.dataCentre_ },
-               { "region", aMember.region_ },
-               { "rack", aMember.rack_ } }
-    .dump();
+  return json{
+    { "process", aRow.process_ },
+    { "nonce", aRow.nonce_ },
+    { "peers_address", aRow.address_.ToString() },
+    { "data_centre", aMember.dataCentre_ },
+    { "region", aMember.region_ },
+    { "rack", aMember.rack_ }
+  }.dump();
 }
 
 } // namespace
--- a/src/control/FleetState.cpp
+++ b/src/control/FleetState.cpp
@@ -100,8 +100,8 @@
     return;
   }
   GossipVersion& version = rowVersions_[aRow.shard_];
-  version = newer ? GossipVersion{ aRow.token_, 1 }
-                  : GossipVersion{ version.major_, version.minor_ + 1 };
+  version =
+    newer ? GossipVersion{ aRow.token_, 1 } : GossipVersion{ version.major_, version.minor_ + 1 };
   rows_[aRow.shard_] = aRow;
   ++version_;
   gossip_.Publish({ RowKey(aRow.shard_), version, EncodeRow(aRow) });
--- a/src/control/GossipLoop.cpp
+++ b/src/control/GossipLoop.cpp
@@ -1,6 +1,5 @@
 #include "control/GossipLoop.hpp"
 
-
 #include <algorithm>
 #include <utility>
 #include <variant>
@@ -13,7 +12,8 @@
 
 constexpr Duration kRoundInterval = milliseconds(100);
 constexpr std::size_t kFanOut = 3;
-/// Items of one round; with the header and the watchers' reports a datagram stays below 1,400 bytes.
+/// Items of one round; with the header and the watchers' reports a datagram stays below 1,400
+/// bytes.
 constexpr std::size_t kRoundBytes = 900;
 /// Facts that are still spreading make digests differ; a pull waits until they had time to arrive.
 constexpr Duration kPullInterval = milliseconds(500);
--- a/src/control/OwnershipDriver.cpp
+++ b/src/control/OwnershipDriver.cpp
@@ -220,18 +220,17 @@
 OwnershipDriver::Run(const SuccessorPending& aEffect)
 {
   successors_[aEffect.shard_] = aEffect.successor_;
-  hooks_.pushEntries_(
-    aEffect.shard_, aEffect.successor_, [this, effect = aEffect](bool aStored) {
-      const bool sameShard = node_ && owned_.contains(effect.shard_) &&
-                             owned_[effect.shard_] == effect.token_;
-      if (aStored && sameShard) {
-        node_->ConfirmSuccessor(effect.shard_, effect.successor_);
-        RunEffects();
-      } else if (sameShard) {
-        // The successor is unreachable; the planner will propose another one.
-        DropSuccessor(effect.shard_, [](bool) {});
-      }
-    });
+  hooks_.pushEntries_(aEffect.shard_, aEffect.successor_, [this, effect = aEffect](bool aStored) {
+    const bool sameShard =
+      node_ && owned_.contains(effect.shard_) && owned_[effect.shard_] == effect.token_;
+    if (aStored && sameShard) {
+      node_->ConfirmSuccessor(effect.shard_, effect.successor_);
+      RunEffects();
+    } else if (sameShard) {
+      // The successor is unreachable; the planner will propose another one.
+      DropSuccessor(effect.shard_, [](bool) {});
+    }
+  });
 }
 
 void
@@ -297,8 +296,7 @@
       grants.push_back({ shard, token });
     }
   }
-  hooks_.setGrants_(
-    std::move(grants), table_.LeaseDeadline() - kGrantMargin, [](bool) {});
+  hooks_.setGrants_(std::move(grants), table_.LeaseDeadline() - kGrantMargin, [](bool) {});
 }
 
 void
--- a/src/control/PlanningLoop.cpp
+++ b/src/control/PlanningLoop.cpp
@@ -131,7 +131,8 @@
 }
 
 std::vector<Candidate>
-PlanningLoop::CandidatesOf(const std::string& aService, const std::set<std::string>& aWithdrawn) const
+PlanningLoop::CandidatesOf(const std::string& aService,
+                           const std::set<std::string>& aWithdrawn) const
 {
   std::vector<Candidate> candidates;
   const bool internal = aService == kShareService;
@@ -144,8 +145,8 @@
     candidate.dataCentre_ = member.dataCentre_;
     candidate.rack_ = member.rack_;
     candidate.capacity_ = internal ? 1 : member.slots_;
-    const bool serves = internal || member.state_ == BackendState::Ready ||
-                        member.state_ == BackendState::Cold;
+    const bool serves =
+      internal || member.state_ == BackendState::Ready || member.state_ == BackendState::Cold;
     candidate.takesWork_ = serves && !member.leaving_ && !aWithdrawn.contains(member.dataCentre_);
     candidates.push_back(std::move(candidate));
   }
--- a/src/control/ShardRowCodec.hpp
+++ b/src/control/ShardRowCodec.hpp
@@ -33,6 +33,6 @@
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
 std::optional<std::map<std::uint32_t, ShardRow>> DecodeChunk(const std::string& aService,
-                                                            std::string_view aText);
+                                                             std::string_view aText);
 
 } // namespace redwing
--- a/src/control/ShardRowStore.cpp
+++ b/src/control/ShardRowStore.cpp
@@ -50,31 +50,31 @@
 void
 ShardRowStore::Load(OnLoaded aDone)
 {
-  store_.Range(
-    std::string(kShardPrefix),
-    false,
-    [this, done = std::move(aDone)](const StoreResult<StoreRange>& aResult) {
-      if (!aResult) {
-        done(tl::unexpected(aResult.error()));
-        return;
-      }
-      std::vector<ShardRow> rows;
-      for (const StoreEntry& entry : aResult->entries_) {
-        const auto service = ServiceOfChunk(entry.key_);
-        const auto decoded = service ? DecodeChunk(*service, entry.value_) : std::nullopt;
-        if (!decoded) {
-          continue;
-        }
-        for (const auto& [index, row] : *decoded) {
-          rows.push_back(row);
-        }
-        Chunk& chunk = chunks_[entry.key_];
-        if (!chunk.busy_) {
-          Adopt(chunk, entry);
-        }
-      }
-      done(std::move(rows));
-    });
+  store_.Range(std::string(kShardPrefix),
+               false,
+               [this, done = std::move(aDone)](const StoreResult<StoreRange>& aResult) {
+                 if (!aResult) {
+                   done(tl::unexpected(aResult.error()));
+                   return;
+                 }
+                 std::vector<ShardRow> rows;
+                 for (const StoreEntry& entry : aResult->entries_) {
+                   const auto service = ServiceOfChunk(entry.key_);
+                   const auto decoded =
+                     service ? DecodeChunk(*service, entry.value_) : std::nullopt;
+                   if (!decoded) {
+                     continue;
+                   }
+                   for (const auto& [index, row] : *decoded) {
+                     rows.push_back(row);
+                   }
+                   Chunk& chunk = chunks_[entry.key_];
+                   if (!chunk.busy_) {
+                     Adopt(chunk, entry);
+                   }
+                 }
+                 done(std::move(rows));
+               });
 }
 
 void
@@ -151,11 +151,11 @@
   StoreTransaction transaction;
   transaction.compares_.push_back({ aKey, chunk.modRevision_ });
   transaction.writes_.push_back({ aKey, EncodeChunk(rows), 0 });
-  store_.Commit(std::move(transaction),
-                [this, aKey, rows = std::move(rows)](
-                  const StoreResult<StoreTransactionResult>& aResult) {
-                  FinishWrite(aKey, rows, aResult);
-                });
+  store_.Commit(
+    std::move(transaction),
+    [this, aKey, rows = std::move(rows)](const StoreResult<StoreTransactionResult>& aResult) {
+      FinishWrite(aKey, rows, aResult);
+    });
 }
 
 void
--- a/src/control/UdpSocket.cpp
+++ b/src/control/UdpSocket.cpp
@@ -47,8 +47,7 @@
 UdpSocket::Send(const Address& aTo, std::string_view aBytes)
 {
   boost::system::error_code ignored;
-  socket_.send_to(
-    boost::asio::buffer(aBytes.data(), aBytes.size()), EndpointOf(aTo), 0, ignored);
+  socket_.send_to(boost::asio::buffer(aBytes.data(), aBytes.size()), EndpointOf(aTo), 0, ignored);
 }
 
 void
@@ -61,18 +60,17 @@
 void
 UdpSocket::Receive()
 {
-  socket_.async_receive_from(
-    boost::asio::buffer(buffer_),
-    from_,
-    [this](const boost::system::error_code& aError, std::size_t aBytes) {
-      if (!socket_.is_open()) {
-        return;
-      }
-      if (!aError) {
-        onDatagram_({ buffer_.data(), aBytes });
-      }
-      Receive();
-    });
+  socket_.async_receive_from(boost::asio::buffer(buffer_),
+                             from_,
+                             [this](const boost::system::error_code& aError, std::size_t aBytes) {
+                               if (!socket_.is_open()) {
+                                 return;
+                               }
+                               if (!aError) {
+                                 onDatagram_({ buffer_.data(), aBytes });
+                               }
+                               Receive();
+                             });
 }
 
 } // namespace redwing
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -106,11 +106,10 @@
                 });
   };
   hooks.onSliceReply_ = [this](SliceReply aReply) { sliceMailbox_.Push(std::move(aReply)); };
-  hooks.setGrants_ = [this](std::vector<ShardGrant> aGrants,
-                            TimePoint aDeadline,
-                            std::function<void(bool)> aDone) {
-    backend_->SetGrants(std::move(aGrants), aDeadline, std::move(aDone));
-  };
+  hooks.setGrants_ =
+    [this](std::vector<ShardGrant> aGrants, TimePoint aDeadline, std::function<void(bool)> aDone) {
+      backend_->SetGrants(std::move(aGrants), aDeadline, std::move(aDone));
+    };
   hooks.exportEntries_ = [this](ShardId aShard,
                                 std::function<void(std::vector<IdempotencyEntry>)> aTake) {
     backend_->ExportEntries(std::move(aShard), std::move(aTake));
@@ -331,9 +330,8 @@
     }
   });
   backend_->BeginDrain([this] { mainContext_.post([this] { FinishPart(); }); });
-  intakeThread_.Context().post([this] {
-    intake_->BeginShutdown([this] { mainContext_.post([this] { FinishPart(); }); });
-  });
+  intakeThread_.Context().post(
+    [this] { intake_->BeginShutdown([this] { mainContext_.post([this] { FinishPart(); }); }); });
 }
 
 void
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -72,8 +72,8 @@
   ClusterStatus cluster;
   cluster.revision_ = aStatus.self_.configurationRevision_;
   cluster.configurationCurrent_ = aStatus.self_.configurationCurrent_;
-  cluster.storeReachable_ = std::any_of(
-    aStatus.reports_.begin(), aStatus.reports_.end(), [](const StatusReply& aReport) {
+  cluster.storeReachable_ =
+    std::any_of(aStatus.reports_.begin(), aStatus.reports_.end(), [](const StatusReply& aReport) {
       return aReport.storeReachable_;
     });
   cluster.members_ = ToMemberStatuses(aStatus);
@@ -178,29 +178,27 @@
     });
   };
   handlers.shards_ = [this](std::string aService, LocalReplyCallback aReply) {
-    control_->CollectStatus(
-      [this, service = std::move(aService), reply = std::move(aReply)](
-        const ControlStatus& aStatus) {
-        const auto view = view_.Get();
-        if (!view->shards_.contains(service)) {
-          reply(ProblemReply(404, "no_such_service", "there is no keyed service of this name"));
-          return;
-        }
-        reply(JsonReply(
-          ClusterStatusWriter::Shards(service, ToShardStatuses(aStatus, *view, service))));
-      });
+    control_->CollectStatus([this, service = std::move(aService), reply = std::move(aReply)](
+                              const ControlStatus& aStatus) {
+      const auto view = view_.Get();
+      if (!view->shards_.contains(service)) {
+        reply(ProblemReply(404, "no_such_service", "there is no keyed service of this name"));
+        return;
+      }
+      reply(
+        JsonReply(ClusterStatusWriter::Shards(service, ToShardStatuses(aStatus, *view, service))));
+    });
   };
   handlers.drain_ = [this](DrainRequest, LocalReplyCallback aReply) {
     aReply({ 202, "application/json", "{}" });
     mainContext_.post([this] { BeginShutdown(); });
   };
   handlers.forceShard_ = [this](ForceShardRequest aRequest, LocalReplyCallback aReply) {
-    control_->ForceShard({ aRequest.service_, aRequest.shard_ },
-                         [reply = std::move(aReply)](bool aAccepted) {
-                           reply(aAccepted
-                                   ? LocalReply{ 202, "application/json", "{}" }
-                                   : ProblemReply(409, "no_candidate", "no instance can take it"));
-                         });
+    control_->ForceShard(
+      { aRequest.service_, aRequest.shard_ }, [reply = std::move(aReply)](bool aAccepted) {
+        reply(aAccepted ? LocalReply{ 202, "application/json", "{}" }
+                        : ProblemReply(409, "no_candidate", "no instance can take it"));
+      });
   };
   return handlers;
 }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -139,8 +139,9 @@
       aSettings.callersAddress_ == aSettings.peersAddress_) {
     aChecker.Add("callers-address", "must differ from --peers-address");
   }
-  if (aSettings.localAddress_.port_ != 0 && (aSettings.localAddress_ == aSettings.peersAddress_ ||
-                                             aSettings.localAddress_ == aSettings.callersAddress_)) {
+  if (aSettings.localAddress_.port_ != 0 &&
+      (aSettings.localAddress_ == aSettings.peersAddress_ ||
+       aSettings.localAddress_ == aSettings.callersAddress_)) {
     aChecker.Add("local-address", "must differ from the callers' and the peers' address");
   }
 }
--- a/src/daemon/main/RedwingdMain.cpp
+++ b/src/daemon/main/RedwingdMain.cpp
@@ -35,9 +35,11 @@
 int
 main(int aCount, char** aArguments)
 {
-  CLI::App app{ "redwingd: one instance of the redwingstack request router. It runs beside a backend "
-                "server, takes callers' requests and finds the owner of a key or the best backend "
-                "server. Every flag can also be set by the variable named beside it; the flag wins." };
+  CLI::App app{
+    "redwingd: one instance of the redwingstack request router. It runs beside a backend "
+    "server, takes callers' requests and finds the owner of a key or the best backend "
+    "server. Every flag can also be set by the variable named beside it; the flag wins."
+  };
   std::map<std::string, std::string> values;
   for (const redwing::SettingInfo& setting : redwing::AllSettings()) {
     const std::string flag(setting.flag_);
--- a/src/limits/ShareBucket.cpp
+++ b/src/limits/ShareBucket.cpp
@@ -12,15 +12,21 @@
 /// Slices larger than half of the level would leave other instances without tokens.
 constexpr double kLargestPartOfLevel = 0.5;
 
+/// Time after which a period has ended on every clock.
+Duration
+WithDrift(Duration aPeriod)
+{
+  return std::chrono::duration_cast<Duration>(aPeriod * (1 + kLimitClockDrift));
+}
+
 } // namespace
 
-ShareBucket::ShareBucket(WorkspaceLimit aLimit, TimePoint aNow)
+ShareBucket::ShareBucket(WorkspaceLimit aLimit, Duration aEarlierSlices, TimePoint aNow)
   : limit_(aLimit)
   , outstanding_(aLimit.burst_)
   , refilledAt_(aNow)
 {
-  // The earlier owner may have used an older limit, hence the longest time to live.
-  slices_.push_back({ "", 0, aLimit.burst_, aNow + kMaxSliceTimeToLive });
+  slices_.push_back({ "", 0, aLimit.burst_, aNow + WithDrift(aEarlierSlices) });
 }
 
 SliceReply
@@ -45,8 +51,7 @@
   }
   level_ -= granted;
   outstanding_ += granted;
-  const auto withDrift = std::chrono::duration_cast<Duration>(timeToLive * (1 + kLimitClockDrift));
-  Slice slice{ std::string(aInstance), aRequest.requestId_, granted, aNow + withDrift };
+  Slice slice{ std::string(aInstance), aRequest.requestId_, granted, aNow + WithDrift(timeToLive) };
   const auto place = std::upper_bound(
     slices_.begin(), slices_.end(), slice, [](const Slice& aLeft, const Slice& aRight) {
       return aLeft.expiry_ < aRight.expiry_;
--- a/src/limits/ShareBucket.hpp
+++ b/src/limits/ShareBucket.hpp
@@ -20,8 +20,9 @@
 {
 public:
   /// Starts with an empty bucket and counts the whole burst as outstanding until the slices that an
-  /// earlier owner may have granted have expired.
-  ShareBucket(WorkspaceLimit aLimit, TimePoint aNow);
+  /// earlier owner may have granted have expired; aEarlierSlices is the longest time to live that
+  /// they may have.
+  ShareBucket(WorkspaceLimit aLimit, Duration aEarlierSlices, TimePoint aNow);
 
   /// Grants up to aRequest.tokens_ tokens to aInstance. A repeated request id gets no tokens.
   ///
--- a/src/limits/ShareOwner.cpp
+++ b/src/limits/ShareOwner.cpp
@@ -15,17 +15,33 @@
   refusal.workspace_ = aRequest.workspace_;
   refusal.requestId_ = aRequest.requestId_;
   refusal.owner_ = false;
-  if (!ownsShare_(aRequest.workspace_)) {
-    buckets_.erase(aRequest.workspace_);
-    return refusal;
-  }
-  const auto limit = lookUpLimit_(aRequest.workspace_);
+  ShareBucket* bucket = Find(aRequest.workspace_, aNow);
+  return bucket == nullptr ? refusal : bucket->Grant(aInstance, aRequest, aNow);
+}
+
+void
+ShareOwner::Prepare(std::string_view aWorkspace, TimePoint aNow)
+{
+  Find(aWorkspace, aNow);
+}
+
+ShareBucket*
+ShareOwner::Find(std::string_view aWorkspace, TimePoint aNow)
+{
+  const auto known = buckets_.find(aWorkspace);
+  const auto limit = ownsShare_(aWorkspace) ? lookUpLimit_(aWorkspace) : std::nullopt;
   if (!limit) {
-    return refusal;
+    if (known != buckets_.end()) {
+      buckets_.erase(known);
+    }
+    return nullptr;
+  }
+  if (known == buckets_.end()) {
+    const ShareBucket bucket(limit->limit_, limit->earlierSlices_, aNow);
+    return &buckets_.emplace(std::string(aWorkspace), bucket).first->second;
   }
-  auto& bucket = buckets_.try_emplace(aRequest.workspace_, *limit, aNow).first->second;
-  bucket.SetLimit(*limit, aNow);
-  return bucket.Grant(aInstance, aRequest, aNow);
+  known->second.SetLimit(limit->limit_, aNow);
+  return &known->second;
 }
 
 void
--- a/src/limits/ShareOwner.hpp
+++ b/src/limits/ShareOwner.hpp
@@ -14,13 +14,26 @@
 class ShareOwner
 {
 public:
+  /// Limit of a workspace, and the longest time to live of slices that an earlier owner of its
+  /// bucket may have granted, perhaps under an earlier limit.
+  struct Limit
+  {
+    WorkspaceLimit limit_;
+    Duration earlierSlices_ = kMaxSliceTimeToLive;
+  };
   /// Returns the limit of a workspace, or nothing if the workspace does not exist.
-  using LookUpLimit = std::function<std::optional<WorkspaceLimit>(std::string_view aWorkspace)>;
+  using LookUpLimit = std::function<std::optional<Limit>(std::string_view aWorkspace)>;
   /// Returns whether this instance owns the workspace's share shard now.
   using OwnsShare = std::function<bool(std::string_view aWorkspace)>;
 
   ShareOwner(LookUpLimit aLookUpLimit, OwnsShare aOwnsShare);
 
+  /// Creates the bucket of a workspace ahead of its first request, so that the time in which an
+  /// earlier owner's slices expire has passed when requests come.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  void Prepare(std::string_view aWorkspace, TimePoint aNow);
+
   /// Answers a request for tokens.
   ///
   /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
@@ -38,6 +51,8 @@
   void OnOwnershipChanged();
 
 private:
+  ShareBucket* Find(std::string_view aWorkspace, TimePoint aNow);
+
   LookUpLimit lookUpLimit_;
   OwnsShare ownsShare_;
   std::map<std::string, ShareBucket, std::less<>> buckets_;
--- a/src/membership/RingOrder.cpp
+++ b/src/membership/RingOrder.cpp
@@ -15,7 +15,8 @@
 constexpr int kMaxPasses = 6;
 constexpr std::size_t kSpan = 2;
 
-int PairCost(const RingMember& aLeft, const RingMember& aRight)
+int
+PairCost(const RingMember& aLeft, const RingMember& aRight)
 {
   if (aLeft.dataCentre_ != aRight.dataCentre_) {
     return 0;
@@ -24,7 +25,8 @@
 }
 
 /// Cost of all pairs at distance 1 and 2 that the positions around aAt take part in.
-int CostAround(const std::vector<RingMember>& aRing, std::size_t aAt)
+int
+CostAround(const std::vector<RingMember>& aRing, std::size_t aAt)
 {
   const std::size_t size = aRing.size();
   int cost = 0;
@@ -37,7 +39,8 @@
   return cost;
 }
 
-int CostOf(const std::vector<RingMember>& aRing, std::size_t aAt)
+int
+CostOf(const std::vector<RingMember>& aRing, std::size_t aAt)
 {
   const std::size_t size = aRing.size();
   int cost = 0;
@@ -50,7 +53,8 @@
 
 /// Exchanges the member at aAt with the nearest one that lowers the cost most; searches at most
 /// aReach positions, so that a repair stays local.
-bool Repair(std::vector<RingMember>& aRing, std::size_t aAt, std::size_t aReach)
+bool
+Repair(std::vector<RingMember>& aRing, std::size_t aAt, std::size_t aReach)
 {
   const std::size_t size = aRing.size();
   int bestGain = 0;
@@ -78,7 +82,8 @@
 
 } // namespace
 
-std::vector<RingMember> OrderRing(std::span<const RingMember> aMembers, const std::string& aRegion)
+std::vector<RingMember>
+OrderRing(std::span<const RingMember> aMembers, const std::string& aRegion)
 {
   std::vector<RingMember> ring;
   for (const RingMember& member : aMembers) {
--- a/src/ownership/LeaseGrantor.cpp
+++ b/src/ownership/LeaseGrantor.cpp
@@ -24,24 +24,28 @@
 {
 }
 
-DependantBinding* LeaseGrantor::Find(const InstanceRef& aRef, std::uint64_t aGeneration)
+DependantBinding*
+LeaseGrantor::Find(const InstanceRef& aRef, std::uint64_t aGeneration)
 {
   const auto it = bindings_.find(aRef);
   return it != bindings_.end() && it->second.generation_ == aGeneration ? &it->second : nullptr;
 }
 
-bool LeaseGrantor::FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const
+bool
+LeaseGrantor::FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const
 {
   return aFrom == grantor_ && aGeneration == grantorGeneration_;
 }
 
-Duration LeaseGrantor::InstanceWait() const
+Duration
+LeaseGrantor::InstanceWait() const
 {
   return settings_.waitForLease_ ? settings_.Wait(settings_.instanceLease_)
                                  : settings_.askBackupAfter_;
 }
 
-void LeaseGrantor::FollowGrantor()
+void
+LeaseGrantor::FollowGrantor()
 {
   if (holder_.Grantor() == grantor_ && holder_.Generation() == grantorGeneration_) {
     return;
@@ -55,12 +59,14 @@
   }
 }
 
-void LeaseGrantor::DropAll()
+void
+LeaseGrantor::DropAll()
 {
   bindings_.clear();
 }
 
-void LeaseGrantor::Tick(Effects& aEffects)
+void
+LeaseGrantor::Tick(Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   FollowGrantor();
@@ -86,7 +92,8 @@
   takeOvers_.Tick(now, aEffects);
 }
 
-void LeaseGrantor::Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   const BackupCopies copies = std::move(aBinding.copies_);
   aBinding.copies_ = BackupCopies{};
@@ -121,7 +128,8 @@
   }
 }
 
-void LeaseGrantor::Register(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::Register(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   if (grantor_.Empty()) {
     return;
@@ -159,7 +167,8 @@
   }
 }
 
-void LeaseGrantor::TickDeath(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::TickDeath(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   if (aBinding.death_ == DeathDecision::None && !aBinding.dropping_ &&
       aNow >= aBinding.instanceHorizon_) {
@@ -174,7 +183,8 @@
   }
 }
 
-void LeaseGrantor::MarkDead(const InstanceRef& aRef, Effects& aEffects)
+void
+LeaseGrantor::MarkDead(const InstanceRef& aRef, Effects& aEffects)
 {
   if (!gone_.IsDead(aRef)) {
     gone_.MarkDead(aRef);
@@ -182,7 +192,8 @@
   }
 }
 
-void LeaseGrantor::OnProbe(const InstanceRef& aFrom, Effects& aEffects)
+void
+LeaseGrantor::OnProbe(const InstanceRef& aFrom, Effects& aEffects)
 {
   if (gone_.IsDead(aFrom) || bindings_.contains(aFrom)) {
     return;
@@ -191,13 +202,12 @@
   if (offer.generation_ == 0 || !offer.orphanOf_.Empty()) {
     offer = Offer{ ++lastGeneration_, InstanceRef{} };
   }
-  aEffects.push_back(SendMessage{
-    aFrom, BindOffer{ offer.generation_, holder_.GrantorLeaseValid(), false, 0 } });
+  aEffects.push_back(
+    SendMessage{ aFrom, BindOffer{ offer.generation_, holder_.GrantorLeaseValid(), false, 0 } });
 }
 
-void LeaseGrantor::OnHeartbeat(const InstanceRef& aFrom,
-                               const Heartbeat& aHeartbeat,
-                               Effects& aEffects)
+void
+LeaseGrantor::OnHeartbeat(const InstanceRef& aFrom, const Heartbeat& aHeartbeat, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   FollowGrantor();
@@ -233,10 +243,11 @@
   aEffects.push_back(SendMessage{ aFrom, reply });
 }
 
-bool LeaseGrantor::Bind(const InstanceRef& aFrom,
-                        std::uint64_t aGeneration,
-                        TimePoint aNow,
-                        Effects& aEffects)
+bool
+LeaseGrantor::Bind(const InstanceRef& aFrom,
+                   std::uint64_t aGeneration,
+                   TimePoint aNow,
+                   Effects& aEffects)
 {
   const auto offer = offers_.find(aFrom);
   if (offer == offers_.end() || offer->second.generation_ != aGeneration ||
@@ -255,10 +266,11 @@
   return true;
 }
 
-void LeaseGrantor::OfferToOrphan(const InstanceRef& aFrom,
-                                 const Heartbeat& aHeartbeat,
-                                 TimePoint aNow,
-                                 Effects& aEffects)
+void
+LeaseGrantor::OfferToOrphan(const InstanceRef& aFrom,
+                            const Heartbeat& aHeartbeat,
+                            TimePoint aNow,
+                            Effects& aEffects)
 {
   const auto it = bindings_.find(aHeartbeat.grantor_);
   if (it == bindings_.end() || HeldByAnother(aFrom, nullptr)) {
@@ -279,7 +291,8 @@
     SendMessage{ aFrom, BindOffer{ offer.generation_, true, true, aHeartbeat.sentAt_ } });
 }
 
-void LeaseGrantor::MarkHeard(DependantBinding& aBinding)
+void
+LeaseGrantor::MarkHeard(DependantBinding& aBinding)
 {
   if (!aBinding.heard_) {
     aBinding.heard_ = true;
@@ -289,7 +302,8 @@
   }
 }
 
-bool LeaseGrantor::AllRegistered() const
+bool
+LeaseGrantor::AllRegistered() const
 {
   return std::all_of(bindings_.begin(), bindings_.end(), [&](const auto& aEntry) {
     return aEntry.second.registered_ && holder_.Grantor() == grantor_ &&
@@ -297,7 +311,8 @@
   });
 }
 
-void LeaseGrantor::Renew(DependantBinding& aBinding, HeartbeatReply& aReply, TimePoint aNow)
+void
+LeaseGrantor::Renew(DependantBinding& aBinding, HeartbeatReply& aReply, TimePoint aNow)
 {
   // The dependant knows the generation of the inheritance, so it has dropped its dependants.
   aBinding.dependantsInherited_ = false;
--- a/src/ownership/LeaseGrantor.hpp
+++ b/src/ownership/LeaseGrantor.hpp
@@ -11,9 +11,10 @@
 
 namespace redwing {
 
-/// The grantor's side of bindings: renews leases of dependants, registers them at the backup grantor
-/// (the grantor of this instance), decides that an incarnation is dead, and, as backup grantor of
-/// its dependants' dependants, inherits those when a dependant's grantor lease has ended.
+/// The grantor's side of bindings: renews leases of dependants, registers them at the backup
+/// grantor (the grantor of this instance), decides that an incarnation is dead, and, as backup
+/// grantor of its dependants' dependants, inherits those when a dependant's grantor lease has
+/// ended.
 class LeaseGrantor
 {
 public:
--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -8,12 +8,14 @@
 
 constexpr std::size_t kProbedPredecessors = 3;
 
-std::int64_t ToWire(TimePoint aTime)
+std::int64_t
+ToWire(TimePoint aTime)
 {
   return aTime.time_since_epoch().count();
 }
 
-TimePoint FromWire(std::int64_t aTime)
+TimePoint
+FromWire(std::int64_t aTime)
 {
   return TimePoint(Duration(aTime));
 }
@@ -28,7 +30,8 @@
 {
 }
 
-void LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
+void
+LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
 {
   predecessors_.assign(aPredecessors.begin(), aPredecessors.end());
   ringKnown_ = true;
@@ -40,17 +43,20 @@
   }
 }
 
-bool LeaseHolder::LeaseValid() const
+bool
+LeaseHolder::LeaseValid() const
 {
   return !expired_ && clock_.Now() < instanceDeadline_;
 }
 
-bool LeaseHolder::GrantorLeaseValid() const
+bool
+LeaseHolder::GrantorLeaseValid() const
 {
   return !expired_ && clock_.Now() < grantorDeadline_;
 }
 
-void LeaseHolder::CheckExpiry(TimePoint aNow)
+void
+LeaseHolder::CheckExpiry(TimePoint aNow)
 {
   const bool hadLease = instanceDeadline_ != TimePoint{};
   if (hadLease ? aNow >= instanceDeadline_
@@ -59,7 +65,8 @@
   }
 }
 
-void LeaseHolder::Tick(Effects& aEffects)
+void
+LeaseHolder::Tick(Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -73,7 +80,8 @@
   }
 }
 
-void LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
 {
   if (predecessors_.empty()) {
     // Nobody can decide that an incarnation that was never bound is dead, so it may grant itself
@@ -104,7 +112,8 @@
   }
 }
 
-void LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
 {
   const bool late = !renewedHere_ || aNow - lastRenewal_ > settings_.heartbeat_ + settings_.resend_;
   if (aNow - lastHeartbeat_ >= (late ? settings_.resend_ : settings_.heartbeat_)) {
@@ -116,7 +125,8 @@
   TickRebind(aNow, aEffects);
 }
 
-void LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
 {
   if (aNow - lastSeek_ < settings_.resend_) {
     return;
@@ -135,7 +145,8 @@
   }
 }
 
-void LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
 {
   if (next_) {
     if (aNow - lastUnbind_ >= settings_.resend_) {
@@ -144,8 +155,8 @@
     }
     return;
   }
-  if (!mayRebind_ || predecessors_.empty() || predecessors_.front() == grantor_ || !GrantorLeaseValid() ||
-      !LeaseValid() || aNow - boundAt_ < settings_.heartbeat_) {
+  if (!mayRebind_ || predecessors_.empty() || predecessors_.front() == grantor_ ||
+      !GrantorLeaseValid() || !LeaseValid() || aNow - boundAt_ < settings_.heartbeat_) {
     return;
   }
   const auto offer = offers_.find(predecessors_.front());
@@ -161,18 +172,21 @@
   }
 }
 
-void LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
 {
   lastHeartbeat_ = aNow;
   aEffects.push_back(SendMessage{ grantor_, Heartbeat{ generation_, ToWire(aNow), grantor_ } });
 }
 
-void LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
+void
+LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
 {
   aEffects.push_back(SendMessage{ aTo, BindProbe{} });
 }
 
-void LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
+void
+LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
 {
   grantor_ = aGrantor;
   generation_ = aGeneration;
@@ -187,7 +201,8 @@
   offers_.clear();
 }
 
-void LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
+void
+LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -207,7 +222,8 @@
   offers_[aFrom] = Offer{ aOffer.generation_, aOffer.ready_, now };
 }
 
-bool LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
+bool
+LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -243,10 +259,11 @@
   return false;
 }
 
-bool LeaseHolder::Adopt(const InstanceRef& aFrom,
-                        const HeartbeatReply& aReply,
-                        TimePoint aNow,
-                        Effects& aEffects)
+bool
+LeaseHolder::Adopt(const InstanceRef& aFrom,
+                   const HeartbeatReply& aReply,
+                   TimePoint aNow,
+                   Effects& aEffects)
 {
   const auto left = left_.find(aFrom);
   const bool fresh = left == left_.end() || aReply.generation_ > left->second;
@@ -260,7 +277,8 @@
   return true;
 }
 
-void LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
+void
+LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
--- a/src/ownership/LeaseHolder.hpp
+++ b/src/ownership/LeaseHolder.hpp
@@ -84,7 +84,10 @@
   void SendHeartbeat(TimePoint aNow, Effects& aEffects);
   void Probe(const InstanceRef& aTo, Effects& aEffects);
   void BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow);
-  bool Adopt(const InstanceRef& aFrom, const HeartbeatReply& aReply, TimePoint aNow, Effects& aEffects);
+  bool Adopt(const InstanceRef& aFrom,
+             const HeartbeatReply& aReply,
+             TimePoint aNow,
+             Effects& aEffects);
 
   InstanceRef self_;
   const OwnershipSettings& settings_;
--- a/src/ownership/OwnershipSettings.hpp
+++ b/src/ownership/OwnershipSettings.hpp
@@ -30,8 +30,8 @@
   /// Off only in tests that show that the explorer finds the resulting violation.
   bool waitForLease_ = true;
 
-  /// Returns how long a grantor waits so that aLease has ended on the slowest clock: both clocks may
-  /// deviate, in opposite directions.
+  /// Returns how long a grantor waits so that aLease has ended on the slowest clock: both clocks
+  /// may deviate, in opposite directions.
   ///
   /// Preconditions: drift_ < 1. Thread safety: callable from any thread.
   Duration Wait(Duration aLease) const
--- a/src/ownership/ReleaseQueue.cpp
+++ b/src/ownership/ReleaseQueue.cpp
@@ -7,12 +7,14 @@
 {
 }
 
-void ReleaseQueue::Add(const ShardRow& aRow)
+void
+ReleaseQueue::Add(const ShardRow& aRow)
 {
   entries_[aRow.shard_] = Entry{ aRow, TimePoint{} };
 }
 
-bool ReleaseQueue::OnAck(const ReleaseAck& aAck)
+bool
+ReleaseQueue::OnAck(const ReleaseAck& aAck)
 {
   const auto it = entries_.find(aAck.row_.shard_);
   if (it == entries_.end() || it->second.row_ != aAck.row_) {
@@ -22,7 +24,8 @@
   return true;
 }
 
-std::vector<ShardRow> ReleaseQueue::Pending() const
+std::vector<ShardRow>
+ReleaseQueue::Pending() const
 {
   std::vector<ShardRow> rows;
   for (const auto& [shard, entry] : entries_) {
@@ -31,7 +34,8 @@
   return rows;
 }
 
-void ReleaseQueue::Tick(TimePoint aNow, Effects& aEffects)
+void
+ReleaseQueue::Tick(TimePoint aNow, Effects& aEffects)
 {
   for (auto& [shard, entry] : entries_) {
     if (entry.lastSent_ == TimePoint{} || aNow - entry.lastSent_ >= settings_.resend_) {
--- a/tests/unit/limits/RateBoundTest.cpp
+++ b/tests/unit/limits/RateBoundTest.cpp
@@ -32,7 +32,7 @@
     : limit_(aLimit)
     , random_(aSeed)
     , loss_(aLoss)
-    , bucket_(aLimit, clock_.Now())
+    , bucket_(aLimit, aLimit.SliceTimeToLive(), clock_.Now())
   {
     for (std::size_t i = 0; i < aHolders; ++i) {
       holders_.emplace_back("w");
@@ -50,7 +50,7 @@
       clock_.Advance(kStep);
       elapsed += Seconds(kStep).count();
       if (aOwnerChangeEvery > 0s && clock_.Now() >= nextChange) {
-        bucket_ = ShareBucket(limit_, clock_.Now());
+        bucket_ = ShareBucket(limit_, limit_.SliceTimeToLive(), clock_.Now());
         nextChange = clock_.Now() + aOwnerChangeEvery;
       }
       while (nextArrival <= elapsed) {
