Revoke the backend server's grant before a shard is released

Cause: a release let the successor act at once, while the old server still held an unexpired grant for the shard. Change: a shard counts as busy while its server's grant is neither revoked (acknowledged) nor expired; OwnershipDriver revokes grants of shards that are being handed over.

--- a/src/control/OwnershipDriver.cpp
+++ b/src/control/OwnershipDriver.cpp
@@ -52,6 +52,7 @@
   owned_.clear();
   successors_.clear();
   seenRows_.clear();
+  releasing_.clear();
   grantsChanged_ = true;
   node_ = std::make_unique<OwnershipNode>(aSelf, OwnershipSettings{}, clock_, random_, table_);
   OnFleetChanged();
@@ -65,6 +66,7 @@
   }
   node_->Tick();
   RunEffects();
+  CheckReleasing();
   if (grantsChanged_ || clock_.Now() >= nextGrants_) {
     UpdateGrants();
   }
@@ -212,6 +214,7 @@
   LogShard("ownership_lost", aEffect.shard_, aEffect.token_);
   owned_.erase(aEffect.shard_);
   successors_.erase(aEffect.shard_);
+  releasing_.erase(aEffect.shard_);
   grantsChanged_ = true;
   hooks_.onShardsChanged_();
 }
@@ -285,18 +288,64 @@
   RunEffects();
 }
 
+void
+OwnershipDriver::CheckReleasing()
+{
+  const TimePoint now = clock_.Now();
+  std::erase_if(grantedUntil_, [&](const auto& aEntry) {
+    const bool expired = aEntry.second <= now;
+    if (expired) {
+      table_.SetGranted(aEntry.first, false);
+    }
+    return expired;
+  });
+  for (const auto& [shard, token] : owned_) {
+    if (table_.IsReleasing(shard)) {
+      grantsChanged_ = releasing_.insert(shard).second || grantsChanged_;
+    } else {
+      releasing_.erase(shard);
+    }
+  }
+}
+
 void
 OwnershipDriver::UpdateGrants()
 {
   grantsChanged_ = false;
   nextGrants_ = clock_.Now() + kGrantInterval;
+  const TimePoint deadline = table_.LeaseDeadline() - kGrantMargin;
   std::vector<ShardGrant> grants;
   for (const auto& [shard, token] : owned_) {
-    if (shard.service_ != kShareService) {
-      grants.push_back({ shard, token });
+    if (shard.service_ == kShareService || releasing_.contains(shard)) {
+      continue;
+    }
+    grants.push_back({ shard, token });
+    grantedUntil_[shard] = deadline;
+    table_.SetGranted(shard, true);
+  }
+  std::vector<ShardId> revoked;
+  for (const auto& [shard, until] : grantedUntil_) {
+    if (releasing_.contains(shard) || !owned_.contains(shard)) {
+      revoked.push_back(shard);
+    }
+  }
+  hooks_.setGrants_(std::move(grants), deadline, [this, revoked](bool aAcknowledged) {
+    if (aAcknowledged && !revoked.empty()) {
+      hooks_.post_([this, revoked] { OnRevoked(revoked); });
+    }
+  });
+}
+
+void
+OwnershipDriver::OnRevoked(const std::vector<ShardId>& aShards)
+{
+  for (const ShardId& shard : aShards) {
+    const bool grantedAgain = owned_.contains(shard) && !releasing_.contains(shard);
+    if (!grantedAgain) {
+      grantedUntil_.erase(shard);
+      table_.SetGranted(shard, false);
     }
   }
-  hooks_.setGrants_(std::move(grants), table_.LeaseDeadline() - kGrantMargin, [](bool) {});
 }
 
 void
--- a/src/control/OwnershipDriver.hpp
+++ b/src/control/OwnershipDriver.hpp
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -122,6 +123,9 @@
   void Run(const MemberDead& aEffect);
   void OnCommitted(std::uint64_t aOperation, CommitOutcome aOutcome, const ShardRow& aCurrent);
   void UpdateGrants();
+  /// Notices shards that are being handed over; their grants are revoked at once.
+  void CheckReleasing();
+  void OnRevoked(const std::vector<ShardId>& aShards);
   void ExpireDropWaiters();
 
   const Clock& clock_;
@@ -135,9 +139,11 @@
   std::map<ShardId, InstanceRef> successors_;
   std::map<ShardId, std::vector<DropWaiter>> dropWaiters_;
   std::map<ShardId, ShardRow> seenRows_;
+  /// Deadline of the last grant that the backend server was sent for a shard.
+  std::map<ShardId, TimePoint> grantedUntil_;
+  std::set<ShardId> releasing_;
   bool grantsChanged_ = false;
   TimePoint nextGrants_;
-  std::uint64_t grantsEpoch_ = 0;
   bool running_ = false;
 };
 
--- a/src/ownership/OwnedShards.cpp
+++ b/src/ownership/OwnedShards.cpp
@@ -303,7 +303,7 @@
       continue;
     }
     table_.SetReleasing(it->first, true);
-    if (table_.Running(it->first) > 0) {
+    if (!table_.IsIdle(it->first)) {
       ++it;
       continue;
     }
--- a/src/ownership/OwnershipTable.cpp
+++ b/src/ownership/OwnershipTable.cpp
@@ -96,6 +96,29 @@
   }
 }
 
+void
+OwnershipTable::SetGranted(const ShardId& aShard, bool aGranted)
+{
+  std::lock_guard lock(mutex_);
+  entries_[aShard].granted_ = aGranted;
+}
+
+bool
+OwnershipTable::IsIdle(const ShardId& aShard) const
+{
+  std::lock_guard lock(mutex_);
+  const auto it = entries_.find(aShard);
+  return it == entries_.end() || (it->second.running_ == 0 && !it->second.granted_);
+}
+
+bool
+OwnershipTable::IsReleasing(const ShardId& aShard) const
+{
+  std::lock_guard lock(mutex_);
+  const auto it = entries_.find(aShard);
+  return it != entries_.end() && it->second.releasing_;
+}
+
 std::uint32_t
 OwnershipTable::Running(const ShardId& aShard) const
 {
--- a/src/ownership/OwnershipTable.hpp
+++ b/src/ownership/OwnershipTable.hpp
@@ -54,11 +54,28 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   std::uint32_t Running(const ShardId& aShard) const;
 
+  /// Records whether the backend server holds a grant for the shard. A shard is released only after
+  /// the server's grant was revoked or has expired.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  void SetGranted(const ShardId& aShard, bool aGranted);
+
+  /// Returns whether no request of aShard runs and the backend server holds no grant for it.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool IsIdle(const ShardId& aShard) const;
+
+  /// Returns whether aShard is being handed over.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool IsReleasing(const ShardId& aShard) const;
+
 private:
   struct Entry
   {
     bool owned_ = false;
     bool releasing_ = false;
+    bool granted_ = false;
     std::uint32_t running_ = 0;
     std::uint64_t token_ = 0;
     InstanceRef owner_;
