--- a/src/ownership/LeaseGrantor.cpp
+++ b/src/ownership/LeaseGrantor.cpp
@@ -84,6 +84,19 @@
     ++it;
   }
   takeOvers_.Tick(now, aEffects);
+  WarnDependants(now, aEffects);
+}
+
+void LeaseGrantor::WarnDependants(TimePoint aNow, Effects& aEffects)
+{
+  const std::uint8_t level = holder_.DistressLevel();
+  if (level == 0 || aNow - lastDistress_ < settings_.resend_) {
+    return;
+  }
+  lastDistress_ = aNow;
+  for (const auto& [ref, binding] : bindings_) {
+    aEffects.push_back(SendMessage{ ref, Distress{ binding.generation_, level } });
+  }
 }
 
 void LeaseGrantor::Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
@@ -192,7 +205,11 @@
     offer = Offer{ ++lastGeneration_, InstanceRef{} };
   }
   aEffects.push_back(SendMessage{
-    aFrom, BindOffer{ offer.generation_, holder_.GrantorLeaseValid(), false, 0 } });
+    aFrom,
+    BindOffer{ offer.generation_,
+               holder_.GrantorLeaseValid() && holder_.DistressLevel() == 0,
+               false,
+               0 } });
 }
 
 void LeaseGrantor::OnHeartbeat(const InstanceRef& aFrom,
--- a/src/ownership/LeaseGrantor.hpp
+++ b/src/ownership/LeaseGrantor.hpp
@@ -77,6 +77,7 @@
   Duration InstanceWait() const;
   void Renew(DependantBinding& aBinding, HeartbeatReply& aReply, TimePoint aNow);
   void FollowGrantor();
+  void WarnDependants(TimePoint aNow, Effects& aEffects);
   void Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects);
   void Register(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects);
   void TickDeath(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects);
@@ -96,6 +97,7 @@
   /// Generation of the last binding that each dependant left by Unbind.
   std::map<InstanceRef, std::uint64_t> unbound_;
   std::uint64_t lastGeneration_ = 0;
+  TimePoint lastDistress_{};
   /// Binding of this instance under which the dependants are registered.
   InstanceRef grantor_;
   std::uint64_t grantorGeneration_ = 0;
--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -1,12 +1,14 @@
 #include "ownership/LeaseHolder.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace redwing {
 
 namespace {
 
 constexpr std::size_t kProbedPredecessors = 3;
+constexpr std::uint8_t kLeaveAtDistress = 2;
 
 std::int64_t ToWire(TimePoint aTime)
 {
@@ -144,23 +146,73 @@
     }
     return;
   }
-  if (!mayRebind_ || predecessors_.empty() || predecessors_.front() == grantor_ || !GrantorLeaseValid() ||
-      !LeaseValid() || aNow - boundAt_ < settings_.heartbeat_) {
+  const std::optional<InstanceRef> target = RebindTarget(aNow);
+  if (!target) {
     return;
   }
-  const auto offer = offers_.find(predecessors_.front());
+  const auto offer = offers_.find(*target);
   if (offer != offers_.end() && offer->second.ready_ &&
       aNow - offer->second.receivedAt_ < settings_.heartbeat_) {
     next_ = offer->first;
     nextGeneration_ = offer->second.generation_;
     lastUnbind_ = aNow;
     aEffects.push_back(SendMessage{ grantor_, Unbind{ generation_ } });
-  } else if (aNow - lastProbe_ >= settings_.heartbeat_) {
+  } else if (aNow - lastProbe_ >= settings_.resend_) {
     lastProbe_ = aNow;
-    Probe(predecessors_.front(), aEffects);
+    Probe(*target, aEffects);
   }
 }
 
+std::optional<InstanceRef> LeaseHolder::RebindTarget(TimePoint aNow) const
+{
+  if (!mayRebind_ || predecessors_.empty() || !GrantorLeaseValid() || !LeaseValid() ||
+      aNow - boundAt_ < settings_.heartbeat_) {
+    return std::nullopt;
+  }
+  const bool warned = grantorDistress_ > 0 && aNow - distressAt_ < settings_.instanceLease_;
+  if (warned && grantorDistress_ >= kLeaveAtDistress) {
+    // The target changes with time, so that one that does not answer is passed over.
+    std::vector<InstanceRef> others;
+    std::copy_if(predecessors_.begin(),
+                 predecessors_.end(),
+                 std::back_inserter(others),
+                 [&](const InstanceRef& aRef) { return aRef != grantor_ && aRef != backup_; });
+    if (!others.empty()) {
+      const auto turn = static_cast<std::size_t>((aNow - distressAt_) / settings_.resend_);
+      return others[turn % others.size()];
+    }
+  }
+  if (warned || predecessors_.front() == grantor_) {
+    return std::nullopt;
+  }
+  return predecessors_.front();
+}
+
+void LeaseHolder::OnDistress(const InstanceRef& aFrom, const Distress& aDistress)
+{
+  if (aFrom != grantor_ || aDistress.generation_ != generation_) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  if (grantorDistress_ == 0 || now - distressAt_ >= settings_.instanceLease_) {
+    distressAt_ = now;
+  }
+  grantorDistress_ = aDistress.level_;
+}
+
+std::uint8_t LeaseHolder::DistressLevel() const
+{
+  const TimePoint now = clock_.Now();
+  if (!everBound_ || instanceDeadline_ == TimePoint{}) {
+    return 0;
+  }
+  if (now - lastRenewal_ >= settings_.distressAfter_) {
+    return 1;
+  }
+  const bool warned = grantorDistress_ == 1 && now - distressAt_ < settings_.instanceLease_;
+  return warned ? kLeaveAtDistress : 0;
+}
+
 void LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
 {
   lastHeartbeat_ = aNow;
@@ -180,6 +232,7 @@
   // The promise of the former grantor does not bind the new one.
   grantorDeadline_ = TimePoint{};
   renewedHere_ = false;
+  grantorDistress_ = 0;
   everBound_ = true;
   boundAt_ = aNow;
   lastRenewal_ = aNow;
--- a/src/ownership/LeaseHolder.hpp
+++ b/src/ownership/LeaseHolder.hpp
@@ -48,6 +48,16 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects);
 
+  /// Handles the warning of the grantor.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void OnDistress(const InstanceRef& aFrom, const Distress& aDistress);
+
+  /// Returns the level of which dependants are to be warned; 0 for none.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::uint8_t DistressLevel() const;
+
   /// Returns whether the instance lease is valid now.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
@@ -86,6 +96,9 @@
   void BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow);
   bool Adopt(const InstanceRef& aFrom, const HeartbeatReply& aReply, TimePoint aNow, Effects& aEffects);
 
+  /// Returns the instance to bind to now, or nothing if the current grantor is the right one.
+  std::optional<InstanceRef> RebindTarget(TimePoint aNow) const;
+
   InstanceRef self_;
   const OwnershipSettings& settings_;
   const Clock& clock_;
@@ -108,6 +121,8 @@
   TimePoint lastProbe_{};
   TimePoint lastUnbind_{};
   TimePoint lastSeek_{};
+  TimePoint distressAt_{};
+  std::uint8_t grantorDistress_ = 0;
   std::map<InstanceRef, Offer> offers_;
   /// Grantor to move to after the current one acknowledged the unbinding.
   std::optional<InstanceRef> next_;
--- a/src/ownership/Messages.hpp
+++ b/src/ownership/Messages.hpp
@@ -102,6 +102,20 @@
   }
 };
 
+/// Warns a dependant: the sender (level 1) or the sender's grantor (level 2) has lost both of its own
+/// grantors and will soon lose its lease.
+struct Distress
+{
+  std::uint64_t generation_ = 0;
+  std::uint8_t level_ = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(generation_, level_);
+  }
+};
+
 /// Rows of dependant_, from itself to its grantor or from its grantor to the backup grantor. The
 /// latter registers the binding even without rows.
 struct RowsUpdate
@@ -306,6 +320,7 @@
                                       BindOffer,
                                       Heartbeat,
                                       HeartbeatReply,
+                                      Distress,
                                       RowsUpdate,
                                       RowsAck,
                                       RowsDrop,
--- a/src/ownership/OwnershipNode.hpp
+++ b/src/ownership/OwnershipNode.hpp
@@ -116,6 +116,7 @@
   void Handle(const InstanceRef& aFrom, const BindOffer& aMessage);
   void Handle(const InstanceRef& aFrom, const Heartbeat& aMessage);
   void Handle(const InstanceRef& aFrom, const HeartbeatReply& aMessage);
+  void Handle(const InstanceRef& aFrom, const Distress& aMessage);
   void Handle(const InstanceRef& aFrom, const RowsUpdate& aMessage);
   void Handle(const InstanceRef& aFrom, const RowsAck& aMessage);
   void Handle(const InstanceRef& aFrom, const RowsDrop& aMessage);
--- a/src/ownership/OwnershipNodeMessages.cpp
+++ b/src/ownership/OwnershipNodeMessages.cpp
@@ -24,6 +24,11 @@
   }
 }
 
+void OwnershipNode::Handle(const InstanceRef& aFrom, const Distress& aMessage)
+{
+  holder_.OnDistress(aFrom, aMessage);
+}
+
 void OwnershipNode::Handle(const InstanceRef& aFrom, const RowsUpdate& aMessage)
 {
   grantor_.OnUpdate(aFrom, aMessage, effects_);
--- a/src/ownership/OwnershipSettings.hpp
+++ b/src/ownership/OwnershipSettings.hpp
@@ -20,6 +20,9 @@
   Duration margin_ = std::chrono::milliseconds(10);
   /// Silence of the grantor after which the backup grantor is asked too.
   Duration askBackupAfter_ = std::chrono::milliseconds(250);
+  /// Silence of grantor and backup grantor after which dependants are warned: later than the time in
+  /// which a backup grantor takes over, early enough for a move before the lease ends.
+  Duration distressAfter_ = std::chrono::milliseconds(450);
   /// Interval at which unacknowledged messages are sent again.
   Duration resend_ = std::chrono::milliseconds(30);
   Duration storeRetry_ = std::chrono::milliseconds(200);
