--- a/tests/unit/ownership/ExplorerTest.cpp
+++ b/tests/unit/ownership/ExplorerTest.cpp
@@ -44,6 +44,7 @@
   aSimulation.SetChurn(true);
   while (aSimulation.Steps() < aSteps) {
     aSimulation.SetRates(RandomRates(random));
+    aSimulation.SetFaultIntensity(random.Unit() * random.Unit());
     if (!aSimulation.Run(std::chrono::seconds(1))) {
       return;
     }
--- a/tests/unit/ownership/Simulation.hpp
+++ b/tests/unit/ownership/Simulation.hpp
@@ -80,6 +80,8 @@
   void HealAll();
   void SetStoreUp(bool aUp) { storeUp_ = aUp; }
   void SetRates(const FaultRates& aRates) { rates_ = aRates; }
+  /// Sets the share of planner rounds that are followed by a kill, cut, pause or store outage.
+  void SetFaultIntensity(double aIntensity) { intensity_ = aIntensity; }
   void SetChurn(bool aChurn) { churn_ = aChurn; }
 
   /// Has the planner assign shards and choose successors.
@@ -155,6 +157,7 @@
   std::map<ShardId, StoredRow> store_;
   bool storeUp_ = true;
   bool churn_ = false;
+  double intensity_ = 1.0;
   bool planner_ = true;
   bool plannerMoves_ = false;
   FaultRates rates_;
