--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -1,21 +1,21 @@
 #include "ownership/LeaseHolder.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace redwing {
 
 namespace {
 
 constexpr std::size_t kProbedPredecessors = 3;
+constexpr std::uint8_t kLeaveAtDistress = 2;
 
-std::int64_t
-ToWire(TimePoint aTime)
+std::int64_t ToWire(TimePoint aTime)
 {
   return aTime.time_since_epoch().count();
 }
 
-TimePoint
-FromWire(std::int64_t aTime)
+TimePoint FromWire(std::int64_t aTime)
 {
   return TimePoint(Duration(aTime));
 }
@@ -30,8 +30,7 @@
 {
 }
 
-void
-LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
+void LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
 {
   predecessors_.assign(aPredecessors.begin(), aPredecessors.end());
   ringKnown_ = true;
@@ -43,20 +42,17 @@
   }
 }
 
-bool
-LeaseHolder::LeaseValid() const
+bool LeaseHolder::LeaseValid() const
 {
   return !expired_ && clock_.Now() < instanceDeadline_;
 }
 
-bool
-LeaseHolder::GrantorLeaseValid() const
+bool LeaseHolder::GrantorLeaseValid() const
 {
   return !expired_ && clock_.Now() < grantorDeadline_;
 }
 
-void
-LeaseHolder::CheckExpiry(TimePoint aNow)
+void LeaseHolder::CheckExpiry(TimePoint aNow)
 {
   const bool hadLease = instanceDeadline_ != TimePoint{};
   if (hadLease ? aNow >= instanceDeadline_
@@ -65,8 +61,7 @@
   }
 }
 
-void
-LeaseHolder::Tick(Effects& aEffects)
+void LeaseHolder::Tick(Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -80,8 +75,7 @@
   }
 }
 
-void
-LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
+void LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
 {
   if (predecessors_.empty()) {
     // Nobody can decide that an incarnation that was never bound is dead, so it may grant itself
@@ -112,8 +106,7 @@
   }
 }
 
-void
-LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
+void LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
 {
   const bool late = !renewedHere_ || aNow - lastRenewal_ > settings_.heartbeat_ + settings_.resend_;
   if (aNow - lastHeartbeat_ >= (late ? settings_.resend_ : settings_.heartbeat_)) {
@@ -125,8 +118,7 @@
   TickRebind(aNow, aEffects);
 }
 
-void
-LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
+void LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
 {
   if (aNow - lastSeek_ < settings_.resend_) {
     return;
@@ -145,8 +137,7 @@
   }
 }
 
-void
-LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
+void LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
 {
   if (next_) {
     if (aNow - lastUnbind_ >= settings_.resend_) {
@@ -155,38 +146,85 @@
     }
     return;
   }
-  if (!mayRebind_ || predecessors_.empty() || predecessors_.front() == grantor_ ||
-      !GrantorLeaseValid() || !LeaseValid() || aNow - boundAt_ < settings_.heartbeat_) {
+  const std::optional<InstanceRef> target = RebindTarget(aNow);
+  if (!target) {
     return;
   }
-  const auto offer = offers_.find(predecessors_.front());
+  const auto offer = offers_.find(*target);
   if (offer != offers_.end() && offer->second.ready_ &&
       aNow - offer->second.receivedAt_ < settings_.heartbeat_) {
     next_ = offer->first;
     nextGeneration_ = offer->second.generation_;
     lastUnbind_ = aNow;
     aEffects.push_back(SendMessage{ grantor_, Unbind{ generation_ } });
-  } else if (aNow - lastProbe_ >= settings_.heartbeat_) {
+  } else if (aNow - lastProbe_ >= settings_.resend_) {
     lastProbe_ = aNow;
-    Probe(predecessors_.front(), aEffects);
+    Probe(*target, aEffects);
   }
 }
 
-void
-LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
+std::optional<InstanceRef> LeaseHolder::RebindTarget(TimePoint aNow) const
+{
+  if (!mayRebind_ || predecessors_.empty() || !GrantorLeaseValid() || !LeaseValid() ||
+      aNow - boundAt_ < settings_.heartbeat_) {
+    return std::nullopt;
+  }
+  const bool warned = grantorDistress_ > 0 && aNow - distressAt_ < settings_.instanceLease_;
+  if (warned && grantorDistress_ >= kLeaveAtDistress) {
+    // The target changes with time, so that one that does not answer is passed over.
+    std::vector<InstanceRef> others;
+    std::copy_if(predecessors_.begin(),
+                 predecessors_.end(),
+                 std::back_inserter(others),
+                 [&](const InstanceRef& aRef) { return aRef != grantor_ && aRef != backup_; });
+    if (!others.empty()) {
+      const auto turn = static_cast<std::size_t>((aNow - distressAt_) / settings_.resend_);
+      return others[turn % others.size()];
+    }
+  }
+  if (warned || predecessors_.front() == grantor_) {
+    return std::nullopt;
+  }
+  return predecessors_.front();
+}
+
+void LeaseHolder::OnDistress(const InstanceRef& aFrom, const Distress& aDistress)
+{
+  if (aFrom != grantor_ || aDistress.generation_ != generation_) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  if (grantorDistress_ == 0 || now - distressAt_ >= settings_.instanceLease_) {
+    distressAt_ = now;
+  }
+  grantorDistress_ = aDistress.level_;
+}
+
+std::uint8_t LeaseHolder::DistressLevel() const
+{
+  const TimePoint now = clock_.Now();
+  if (!everBound_ || instanceDeadline_ == TimePoint{}) {
+    return 0;
+  }
+  if (now - lastRenewal_ >= settings_.distressAfter_) {
+    return 1;
+  }
+  const bool warned = grantorDistress_ == 1 && now - distressAt_ < settings_.instanceLease_;
+  return warned ? kLeaveAtDistress : 0;
+}
+
+void LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
 {
   lastHeartbeat_ = aNow;
   aEffects.push_back(SendMessage{ grantor_, Heartbeat{ generation_, ToWire(aNow), grantor_ } });
 }
 
-void
-LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
+void LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
 {
   aEffects.push_back(SendMessage{ aTo, BindProbe{} });
 }
 
-void
-LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
+void LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
 {
   grantor_ = aGrantor;
   generation_ = aGeneration;
@@ -194,6 +232,7 @@
   // The promise of the former grantor does not bind the new one.
   grantorDeadline_ = TimePoint{};
   renewedHere_ = false;
+  grantorDistress_ = 0;
   everBound_ = true;
   boundAt_ = aNow;
   lastRenewal_ = aNow;
@@ -201,8 +240,7 @@
   offers_.clear();
 }
 
-void
-LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
+void LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -222,8 +260,7 @@
   offers_[aFrom] = Offer{ aOffer.generation_, aOffer.ready_, now };
 }
 
-bool
-LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
+bool LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -259,11 +296,10 @@
   return false;
 }
 
-bool
-LeaseHolder::Adopt(const InstanceRef& aFrom,
-                   const HeartbeatReply& aReply,
-                   TimePoint aNow,
-                   Effects& aEffects)
+bool LeaseHolder::Adopt(const InstanceRef& aFrom,
+                        const HeartbeatReply& aReply,
+                        TimePoint aNow,
+                        Effects& aEffects)
 {
   const auto left = left_.find(aFrom);
   const bool fresh = left == left_.end() || aReply.generation_ > left->second;
@@ -277,8 +313,7 @@
   return true;
 }
 
-void
-LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
+void LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
