Recheck withdrawn API keys before each attempt and bound owner waits

A request may wait for its body or an owner while its key is withdrawn; the key is now checked again when the configuration changed. The wait for an owner counts from the first miss, not from the request head, so that a slow upload does not use it up.

--- a/src/intake/CredentialTable.cpp
+++ b/src/intake/CredentialTable.cpp
@@ -23,4 +23,11 @@
   return found->second;
 }
 
+bool
+CredentialTable::Contains(const CallerKey& aKey) const
+{
+  const auto found = byHash_.find(aKey.hash_);
+  return found != byHash_.end() && *found->second == aKey;
+}
+
 } // namespace redwing
--- a/src/intake/CredentialTable.hpp
+++ b/src/intake/CredentialTable.hpp
@@ -21,6 +21,11 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   const CallerKey* Find(std::string_view aApiKey) const;
 
+  /// Returns whether aKey, of this or another revision, is still an API key of its workspace.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool Contains(const CallerKey& aKey) const;
+
 private:
   std::shared_ptr<const ConfigurationRevision> revision_;
   std::unordered_map<std::string_view, const CallerKey*> byHash_;
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -197,7 +197,7 @@
     return;
   }
   admitted_ = true;
-  if (!bodyDone_ && head_.expectsContinue_) {
+  if (!bodyDone_ && head_.expectsContinue_ && connection_.SpeaksHttp11()) {
     connection_.Out().append("HTTP/1.1 100 Continue\r\n\r\n");
     connection_.Flush(0);
   }
@@ -213,7 +213,7 @@
   } else {
     pending_.append(aBytes);
   }
-  if (attemptCount_ == 0) {
+  if (!started_) {
     BeginWhenReady();
   } else {
     SendBody();
@@ -244,10 +244,10 @@
 {
   // Waiting for a whole chunk keeps a slow upload from holding a slot and makes small bodies
   // replayable.
-  if (finished_ || !admitted_ || attemptCount_ > 0 ||
-      (!bodyDone_ && pending_.size() < kMaxChunkBytes)) {
+  if (finished_ || !admitted_ || started_ || (!bodyDone_ && pending_.size() < kMaxChunkBytes)) {
     return;
   }
+  started_ = true;
   streamed_ = !bodyDone_ || pending_.size() > kMaxChunkBytes;
   if (streamed_) {
     start_.body_ = pending_.substr(0, kMaxChunkBytes);
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -83,6 +83,7 @@
 
   // Attempts, in ExchangeAttempts.cpp
   void SendAttempt(const char* aReason);
+  bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
   void OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal);
@@ -124,6 +125,8 @@
   TimerQueue::Handle hedgeTimer_{};
 
   bool admitted_ = false;
+  /// The request was handed to the attempts; more body bytes are streamed.
+  bool started_ = false;
   bool finished_ = false;
   bool responding_ = false;
   bool keepsConnection_ = false;
@@ -142,6 +145,8 @@
   std::uint32_t attemptCount_ = 0;
   std::uint32_t unknownCount_ = 0;
   std::uint32_t backoffs_ = 0;
+  /// When the shard was first found without a serving owner.
+  std::optional<TimePoint> ownerMissingSince_;
 
   BodyFraming framing_ = BodyFraming::None;
   std::optional<std::uint64_t> responseLength_;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -90,10 +90,23 @@
   SendBody();
 }
 
+bool
+Exchange::KeyStillValid() const
+{
+  // A request may wait long for its body, its admission or an owner.
+  return key_ == nullptr || core_.Routes() == routes_ || core_.Credentials().Contains(*key_);
+}
+
 bool
 Exchange::ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad)
 {
   core_.RefreshView();
+  if (!KeyStillValid()) {
+    Refuse(ErrorCode::InvalidKey,
+           "the API key was withdrawn",
+           unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
+    return false;
+  }
   if (start_.shard_) {
     if (!ownerHint_.empty()) {
       aInstanceId = std::exchange(ownerHint_, {});
@@ -260,7 +273,10 @@
 Exchange::RetryLater()
 {
   const TimePoint now = core_.Now();
-  if (now - begun_ >= core_.Settings().ownerWait_ || now >= deadline_) {
+  if (!ownerMissingSince_) {
+    ownerMissingSince_ = now;
+  }
+  if (now - *ownerMissingSince_ >= core_.Settings().ownerWait_ || now >= deadline_) {
     Refuse(ErrorCode::NoOwner,
            "no instance serves the shard at present",
            unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
@@ -393,8 +409,7 @@
 void
 Exchange::OnHedgeTimer()
 {
-  if (responding_ || attempts_.size() != 1 || unknownCount_ > 0 ||
-      attempts_.size() >= kMaxPossibleRuns) {
+  if (responding_ || attempts_.size() != 1 || unknownCount_ > 0) {
     return;
   }
   excluded_.push_back(attempts_.front().instanceId_);
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -10,6 +10,8 @@
 
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
+/// More unsent bytes than this mean that the serving side ignores its window.
+constexpr std::size_t kMaxUnsentBytes = 4 * kBodyWindowBytes;
 
 } // namespace
 
@@ -123,6 +125,10 @@
       return;
     }
   }
+  if (out.size() > kMaxUnsentBytes) {
+    AbortResponse();
+    return;
+  }
   if (framing_ == BodyFraming::Chunked) {
     AppendChunk(out, aBytes);
     out.append(aLast ? "0\r\n\r\n" : "");
--- a/src/intake/RequestHead.cpp
+++ b/src/intake/RequestHead.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/// Owners of shards keep these keys in memory.
+constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
 constexpr std::string_view kBearer = "Bearer ";
 constexpr std::string_view kOwnPrefix = "redwing-";
 constexpr std::array<std::string_view, 10> kHopByHop{
@@ -139,6 +141,9 @@
     if (!aHead.idempotencyKey_.empty()) {
       return "more than one Idempotency-Key header";
     }
+    if (aHeader.value_.size() > kMaxIdempotencyKeyBytes) {
+      return "the Idempotency-Key is too long";
+    }
     aHead.idempotencyKey_ = aHeader.value_;
   }
   aHead.headers_.push_back(std::move(aHeader));
--- a/tests/unit/intake/IntakeRequestTest.cpp
+++ b/tests/unit/intake/IntakeRequestTest.cpp
@@ -86,6 +86,18 @@
   BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Error: invalid_key"));
 }
 
+// Guards against a request that is sent with an API key that was withdrawn during its upload.
+BOOST_AUTO_TEST_CASE(KeyWithdrawnDuringTheUploadStopsTheRequest)
+{
+  Caller caller(*this);
+  caller.Request("POST /upload/1", "Content-Length: 2\r\nExpect: 100-continue\r\n", "a");
+  caller.ReadPast("100 Continue\r\n\r\n");
+  Publish(false);
+  caller.Send("b");
+  BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Error: invalid_key"));
+  BOOST_TEST(sent_.empty());
+}
+
 // Guards against request smuggling: framing that two readers may read differently.
 BOOST_AUTO_TEST_CASE(RefusesAmbiguousFramingAndCloses)
 {
--- a/tests/unit/intake/IntakeRetryTest.cpp
+++ b/tests/unit/intake/IntakeRetryTest.cpp
@@ -61,6 +61,29 @@
   BOOST_TEST(sent_.empty());
 }
 
+// Guards against a body that is lost or sent twice while its shard has no owner.
+BOOST_AUTO_TEST_CASE(UploadWaitsForAnOwner)
+{
+  owner_.clear();
+  successor_.clear();
+  Publish();
+  Caller caller(*this);
+  const std::string body(100'000, 'x');
+  caller.Request("POST /book/42", "Content-Length: 100000\r\n");
+  caller.Send(body);
+  owner_ = "a";
+  Publish();
+  const RequestStart request = NextSent();
+  RunUntil([&] { return !events_.empty(); });
+  std::string received = request.body_;
+  for (const RequestBody& part : EventsOf<RequestBody>()) {
+    received += part.bytes_;
+  }
+  BOOST_TEST((received == body));
+  Answer(request, "booked");
+  caller.ReadPast("booked");
+}
+
 // Guards against a second execution: a request that may not be repeated is sent once when the
 // link is lost, and its outcome is unknown.
 BOOST_AUTO_TEST_CASE(LostLinkOfANonIdempotentRequestIsUnknown)
