Add tests of admission and backend

Cause: the decision classes and the way to the backend server had no tests.

Change: seeded tests of the decision classes and loopback tests of BackendService against a small HTTP server. The inbox of the peer tests moves to tests/support.

--- /dev/null
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -0,0 +1,155 @@
+#include "admission/ColdStartRamp.hpp"
+#include "admission/IdempotencyTable.hpp"
+#include "admission/LoadEstimator.hpp"
+#include "admission/PoisonRegistry.hpp"
+#include "admission/SlotLimiter.hpp"
+#include "core/Random.hpp"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kNow{ 100s };
+const IdempotencyKey kKey{ { "booking", 3 }, "w", "once" };
+
+} // namespace
+
+// Guards against exceeding the announced slots and against a limit that never recovers from sheds.
+BOOST_AUTO_TEST_CASE(LimitStaysWithinSlotsAndRecovers)
+{
+  SlotLimiter limiter;
+  limiter.SetSlots(9);
+  Random random(5);
+  TimePoint now = kNow;
+  for (int i = 0; i < 20000; ++i) {
+    now += 1ms;
+    if (limiter.TryAcquire()) {
+      BOOST_REQUIRE(limiter.Running() <= 9U);
+    } else {
+      if (random.Below(10) == 0) {
+        limiter.OnShed(now);
+      } else {
+        limiter.OnSuccess();
+      }
+      limiter.Release();
+    }
+    BOOST_REQUIRE(limiter.Limit() >= 1U);
+  }
+  for (int i = 0; i < 200; ++i) {
+    while (limiter.TryAcquire()) {
+    }
+    limiter.OnSuccess();
+    limiter.Release();
+  }
+  BOOST_TEST(limiter.Limit() == 9U);
+}
+
+// Guards against full load on a cold server, growth without evidence, and a ramp that never ends.
+BOOST_AUTO_TEST_CASE(RampGrowsOnlyWithSuccessesAndFallsOnSheds)
+{
+  ColdStartRamp ramp;
+  ramp.Configure(1, 4s, 12);
+  TimePoint now = kNow;
+  ramp.Begin(now);
+  now += 1h;
+  BOOST_TEST(ramp.Allowed() == 1U);
+  ramp.OnSuccess(now);
+  BOOST_TEST(ramp.Allowed() == 2U);
+  now += 1s;
+  ramp.OnShed(now);
+  BOOST_TEST(ramp.Allowed() == 1U);
+  ramp.SetCold(true, now);
+  for (int i = 0; i < 1000; ++i) {
+    now += 10ms;
+    ramp.OnSuccess(now);
+  }
+  BOOST_TEST(ramp.Allowed() == 1U);
+  ramp.SetCold(false, now);
+  for (int i = 0; i < 1000; ++i) {
+    now += 10ms;
+    ramp.OnSuccess(now);
+  }
+  BOOST_TEST(!ramp.Ramping());
+  for (int i = 0; i < 5; ++i) {
+    ramp.OnShed(now);
+  }
+  BOOST_TEST(ramp.Allowed() == 6U);
+}
+
+// Guards against refusing work for ever because of the last slow samples.
+BOOST_AUTO_TEST_CASE(EstimateFadesWithoutSamples)
+{
+  LoadEstimator estimator;
+  estimator.Add(1s, kNow);
+  BOOST_TEST((estimator.ServiceTime(kNow) == Duration(1s)));
+  BOOST_TEST((estimator.ServiceTime(kNow + 5s) < Duration(1ms)));
+}
+
+// Guards against a second run under one key, in flight, after its end, and after a change of owner.
+BOOST_AUTO_TEST_CASE(EntryPreventsASecondRunAlsoAtTheNextOwner)
+{
+  IdempotencyTable owner;
+  IdempotencyTable successor;
+  BOOST_TEST((owner.Begin(kKey, 1, kNow) == IdempotencyVerdict::New));
+  BOOST_TEST((owner.Begin(kKey, 1, kNow) == IdempotencyVerdict::InFlight));
+  BOOST_TEST((owner.Begin(kKey, 2, kNow) == IdempotencyVerdict::Conflict));
+  successor.Import(owner.Export(kKey.shard_));
+  BOOST_TEST((successor.Begin(kKey, 1, kNow) == IdempotencyVerdict::Unknown));
+  const auto running = owner.Export(kKey.shard_);
+  owner.Complete(kKey, StoredResponse{ 200, {}, "first" }, kNow);
+  successor.Import(owner.Export(kKey.shard_));
+  successor.Import(running);
+  BOOST_TEST((successor.Begin(kKey, 1, kNow) == IdempotencyVerdict::Replay));
+  BOOST_TEST(successor.Find(kKey)->response_->body_ == "first");
+  const std::array abandoned{ owner.Abandon(kKey) };
+  successor.Import(abandoned);
+  BOOST_TEST((successor.Begin(kKey, 1, kNow) == IdempotencyVerdict::New));
+}
+
+// Guards against unbounded memory, and against forgetting a request while making room.
+BOOST_AUTO_TEST_CASE(TableIsBoundedButForgetsOnlyResponses)
+{
+  IdempotencyLimits limits;
+  limits.entries_ = 10;
+  limits.responseBytes_ = 100;
+  IdempotencyTable table(limits);
+  for (int i = 0; i < 10; ++i) {
+    const IdempotencyKey key{ { "s", 0 }, "w", std::to_string(i) };
+    BOOST_TEST((table.Begin(key, 1, kNow) == IdempotencyVerdict::New));
+    table.Complete(key, StoredResponse{ 200, {}, std::string(40, 'x') }, kNow);
+    BOOST_TEST(table.ResponseBytes() <= 100U);
+  }
+  BOOST_TEST((table.Begin({ { "s", 0 }, "w", "0" }, 1, kNow) == IdempotencyVerdict::Unknown));
+  BOOST_TEST((table.Begin({ { "s", 0 }, "w", "9" }, 1, kNow) == IdempotencyVerdict::Replay));
+  BOOST_TEST((table.Begin(kKey, 1, kNow) == IdempotencyVerdict::Full));
+  BOOST_TEST((table.Begin(kKey, 1, kNow + 11min) == IdempotencyVerdict::New));
+  BOOST_TEST(table.Size() == 1U);
+}
+
+// Guards against a third crash by one request, against counting one crash twice through gossip, and
+// against refusing innocent requests for long.
+BOOST_AUTO_TEST_CASE(TwoCrashesPoisonAndACompletedTrialClears)
+{
+  PoisonRegistry first;
+  PoisonRegistry second;
+  const std::array<std::uint64_t, 2> running{ 1, 2 };
+  const auto gossip = first.RecordCrash("s", running, "a/1", kNow);
+  second.Merge(gossip);
+  second.Merge(gossip);
+  BOOST_TEST((second.Check("s", 1, kNow) == PoisonVerdict::Suspect));
+  BOOST_TEST((second.Check("other", 1, kNow) == PoisonVerdict::Clear));
+  BOOST_TEST(second.BeginTrial("s", 1));
+  BOOST_TEST(!second.BeginTrial("s", 1));
+  second.EndTrial("s", 1, false);
+  second.RecordCrash("s", std::span(running).first(1), "b/1", kNow);
+  BOOST_TEST((second.Check("s", 1, kNow) == PoisonVerdict::Poisoned));
+  BOOST_TEST(second.BeginTrial("s", 2));
+  second.EndTrial("s", 2, true);
+  second.Merge(gossip);
+  BOOST_TEST((second.Check("s", 2, kNow) == PoisonVerdict::Clear));
+  BOOST_TEST((second.Check("s", 1, kNow + 11min) == PoisonVerdict::Clear));
+}
--- /dev/null
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -0,0 +1,431 @@
+#include "backend/BackendService.hpp"
+
+#include "FakeServer.hpp"
+#include "core/SteadyClock.hpp"
+#include "support/Inbox.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+using redwing::test::FakeRequest;
+using redwing::test::FakeServer;
+using redwing::test::Inbox;
+namespace asio = boost::asio;
+
+namespace {
+
+class FakeGate final : public OwnershipGate
+{
+public:
+  GateAnswer Check(const ShardId&, TimePoint) const override
+  {
+    GateAnswer answer;
+    answer.owned_ = owned_;
+    answer.token_ = 7;
+    answer.owner_ = { "elsewhere", 1 };
+    return answer;
+  }
+  GateAnswer BeginRequest(const ShardId& aShard, TimePoint aNow) override
+  {
+    const auto answer = Check(aShard, aNow);
+    running_ += answer.owned_ ? 1 : 0;
+    return answer;
+  }
+  void EndRequest(const ShardId&) override { --running_; }
+
+  std::atomic<bool> owned_{ true };
+  std::atomic<int> running_{ 0 };
+};
+
+class Bench
+{
+public:
+  using Replicate = std::function<void(const IdempotencyEntry&, std::function<void(bool)>)>;
+
+  explicit Bench(FakeServer::Handler aHandler, std::uint32_t aSlots = 4, Replicate aReplicate = {})
+    : server_([this, handler = std::move(aHandler)](const FakeRequest& aRequest) {
+      if (aRequest.target_.starts_with("/redwing/")) {
+        control_.Add(aRequest);
+        return FakeServer::Answer{ FakeServer::Ok(
+          R"({"ready":true,"draining":false,"cold":false,"outstanding":0,"slots":4})") };
+      }
+      seen_.Add(aRequest);
+      return handler(aRequest);
+    })
+    , service_(context_,
+               clock_,
+               view_,
+               gate_,
+               counters_,
+               { { "self", 1 }, 1024, 64 },
+               { [this](ResponseEvent&& aEvent) { responses_.Add(std::move(aEvent)); },
+                 [this](const BackendStatus& aStatus) {
+                   if (aStatus.state_ != BackendState::Down) {
+                     up_.Add(1);
+                   }
+                 },
+                 std::move(aReplicate),
+                 [this](const std::vector<PoisonEntry>& aEntries) { poison_.Add(aEntries); } })
+  {
+    ConfigurationRevision revision;
+    revision.revision_ = 5;
+    revision.configuration_.keys_ = { { "k1", "w", "" } };
+    Service service;
+    service.id_ = "svc";
+    service.coldStart_.initial_ = aSlots;
+    revision.configuration_.services_ = { service };
+    auto view = std::make_shared<RoutingView>();
+    view->configuration_ = std::make_shared<ConfigurationRevision>(std::move(revision));
+    view->self_ = { "self", 1 };
+    view_.Set(view);
+    service_.Start();
+    thread_ = std::thread([this] { context_.run(); });
+    service_.OnAnnounce({ "svc", { "127.0.0.1", server_.Port() }, aSlots, 32, {} });
+    up_.Await(1);
+  }
+  ~Bench()
+  {
+    service_.Stop();
+    context_.stop();
+    thread_.join();
+  }
+
+  RequestStart Make(std::uint64_t aId)
+  {
+    RequestStart start;
+    start.key_ = { kLocalLink, aId };
+    start.requestId_ = "r" + std::to_string(aId);
+    start.service_ = "svc";
+    start.workspace_ = "w";
+    start.method_ = "POST";
+    start.target_ = "/things/" + std::to_string(aId);
+    start.deadline_ = clock_.Now() + 10s;
+    start.fingerprint_ = aId;
+    start.keyId_ = "k1";
+    return start;
+  }
+  ResponseEvent Run(RequestStart&& aStart)
+  {
+    const auto before = responses_.Size();
+    BOOST_REQUIRE(service_.TryStart(std::move(aStart)));
+    return responses_.Await(before + 1)[before];
+  }
+
+  FakeGate gate_;
+  SteadyClock clock_;
+  CounterRegistry counters_;
+  Published<RoutingView> view_{ std::make_shared<RoutingView>() };
+  Inbox<FakeRequest> seen_;
+  Inbox<FakeRequest> control_;
+  Inbox<ResponseEvent> responses_;
+  Inbox<int> up_;
+  Inbox<std::vector<PoisonEntry>> poison_;
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_{ context_.get_executor() };
+  FakeServer server_;
+  BackendService service_;
+  std::thread thread_;
+};
+
+FakeServer::Answer
+Echo(const FakeRequest& aRequest)
+{
+  return { FakeServer::Ok(aRequest.target_ + " " + aRequest.body_) };
+}
+
+const Refusal&
+RefusalIn(const ResponseEvent& aEvent)
+{
+  BOOST_REQUIRE(std::holds_alternative<Refusal>(aEvent));
+  return std::get<Refusal>(aEvent);
+}
+
+} // namespace
+
+// Guards against crossed responses and lost bodies while connections are reused under load.
+BOOST_AUTO_TEST_CASE(EachRequestGetsItsOwnResponse)
+{
+  Bench bench(Echo);
+  constexpr std::uint64_t kRequests = 60;
+  for (std::uint64_t id = 1; id <= kRequests; ++id) {
+    auto start = bench.Make(id);
+    start.body_ = "body " + std::to_string(id);
+    BOOST_REQUIRE(bench.service_.TryStart(std::move(start)));
+  }
+  for (const auto& event : bench.responses_.Await(kRequests)) {
+    BOOST_REQUIRE(std::holds_alternative<ResponseStart>(event));
+    const auto& response = std::get<ResponseStart>(event);
+    const auto id = std::to_string(response.key_.exchangeId_);
+    BOOST_TEST(response.body_ == "/things/" + id + " body " + id);
+  }
+}
+
+// Guards against leaking the caller's key or forged router headers, and against missing own ones.
+BOOST_AUTO_TEST_CASE(BackendSeesRouterHeadersButNoKey)
+{
+  Bench bench(Echo);
+  auto start = bench.Make(1);
+  start.shard_ = ShardTarget{ 17, 7 };
+  start.headers_ = { { "Authorization", "Bearer secret" },
+                     { "Redwing-Workspace", "forged" },
+                     { "X-Bad", "a\r\nX-Injected: 1" },
+                     { "X-Good", "yes" } };
+  bench.Run(std::move(start));
+  const auto head = bench.seen_.Await(1).front().head_;
+  for (const auto* present : { "Redwing-Request-Id: r1\r\n",
+                               "Redwing-Workspace: w\r\n",
+                               "Redwing-Shard: svc/17\r\n",
+                               "Redwing-Token: 7\r\n",
+                               "Redwing-Deadline-Ms: ",
+                               "X-Good: yes\r\n" }) {
+    BOOST_TEST(head.find(present) != std::string::npos, present);
+  }
+  for (const auto* absent : { "secret", "forged", "X-Injected" }) {
+    BOOST_TEST(head.find(absent) == std::string::npos, absent);
+  }
+}
+
+// Guards against a body larger than one window that stalls or is cut, in either direction.
+BOOST_AUTO_TEST_CASE(LargeBodiesAreStreamedUnderCredit)
+{
+  Bench bench(Echo);
+  const std::string part(kMaxChunkBytes, 'x');
+  constexpr int kParts = 16;
+  auto start = bench.Make(1);
+  const auto key = start.key_;
+  start.last_ = false;
+  start.contentLength_ = kParts * part.size();
+  BOOST_REQUIRE(bench.service_.TryStart(std::move(start)));
+  for (int i = 1; i <= kParts; ++i) {
+    bench.service_.Handle(RequestBody{ key, part, i == kParts });
+  }
+  std::size_t body = 0;
+  std::size_t credit = 0;
+  std::size_t next = 0;
+  for (bool last = false; !last;) {
+    const auto event = bench.responses_.Await(next + 1)[next];
+    ++next;
+    std::size_t size = 0;
+    if (const auto* given = std::get_if<RequestCredit>(&event)) {
+      credit += given->bytes_;
+    } else if (const auto* head = std::get_if<ResponseStart>(&event)) {
+      size = head->body_.size();
+      last = head->last_;
+    } else {
+      size = std::get<ResponseBody>(event).bytes_.size();
+      last = std::get<ResponseBody>(event).last_;
+    }
+    body += size;
+    bench.service_.Handle(ResponseCredit{ key, static_cast<std::uint32_t>(size) });
+  }
+  BOOST_TEST(body == kParts * part.size() + std::string("/things/1 ").size());
+  BOOST_TEST(credit == kParts * part.size());
+}
+
+// Guards against presenting a truncated response as complete.
+BOOST_AUTO_TEST_CASE(TruncatedResponseIsAborted)
+{
+  Bench bench([](const FakeRequest&) {
+    return FakeServer::Answer{ "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf", true };
+  });
+  const auto first = bench.Run(bench.Make(1));
+  BOOST_TEST(!std::get<ResponseStart>(first).last_);
+  const auto events = bench.responses_.Await(2);
+  BOOST_TEST(std::holds_alternative<ResponseAbort>(events[1]));
+}
+
+// Guards against running a non-idempotent request twice and against losing an idempotent one, when
+// the server closes a kept connection without a response.
+BOOST_AUTO_TEST_CASE(OnlyIdempotentRequestsAreResent)
+{
+  std::atomic<bool> drop{ true };
+  Bench bench([&](const FakeRequest& aRequest) {
+    return drop.exchange(false) ? FakeServer::Answer{ "", true } : Echo(aRequest);
+  });
+  const auto refusal = RefusalIn(bench.Run(bench.Make(1)));
+  BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
+  BOOST_TEST(bench.seen_.Size() == 1U);
+  drop = true;
+  auto start = bench.Make(2);
+  start.idempotent_ = true;
+  BOOST_TEST(std::get<ResponseStart>(bench.Run(std::move(start))).status_ == 200);
+  BOOST_TEST(bench.seen_.Size() == 3U);
+}
+
+// Guards against calling a shed request unknown, and against passing the shed on as a response.
+BOOST_AUTO_TEST_CASE(ShedIsNotRun)
+{
+  Bench bench([](const FakeRequest&) {
+    return FakeServer::Answer{
+      "HTTP/1.1 503 Busy\r\nRedwing-Shed: not-run\r\nContent-Length: 0\r\n\r\n"
+    };
+  });
+  const auto refusal = RefusalIn(bench.Run(bench.Make(1)));
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refusal.code_ == ErrorCode::Overloaded));
+}
+
+// Guards against a second run under the same Idempotency-Key, and against dispatch before the entry
+// is replicated.
+BOOST_AUTO_TEST_CASE(IdempotencyKeyRunsOnceAfterReplication)
+{
+  Inbox<std::function<void(bool)>> waiting;
+  Bench bench(Echo, 4, [&](const IdempotencyEntry& aEntry, std::function<void(bool)> aDone) {
+    if (aEntry.state_ == IdempotencyState::Running) {
+      waiting.Add(std::move(aDone));
+    }
+  });
+  const auto make = [&](std::uint64_t aId, std::uint64_t aFingerprint) {
+    auto start = bench.Make(aId);
+    start.shard_ = ShardTarget{ 1, 7 };
+    start.idempotencyKey_ = "once";
+    start.fingerprint_ = aFingerprint;
+    return start;
+  };
+  BOOST_REQUIRE(bench.service_.TryStart(make(1, 1)));
+  const auto done = waiting.Await(1).front();
+  BOOST_TEST((RefusalIn(bench.Run(make(2, 1))).code_ == ErrorCode::IdempotencyInFlight));
+  BOOST_TEST(bench.seen_.Size() == 0U);
+  done(true);
+  bench.responses_.Await(2);
+  BOOST_TEST(std::get<ResponseStart>(bench.Run(make(3, 1))).body_ == "/things/1 ");
+  BOOST_TEST((RefusalIn(bench.Run(make(4, 2))).code_ == ErrorCode::IdempotencyConflict));
+  BOOST_TEST(bench.seen_.Size() == 1U);
+  BOOST_TEST(bench.gate_.running_ == 0);
+}
+
+// Guards against serving without ownership, with a withdrawn key, or for another service.
+BOOST_AUTO_TEST_CASE(RequestsThatMustNotRunAreRefused)
+{
+  Bench bench(Echo);
+  const auto code = [&](RequestStart&& aStart) {
+    const auto refusal = RefusalIn(bench.Run(std::move(aStart)));
+    BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+    return refusal.code_;
+  };
+  auto withdrawn = bench.Make(1);
+  withdrawn.keyId_ = "gone";
+  BOOST_TEST((code(std::move(withdrawn)) == ErrorCode::InvalidKey));
+  auto other = bench.Make(2);
+  other.service_ = "other";
+  BOOST_TEST((code(std::move(other)) == ErrorCode::NoBackendServer));
+  auto late = bench.Make(3);
+  late.deadline_ = bench.clock_.Now();
+  BOOST_TEST((code(std::move(late)) == ErrorCode::DeadlineExceeded));
+  bench.gate_.owned_ = false;
+  auto foreign = bench.Make(4);
+  foreign.shard_ = ShardTarget{ 1, 7 };
+  BOOST_TEST((code(std::move(foreign)) == ErrorCode::NotOwner));
+  BOOST_TEST(bench.seen_.Size() == 0U);
+}
+
+// Guards against a key that is withdrawn while its request waits for a slot.
+BOOST_AUTO_TEST_CASE(KeyWithdrawnWhileQueuedIsNotRun)
+{
+  std::promise<void> release;
+  auto released = release.get_future().share();
+  Bench bench(
+    [&](const FakeRequest& aRequest) {
+      released.wait();
+      return Echo(aRequest);
+    },
+    1);
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
+  bench.seen_.Await(1);
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(2)));
+  // The mailbox keeps the order, so the refusal of this one shows that the second is queued.
+  auto marker = bench.Make(3);
+  marker.service_ = "other";
+  bench.Run(std::move(marker));
+  auto view = std::make_shared<RoutingView>(*bench.view_.Get());
+  view->configuration_ = std::make_shared<ConfigurationRevision>();
+  bench.view_.Set(view);
+  release.set_value();
+  const auto refusal = RefusalIn(bench.responses_.Await(3)[2]);
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refusal.code_ == ErrorCode::InvalidKey));
+  BOOST_TEST(bench.seen_.Size() == 1U);
+}
+
+// Guards against a cancelled request that keeps its caller waiting or is not cancelled at the
+// server, and against "not run" for one that was sent.
+BOOST_AUTO_TEST_CASE(CancelReachesQueueAndServer)
+{
+  std::promise<void> release;
+  auto released = release.get_future().share();
+  Bench bench(
+    [&](const FakeRequest& aRequest) {
+      released.wait();
+      return Echo(aRequest);
+    },
+    1);
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
+  bench.seen_.Await(1);
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(2)));
+  bench.service_.Handle(RequestCancel{ { kLocalLink, 2 } });
+  BOOST_TEST((RefusalIn(bench.responses_.Await(1)[0]).outcome_ == Outcome::NotRun));
+  bench.service_.Handle(RequestCancel{ { kLocalLink, 1 } });
+  BOOST_TEST((RefusalIn(bench.responses_.Await(2)[1]).outcome_ == Outcome::Unknown));
+  bool cancelled = false;
+  for (std::size_t count = 1; !cancelled; ++count) {
+    const auto request = bench.control_.Await(count)[count - 1];
+    cancelled =
+      request.target_ == "/redwing/cancel" && request.body_.find("\"r1\"") != std::string::npos;
+  }
+  release.set_value();
+}
+
+// Guards against a request that crashes one server after another: it must be known as suspect
+// before its caller hears of the failure.
+BOOST_AUTO_TEST_CASE(CrashIsRecordedBeforeTheCallerIsTold)
+{
+  std::promise<void> crash;
+  auto crashed = crash.get_future().share();
+  Bench bench([&](const FakeRequest&) {
+    crashed.wait();
+    return FakeServer::Answer{ "", true };
+  });
+  auto start = bench.Make(1);
+  start.fingerprint_ = 99;
+  BOOST_REQUIRE(bench.service_.TryStart(std::move(start)));
+  bench.seen_.Await(1);
+  std::thread stopper([&] { bench.server_.Crash(); });
+  crash.set_value();
+  const auto refusal = RefusalIn(bench.responses_.Await(1).front());
+  BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
+  const auto entries = bench.poison_.Await(1).front();
+  BOOST_TEST(entries.front().fingerprint_ == 99U);
+  stopper.join();
+}
+
+// Guards against grants that don't reach the server, and against a drain that ends too early.
+BOOST_AUTO_TEST_CASE(GrantsAreSentAndDrainWaitsForRunningRequests)
+{
+  std::promise<void> release;
+  auto released = release.get_future().share();
+  Bench bench([&](const FakeRequest& aRequest) {
+    released.wait();
+    return Echo(aRequest);
+  });
+  Inbox<bool> acknowledged;
+  bench.service_.SetGrants({ { { "svc", 3 }, 12 } }, bench.clock_.Now() + 1s, [&](bool aAccepted) {
+    acknowledged.Add(aAccepted);
+  });
+  BOOST_TEST(acknowledged.Await(1).front());
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
+  bench.seen_.Await(1);
+  Inbox<int> drained;
+  bench.service_.BeginDrain([&] { drained.Add(1); });
+  BOOST_TEST((RefusalIn(bench.Run(bench.Make(2))).code_ == ErrorCode::Draining));
+  BOOST_TEST(drained.Size() == 0U);
+  release.set_value();
+  drained.Await(1);
+  bool granted = false;
+  for (const auto& request : bench.control_.Await(1)) {
+    granted = granted || request.body_.find(R"("shard":"svc/3","token":12)") != std::string::npos;
+  }
+  BOOST_TEST(granted);
+}
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -1,45 +1,21 @@
 #include "peer/PeerService.hpp"
 
 #include "core/SteadyClock.hpp"
+#include "support/Inbox.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
-#include <condition_variable>
 #include <thread>
 
 using namespace redwing;
 using namespace std::chrono_literals;
+using redwing::test::Inbox;
 namespace asio = boost::asio;
 
 namespace {
 
-/// Collects items from another thread and waits for them.
-template<typename T>
-class Inbox
-{
-public:
-  void Add(T aItem)
-  {
-    std::lock_guard lock(mutex_);
-    items_.push_back(std::move(aItem));
-    changed_.notify_all();
-  }
-  std::vector<T> Await(std::size_t aCount)
-  {
-    std::unique_lock lock(mutex_);
-    const bool arrived = changed_.wait_for(lock, 20s, [&] { return items_.size() >= aCount; });
-    BOOST_REQUIRE(arrived);
-    return items_;
-  }
-
-private:
-  std::mutex mutex_;
-  std::condition_variable changed_;
-  std::vector<T> items_;
-};
-
 class Node
 {
 public:
