Add redwingctl

Cause: operators need a command for every verb of the public interface. Ruled out: trying the next instance after a change was sent, because its outcome is then unknown.

--- /dev/null
+++ b/src/ctl/ClusterCommands.cpp
@@ -0,0 +1,147 @@
+#include "ctl/ClusterCommands.hpp"
+
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+namespace redwing::ctl {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+/// Returns a member for a table cell; owners are shown as `id#incarnation`.
+std::string
+Cell(const Json& aObject, const char* aName)
+{
+  const auto found = aObject.is_object() ? aObject.find(aName) : aObject.end();
+  if (!aObject.is_object() || found == aObject.end() || found->is_null()) {
+    return "-";
+  }
+  if (found->is_object()) {
+    return Cell(*found, "id") + "#" + Cell(*found, "incarnation");
+  }
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+void
+PrintArray(Session& aSession, const Json& aArray, const Row& aColumns)
+{
+  std::vector<Row> rows;
+  for (const Json& entry : aArray) {
+    Row row;
+    for (const std::string& column : aColumns) {
+      row.push_back(Cell(entry, column.c_str()));
+    }
+    rows.push_back(std::move(row));
+  }
+  aSession.PrintTable(aColumns, rows);
+}
+
+/// Prints the array aName of a reply as a table, or the reply as JSON.
+Exit
+PrintReply(Session& aSession, const std::string& aBody, const char* aName, const Row& aColumns)
+{
+  const Json reply = Json::parse(aBody, nullptr, false);
+  if (!reply.is_object() || !reply.contains(aName)) {
+    aSession.Err() << "redwingctl: the instance sent a reply that cannot be read\n";
+    return Exit::Unknown;
+  }
+  if (aSession.Settings().output_ == OutputFormat::Json) {
+    aSession.Out() << reply.dump() << "\n";
+  } else {
+    PrintArray(aSession, reply[aName], aColumns);
+  }
+  return Exit::Done;
+}
+
+const Row&
+MemberColumns()
+{
+  static const Row kColumns{ "id",       "incarnation", "data_centre", "service", "state",
+                             "revision", "reachable",   "lease_valid", "shards" };
+  return kColumns;
+}
+
+} // namespace
+
+Exit
+ClusterCommands::IssueKey(const std::string& aId, const std::string& aWorkspace)
+{
+  const Json body{ { "id", aId }, { "workspace", aWorkspace } };
+  return session_.Change(
+    "POST", "/v1/keys", body.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+Exit
+ClusterCommands::WithdrawKey(const std::string& aId)
+{
+  return session_.Change("DELETE", "/v1/keys/" + aId, {});
+}
+
+Exit
+ClusterCommands::SetDataCentre(const std::string& aId, bool aWithdrawn)
+{
+  return session_.Change(
+    "POST", "/v1/data-centres/" + aId + (aWithdrawn ? "/withdraw" : "/restore"), {});
+}
+
+Exit
+ClusterCommands::Instances()
+{
+  return session_.Read("/v1/members", [&](const std::string& aBody) {
+    return PrintReply(session_, aBody, "members", MemberColumns());
+  });
+}
+
+Exit
+ClusterCommands::Drain()
+{
+  if (session_.Settings().instances_.size() != 1) {
+    session_.Err() << "redwingctl: drain needs exactly one --instance, the one to drain\n";
+    return Exit::Usage;
+  }
+  return session_.Change("POST", "/v1/drain", {});
+}
+
+Exit
+ClusterCommands::Shards(const std::string& aService)
+{
+  return session_.Read("/v1/shards?service=" + aService, [&](const std::string& aBody) {
+    return PrintReply(
+      session_, aBody, "shards", { "shard", "state", "owner", "token", "successor" });
+  });
+}
+
+Exit
+ClusterCommands::ForceShard(const std::string& aService, std::uint32_t aShard)
+{
+  const Json body{ { "service", aService }, { "shard", aShard } };
+  return session_.Change(
+    "POST", "/v1/force-shard", body.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+Exit
+ClusterCommands::Status()
+{
+  return session_.Read("/v1/status", [&](const std::string& aBody) {
+    const Json status = Json::parse(aBody, nullptr, false);
+    if (status.is_object() && session_.Settings().output_ == OutputFormat::Table) {
+      const Json none;
+      const Json& store = status.contains("store") ? status["store"] : none;
+      const Json& worst = status.contains("worst_workspace") ? status["worst_workspace"] : none;
+      session_.Out() << "revision: " << Cell(status, "revision") << "\n"
+                     << "store reachable: " << Cell(store, "reachable") << "\n"
+                     << "worst workspace: " << Cell(worst, "id") << " (requests "
+                     << Cell(worst, "requests") << ", refused " << Cell(worst, "refused")
+                     << ", unknown " << Cell(worst, "unknown") << ", p99 " << Cell(worst, "p99_ms")
+                     << " ms)\n\n";
+      if (status.contains("data_centres")) {
+        PrintArray(session_, status["data_centres"], { "id", "withdrawn", "instances" });
+        session_.Out() << "\n";
+      }
+    }
+    return PrintReply(session_, aBody, "members", MemberColumns());
+  });
+}
+
+} // namespace redwing::ctl
--- /dev/null
+++ b/src/ctl/ClusterCommands.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ctl/Session.hpp"
+
+#include <cstdint>
+#include <string>
+
+namespace redwing::ctl {
+
+/// Commands on keys, data centres, instances and shards. Not thread-safe; no preconditions beyond
+/// the session.
+class ClusterCommands
+{
+public:
+  explicit ClusterCommands(Session& aSession)
+    : session_(aSession)
+  {
+  }
+
+  Exit IssueKey(const std::string& aId, const std::string& aWorkspace);
+  Exit WithdrawKey(const std::string& aId);
+  Exit SetDataCentre(const std::string& aId, bool aWithdrawn);
+
+  /// Lists the instances.
+  Exit Instances();
+
+  /// Drains the one instance that is addressed.
+  Exit Drain();
+  Exit Shards(const std::string& aService);
+  Exit ForceShard(const std::string& aService, std::uint32_t aShard);
+  Exit Status();
+
+private:
+  Session& session_;
+};
+
+} // namespace redwing::ctl
--- a/src/operator/ConfigurationOperations.cpp
+++ b/src/operator/ConfigurationOperations.cpp
@@ -166,7 +166,7 @@
       });
     });
   };
-  aHandlers.putConfiguration_ = [editor, post = post_](PutConfigurationRequest aRequest,
+  aHandlers.putConfiguration_ = [editor, post = post_](const PutConfigurationRequest& aRequest,
                                                        const LocalReplyCallback& aReply) {
     auto parsed = ConfigurationParser::Parse(aRequest.document_);
     if (!parsed) {
--- a/tests/unit/config/ConfigurationEditorTest.cpp
+++ b/tests/unit/config/ConfigurationEditorTest.cpp
@@ -1,8 +1,8 @@
 #include "config/ConfigurationEditor.hpp"
 
-#include "FakeStore.hpp"
 #include "config/ConfigurationRecord.hpp"
 #include "core/Hash.hpp"
+#include "support/FakeStore.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
