--- /dev/null
+++ b/bench/Judge.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Deployment.hpp"
+#include "Records.hpp"
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace redwing::bench {
+
+/// What the faults of a run noted for the judge. Times are CLOCK_MONOTONIC; 0 means not done.
+struct Marks
+{
+  std::int64_t startNs_ = 0;
+  std::int64_t endNs_ = 0;
+  std::string withdrawnDataCentre_;
+  std::int64_t dataCentreWithdrawnNs_ = 0;
+  std::int64_t dataCentreRestoredNs_ = 0;
+  std::string withdrawnWorkspace_;
+  std::int64_t keyWithdrawnNs_ = 0;
+  std::optional<double> configSpreadMs_;
+  /// Backend servers whose shards had to move.
+  std::set<std::size_t> affected_;
+  /// Workspaces with a rate limit that matters.
+  std::set<std::string> limited_;
+  /// Workspaces that are not counted for the worst-served workspace.
+  std::set<std::string> exempt_;
+};
+
+/// Computes the figures of a run from the records; fields that don't apply are null.
+class Judge
+{
+public:
+  Judge(const Deployment& aDeployment,
+        const Records& aRecords,
+        const std::vector<OutcomeRecord>& aOutcomes,
+        const Marks& aMarks);
+
+  /// Returns the figures that come from the records.
+  Json Figures() const;
+
+private:
+  std::uint64_t DoubleRuns() const;
+  std::uint64_t FalseNotRuns() const;
+  double DoubleOwnerMs() const;
+  void Unavailability(Json& aResult) const;
+  Json Imbalance() const;
+  Json ChurnRatio() const;
+  std::uint64_t OverRate(const WorkspaceSpec& aWorkspace) const;
+  Json RefusedWithinRate() const;
+  Json WithdrawnKeyMs() const;
+  Json AfterWithdrawRequests() const;
+  void WorstWorkspace(Json& aResult) const;
+
+  const Deployment& deployment_;
+  const Records& records_;
+  const std::vector<OutcomeRecord>& outcomes_;
+  const Marks& marks_;
+};
+
+} // namespace redwing::bench
--- a/standins/load/Schedule.hpp
+++ b/standins/load/Schedule.hpp
@@ -29,6 +29,8 @@
   std::uint16_t request_ = 0;
   std::uint16_t target_ = 0;
   std::uint16_t attempts_ = 0;
+  /// Attempts that ended with an unknown outcome before the last one.
+  std::uint16_t unknownBefore_ = 0;
   std::uint16_t status_ = 0;
   LoadOutcome outcome_ = LoadOutcome::Pending;
   std::string code_;
--- a/standins/load/Summary.cpp
+++ b/standins/load/Summary.cpp
@@ -112,6 +112,7 @@
                { "status", item.status_ },
                { "code", item.code_ },
                { "attempts", item.attempts_ },
+               { "unknown_before", item.unknownBefore_ },
                { "target", aPlan.targets_[item.target_].ToString() },
                { "scheduled", aStartNs + item.scheduledNs_ },
                { "done", aStartNs + item.doneNs_ } };
--- a/standins/load/Worker.cpp
+++ b/standins/load/Worker.cpp
@@ -139,6 +139,7 @@
   if (!connect && !resend) {
     return false;
   }
+  aItem.unknownBefore_ += resend ? 1 : 0;
   Dispatch(aItem, (aTarget + 1) % targets_.size());
   return true;
 }
