--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -348,6 +348,16 @@
   return counts.is_object() ? counts.value("total", std::uint64_t{ 0 }) : 0;
 }
 
+double
+Fleet::ControlBytes()
+{
+  if (!proxy_) {
+    return 0;
+  }
+  auto counts = Json::parse(Call(proxyControl_, "GET", "/counts").body_, nullptr, false);
+  return counts.is_object() ? counts.value("udp_bytes", 0.0) : 0;
+}
+
 std::vector<std::size_t>
 Fleet::Servers(bool aKeyed) const
 {
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -63,6 +63,8 @@
   void ProxyCommand(const std::string& aPath, const Json& aBody);
   void BackendCommand(std::size_t aNode, const std::string& aTarget);
   std::uint64_t StoreCalls();
+  /// Bytes of datagrams between data centres and inside them; 0 without a proxy.
+  double ControlBytes();
   Json ConfigurationInForce() const { return document_; }
   /// Replaces the document; returns whether it was accepted.
   bool Apply(const Json& aDocument);
--- a/bench/Runner.cpp
+++ b/bench/Runner.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <csignal>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <stdexcept>
 #include <thread>
@@ -20,6 +21,7 @@
 constexpr int kLoadGraceMs = 30000;
 /// Faults are moved by up to this fraction of the duration, drawn from the seed.
 constexpr double kShift = 0.05;
+constexpr std::chrono::milliseconds kSupervision{ 50 };
 
 /// Processor time and memory of the instances between two points in time.
 class Usage
@@ -95,6 +97,7 @@
     marks_.endNs_ = marks_.startNs_ + static_cast<std::int64_t>(seconds_ * 1e9);
     WritePlan();
     auto calls = fleet_.StoreCalls();
+    auto bytes = fleet_.ControlBytes();
     Usage usage(fleet_);
     Process load(fleet_.Program("redwing-load"),
                  { "--plan",
@@ -107,6 +110,10 @@
     Json figures = Json::object();
     usage.Add(figures);
     figures["store_calls"] = fleet_.StoreCalls() - calls;
+    figures["control_bytes_per_s"] = fleet_.HasProxy()
+                                       ? Json((fleet_.ControlBytes() - bytes) / seconds_ /
+                                              static_cast<double>(fleet_.Nodes().size()))
+                                       : Json();
     if (load.Wait(kLoadGraceMs) != 0) {
       throw std::runtime_error("the load generator failed or did not end");
     }
@@ -162,11 +169,14 @@
       auto at = std::max(0.0, fault.at_ + shift) * seconds_;
       WaitUntil(marks_.startNs_ + static_cast<std::int64_t>(at * 1e9));
       std::cerr << scenario_.name_ << ": fault at " << at << " s\n";
-      std::jthread supervisor;
-      if (scenario_.restartBackends_) {
-        supervisor = std::jthread([this](std::stop_token aStop) { Supervise(std::move(aStop)); });
+      // Processes are started on this thread only: the kernel ends them with the thread that
+      // started them.
+      auto action = std::async(std::launch::async, [&] { fault.action_(context); });
+      while (action.wait_for(kSupervision) != std::future_status::ready) {
+        RestartBackends();
       }
-      fault.action_(context);
+      action.get();
+      RestartBackends();
     }
   }
 
@@ -178,16 +188,16 @@
     }
   }
 
-  void Supervise(std::stop_token aStop)
+  void RestartBackends()
   {
-    while (!aStop.stop_requested()) {
-      for (auto& node : fleet_.Nodes()) {
-        if (!node.backendProcess_->Running()) {
-          std::cerr << scenario_.name_ << ": restarting backend server " << node.index_ << "\n";
-          fleet_.StartBackend(node.index_);
-        }
+    if (!scenario_.restartBackends_) {
+      return;
+    }
+    for (auto& node : fleet_.Nodes()) {
+      if (!node.backendProcess_->Running()) {
+        std::cerr << scenario_.name_ << ": restarting backend server " << node.index_ << "\n";
+        fleet_.StartBackend(node.index_);
       }
-      std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
   }
 
@@ -222,7 +232,6 @@
     aFigures["extra_work"] =
       static_cast<double>(executed) / std::max(1.0, load.at("requests").get<double>()) - 1;
     aFigures.update(Judge(fleet_.Spec(), records, outcomes, marks_).Figures());
-    aFigures["control_bytes_per_s"] = nullptr;
     aFigures["proxy"] = fleet_.HasProxy();
   }
 
@@ -265,6 +274,44 @@
   aFigures["pass"] = pass;
 }
 
+/// All fields of the result, so that those which don't apply are null.
+Json
+EmptyFigures()
+{
+  Json result = Json::object();
+  for (const char* name : { "requests",
+                            "ok",
+                            "refused_not_run",
+                            "unknown",
+                            "wrong_answer",
+                            "false_not_run",
+                            "double_run",
+                            "double_owner_ms",
+                            "unavailable_ms_max",
+                            "unavailable_ms_total",
+                            "imbalance",
+                            "churn_ratio",
+                            "p50_ms",
+                            "p99_ms",
+                            "p999_ms",
+                            "max_ms",
+                            "worst_workspace_ok",
+                            "worst_workspace_p99_ms",
+                            "over_rate",
+                            "refused_within_rate",
+                            "config_spread_ms_max",
+                            "withdrawn_key_ms_max",
+                            "after_withdraw_requests",
+                            "store_calls",
+                            "control_cpu_percent",
+                            "control_rss_mb",
+                            "control_bytes_per_s" }) {
+    result[name] = nullptr;
+  }
+  result["bounds"] = Json::array();
+  return result;
+}
+
 Json
 RunOnce(const Scenario& aScenario,
         const RunOptions& aOptions,
@@ -281,13 +328,13 @@
 RunScenario(const Scenario& aScenario, const RunOptions& aOptions)
 {
   auto directory = aOptions.work_ / (aScenario.name_ + "-" + std::to_string(::getpid()));
-  Json figures = Json::object();
+  Json figures = EmptyFigures();
   try {
     Json baseline;
     if (aScenario.compare_) {
       baseline = RunOnce(aScenario, aOptions, false, directory / "baseline");
     }
-    figures = RunOnce(aScenario, aOptions, true, directory);
+    figures.update(RunOnce(aScenario, aOptions, true, directory));
     if (aScenario.compare_) {
       AddRatio(figures, baseline, "p99");
       AddRatio(figures, baseline, "p999");
