--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -101,7 +101,7 @@
 std::string
 ControlService::Start()
 {
-  std::string error = socket_.Open(settings_.self_.peersAddress_);
+  std::string error = socket_.Open(settings_.boundAddress_);
   if (!error.empty()) {
     return error;
   }
--- a/src/control/ControlService.hpp
+++ b/src/control/ControlService.hpp
@@ -36,6 +36,8 @@
   /// Id, data centre, region, rack and peers' address of this instance; the incarnation is set by
   /// the join.
   Member self_;
+  /// Address to bind; it may differ from the one that other instances use.
+  Address boundAddress_;
   std::string fleetKey_;
   std::uint64_t seed_ = 0;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -89,7 +89,8 @@
   settings.self_.dataCentre_ = settings_.dataCentre_;
   settings.self_.region_ = settings_.region_;
   settings.self_.rack_ = settings_.rack_;
-  settings.self_.peersAddress_ = settings_.peersAddress_;
+  settings.self_.peersAddress_ = settings_.advertisedAddress_;
+  settings.boundAddress_ = settings_.peersAddress_;
   settings.fleetKey_ = settings_.fleetKey_;
   settings.seed_ = seed_;
   ControlHooks hooks;
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -162,10 +162,10 @@
   };
   handlers.health_ = [this](LocalReplyCallback aReply) {
     const auto view = view_.Get();
-    const bool ready = !view->self_.Empty() && view->configurationCurrent_;
-    aReply({ ready ? 200U : 503U,
+    const bool joined = !view->self_.Empty();
+    aReply({ joined ? 200U : 503U,
              "application/json",
-             ready ? R"({"status":"ok"})" : R"({"status":"not ready"})" });
+             joined ? R"({"status":"ok"})" : R"({"status":"joining"})" });
   };
   handlers.status_ = [this](LocalReplyCallback aReply) {
     control_->CollectStatus([this, reply = std::move(aReply)](const ControlStatus& aStatus) {
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -158,6 +158,7 @@
     { "rack", "Rack or switch of this instance; default: none" },
     { "callers-address", "IP:PORT for callers' HTTP requests" },
     { "peers-address", "IP:PORT for other instances, TCP and UDP" },
+    { "advertise-peers-address", "IP:PORT that other instances use; default: the peers' address" },
     { "local-address", "IP:PORT for the backend server's announcements, operators and metrics" },
     { "store-address", "IP:PORT of the key-value store's JSON gateway" },
     { "fleet-key", "Secret shared by all instances, at least 16 characters" },
@@ -213,6 +214,9 @@
   settings.rack_ = checker.Name("rack", false);
   settings.callersAddress_ = checker.Endpoint("callers-address");
   settings.peersAddress_ = checker.Endpoint("peers-address");
+  settings.advertisedAddress_ = aRaw.contains("advertise-peers-address")
+                                  ? checker.Endpoint("advertise-peers-address")
+                                  : settings.peersAddress_;
   settings.localAddress_ = checker.Endpoint("local-address");
   settings.storeAddress_ = checker.Endpoint("store-address");
   settings.fleetKey_ = checker.Secret("fleet-key");
--- a/src/daemon/DaemonSettings.hpp
+++ b/src/daemon/DaemonSettings.hpp
@@ -23,6 +23,8 @@
   std::string rack_;
   Address callersAddress_;
   Address peersAddress_;
+  /// Address that other instances use, if it differs from the one that is bound.
+  Address advertisedAddress_;
   Address localAddress_;
   Address storeAddress_;
   std::string fleetKey_;
