Detect stragglers by overtaken attempts

Hedging cancelled the attempts at a straggler before they were old enough to stand out, and freed its place for the next request. Attempts that a later hedge overtakes now count; ejections double up to 400 ms; the hedge delay is bounded by twice the 90 % quantile, so that slow responses do not put off the hedges against them; the histogram has eight buckets per doubling.

--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -13,6 +13,7 @@
 namespace redwing {
 
 class MemberLoad;
+enum class AttemptEnd : std::uint8_t;
 
 namespace Detail {
 
@@ -94,7 +95,7 @@
   bool CanReplay() const;
   void SendToAttempt(const Attempt& aAttempt, RequestEvent&& aEvent);
   void CancelAttempts(std::uint64_t aExceptId);
-  void EndAttempt(const Attempt& aAttempt, bool aGivenUp);
+  void EndAttempt(const Attempt& aAttempt, AttemptEnd aEnd);
   void OnDeadline();
   void OnHedgeTimer();
   void ArmHedge();
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -173,7 +173,8 @@
   } else if (auto* refusal = std::get_if<Refusal>(&aEvent)) {
     Attempt attempt = std::move(*found);
     attempts_.erase(found);
-    EndAttempt(attempt, refusal->outcome_ == Outcome::Unknown);
+    EndAttempt(attempt,
+               refusal->outcome_ == Outcome::Unknown ? AttemptEnd::Lost : AttemptEnd::Answered);
     OnRefusal(std::move(attempt), std::move(*refusal));
   } else if (responding_) {
     AbortResponse();
@@ -315,17 +316,17 @@
     attempt = attempts_.erase(attempt);
   }
   for (const Attempt& attempt : cancelled) {
-    EndAttempt(attempt, true);
+    EndAttempt(attempt, attempt.id_ < aExceptId ? AttemptEnd::Overtaken : AttemptEnd::Abandoned);
     SendToAttempt(attempt, RequestCancel{ { kLocalLink, attempt.id_ } });
   }
 }
 
 void
-Exchange::EndAttempt(const Attempt& aAttempt, bool aGivenUp)
+Exchange::EndAttempt(const Attempt& aAttempt, AttemptEnd aEnd)
 {
   core_.RemoveAttempt(aAttempt.id_);
   if (aAttempt.load_ != nullptr) {
-    aAttempt.load_->OnEnd(aAttempt.id_, core_.Now(), aGivenUp);
+    aAttempt.load_->OnEnd(aAttempt.id_, core_.Now(), aEnd);
   }
 }
 
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -156,7 +156,7 @@
 Exchange::EndResponse()
 {
   if (bodySent_) {
-    EndAttempt(attempts_.front(), false);
+    EndAttempt(attempts_.front(), AttemptEnd::Answered);
     attempts_.clear();
   } else {
     // The response came before the end of the request body; the rest of the body is not sent.
--- a/src/routing/HedgePolicy.cpp
+++ b/src/routing/HedgePolicy.cpp
@@ -13,6 +13,10 @@
 constexpr double kQuantileWithFullReserve = 0.95;
 constexpr double kQuantileWithoutReserve = 0.99;
 constexpr std::uint32_t kMinSamples = 20;
+/// The delay stays below this multiple of the 90 % quantile, so that the slow responses of a
+/// straggler do not put off the hedges against it.
+constexpr int kMaxDelayFactor = 2;
+constexpr double kReferenceQuantile = 0.9;
 /// Below this a hedge costs more than it can save.
 constexpr Duration kMinDelay = std::chrono::milliseconds(1);
 
@@ -28,7 +32,8 @@
   const double fill = tokens_ / kReserve;
   const double quantile =
     kQuantileWithoutReserve - fill * (kQuantileWithoutReserve - kQuantileWithFullReserve);
-  return std::max(kMinDelay, latencies_.Quantile(quantile));
+  const Duration limit = latencies_.Quantile(kReferenceQuantile) * kMaxDelayFactor;
+  return std::max(kMinDelay, std::min(limit, latencies_.Quantile(quantile)));
 }
 
 bool
--- a/src/routing/LatencyTracker.cpp
+++ b/src/routing/LatencyTracker.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// Four buckets per doubling bound the error of a quantile to a quarter of its value.
-constexpr unsigned kBucketsPerDoubling = 4;
-constexpr unsigned kSubBits = 2;
+/// Eight buckets per doubling bound the error of a quantile to an eighth of its value.
+constexpr unsigned kBucketsPerDoubling = 8;
+constexpr unsigned kSubBits = 3;
 /// Counts are halved at this total, so that the histogram follows the last few hundred samples.
 constexpr std::uint32_t kFadeAt = 1024;
 
@@ -21,7 +21,7 @@
   }
   const unsigned exponent = static_cast<unsigned>(std::bit_width(aMicros)) - 1;
   const auto sub = (aMicros >> (exponent - kSubBits)) & (kBucketsPerDoubling - 1);
-  return (exponent - 1) * kBucketsPerDoubling + sub;
+  return (exponent - kSubBits + 1) * kBucketsPerDoubling + sub;
 }
 
 std::uint64_t
@@ -30,7 +30,7 @@
   if (aBucket < kBucketsPerDoubling) {
     return aBucket + 1;
   }
-  const std::size_t exponent = aBucket / kBucketsPerDoubling + 1;
+  const std::size_t exponent = aBucket / kBucketsPerDoubling + kSubBits - 1;
   const std::size_t sub = aBucket % kBucketsPerDoubling;
   return (kBucketsPerDoubling + sub + 1) << (exponent - kSubBits);
 }
--- a/src/routing/LatencyTracker.hpp
+++ b/src/routing/LatencyTracker.hpp
@@ -28,7 +28,7 @@
   std::uint32_t Samples() const { return total_; }
 
 private:
-  static constexpr std::size_t kBuckets = 96;
+  static constexpr std::size_t kBuckets = 192;
 
   std::array<std::uint32_t, kBuckets> counts_{};
   std::uint32_t total_ = 0;
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -26,21 +26,23 @@
 {
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
     AddSample(aNow - attempt->start_);
+    overtaken_ = 0;
     StopWaiting(*attempt);
   }
 }
 
 void
-MemberLoad::OnEnd(std::uint64_t aAttemptId, TimePoint aNow, bool aGivenUp)
+MemberLoad::OnEnd(std::uint64_t aAttemptId, TimePoint aNow, AttemptEnd aEnd)
 {
   if (outstanding_ > 0) {
     --outstanding_;
   }
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
     const Duration age = aNow - attempt->start_;
-    if (aGivenUp && age > recent_) {
+    if (aEnd != AttemptEnd::Answered && age > recent_) {
       AddSample(age);
     }
+    overtaken_ += aEnd == AttemptEnd::Overtaken ? 1 : 0;
     StopWaiting(*attempt);
   }
 }
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -9,6 +9,19 @@
 
 namespace redwing {
 
+/// How an attempt ended.
+enum class AttemptEnd : std::uint8_t
+{
+  /// With a response or a refusal.
+  Answered,
+  /// A hedge that started later answered first.
+  Overtaken,
+  /// The caller left, the deadline passed or the other attempt of a hedge answered first.
+  Abandoned,
+  /// The link to the member was lost, or the outcome is unknown.
+  Lost,
+};
+
 /// What the ingress knows about the load and speed of one pooled backend server.
 class MemberLoad
 {
@@ -24,12 +37,11 @@
   /// Preconditions: OnStart was called with aAttemptId. Thread safety: not thread-safe.
   void OnResponse(std::uint64_t aAttemptId, TimePoint aNow);
 
-  /// Records the end of an attempt. One that was given up without a response counts as a sample of
-  /// its age when it is slower than the usual latency, because a server that never answers has no
-  /// other samples.
+  /// Records the end of an attempt. One without a response counts as a sample of its age when it
+  /// is slower than the usual latency, because a server that never answers has no other samples.
   ///
   /// Preconditions: OnStart was called with aAttemptId. Thread safety: not thread-safe.
-  void OnEnd(std::uint64_t aAttemptId, TimePoint aNow, bool aGivenUp);
+  void OnEnd(std::uint64_t aAttemptId, TimePoint aNow, AttemptEnd aEnd);
 
   /// Records a load report received at aNow.
   ///
@@ -54,8 +66,15 @@
   const LatencyTracker& Latencies() const { return latencies_; }
   /// Fast-moving average of the latest latencies.
   Duration Recent() const { return recent_; }
+  /// Number of attempts in a row that a later hedge overtook. Hedging cancels slow attempts before
+  /// they are old enough to stand out, so their latencies alone do not show a straggler.
+  std::uint32_t Overtaken() const { return overtaken_; }
   /// Replaces the average; used when an ejected server is given another chance.
-  void ResetRecent(Duration aRecent) { recent_ = aRecent; }
+  void ResetRecent(Duration aRecent)
+  {
+    recent_ = aRecent;
+    overtaken_ = 0;
+  }
 
 private:
   struct Attempt
@@ -72,6 +91,7 @@
   std::deque<Attempt> attempts_;
   std::uint32_t outstanding_ = 0;
   std::uint32_t waiting_ = 0;
+  std::uint32_t overtaken_ = 0;
   LatencyTracker latencies_;
   Duration recent_{};
   LoadReport report_;
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -15,13 +15,17 @@
 constexpr Duration kMinThreshold = std::chrono::milliseconds(4);
 /// One old attempt may be an expensive request; two are a sign of a slow server.
 constexpr std::size_t kOldAttemptsIgnored = 1;
-/// Time without requests before a straggler is tried again with one request.
-constexpr Duration kEjection = std::chrono::milliseconds(100);
+constexpr std::uint32_t kOvertakenLimit = 2;
+/// Time without requests before a straggler is tried again with one request; it doubles with every
+/// failed trial, because each trial delays the request that serves for it.
+constexpr Duration kFirstEjection = std::chrono::milliseconds(100);
+constexpr Duration kMaxEjection = std::chrono::milliseconds(400);
 
 bool
 IsSlow(const MemberLoad& aLoad, Duration aThreshold, TimePoint aNow)
 {
-  return aLoad.Recent() > aThreshold || aLoad.WaitingAge(kOldAttemptsIgnored, aNow) > aThreshold;
+  return aLoad.Overtaken() >= kOvertakenLimit || aLoad.Recent() > aThreshold ||
+         aLoad.WaitingAge(kOldAttemptsIgnored, aNow) > aThreshold;
 }
 
 } // namespace
@@ -47,11 +51,13 @@
         // The average is lowered to the threshold, so that one fast response to the trial request
         // ends the ejection and one slow response prolongs it.
         member->load_->ResetRecent(threshold);
-        member->ejectedUntil_ = aNow + kEjection;
+        member->ejection_ = std::min(kMaxEjection, member->ejection_ * 2);
+        member->ejectedUntil_ = aNow + member->ejection_;
       }
     } else if (slow && (ejected + 1) * 2 <= aMembers.size()) {
       member->ejected_ = true;
-      member->ejectedUntil_ = aNow + kEjection;
+      member->ejection_ = kFirstEjection;
+      member->ejectedUntil_ = aNow + kFirstEjection;
       ++ejected;
     }
   }
--- a/src/routing/OutlierDetector.hpp
+++ b/src/routing/OutlierDetector.hpp
@@ -14,6 +14,7 @@
   MemberLoad* load_ = nullptr;
   bool ejected_ = false;
   TimePoint ejectedUntil_{};
+  Duration ejection_{};
 };
 
 /// Finds stragglers among the members of a pool by comparing each with the median member. It uses
--- a/tests/unit/routing/PoolSelectorTest.cpp
+++ b/tests/unit/routing/PoolSelectorTest.cpp
@@ -73,7 +73,7 @@
       while (!running_.empty() && running_.top().end_ <= clock_.Now()) {
         MemberLoad& load = aSelector.LoadOf(running_.top().member_);
         load.OnResponse(running_.top().id_, running_.top().end_);
-        load.OnEnd(running_.top().id_, running_.top().end_, false);
+        load.OnEnd(running_.top().id_, running_.top().end_, AttemptEnd::Answered);
         running_.pop();
       }
       const std::string id = aSelector.Choose(route_, {})->ref_.id_;
@@ -168,6 +168,19 @@
   BOOST_TEST(RunWithStraggler(selector, 2ms, 500) > 5);
 }
 
+// Guards against a straggler that stays in use because hedging cancels its attempts early.
+BOOST_AUTO_TEST_CASE(MemberWhoseAttemptsAreOvertakenIsEjected)
+{
+  PoolSelector selector = Make();
+  RunWithStraggler(selector, 2ms, 500);
+  for (int i = 0; i < 2; ++i) {
+    selector.LoadOf("a").OnStart(++lastAttempt_, clock_.Now());
+    clock_.Advance(3ms);
+    selector.LoadOf("a").OnEnd(lastAttempt_, clock_.Now(), AttemptEnd::Overtaken);
+  }
+  BOOST_TEST(Count(selector).count("a") == 0U);
+}
+
 // Guards against the ejection of most of a pool when every member becomes slow.
 BOOST_AUTO_TEST_CASE(AtMostHalfAreEjected)
 {
@@ -181,7 +194,7 @@
     for (int sample = 0; sample < 50; ++sample) {
       loads[i].OnStart(++attempt, clock_.Now());
       loads[i].OnResponse(attempt, clock_.Now() + 1ms);
-      loads[i].OnEnd(attempt, clock_.Now() + 1ms, false);
+      loads[i].OnEnd(attempt, clock_.Now() + 1ms, AttemptEnd::Answered);
     }
     loads[i].OnStart(++attempt, clock_.Now());
     loads[i].OnStart(++attempt, clock_.Now());
