--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr unsigned kServiceUnavailable = 503;
 constexpr std::uint32_t kDefaultRetryAfterMs = 1000;
 constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
 
@@ -23,7 +24,7 @@
 bool
 IsTemporary(ErrorCode aCode)
 {
-  return HttpStatus(aCode) == 503 && aCode != ErrorCode::PoisonRequest; // NOLINT: HTTP status
+  return HttpStatus(aCode) == kServiceUnavailable && aCode != ErrorCode::PoisonRequest;
 }
 
 const std::string*
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 constexpr unsigned kNoContent = 204;
 constexpr unsigned kNotModified = 304;
 /// More unsent bytes than this mean that the serving side ignores its window.
@@ -67,12 +69,13 @@
   framing_ = FramingOf(aStart);
   const bool truncated = framing_ == BodyFraming::ContentLength && aStart.last_ &&
                          aStart.contentLength_ && *aStart.contentLength_ != aStart.body_.size();
-  if (truncated) {
+  const bool invalid = aStart.status_ < kFirstFinalStatus || aStart.status_ > kLastStatus;
+  if (truncated || invalid) {
     Refusal broken;
     broken.key_ = aStart.key_;
     broken.outcome_ = Outcome::Unknown;
     broken.code_ = ErrorCode::BackendFailed;
-    broken.detail_ = "the response body is incomplete";
+    broken.detail_ = truncated ? "the response body is incomplete" : "the status is invalid";
     OnResponseEvent(aAttemptId, std::move(broken));
     return;
   }
--- a/src/intake/RequestParser.cpp
+++ b/src/intake/RequestParser.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Beast's number for HTTP/1.1.
+constexpr int kHttp11 = 11;
+
 std::string
 ToString(boost::beast::string_view aText)
 {
@@ -31,8 +34,8 @@
   if (aField == Field::transfer_encoding) {
     // Beast reads a message with an unknown final coding as having no body; another reader of the
     // same bytes may see one.
-    ambiguousFraming_ = ambiguousFraming_ || !boost::beast::iequals(aValue, "chunked") ||
-                        version_ < 11; // NOLINT: Beast's spelling of HTTP/1.1
+    ambiguousFraming_ =
+      ambiguousFraming_ || !boost::beast::iequals(aValue, "chunked") || version_ < kHttp11;
     return;
   }
   hosts_ += aField == Field::host ? 1 : 0;
--- a/src/intake/ResponseText.cpp
+++ b/src/intake/ResponseText.cpp
@@ -14,6 +14,15 @@
 constexpr int kHexBase = 16;
 constexpr std::size_t kHexDigits = 16;
 constexpr std::string_view kRequestId = "Redwing-Request-Id";
+constexpr std::string_view kOutcome = "Redwing-Outcome";
+constexpr std::string_view kError = "Redwing-Error";
+
+/// Headers by which callers recognise our refusals; a backend server may not forge them.
+bool
+IsOwn(std::string_view aName)
+{
+  return SameName(aName, kRequestId) || SameName(aName, kOutcome) || SameName(aName, kError);
+}
 
 std::string_view
 Reason(unsigned aStatus)
@@ -71,7 +80,7 @@
 {
   AppendStatusLine(aOut, aHead.start_.status_);
   for (const Header& header : aHead.start_.headers_) {
-    if (!IsHopByHop(header.name_) && !SameName(header.name_, kRequestId)) {
+    if (!IsHopByHop(header.name_) && !IsOwn(header.name_)) {
       AppendHeader(aOut, header.name_, header.value_);
     }
   }
@@ -112,8 +121,8 @@
   AppendHeader(aOut, "Content-Type", "application/problem+json");
   AppendHeader(aOut, "Content-Length", std::to_string(body.size()));
   AppendHeader(aOut, kRequestId, aRequestId);
-  AppendHeader(aOut, "Redwing-Outcome", ToText(aRefusal.outcome_));
-  AppendHeader(aOut, "Redwing-Error", ToText(aRefusal.code_));
+  AppendHeader(aOut, kOutcome, ToText(aRefusal.outcome_));
+  AppendHeader(aOut, kError, ToText(aRefusal.code_));
   if (aRefusal.code_ == ErrorCode::MissingKey || aRefusal.code_ == ErrorCode::InvalidKey) {
     AppendHeader(aOut, "WWW-Authenticate", "Bearer");
   }
--- a/tests/unit/intake/IntakeStreamTest.cpp
+++ b/tests/unit/intake/IntakeStreamTest.cpp
@@ -51,6 +51,31 @@
   BOOST_TEST(Has(text, "Redwing-Outcome: unknown"));
 }
 
+// Guards against a backend server whose response passes for a refusal of ours, and against an
+// interim status that the caller takes for the end of the response.
+BOOST_AUTO_TEST_CASE(BackendServersCannotForgeRefusals)
+{
+  Caller caller(*this);
+  caller.Request("POST /upload/1");
+  ResponseStart response;
+  response.status_ = 503;
+  response.headers_ = { { "redwing-outcome", "not-run" },
+                        { "Redwing-Error", "overloaded" },
+                        { "Transfer-Encoding", "chunked" },
+                        { "Retry-After", "9" } };
+  response.body_ = "busy";
+  Respond(NextSent(), response);
+  const std::string text = caller.ReadPast("busy");
+  BOOST_TEST(!Has(text, "utcome"));
+  BOOST_TEST(!Has(text, "Redwing-Error"));
+  BOOST_TEST(!Has(text, "chunked"));
+  BOOST_TEST(Has(text, "Retry-After: 9"));
+  caller.Request("POST /upload/1");
+  response.status_ = 101;
+  Respond(NextSent(), response);
+  BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Outcome: unknown"));
+}
+
 // Guards against lost or reordered response bytes and missing credit for the serving side.
 BOOST_AUTO_TEST_CASE(StreamsAResponseAndGivesCredit)
 {
