--- a/src/membership/RingOrder.cpp
+++ b/src/membership/RingOrder.cpp
@@ -19,7 +19,8 @@
 // Large enough that the data centres are mixed in a segment, small enough that few members move.
 constexpr std::size_t kSegment = 24;
 
-int PairCost(const RingMember& aLeft, const RingMember& aRight)
+int
+PairCost(const RingMember& aLeft, const RingMember& aRight)
 {
   if (aLeft.dataCentre_ != aRight.dataCentre_) {
     return 0;
@@ -28,7 +29,8 @@
 }
 
 /// Cost of all pairs at distance 1 and 2 that the positions around aAt take part in.
-int CostAround(const std::vector<RingMember>& aRing, std::size_t aAt)
+int
+CostAround(const std::vector<RingMember>& aRing, std::size_t aAt)
 {
   const std::size_t size = aRing.size();
   int cost = 0;
@@ -41,7 +43,8 @@
   return cost;
 }
 
-int CostOf(const std::vector<RingMember>& aRing, std::size_t aAt)
+int
+CostOf(const std::vector<RingMember>& aRing, std::size_t aAt)
 {
   const std::size_t size = aRing.size();
   int cost = 0;
@@ -60,7 +63,8 @@
 };
 
 /// Cost of the pairs that aMember would form when inserted before position aAt.
-int InsertCost(const std::vector<Placed>& aRing, std::size_t aAt, const RingMember& aMember)
+int
+InsertCost(const std::vector<Placed>& aRing, std::size_t aAt, const RingMember& aMember)
 {
   const std::size_t size = aRing.size();
   int cost = 0;
@@ -72,21 +76,20 @@
 }
 
 /// Inserts aMember at the cheapest position, the nearest one to aPlace among equals.
-void Insert(std::vector<Placed>& aRing, const RingMember& aMember, double aPlace)
+void
+Insert(std::vector<Placed>& aRing, const RingMember& aMember, double aPlace)
 {
   const std::size_t size = aRing.size();
   if (size == 0) {
     aRing.push_back(Placed{ aMember, aPlace });
     return;
   }
-  const auto target =
-    static_cast<std::size_t>(std::lower_bound(aRing.begin(),
-                                              aRing.end(),
-                                              aPlace,
-                                              [](const Placed& aLeft, double aRight) {
-                                                return aLeft.place_ < aRight;
-                                              }) -
-                             aRing.begin());
+  const auto target = static_cast<std::size_t>(
+    std::lower_bound(aRing.begin(),
+                     aRing.end(),
+                     aPlace,
+                     [](const Placed& aLeft, double aRight) { return aLeft.place_ < aRight; }) -
+    aRing.begin());
   std::size_t best = target;
   int bestCost = InsertCost(aRing, target, aMember);
   for (std::size_t step = 1; step <= size && bestCost > 0; ++step) {
@@ -111,7 +114,8 @@
 
 /// Exchanges the member at aAt with the nearest one that lowers the cost most; searches at most
 /// aReach positions, so that a repair stays local.
-bool Repair(std::vector<RingMember>& aRing, std::size_t aAt, std::size_t aReach)
+bool
+Repair(std::vector<RingMember>& aRing, std::size_t aAt, std::size_t aReach)
 {
   const std::size_t size = aRing.size();
   int bestGain = 0;
@@ -139,7 +143,8 @@
 
 } // namespace
 
-std::vector<RingMember> OrderRing(std::span<const RingMember> aMembers, const std::string& aRegion)
+std::vector<RingMember>
+OrderRing(std::span<const RingMember> aMembers, const std::string& aRegion)
 {
   std::vector<RingMember> members;
   for (const RingMember& member : aMembers) {
--- a/src/ownership/BackupCopies.cpp
+++ b/src/ownership/BackupCopies.cpp
@@ -4,7 +4,8 @@
 
 namespace redwing {
 
-bool BackupCopies::Merge(const RowsUpdate& aUpdate)
+bool
+BackupCopies::Merge(const RowsUpdate& aUpdate)
 {
   Copy& copy = copies_[aUpdate.dependant_];
   if (aUpdate.bindingGeneration_ < copy.bindingGeneration_) {
@@ -30,7 +31,8 @@
   return true;
 }
 
-bool BackupCopies::Drop(const RowsDrop& aDrop)
+bool
+BackupCopies::Drop(const RowsDrop& aDrop)
 {
   Copy& copy = copies_[aDrop.dependant_];
   if (aDrop.bindingGeneration_ < copy.bindingGeneration_) {
@@ -42,7 +44,8 @@
   return true;
 }
 
-bool BackupCopies::MarkDead(const Decide& aDecide)
+bool
+BackupCopies::MarkDead(const Decide& aDecide)
 {
   const auto it = copies_.find(aDecide.dependant_);
   if (it == copies_.end() || it->second.removed_ ||
@@ -53,13 +56,15 @@
   return true;
 }
 
-bool BackupCopies::Holds(const InstanceRef& aDependant) const
+bool
+BackupCopies::Holds(const InstanceRef& aDependant) const
 {
   const auto it = copies_.find(aDependant);
   return it != copies_.end() && !it->second.removed_;
 }
 
-bool BackupCopies::Empty() const
+bool
+BackupCopies::Empty() const
 {
   return std::all_of(
     copies_.begin(), copies_.end(), [](const auto& aEntry) { return aEntry.second.removed_; });
--- a/src/ownership/BackupCopies.hpp
+++ b/src/ownership/BackupCopies.hpp
@@ -8,8 +8,8 @@
 namespace redwing {
 
 /// What a backup grantor holds of one of its dependants' own dependants: registered bindings with
-/// copies of their rows. Removed bindings are remembered, so that a late duplicate of a registration
-/// does not bring one back.
+/// copies of their rows. Removed bindings are remembered, so that a late duplicate of a
+/// registration does not bring one back.
 class BackupCopies
 {
 public:
--- a/src/ownership/Effects.hpp
+++ b/src/ownership/Effects.hpp
@@ -62,8 +62,7 @@
 
 /// The lease ended: the instance must rejoin with a higher incarnation.
 struct LeaseExpired
-{
-};
+{};
 
 /// The incarnation was decided dead; the caller spreads this by gossip.
 struct MemberDead
--- a/src/ownership/GoneMembers.cpp
+++ b/src/ownership/GoneMembers.cpp
@@ -4,13 +4,15 @@
 
 namespace redwing {
 
-void GoneMembers::MarkDead(const InstanceRef& aRef)
+void
+GoneMembers::MarkDead(const InstanceRef& aRef)
 {
   std::uint64_t& incarnation = dead_[aRef.id_];
   incarnation = std::max(incarnation, aRef.incarnation_);
 }
 
-void GoneMembers::MarkRunning(const InstanceRef& aRef, TimePoint aNow)
+void
+GoneMembers::MarkRunning(const InstanceRef& aRef, TimePoint aNow)
 {
   Running& running = running_[aRef.id_];
   if (aRef.incarnation_ > running.incarnation_) {
@@ -18,13 +20,15 @@
   }
 }
 
-bool GoneMembers::IsDead(const InstanceRef& aRef) const
+bool
+GoneMembers::IsDead(const InstanceRef& aRef) const
 {
   const auto it = dead_.find(aRef.id_);
   return it != dead_.end() && it->second >= aRef.incarnation_;
 }
 
-bool GoneMembers::IsGone(const InstanceRef& aRef, TimePoint aNow) const
+bool
+GoneMembers::IsGone(const InstanceRef& aRef, TimePoint aNow) const
 {
   if (IsDead(aRef)) {
     return true;
--- a/src/ownership/GoneMembers.hpp
+++ b/src/ownership/GoneMembers.hpp
@@ -9,8 +9,8 @@
 
 namespace redwing {
 
-/// Incarnations that are known never to act again: decided dead, or replaced by a higher incarnation
-/// whose predecessor's lease and grants have run out.
+/// Incarnations that are known never to act again: decided dead, or replaced by a higher
+/// incarnation whose predecessor's lease and grants have run out.
 class GoneMembers
 {
 public:
--- a/src/ownership/LeaseGrantor.cpp
+++ b/src/ownership/LeaseGrantor.cpp
@@ -24,24 +24,28 @@
 {
 }
 
-DependantBinding* LeaseGrantor::Find(const InstanceRef& aRef, std::uint64_t aGeneration)
+DependantBinding*
+LeaseGrantor::Find(const InstanceRef& aRef, std::uint64_t aGeneration)
 {
   const auto it = bindings_.find(aRef);
   return it != bindings_.end() && it->second.generation_ == aGeneration ? &it->second : nullptr;
 }
 
-bool LeaseGrantor::FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const
+bool
+LeaseGrantor::FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const
 {
   return aFrom == grantor_ && aGeneration == grantorGeneration_;
 }
 
-Duration LeaseGrantor::InstanceWait() const
+Duration
+LeaseGrantor::InstanceWait() const
 {
   return settings_.waitForLease_ ? settings_.Wait(settings_.instanceLease_)
                                  : settings_.askBackupAfter_;
 }
 
-void LeaseGrantor::FollowGrantor()
+void
+LeaseGrantor::FollowGrantor()
 {
   if (holder_.Grantor() == grantor_ && holder_.Generation() == grantorGeneration_) {
     return;
@@ -55,12 +59,30 @@
   }
 }
 
-void LeaseGrantor::DropAll()
+void
+LeaseGrantor::Erase(const InstanceRef& aRef)
+{
+  const InstanceRef ref = aRef;
+  bindings_.erase(ref);
+  // What was inherited through a binding and never came into force ends with it.
+  for (auto it = bindings_.begin(); it != bindings_.end();) {
+    if (!it->second.confirmed_ && it->second.source_ == ref) {
+      Erase(it->first);
+      it = bindings_.begin();
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+LeaseGrantor::DropAll()
 {
   bindings_.clear();
 }
 
-void LeaseGrantor::Tick(Effects& aEffects)
+void
+LeaseGrantor::Tick(Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   FollowGrantor();
@@ -87,7 +109,8 @@
   WarnDependants(now, aEffects);
 }
 
-void LeaseGrantor::WarnDependants(TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::WarnDependants(TimePoint aNow, Effects& aEffects)
 {
   const std::uint8_t level = holder_.DistressLevel();
   if (level == 0 || aNow - lastDistress_ < settings_.resend_) {
@@ -99,7 +122,8 @@
   }
 }
 
-void LeaseGrantor::Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::Inherit(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   const BackupCopies copies = std::move(aBinding.copies_);
   aBinding.copies_ = BackupCopies{};
@@ -134,7 +158,8 @@
   }
 }
 
-void LeaseGrantor::Register(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::Register(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   if (grantor_.Empty()) {
     return;
@@ -142,7 +167,7 @@
   if (!aBinding.confirmed_) {
     // The source is registered first, so that the backup grantor knows that it was fenced.
     const auto source = bindings_.find(aBinding.source_);
-    if (source != bindings_.end() && !source->second.registered_) {
+    if (source == bindings_.end() || !source->second.registered_) {
       return;
     }
   }
@@ -172,7 +197,8 @@
   }
 }
 
-void LeaseGrantor::TickDeath(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
+void
+LeaseGrantor::TickDeath(DependantBinding& aBinding, TimePoint aNow, Effects& aEffects)
 {
   if (aBinding.death_ == DeathDecision::None && !aBinding.dropping_ &&
       aNow >= aBinding.instanceHorizon_) {
@@ -187,7 +213,8 @@
   }
 }
 
-void LeaseGrantor::MarkDead(const InstanceRef& aRef, Effects& aEffects)
+void
+LeaseGrantor::MarkDead(const InstanceRef& aRef, Effects& aEffects)
 {
   if (!gone_.IsDead(aRef)) {
     gone_.MarkDead(aRef);
@@ -195,7 +222,8 @@
   }
 }
 
-void LeaseGrantor::OnProbe(const InstanceRef& aFrom, Effects& aEffects)
+void
+LeaseGrantor::OnProbe(const InstanceRef& aFrom, Effects& aEffects)
 {
   if (gone_.IsDead(aFrom) || bindings_.contains(aFrom)) {
     return;
@@ -206,15 +234,12 @@
   }
   aEffects.push_back(SendMessage{
     aFrom,
-    BindOffer{ offer.generation_,
-               holder_.GrantorLeaseValid() && holder_.DistressLevel() == 0,
-               false,
-               0 } });
+    BindOffer{
+      offer.generation_, holder_.GrantorLeaseValid() && holder_.DistressLevel() == 0, false, 0 } });
 }
 
-void LeaseGrantor::OnHeartbeat(const InstanceRef& aFrom,
-                               const Heartbeat& aHeartbeat,
-                               Effects& aEffects)
+void
+LeaseGrantor::OnHeartbeat(const InstanceRef& aFrom, const Heartbeat& aHeartbeat, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   FollowGrantor();
@@ -250,16 +275,18 @@
   aEffects.push_back(SendMessage{ aFrom, reply });
 }
 
-bool LeaseGrantor::Bind(const InstanceRef& aFrom,
-                        std::uint64_t aGeneration,
-                        TimePoint aNow,
-                        Effects& aEffects)
+bool
+LeaseGrantor::Bind(const InstanceRef& aFrom,
+                   std::uint64_t aGeneration,
+                   TimePoint aNow,
+                   Effects& aEffects)
 {
   const auto offer = offers_.find(aFrom);
   if (offer == offers_.end() || offer->second.generation_ != aGeneration ||
       HeldByAnother(aFrom, nullptr)) {
     return false;
   }
+  const InstanceRef silent = offer->second.orphanOf_;
   // An offer is used once: a late duplicate of this heartbeat must not bind again.
   offers_.erase(offer);
   DependantBinding binding;
@@ -267,15 +294,26 @@
   binding.generation_ = aGeneration;
   binding.instanceHorizon_ = aNow + InstanceWait();
   binding.grantorHorizon_ = aNow + settings_.Wait(settings_.grantorLease_);
+  if (const auto former = bindings_.find(silent); former != bindings_.end()) {
+    // The silent grantor may return after aFrom has moved on; it must drop its dependants then.
+    former->second.generation_ = ++lastGeneration_;
+    former->second.dependantsInherited_ = true;
+    former->second.registered_ = false;
+    former->second.lastRegister_ = TimePoint{};
+    Register(former->second, aNow, aEffects);
+    binding.confirmed_ = false;
+    binding.source_ = silent;
+  }
   const auto it = bindings_.emplace(aFrom, std::move(binding)).first;
   Register(it->second, aNow, aEffects);
   return true;
 }
 
-void LeaseGrantor::OfferToOrphan(const InstanceRef& aFrom,
-                                 const Heartbeat& aHeartbeat,
-                                 TimePoint aNow,
-                                 Effects& aEffects)
+void
+LeaseGrantor::OfferToOrphan(const InstanceRef& aFrom,
+                            const Heartbeat& aHeartbeat,
+                            TimePoint aNow,
+                            Effects& aEffects)
 {
   const auto it = bindings_.find(aHeartbeat.grantor_);
   if (it == bindings_.end() || HeldByAnother(aFrom, nullptr)) {
@@ -296,7 +334,8 @@
     SendMessage{ aFrom, BindOffer{ offer.generation_, true, true, aHeartbeat.sentAt_ } });
 }
 
-void LeaseGrantor::MarkHeard(DependantBinding& aBinding)
+void
+LeaseGrantor::MarkHeard(DependantBinding& aBinding)
 {
   if (!aBinding.heard_) {
     aBinding.heard_ = true;
@@ -306,7 +345,8 @@
   }
 }
 
-bool LeaseGrantor::AllRegistered() const
+bool
+LeaseGrantor::AllRegistered() const
 {
   return std::all_of(bindings_.begin(), bindings_.end(), [&](const auto& aEntry) {
     return aEntry.second.registered_ && holder_.Grantor() == grantor_ &&
@@ -314,7 +354,8 @@
   });
 }
 
-void LeaseGrantor::Renew(DependantBinding& aBinding, HeartbeatReply& aReply, TimePoint aNow)
+void
+LeaseGrantor::Renew(DependantBinding& aBinding, HeartbeatReply& aReply, TimePoint aNow)
 {
   // The dependant knows the generation of the inheritance, so it has dropped its dependants.
   aBinding.dependantsInherited_ = false;
--- a/src/ownership/LeaseGrantor.hpp
+++ b/src/ownership/LeaseGrantor.hpp
@@ -11,9 +11,10 @@
 
 namespace redwing {
 
-/// The grantor's side of bindings: renews leases of dependants, registers them at the backup grantor
-/// (the grantor of this instance), decides that an incarnation is dead, and, as backup grantor of
-/// its dependants' dependants, inherits those when a dependant's grantor lease has ended.
+/// The grantor's side of bindings: renews leases of dependants, registers them at the backup
+/// grantor (the grantor of this instance), decides that an incarnation is dead, and, as backup
+/// grantor of its dependants' dependants, inherits those when a dependant's grantor lease has
+/// ended.
 class LeaseGrantor
 {
 public:
@@ -71,6 +72,7 @@
                      const Heartbeat& aHeartbeat,
                      TimePoint aNow,
                      Effects& aEffects);
+  void Erase(const InstanceRef& aRef);
   void MarkHeard(DependantBinding& aBinding);
   DependantBinding* Find(const InstanceRef& aRef, std::uint64_t aGeneration);
   bool FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const;
--- a/src/ownership/LeaseGrantorMessages.cpp
+++ b/src/ownership/LeaseGrantorMessages.cpp
@@ -4,7 +4,8 @@
 
 namespace redwing {
 
-void LeaseGrantor::OnUpdate(const InstanceRef& aFrom, const RowsUpdate& aUpdate, Effects& aEffects)
+void
+LeaseGrantor::OnUpdate(const InstanceRef& aFrom, const RowsUpdate& aUpdate, Effects& aEffects)
 {
   FollowGrantor();
   DependantBinding* const binding = Find(aFrom, aUpdate.generation_);
@@ -18,9 +19,8 @@
   }
 }
 
-void LeaseGrantor::UpdateOwn(DependantBinding& aBinding,
-                             const RowsUpdate& aUpdate,
-                             Effects& aEffects)
+void
+LeaseGrantor::UpdateOwn(DependantBinding& aBinding, const RowsUpdate& aUpdate, Effects& aEffects)
 {
   RowsAck ack{ aBinding.generation_, aBinding.ref_, 0, false, {} };
   for (const VersionedRow& row : aUpdate.rows_) {
@@ -37,24 +37,21 @@
   }
 }
 
-bool LeaseGrantor::HeldByAnother(const InstanceRef& aDependant,
-                                 const DependantBinding* aExcept) const
+bool
+LeaseGrantor::HeldByAnother(const InstanceRef& aDependant, const DependantBinding* aExcept) const
 {
   return std::any_of(bindings_.begin(), bindings_.end(), [&](const auto& aEntry) {
     return &aEntry.second != aExcept && aEntry.second.copies_.Holds(aDependant);
   });
 }
 
-void LeaseGrantor::UpdateCopy(DependantBinding& aBinding,
-                              const RowsUpdate& aUpdate,
-                              Effects& aEffects)
+void
+LeaseGrantor::UpdateCopy(DependantBinding& aBinding, const RowsUpdate& aUpdate, Effects& aEffects)
 {
   if (aBinding.dropping_ || HeldByAnother(aUpdate.dependant_, &aBinding)) {
     return;
   }
-  RowsAck ack{
-    aUpdate.generation_, aUpdate.dependant_, aUpdate.bindingGeneration_, false, {}
-  };
+  RowsAck ack{ aUpdate.generation_, aUpdate.dependant_, aUpdate.bindingGeneration_, false, {} };
   if (bindings_.contains(aUpdate.dependant_)) {
     ack.refused_ = true;
   } else if (aBinding.copies_.Merge(aUpdate)) {
@@ -67,7 +64,8 @@
   aEffects.push_back(SendMessage{ aBinding.ref_, std::move(ack) });
 }
 
-void LeaseGrantor::OnAck(const InstanceRef& aFrom, const RowsAck& aAck, Effects& aEffects)
+void
+LeaseGrantor::OnAck(const InstanceRef& aFrom, const RowsAck& aAck, Effects& aEffects)
 {
   FollowGrantor();
   DependantBinding* const binding = Find(aAck.dependant_, aAck.bindingGeneration_);
@@ -75,7 +73,7 @@
     return;
   }
   if (aAck.refused_) {
-    bindings_.erase(aAck.dependant_);
+    Erase(aAck.dependant_);
     return;
   }
   const bool first = !binding->registered_;
@@ -97,7 +95,8 @@
   }
 }
 
-void LeaseGrantor::OnDrop(const InstanceRef& aFrom, const RowsDrop& aDrop, Effects& aEffects)
+void
+LeaseGrantor::OnDrop(const InstanceRef& aFrom, const RowsDrop& aDrop, Effects& aEffects)
 {
   DependantBinding* const binding = Find(aFrom, aDrop.generation_);
   if (binding == nullptr || binding->death_ != DeathDecision::None) {
@@ -109,7 +108,8 @@
   }
 }
 
-void LeaseGrantor::OnDropAck(const InstanceRef& aFrom, const RowsDropAck& aAck, Effects& aEffects)
+void
+LeaseGrantor::OnDropAck(const InstanceRef& aFrom, const RowsDropAck& aAck, Effects& aEffects)
 {
   FollowGrantor();
   DependantBinding* const binding = Find(aAck.dependant_, aAck.bindingGeneration_);
@@ -120,10 +120,11 @@
     unbound_[binding->ref_] = binding->generation_;
     aEffects.push_back(SendMessage{ binding->ref_, UnbindAck{ binding->generation_ } });
   }
-  bindings_.erase(aAck.dependant_);
+  Erase(aAck.dependant_);
 }
 
-void LeaseGrantor::OnUnbind(const InstanceRef& aFrom, const Unbind& aUnbind, Effects& aEffects)
+void
+LeaseGrantor::OnUnbind(const InstanceRef& aFrom, const Unbind& aUnbind, Effects& aEffects)
 {
   FollowGrantor();
   const auto unbound = unbound_.find(aFrom);
@@ -142,13 +143,14 @@
   Register(*binding, clock_.Now(), aEffects);
 }
 
-void LeaseGrantor::OnDecide(const InstanceRef& aFrom, const Decide& aDecide, Effects& aEffects)
+void
+LeaseGrantor::OnDecide(const InstanceRef& aFrom, const Decide& aDecide, Effects& aEffects)
 {
   DependantBinding* const binding = Find(aFrom, aDecide.generation_);
   // Without a valid grantor lease the sender may have been inherited, and its dependants may have
   // been offered a new binding as orphans.
-  if (binding == nullptr || binding->death_ != DeathDecision::None ||
-      aDecide.dependant_ == self_ || !holder_.GrantorLeaseValid()) {
+  if (binding == nullptr || binding->death_ != DeathDecision::None || aDecide.dependant_ == self_ ||
+      !holder_.GrantorLeaseValid()) {
     return;
   }
   if (binding->copies_.MarkDead(aDecide)) {
@@ -158,7 +160,8 @@
   }
 }
 
-void LeaseGrantor::OnDecideAck(const InstanceRef& aFrom, const DecideAck& aAck, Effects& aEffects)
+void
+LeaseGrantor::OnDecideAck(const InstanceRef& aFrom, const DecideAck& aAck, Effects& aEffects)
 {
   FollowGrantor();
   DependantBinding* const binding = Find(aAck.dependant_, aAck.bindingGeneration_);
--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -10,12 +10,14 @@
 constexpr std::size_t kProbedPredecessors = 3;
 constexpr std::uint8_t kLeaveAtDistress = 2;
 
-std::int64_t ToWire(TimePoint aTime)
+std::int64_t
+ToWire(TimePoint aTime)
 {
   return aTime.time_since_epoch().count();
 }
 
-TimePoint FromWire(std::int64_t aTime)
+TimePoint
+FromWire(std::int64_t aTime)
 {
   return TimePoint(Duration(aTime));
 }
@@ -30,7 +32,8 @@
 {
 }
 
-void LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
+void
+LeaseHolder::SetPredecessors(std::span<const InstanceRef> aPredecessors)
 {
   predecessors_.assign(aPredecessors.begin(), aPredecessors.end());
   ringKnown_ = true;
@@ -42,17 +45,20 @@
   }
 }
 
-bool LeaseHolder::LeaseValid() const
+bool
+LeaseHolder::LeaseValid() const
 {
   return !expired_ && clock_.Now() < instanceDeadline_;
 }
 
-bool LeaseHolder::GrantorLeaseValid() const
+bool
+LeaseHolder::GrantorLeaseValid() const
 {
   return !expired_ && clock_.Now() < grantorDeadline_;
 }
 
-void LeaseHolder::CheckExpiry(TimePoint aNow)
+void
+LeaseHolder::CheckExpiry(TimePoint aNow)
 {
   const bool hadLease = instanceDeadline_ != TimePoint{};
   if (hadLease ? aNow >= instanceDeadline_
@@ -61,7 +67,8 @@
   }
 }
 
-void LeaseHolder::Tick(Effects& aEffects)
+void
+LeaseHolder::Tick(Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -75,7 +82,8 @@
   }
 }
 
-void LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickUnbound(TimePoint aNow, Effects& aEffects)
 {
   if (predecessors_.empty()) {
     // Nobody can decide that an incarnation that was never bound is dead, so it may grant itself
@@ -106,7 +114,8 @@
   }
 }
 
-void LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickBound(TimePoint aNow, Effects& aEffects)
 {
   const bool late = !renewedHere_ || aNow - lastRenewal_ > settings_.heartbeat_ + settings_.resend_;
   if (aNow - lastHeartbeat_ >= (late ? settings_.resend_ : settings_.heartbeat_)) {
@@ -118,7 +127,8 @@
   TickRebind(aNow, aEffects);
 }
 
-void LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::Seek(TimePoint aNow, Effects& aEffects)
 {
   if (aNow - lastSeek_ < settings_.resend_) {
     return;
@@ -137,7 +147,8 @@
   }
 }
 
-void LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::TickRebind(TimePoint aNow, Effects& aEffects)
 {
   if (next_) {
     if (aNow - lastUnbind_ >= settings_.resend_) {
@@ -163,7 +174,8 @@
   }
 }
 
-std::optional<InstanceRef> LeaseHolder::RebindTarget(TimePoint aNow) const
+std::optional<InstanceRef>
+LeaseHolder::RebindTarget(TimePoint aNow) const
 {
   if (!mayRebind_ || predecessors_.empty() || !GrantorLeaseValid() || !LeaseValid() ||
       aNow - boundAt_ < settings_.heartbeat_) {
@@ -188,7 +200,8 @@
   return predecessors_.front();
 }
 
-void LeaseHolder::OnDistress(const InstanceRef& aFrom, const Distress& aDistress)
+void
+LeaseHolder::OnDistress(const InstanceRef& aFrom, const Distress& aDistress)
 {
   if (aFrom != grantor_ || aDistress.generation_ != generation_) {
     return;
@@ -200,7 +213,8 @@
   grantorDistress_ = aDistress.level_;
 }
 
-std::uint8_t LeaseHolder::DistressLevel() const
+std::uint8_t
+LeaseHolder::DistressLevel() const
 {
   const TimePoint now = clock_.Now();
   if (!everBound_ || instanceDeadline_ == TimePoint{}) {
@@ -213,18 +227,21 @@
   return warned ? kLeaveAtDistress : 0;
 }
 
-void LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
+void
+LeaseHolder::SendHeartbeat(TimePoint aNow, Effects& aEffects)
 {
   lastHeartbeat_ = aNow;
   aEffects.push_back(SendMessage{ grantor_, Heartbeat{ generation_, ToWire(aNow), grantor_ } });
 }
 
-void LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
+void
+LeaseHolder::Probe(const InstanceRef& aTo, Effects& aEffects)
 {
   aEffects.push_back(SendMessage{ aTo, BindProbe{} });
 }
 
-void LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
+void
+LeaseHolder::BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow)
 {
   grantor_ = aGrantor;
   generation_ = aGeneration;
@@ -240,7 +257,8 @@
   offers_.clear();
 }
 
-void LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
+void
+LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -260,7 +278,8 @@
   offers_[aFrom] = Offer{ aOffer.generation_, aOffer.ready_, now };
 }
 
-bool LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
+bool
+LeaseHolder::OnReply(const InstanceRef& aFrom, const HeartbeatReply& aReply, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
@@ -296,10 +315,11 @@
   return false;
 }
 
-bool LeaseHolder::Adopt(const InstanceRef& aFrom,
-                        const HeartbeatReply& aReply,
-                        TimePoint aNow,
-                        Effects& aEffects)
+bool
+LeaseHolder::Adopt(const InstanceRef& aFrom,
+                   const HeartbeatReply& aReply,
+                   TimePoint aNow,
+                   Effects& aEffects)
 {
   const auto left = left_.find(aFrom);
   const bool fresh = left == left_.end() || aReply.generation_ > left->second;
@@ -313,7 +333,8 @@
   return true;
 }
 
-void LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
+void
+LeaseHolder::OnUnbindAck(const InstanceRef& aFrom, const UnbindAck& aAck, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
--- a/src/ownership/LeaseHolder.hpp
+++ b/src/ownership/LeaseHolder.hpp
@@ -94,7 +94,10 @@
   void SendHeartbeat(TimePoint aNow, Effects& aEffects);
   void Probe(const InstanceRef& aTo, Effects& aEffects);
   void BindTo(const InstanceRef& aGrantor, std::uint64_t aGeneration, TimePoint aNow);
-  bool Adopt(const InstanceRef& aFrom, const HeartbeatReply& aReply, TimePoint aNow, Effects& aEffects);
+  bool Adopt(const InstanceRef& aFrom,
+             const HeartbeatReply& aReply,
+             TimePoint aNow,
+             Effects& aEffects);
 
   /// Returns the instance to bind to now, or nothing if the current grantor is the right one.
   std::optional<InstanceRef> RebindTarget(TimePoint aNow) const;
--- a/src/ownership/Messages.hpp
+++ b/src/ownership/Messages.hpp
@@ -53,8 +53,8 @@
   std::uint64_t generation_ = 0;
   /// The sender holds a grantor lease, so it can grant instance leases at once.
   bool ready_ = false;
-  /// Neither the grantor nor the backup grantor of the receiver can decide about it any more; it may
-  /// bind without leaving its grantor.
+  /// Neither the grantor nor the backup grantor of the receiver can decide about it any more; it
+  /// may bind without leaving its grantor.
   bool orphan_ = false;
   /// Sending time of the heartbeat that asked, if orphan_.
   std::int64_t sentAt_ = 0;
@@ -102,8 +102,8 @@
   }
 };
 
-/// Warns a dependant: the sender (level 1) or the sender's grantor (level 2) has lost both of its own
-/// grantors and will soon lose its lease.
+/// Warns a dependant: the sender (level 1) or the sender's grantor (level 2) has lost both of its
+/// own grantors and will soon lose its lease.
 struct Distress
 {
   std::uint64_t generation_ = 0;
--- a/src/ownership/OwnedShards.cpp
+++ b/src/ownership/OwnedShards.cpp
@@ -20,19 +20,22 @@
 {
 }
 
-const ShardRow* OwnedShards::Find(const ShardId& aShard) const
+const ShardRow*
+OwnedShards::Find(const ShardId& aShard) const
 {
   const auto it = shards_.find(aShard);
   return it == shards_.end() ? nullptr : &it->second.row_;
 }
 
-std::optional<RowPhase> OwnedShards::Phase(const ShardId& aShard) const
+std::optional<RowPhase>
+OwnedShards::Phase(const ShardId& aShard) const
 {
   const auto it = shards_.find(aShard);
   return it == shards_.end() ? std::nullopt : std::optional(it->second.phase_);
 }
 
-void OwnedShards::Gain(Shard aShard, Effects& aEffects)
+void
+OwnedShards::Gain(Shard aShard, Effects& aEffects)
 {
   const ShardRow row = aShard.row_;
   ledger_.Take(row.shard_, row.token_);
@@ -43,7 +46,8 @@
   aEffects.push_back(RowsChanged{ { row } });
 }
 
-void OwnedShards::Lose(const ShardId& aShard, Effects& aEffects)
+void
+OwnedShards::Lose(const ShardId& aShard, Effects& aEffects)
 {
   const auto it = shards_.find(aShard);
   if (it == shards_.end()) {
@@ -55,7 +59,8 @@
   aEffects.push_back(OwnershipLost{ aShard, token });
 }
 
-void OwnedShards::TakeOverRow(const ShardRow& aRow, Effects& aEffects)
+void
+OwnedShards::TakeOverRow(const ShardRow& aRow, Effects& aEffects)
 {
   if (!ledger_.MayTake(aRow.shard_, aRow.token_ + 1)) {
     return;
@@ -67,7 +72,8 @@
   Gain(std::move(shard), aEffects);
 }
 
-void OwnedShards::TakeAssigned(const ShardRow& aRow, Effects& aEffects)
+void
+OwnedShards::TakeAssigned(const ShardRow& aRow, Effects& aEffects)
 {
   if (!ledger_.MayTake(aRow.shard_, aRow.token_)) {
     return;
@@ -80,7 +86,8 @@
   Gain(std::move(shard), aEffects);
 }
 
-void OwnedShards::Propose(const ShardId& aShard, const InstanceRef& aTarget, bool aMove)
+void
+OwnedShards::Propose(const ShardId& aShard, const InstanceRef& aTarget, bool aMove)
 {
   const auto it = shards_.find(aShard);
   if (it == shards_.end() || aTarget == self_) {
@@ -96,7 +103,8 @@
   shard.move_ = aMove;
 }
 
-void OwnedShards::Confirm(const ShardId& aShard, const InstanceRef& aSuccessor)
+void
+OwnedShards::Confirm(const ShardId& aShard, const InstanceRef& aSuccessor)
 {
   const auto it = shards_.find(aShard);
   if (it == shards_.end() || it->second.phase_ != RowPhase::Confirming ||
@@ -109,19 +117,22 @@
   replicator_.Put(shard.row_);
 }
 
-void OwnedShards::ReleaseAll()
+void
+OwnedShards::ReleaseAll()
 {
   releaseAll_ = true;
 }
 
-void OwnedShards::LoseAll(Effects& aEffects)
+void
+OwnedShards::LoseAll(Effects& aEffects)
 {
   while (!shards_.empty()) {
     Lose(ShardId(shards_.begin()->first), aEffects);
   }
 }
 
-void OwnedShards::OnStoreRow(const ShardRow& aRow, Effects& aEffects)
+void
+OwnedShards::OnStoreRow(const ShardRow& aRow, Effects& aEffects)
 {
   const auto it = shards_.find(aRow.shard_);
   if (it != shards_.end() && aRow.token_ > it->second.row_.token_) {
@@ -130,7 +141,8 @@
   }
 }
 
-ShardRow OwnedShards::Target(const Shard& aShard)
+ShardRow
+OwnedShards::Target(const Shard& aShard)
 {
   ShardRow row = aShard.row_;
   if (aShard.phase_ == RowPhase::Committing && aShard.wanted_) {
@@ -139,7 +151,8 @@
   return row;
 }
 
-void OwnedShards::Commit(Shard& aShard, TimePoint aNow, Effects& aEffects)
+void
+OwnedShards::Commit(Shard& aShard, TimePoint aNow, Effects& aEffects)
 {
   if (aShard.operation_ != 0 ||
       (aShard.lastCommit_ != TimePoint{} && aNow - aShard.lastCommit_ < settings_.storeRetry_)) {
@@ -150,7 +163,8 @@
   aEffects.push_back(CommitRow{ aShard.operation_, aShard.stored_, Target(aShard) });
 }
 
-void OwnedShards::Committed(Shard& aShard, Effects& aEffects)
+void
+OwnedShards::Committed(Shard& aShard, Effects& aEffects)
 {
   aShard.stored_ = Target(aShard);
   aShard.lastCommit_ = TimePoint{};
@@ -165,10 +179,11 @@
   aEffects.push_back(RowsChanged{ { aShard.stored_ } });
 }
 
-void OwnedShards::OnCommit(std::uint64_t aOperation,
-                           CommitOutcome aOutcome,
-                           const std::optional<ShardRow>& aCurrent,
-                           Effects& aEffects)
+void
+OwnedShards::OnCommit(std::uint64_t aOperation,
+                      CommitOutcome aOutcome,
+                      const std::optional<ShardRow>& aCurrent,
+                      Effects& aEffects)
 {
   const auto it = std::find_if(shards_.begin(), shards_.end(), [&](const auto& aEntry) {
     return aEntry.second.operation_ == aOperation;
@@ -194,7 +209,8 @@
   }
 }
 
-void OwnedShards::OnReleaseAck(const ReleaseAck& aAck)
+void
+OwnedShards::OnReleaseAck(const ReleaseAck& aAck)
 {
   if (releases_.OnAck(aAck)) {
     const ShardRow& row = aAck.row_;
@@ -202,7 +218,8 @@
   }
 }
 
-void OwnedShards::StartChange(Shard& aShard)
+void
+OwnedShards::StartChange(Shard& aShard)
 {
   if (aShard.row_.successor_ == *aShard.wanted_) {
     aShard.wanted_.reset();
@@ -215,7 +232,8 @@
   }
 }
 
-void OwnedShards::FinishClearing(Shard& aShard, Effects& aEffects)
+void
+OwnedShards::FinishClearing(Shard& aShard, Effects& aEffects)
 {
   const bool drop = !aShard.wanted_ || aShard.wanted_->Empty();
   aShard.phase_ = drop ? RowPhase::Stable : RowPhase::Committing;
@@ -225,13 +243,15 @@
   }
 }
 
-bool OwnedShards::MayRelease(const Shard& aShard) const
+bool
+OwnedShards::MayRelease(const Shard& aShard) const
 {
   return (aShard.move_ || releaseAll_) && aShard.phase_ == RowPhase::Stable && !aShard.wanted_ &&
          !aShard.row_.successor_.Empty() && aShard.stored_ == aShard.row_;
 }
 
-void OwnedShards::Advance(Shard& aShard, TimePoint aNow, Effects& aEffects)
+void
+OwnedShards::Advance(Shard& aShard, TimePoint aNow, Effects& aEffects)
 {
   const ShardId& id = aShard.row_.shard_;
   switch (aShard.phase_) {
@@ -272,7 +292,8 @@
   }
 }
 
-void OwnedShards::Tick(TimePoint aNow, Effects& aEffects)
+void
+OwnedShards::Tick(TimePoint aNow, Effects& aEffects)
 {
   for (auto it = shards_.begin(); it != shards_.end();) {
     Shard& shard = it->second;
--- a/src/ownership/OwnedShards.hpp
+++ b/src/ownership/OwnedShards.hpp
@@ -48,7 +48,8 @@
 
   /// Starts to act for a row that the store assigns to this instance, unless its token is barred.
   ///
-  /// Preconditions: the lease is valid; this instance is aRow.owner_. Thread safety: not thread-safe.
+  /// Preconditions: the lease is valid; this instance is aRow.owner_. Thread safety: not
+  /// thread-safe.
   void TakeAssigned(const ShardRow& aRow, Effects& aEffects);
 
   /// Starts a change of the successor; an empty target ends with "no successor" at the grantors.
--- a/src/ownership/OwnershipNode.cpp
+++ b/src/ownership/OwnershipNode.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// The ring is given a chance to act first; it needs at most one instance lease and a grantor lease.
+/// The ring is given a chance to act first; it needs at most one instance lease and a grantor
+/// lease.
 constexpr int kReclaimLeases = 2;
 constexpr Duration kReviewInterval = std::chrono::milliseconds(100);
 
@@ -33,7 +34,8 @@
 {
 }
 
-bool OwnershipNode::Stopped()
+bool
+OwnershipNode::Stopped()
 {
   if (!holder_.Expired()) {
     return false;
@@ -46,19 +48,22 @@
   return true;
 }
 
-void OwnershipNode::TickHolder()
+void
+OwnershipNode::TickHolder()
 {
   holder_.AllowRebind(grantor_.AllRegistered());
   holder_.Tick(effects_);
 }
 
-void OwnershipNode::Refresh()
+void
+OwnershipNode::Refresh()
 {
   table_.SetLeaseDeadline(holder_.Expired() ? TimePoint{} : holder_.InstanceDeadline());
   replicator_.SetBinding(holder_.Grantor(), holder_.Generation());
 }
 
-void OwnershipNode::Tick()
+void
+OwnershipNode::Tick()
 {
   TickHolder();
   Refresh();
@@ -81,7 +86,8 @@
   }
 }
 
-void OwnershipNode::Receive(const InstanceRef& aFrom, const OwnershipMessage& aMessage)
+void
+OwnershipNode::Receive(const InstanceRef& aFrom, const OwnershipMessage& aMessage)
 {
   // Notices the end of the lease before the message is handled.
   TickHolder();
@@ -94,7 +100,8 @@
   Stopped();
 }
 
-void OwnershipNode::SetMembers(std::span<const RingMember> aMembers)
+void
+OwnershipNode::SetMembers(std::span<const RingMember> aMembers)
 {
   const TimePoint now = clock_.Now();
   std::string region;
@@ -118,14 +125,16 @@
   holder_.SetPredecessors(predecessors);
 }
 
-void OwnershipNode::OnMemberDead(const InstanceRef& aRef)
+void
+OwnershipNode::OnMemberDead(const InstanceRef& aRef)
 {
   if (aRef != self_) {
     gone_.MarkDead(aRef);
   }
 }
 
-void OwnershipNode::OnStoreRows(std::span<const ShardRow> aRows)
+void
+OwnershipNode::OnStoreRows(std::span<const ShardRow> aRows)
 {
   const TimePoint now = clock_.Now();
   TickHolder();
@@ -150,7 +159,8 @@
   }
 }
 
-void OwnershipNode::ConsiderRow(const ShardRow& aRow, TimePoint aNow)
+void
+OwnershipNode::ConsiderRow(const ShardRow& aRow, TimePoint aNow)
 {
   if (!holder_.LeaseValid()) {
     return;
@@ -169,19 +179,23 @@
   }
 }
 
-void OwnershipNode::ReclaimReleases(TimePoint aNow)
+void
+OwnershipNode::ReclaimReleases(TimePoint aNow)
 {
   for (const ShardRow& row : shards_.Releases().Pending()) {
-    if (gone_.IsGone(row.successor_, aNow)) {
+    const auto stored = storeRows_.find(row.shard_);
+    if (stored != storeRows_.end() && stored->second.token_ > row.token_) {
       shards_.Releases().Remove(row.shard_);
+    } else if (gone_.IsGone(row.successor_, aNow)) {
       claims_.Start(row, self_, false);
     }
   }
 }
 
-void OwnershipNode::OnStoreResult(std::uint64_t aOperation,
-                                  CommitOutcome aOutcome,
-                                  const std::optional<ShardRow>& aCurrent)
+void
+OwnershipNode::OnStoreResult(std::uint64_t aOperation,
+                             CommitOutcome aOutcome,
+                             const std::optional<ShardRow>& aCurrent)
 {
   TickHolder();
   Refresh();
@@ -196,7 +210,8 @@
   }
 }
 
-void OwnershipNode::AssignShard(const ShardId& aShard, const InstanceRef& aTarget, bool aForce)
+void
+OwnershipNode::AssignShard(const ShardId& aShard, const InstanceRef& aTarget, bool aForce)
 {
   const auto it = storeRows_.find(aShard);
   if (it == storeRows_.end() || shards_.Find(aShard) != nullptr) {
@@ -208,7 +223,8 @@
   }
 }
 
-void OwnershipNode::Propose(const ShardId& aShard, const InstanceRef& aTarget, bool aMove)
+void
+OwnershipNode::Propose(const ShardId& aShard, const InstanceRef& aTarget, bool aMove)
 {
   if (shards_.Find(aShard) != nullptr) {
     shards_.Propose(aShard, aTarget, aMove);
@@ -221,32 +237,38 @@
   }
 }
 
-void OwnershipNode::ProposeSuccessorFor(const ShardId& aShard, const InstanceRef& aTarget)
+void
+OwnershipNode::ProposeSuccessorFor(const ShardId& aShard, const InstanceRef& aTarget)
 {
   Propose(aShard, aTarget, false);
 }
 
-void OwnershipNode::ProposeMove(const ShardId& aShard, const InstanceRef& aTarget)
+void
+OwnershipNode::ProposeMove(const ShardId& aShard, const InstanceRef& aTarget)
 {
   Propose(aShard, aTarget, true);
 }
 
-void OwnershipNode::DropSuccessor(const ShardId& aShard)
+void
+OwnershipNode::DropSuccessor(const ShardId& aShard)
 {
   shards_.Propose(aShard, InstanceRef{}, false);
 }
 
-void OwnershipNode::ConfirmSuccessor(const ShardId& aShard, const InstanceRef& aSuccessor)
+void
+OwnershipNode::ConfirmSuccessor(const ShardId& aShard, const InstanceRef& aSuccessor)
 {
   shards_.Confirm(aShard, aSuccessor);
 }
 
-void OwnershipNode::ReleaseAll()
+void
+OwnershipNode::ReleaseAll()
 {
   shards_.ReleaseAll();
 }
 
-Effects OwnershipNode::TakeEffects()
+Effects
+OwnershipNode::TakeEffects()
 {
   return std::exchange(effects_, {});
 }
--- a/src/ownership/OwnershipNode.hpp
+++ b/src/ownership/OwnershipNode.hpp
@@ -16,8 +16,9 @@
 namespace redwing {
 
 /// Facade of the ownership classes: takes messages, time and store results, returns effects. One
-/// object serves one incarnation. The caller delivers a message only when it is addressed to exactly
-/// this incarnation, calls Tick at least every 10 ms, and calls TakeEffects after each input.
+/// object serves one incarnation. The caller delivers a message only when it is addressed to
+/// exactly this incarnation, calls Tick at least every 10 ms, and calls TakeEffects after each
+/// input.
 class OwnershipNode
 {
 public:
@@ -65,7 +66,8 @@
   /// Assigns a shard that has no owner, or whose owner is known to be gone, to aTarget. With aForce
   /// an operator vouches that neither owner nor successor acts.
   ///
-  /// Preconditions: the shard's row was supplied by OnStoreRows. Thread safety: see the constructor.
+  /// Preconditions: the shard's row was supplied by OnStoreRows. Thread safety: see the
+  /// constructor.
   void AssignShard(const ShardId& aShard, const InstanceRef& aTarget, bool aForce = false);
 
   /// Asks the owner to name aTarget as successor.
--- a/src/ownership/OwnershipNodeMessages.cpp
+++ b/src/ownership/OwnershipNodeMessages.cpp
@@ -2,39 +2,46 @@
 
 namespace redwing {
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const BindProbe&)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const BindProbe&)
 {
   grantor_.OnProbe(aFrom, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const BindOffer& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const BindOffer& aMessage)
 {
   holder_.OnOffer(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const Heartbeat& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const Heartbeat& aMessage)
 {
   grantor_.OnHeartbeat(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const HeartbeatReply& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const HeartbeatReply& aMessage)
 {
   if (holder_.OnReply(aFrom, aMessage, effects_)) {
     grantor_.DropAll();
   }
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const Distress& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const Distress& aMessage)
 {
   holder_.OnDistress(aFrom, aMessage);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const RowsUpdate& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const RowsUpdate& aMessage)
 {
   grantor_.OnUpdate(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const RowsAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const RowsAck& aMessage)
 {
   if (aMessage.dependant_ == self_) {
     replicator_.OnAck(aFrom, aMessage);
@@ -45,37 +52,44 @@
   }
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const RowsDrop& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const RowsDrop& aMessage)
 {
   grantor_.OnDrop(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const RowsDropAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const RowsDropAck& aMessage)
 {
   grantor_.OnDropAck(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const Unbind& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const Unbind& aMessage)
 {
   grantor_.OnUnbind(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const UnbindAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const UnbindAck& aMessage)
 {
   holder_.OnUnbindAck(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const Decide& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const Decide& aMessage)
 {
   grantor_.OnDecide(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const DecideAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const DecideAck& aMessage)
 {
   grantor_.OnDecideAck(aFrom, aMessage, effects_);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const TakeOver& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const TakeOver& aMessage)
 {
   if (aMessage.row_.successor_ == self_ && holder_.LeaseValid()) {
     shards_.TakeOverRow(aMessage.row_, effects_);
@@ -83,12 +97,14 @@
   }
 }
 
-void OwnershipNode::Handle(const InstanceRef&, const TakeOverAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef&, const TakeOverAck& aMessage)
 {
   grantor_.OnTakeOverAck(aMessage);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const Release& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const Release& aMessage)
 {
   if (aMessage.row_.successor_ == self_ && holder_.LeaseValid()) {
     shards_.TakeOverRow(aMessage.row_, effects_);
@@ -96,12 +112,14 @@
   }
 }
 
-void OwnershipNode::Handle(const InstanceRef&, const ReleaseAck& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef&, const ReleaseAck& aMessage)
 {
   shards_.OnReleaseAck(aMessage);
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const ClaimQuery& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const ClaimQuery& aMessage)
 {
   if (aMessage.row_.successor_ == self_) {
     effects_.emplace_back(
@@ -109,12 +127,14 @@
   }
 }
 
-void OwnershipNode::Handle(const InstanceRef& aFrom, const ClaimPromise& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef& aFrom, const ClaimPromise& aMessage)
 {
   claims_.OnPromise(aFrom, aMessage);
 }
 
-void OwnershipNode::Handle(const InstanceRef&, const ProposeSuccessor& aMessage)
+void
+OwnershipNode::Handle(const InstanceRef&, const ProposeSuccessor& aMessage)
 {
   shards_.Propose(aMessage.shard_, aMessage.target_, aMessage.move_);
 }
--- a/src/ownership/OwnershipSettings.hpp
+++ b/src/ownership/OwnershipSettings.hpp
@@ -20,8 +20,8 @@
   Duration margin_ = std::chrono::milliseconds(10);
   /// Silence of the grantor after which the backup grantor is asked too.
   Duration askBackupAfter_ = std::chrono::milliseconds(250);
-  /// Silence of grantor and backup grantor after which dependants are warned: later than the time in
-  /// which a backup grantor takes over, early enough for a move before the lease ends.
+  /// Silence of grantor and backup grantor after which dependants are warned: later than the time
+  /// in which a backup grantor takes over, early enough for a move before the lease ends.
   Duration distressAfter_ = std::chrono::milliseconds(450);
   /// Interval at which unacknowledged messages are sent again.
   Duration resend_ = std::chrono::milliseconds(30);
@@ -33,8 +33,8 @@
   /// Off only in tests that show that the explorer finds the resulting violation.
   bool waitForLease_ = true;
 
-  /// Returns how long a grantor waits so that aLease has ended on the slowest clock: both clocks may
-  /// deviate, in opposite directions.
+  /// Returns how long a grantor waits so that aLease has ended on the slowest clock: both clocks
+  /// may deviate, in opposite directions.
   ///
   /// Preconditions: drift_ < 1. Thread safety: callable from any thread.
   Duration Wait(Duration aLease) const
--- a/src/ownership/OwnershipTable.cpp
+++ b/src/ownership/OwnershipTable.cpp
@@ -2,7 +2,8 @@
 
 namespace redwing {
 
-GateAnswer OwnershipTable::Answer(const Entry& aEntry, TimePoint aNow) const
+GateAnswer
+OwnershipTable::Answer(const Entry& aEntry, TimePoint aNow) const
 {
   GateAnswer answer;
   answer.owned_ = aEntry.owned_ && !aEntry.releasing_ && aNow < LeaseDeadline();
@@ -12,14 +13,16 @@
   return answer;
 }
 
-GateAnswer OwnershipTable::Check(const ShardId& aShard, TimePoint aNow) const
+GateAnswer
+OwnershipTable::Check(const ShardId& aShard, TimePoint aNow) const
 {
   std::lock_guard lock(mutex_);
   const auto it = entries_.find(aShard);
   return it == entries_.end() ? GateAnswer{} : Answer(it->second, aNow);
 }
 
-GateAnswer OwnershipTable::BeginRequest(const ShardId& aShard, TimePoint aNow)
+GateAnswer
+OwnershipTable::BeginRequest(const ShardId& aShard, TimePoint aNow)
 {
   std::lock_guard lock(mutex_);
   const auto it = entries_.find(aShard);
@@ -33,7 +36,8 @@
   return answer;
 }
 
-void OwnershipTable::EndRequest(const ShardId& aShard)
+void
+OwnershipTable::EndRequest(const ShardId& aShard)
 {
   std::lock_guard lock(mutex_);
   const auto it = entries_.find(aShard);
@@ -42,17 +46,20 @@
   }
 }
 
-void OwnershipTable::SetLeaseDeadline(TimePoint aDeadline)
+void
+OwnershipTable::SetLeaseDeadline(TimePoint aDeadline)
 {
   leaseDeadline_.store(aDeadline.time_since_epoch().count(), std::memory_order_release);
 }
 
-TimePoint OwnershipTable::LeaseDeadline() const
+TimePoint
+OwnershipTable::LeaseDeadline() const
 {
   return TimePoint(Duration(leaseDeadline_.load(std::memory_order_acquire)));
 }
 
-void OwnershipTable::Gain(const ShardRow& aRow)
+void
+OwnershipTable::Gain(const ShardRow& aRow)
 {
   std::lock_guard lock(mutex_);
   Entry& entry = entries_[aRow.shard_];
@@ -62,7 +69,8 @@
   entry.owner_ = aRow.owner_;
 }
 
-void OwnershipTable::Lose(const ShardId& aShard)
+void
+OwnershipTable::Lose(const ShardId& aShard)
 {
   std::lock_guard lock(mutex_);
   Entry& entry = entries_[aShard];
@@ -70,13 +78,15 @@
   entry.releasing_ = false;
 }
 
-void OwnershipTable::SetReleasing(const ShardId& aShard, bool aReleasing)
+void
+OwnershipTable::SetReleasing(const ShardId& aShard, bool aReleasing)
 {
   std::lock_guard lock(mutex_);
   entries_[aShard].releasing_ = aReleasing;
 }
 
-void OwnershipTable::SetOwner(const ShardRow& aRow)
+void
+OwnershipTable::SetOwner(const ShardRow& aRow)
 {
   std::lock_guard lock(mutex_);
   Entry& entry = entries_[aRow.shard_];
@@ -86,7 +96,8 @@
   }
 }
 
-std::uint32_t OwnershipTable::Running(const ShardId& aShard) const
+std::uint32_t
+OwnershipTable::Running(const ShardId& aShard) const
 {
   std::lock_guard lock(mutex_);
   const auto it = entries_.find(aShard);
--- a/src/ownership/ReleaseQueue.hpp
+++ b/src/ownership/ReleaseQueue.hpp
@@ -19,17 +19,18 @@
   /// thread-safe.
   void Add(const ShardRow& aRow);
 
-  /// Returns whether the acknowledgement ended a release.
+  /// Returns whether this is the first acknowledgement of a release. The row is kept until Remove,
+  /// because the successor may be lost before it writes the row back.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   bool OnAck(const ReleaseAck& aAck);
 
-  /// Removes a release whose successor is gone.
+  /// Forgets a release because the store has a newer row.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   void Remove(const ShardId& aShard) { entries_.erase(aShard); }
 
-  /// Returns the rows whose release is not acknowledged.
+  /// Returns the released rows that the store still has.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   std::vector<ShardRow> Pending() const;
@@ -44,6 +45,7 @@
   {
     ShardRow row_;
     TimePoint lastSent_{};
+    bool acknowledged_ = false;
   };
 
   const OwnershipSettings& settings_;
--- a/src/ownership/RowReplicator.cpp
+++ b/src/ownership/RowReplicator.cpp
@@ -8,17 +8,20 @@
 {
 }
 
-void RowReplicator::Put(const ShardRow& aRow)
+void
+RowReplicator::Put(const ShardRow& aRow)
 {
   rows_.Merge({ aRow, ++version_ });
 }
 
-bool RowReplicator::IsHeld(const ShardId& aShard) const
+bool
+RowReplicator::IsHeld(const ShardId& aShard) const
 {
   return generation_ != 0 && rows_.IsHeld(aShard);
 }
 
-void RowReplicator::SetBinding(const InstanceRef& aGrantor, std::uint64_t aGeneration)
+void
+RowReplicator::SetBinding(const InstanceRef& aGrantor, std::uint64_t aGeneration)
 {
   if (aGrantor == grantor_ && aGeneration == generation_) {
     return;
@@ -28,7 +31,8 @@
   rows_.ResetAcknowledgements();
 }
 
-void RowReplicator::OnAck(const InstanceRef& aFrom, const RowsAck& aAck)
+void
+RowReplicator::OnAck(const InstanceRef& aFrom, const RowsAck& aAck)
 {
   if (aFrom != grantor_ || aAck.generation_ != generation_) {
     return;
@@ -38,13 +42,15 @@
   }
 }
 
-void RowReplicator::Tick(TimePoint aNow, Effects& aEffects)
+void
+RowReplicator::Tick(TimePoint aNow, Effects& aEffects)
 {
   if (generation_ == 0) {
     return;
   }
   for (auto& batch : rows_.TakeDue(aNow, settings_.resend_, settings_.rowBytes_)) {
-    aEffects.push_back(SendMessage{ grantor_, RowsUpdate{ generation_, self_, 0, false, std::move(batch) } });
+    aEffects.push_back(
+      SendMessage{ grantor_, RowsUpdate{ generation_, self_, 0, false, std::move(batch) } });
   }
 }
 
--- a/src/ownership/RowSet.cpp
+++ b/src/ownership/RowSet.cpp
@@ -5,7 +5,8 @@
 namespace {
 
 /// Size of an encoded row: three strings with 8-byte lengths and five fixed numbers.
-std::size_t EncodedBytes(const VersionedRow& aRow)
+std::size_t
+EncodedBytes(const VersionedRow& aRow)
 {
   constexpr std::size_t kFixedBytes = 64;
   return kFixedBytes + aRow.row_.shard_.service_.size() + aRow.row_.owner_.id_.size() +
@@ -14,7 +15,8 @@
 
 } // namespace
 
-bool RowSet::Merge(const VersionedRow& aRow)
+bool
+RowSet::Merge(const VersionedRow& aRow)
 {
   const auto [it, inserted] = entries_.try_emplace(aRow.row_.shard_);
   Entry& entry = it->second;
@@ -29,7 +31,8 @@
   return true;
 }
 
-void RowSet::Acknowledge(const RowVersion& aVersion)
+void
+RowSet::Acknowledge(const RowVersion& aVersion)
 {
   const auto it = entries_.find(aVersion.shard_);
   if (it == entries_.end() || it->second.Held() || aVersion.version_ != it->second.row_.version_) {
@@ -39,13 +42,15 @@
   --unacknowledged_;
 }
 
-bool RowSet::IsHeld(const ShardId& aShard) const
+bool
+RowSet::IsHeld(const ShardId& aShard) const
 {
   const auto it = entries_.find(aShard);
   return it == entries_.end() || it->second.Held();
 }
 
-void RowSet::ResetAcknowledgements()
+void
+RowSet::ResetAcknowledgements()
 {
   for (auto& [shard, entry] : entries_) {
     entry.acknowledged_ = 0;
@@ -54,9 +59,8 @@
   unacknowledged_ = entries_.size();
 }
 
-std::vector<std::vector<VersionedRow>> RowSet::TakeDue(TimePoint aNow,
-                                                       Duration aResend,
-                                                       std::size_t aBytes)
+std::vector<std::vector<VersionedRow>>
+RowSet::TakeDue(TimePoint aNow, Duration aResend, std::size_t aBytes)
 {
   std::vector<std::vector<VersionedRow>> batches;
   if (unacknowledged_ == 0) {
@@ -79,7 +83,8 @@
   return batches;
 }
 
-std::vector<ShardRow> RowSet::Rows() const
+std::vector<ShardRow>
+RowSet::Rows() const
 {
   std::vector<ShardRow> rows;
   for (const auto& [shard, entry] : entries_) {
@@ -90,7 +95,8 @@
   return rows;
 }
 
-std::vector<VersionedRow> RowSet::Versioned() const
+std::vector<VersionedRow>
+RowSet::Versioned() const
 {
   std::vector<VersionedRow> rows;
   rows.reserve(entries_.size());
--- a/src/ownership/ShardClaims.cpp
+++ b/src/ownership/ShardClaims.cpp
@@ -4,7 +4,8 @@
 
 namespace redwing {
 
-ShardRow ShardClaims::Claim::Next() const
+ShardRow
+ShardClaims::Claim::Next() const
 {
   // A successor that is gone may have taken token + 1 without writing it back, so that token is
   // left out whenever there was a successor.
@@ -25,7 +26,8 @@
 {
 }
 
-void ShardClaims::Start(const ShardRow& aRow, const InstanceRef& aTarget, bool aForce)
+void
+ShardClaims::Start(const ShardRow& aRow, const InstanceRef& aTarget, bool aForce)
 {
   const auto it = claims_.find(aRow.shard_);
   if (it != claims_.end() && (it->second.row_ == aRow || it->second.operation_ != 0)) {
@@ -38,7 +40,8 @@
   claims_[aRow.shard_] = claim;
 }
 
-void ShardClaims::OnPromise(const InstanceRef& aFrom, const ClaimPromise& aPromise)
+void
+ShardClaims::OnPromise(const InstanceRef& aFrom, const ClaimPromise& aPromise)
 {
   const auto it = claims_.find(aPromise.row_.shard_);
   if (it == claims_.end() || it->second.row_ != aPromise.row_ ||
@@ -52,9 +55,10 @@
   }
 }
 
-std::optional<ShardRow> ShardClaims::OnCommit(std::uint64_t aOperation,
-                                              CommitOutcome aOutcome,
-                                              const std::optional<ShardRow>& aCurrent)
+std::optional<ShardRow>
+ShardClaims::OnCommit(std::uint64_t aOperation,
+                      CommitOutcome aOutcome,
+                      const std::optional<ShardRow>& aCurrent)
 {
   const auto it = std::find_if(claims_.begin(), claims_.end(), [&](const auto& aEntry) {
     return aEntry.second.operation_ == aOperation;
@@ -80,7 +84,8 @@
   return row;
 }
 
-void ShardClaims::Tick(TimePoint aNow, Effects& aEffects)
+void
+ShardClaims::Tick(TimePoint aNow, Effects& aEffects)
 {
   for (auto it = claims_.begin(); it != claims_.end();) {
     Claim& claim = it->second;
--- a/src/ownership/ShardRow.hpp
+++ b/src/ownership/ShardRow.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace redwing {
 
@@ -12,7 +14,10 @@
   std::uint64_t incarnation_ = 0;
 
   bool operator==(const InstanceRef&) const = default;
-  auto operator<=>(const InstanceRef&) const = default;
+  auto operator<=>(const InstanceRef& aOther) const
+  {
+    return std::tie(id_, incarnation_) <=> std::tie(aOther.id_, aOther.incarnation_);
+  }
   bool Empty() const { return id_.empty(); }
 
   template<typename Archive>
@@ -29,7 +34,10 @@
   std::uint32_t index_ = 0;
 
   bool operator==(const ShardId&) const = default;
-  auto operator<=>(const ShardId&) const = default;
+  auto operator<=>(const ShardId& aOther) const
+  {
+    return std::tie(service_, index_) <=> std::tie(aOther.service_, aOther.index_);
+  }
 
   template<typename Archive>
   void serialize(Archive& aArchive)
--- a/src/ownership/TakeOverQueue.cpp
+++ b/src/ownership/TakeOverQueue.cpp
@@ -8,7 +8,8 @@
 {
 }
 
-void TakeOverQueue::Add(const std::vector<ShardRow>& aRows)
+void
+TakeOverQueue::Add(const std::vector<ShardRow>& aRows)
 {
   for (const ShardRow& row : aRows) {
     if (!row.successor_.Empty()) {
@@ -17,7 +18,8 @@
   }
 }
 
-void TakeOverQueue::OnAck(const TakeOverAck& aAck)
+void
+TakeOverQueue::OnAck(const TakeOverAck& aAck)
 {
   const auto it = entries_.find({ aAck.row_.owner_, aAck.row_.shard_ });
   if (it != entries_.end() && it->second.row_ == aAck.row_) {
@@ -25,13 +27,15 @@
   }
 }
 
-bool TakeOverQueue::Pending(const InstanceRef& aOwner) const
+bool
+TakeOverQueue::Pending(const InstanceRef& aOwner) const
 {
   const auto it = entries_.lower_bound({ aOwner, ShardId{} });
   return it != entries_.end() && it->first.first == aOwner;
 }
 
-void TakeOverQueue::Tick(TimePoint aNow, Effects& aEffects)
+void
+TakeOverQueue::Tick(TimePoint aNow, Effects& aEffects)
 {
   for (auto it = entries_.begin(); it != entries_.end();) {
     Entry& entry = it->second;
--- a/tests/unit/membership/RingOrderTest.cpp
+++ b/tests/unit/membership/RingOrderTest.cpp
@@ -1,7 +1,7 @@
 #include "membership/RingOrder.hpp"
 
-#include <boost/test/unit_test.hpp>
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
 
@@ -13,7 +13,8 @@
 
 constexpr std::size_t kRacks = 4;
 
-std::vector<RingMember> Fleet(std::size_t aCount, std::size_t aDataCentres)
+std::vector<RingMember>
+Fleet(std::size_t aCount, std::size_t aDataCentres)
 {
   std::vector<RingMember> members;
   for (std::size_t i = 0; i < aCount; ++i) {
@@ -26,7 +27,8 @@
 }
 
 /// Counts positions at which two of three consecutive members share a data centre.
-std::size_t SharedDataCentres(const std::vector<RingMember>& aRing)
+std::size_t
+SharedDataCentres(const std::vector<RingMember>& aRing)
 {
   std::size_t shared = 0;
   for (std::size_t i = 0; i < aRing.size(); ++i) {
@@ -38,7 +40,8 @@
   return shared;
 }
 
-std::map<std::string, std::string> Predecessors(const std::vector<RingMember>& aRing)
+std::map<std::string, std::string>
+Predecessors(const std::vector<RingMember>& aRing)
 {
   std::map<std::string, std::string> predecessors;
   for (std::size_t i = 0; i < aRing.size(); ++i) {
--- a/tests/unit/ownership/ExplorerTest.cpp
+++ b/tests/unit/ownership/ExplorerTest.cpp
@@ -15,13 +15,15 @@
 constexpr std::size_t kNodeCounts = 4;
 constexpr std::size_t kShards = 5;
 
-std::uint64_t FromEnvironment(const char* aName, std::uint64_t aDefault)
+std::uint64_t
+FromEnvironment(const char* aName, std::uint64_t aDefault)
 {
   const char* text = std::getenv(aName);
   return text == nullptr ? aDefault : std::strtoull(text, nullptr, 10);
 }
 
-FaultRates RandomRates(redwing::Random& aRandom)
+FaultRates
+RandomRates(redwing::Random& aRandom)
 {
   FaultRates rates;
   rates.loss_ = 0.15 * aRandom.Unit() * static_cast<double>(aRandom.Below(3));
@@ -34,7 +36,8 @@
 }
 
 /// Explores one seed under faults that change every simulated second.
-void Explore(Simulation& aSimulation, std::uint64_t aSeed, std::uint64_t aSteps)
+void
+Explore(Simulation& aSimulation, std::uint64_t aSeed, std::uint64_t aSteps)
 {
   redwing::Random random(aSeed + 1);
   aSimulation.SetPlannerMoves(true);
--- a/tests/unit/ownership/LivenessTest.cpp
+++ b/tests/unit/ownership/LivenessTest.cpp
@@ -21,7 +21,8 @@
   OwnerAndBackup,
 };
 
-void CheckLoss(Loss aLoss, bool aStoreUp)
+void
+CheckLoss(Loss aLoss, bool aStoreUp)
 {
   Duration worst{};
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -42,7 +43,8 @@
       bool covered = true;
       for (std::size_t i = 0; i < kShards; ++i) {
         const auto* node = simulation.OwnerOf(i);
-        const InstanceRef successor = node->node_->Shards().Find(simulation.Shards()[i])->successor_;
+        const InstanceRef successor =
+          node->node_->Shards().Find(simulation.Shards()[i])->successor_;
         const bool ownerLost = node->ref_.id_ == owner || node->ref_ == second;
         covered = covered && !(ownerLost && (successor.id_ == owner || successor == second));
       }
@@ -53,8 +55,9 @@
     }
     simulation.Kill(owner);
     const auto needed = simulation.RunUntil([&] { return simulation.AllOwned(); }, kTarget);
-    BOOST_REQUIRE_MESSAGE(needed.has_value(), "seed " << seed << ": " << simulation.Violation() << '\n'
-                                                      << simulation.Describe());
+    BOOST_REQUIRE_MESSAGE(needed.has_value(),
+                          "seed " << seed << ": " << simulation.Violation() << '\n'
+                                  << simulation.Describe());
     worst = std::max(worst, *needed);
   }
   BOOST_TEST_MESSAGE("worst case "
--- a/tests/unit/ownership/OwnershipTableTest.cpp
+++ b/tests/unit/ownership/OwnershipTableTest.cpp
@@ -15,7 +15,8 @@
 const TimePoint kDeadline{ std::chrono::seconds(10) };
 const TimePoint kBefore{ std::chrono::seconds(9) };
 
-ShardRow Row(std::uint64_t aToken)
+ShardRow
+Row(std::uint64_t aToken)
 {
   return ShardRow{ kShard, InstanceRef{ "a", 1 }, aToken, {} };
 }
--- a/tests/unit/ownership/Simulation.cpp
+++ b/tests/unit/ownership/Simulation.cpp
@@ -13,7 +13,8 @@
 constexpr std::size_t kMaxMessageBytes = 1200;
 constexpr std::uint64_t kSizeCheckEvery = 64;
 
-std::string Text(const InstanceRef& aRef)
+std::string
+Text(const InstanceRef& aRef)
 {
   return aRef.id_ + "@" + std::to_string(aRef.incarnation_);
 }
@@ -56,29 +57,34 @@
   At(milliseconds(100), nullptr, [holder] { (*holder)(); });
 }
 
-Duration Simulation::Between(std::int64_t aLowUs, std::int64_t aHighUs)
+Duration
+Simulation::Between(std::int64_t aLowUs, std::int64_t aHighUs)
 {
-  return std::chrono::microseconds(
-    aLowUs + static_cast<std::int64_t>(random_.Below(static_cast<std::uint64_t>(aHighUs - aLowUs + 1))));
+  return std::chrono::microseconds(aLowUs + static_cast<std::int64_t>(random_.Below(
+                                              static_cast<std::uint64_t>(aHighUs - aLowUs + 1))));
 }
 
-bool Simulation::Chance(double aProbability)
+bool
+Simulation::Chance(double aProbability)
 {
   return aProbability > 0.0 && random_.Unit() < aProbability;
 }
 
-void Simulation::At(Duration aDelay, Node* aNode, std::function<void()> aRun)
+void
+Simulation::At(Duration aDelay, Node* aNode, std::function<void()> aRun)
 {
   events_.push(Event{ now_ + aDelay, ++order_, aNode, std::move(aRun) });
 }
 
-Simulation::Node* Simulation::Current(const std::string& aId)
+Simulation::Node*
+Simulation::Current(const std::string& aId)
 {
   const auto it = current_.find(aId);
   return it == current_.end() ? nullptr : it->second;
 }
 
-void Simulation::Start(const std::string& aId)
+void
+Simulation::Start(const std::string& aId)
 {
   auto node = std::make_unique<Node>();
   node->ref_ = InstanceRef{ aId, ++incarnation_ };
@@ -96,7 +102,8 @@
   At(Between(1000, 50000), raw, [this, raw] { ReadStore(raw); });
 }
 
-void Simulation::ScheduleTick(Node* aNode)
+void
+Simulation::ScheduleTick(Node* aNode)
 {
   At(Between(8000, 10000), aNode, [this, aNode] {
     aNode->node_->Tick();
@@ -104,7 +111,8 @@
   });
 }
 
-void Simulation::Kill(const std::string& aId)
+void
+Simulation::Kill(const std::string& aId)
 {
   Node* node = Current(aId);
   if (node == nullptr) {
@@ -116,7 +124,8 @@
   At(Between(500000, 1500000), nullptr, [this] { SpreadMembers(); });
 }
 
-void Simulation::Restart(const std::string& aId)
+void
+Simulation::Restart(const std::string& aId)
 {
   if (Current(aId) == nullptr) {
     Start(aId);
@@ -124,12 +133,14 @@
   }
 }
 
-void Simulation::Cut(const std::string& aFrom, const std::string& aTo, TimePoint aUntil)
+void
+Simulation::Cut(const std::string& aFrom, const std::string& aTo, TimePoint aUntil)
 {
   cuts_[{ aFrom, aTo }] = aUntil;
 }
 
-void Simulation::HealAll()
+void
+Simulation::HealAll()
 {
   cuts_.clear();
   rates_ = FaultRates{};
@@ -141,7 +152,8 @@
   }
 }
 
-std::vector<RingMember> Simulation::Members()
+std::vector<RingMember>
+Simulation::Members()
 {
   std::vector<RingMember> members;
   for (std::size_t i = 0; i < ids_.size(); ++i) {
@@ -152,14 +164,16 @@
   return members;
 }
 
-void Simulation::SpreadMembers()
+void
+Simulation::SpreadMembers()
 {
   for (auto& [id, node] : current_) {
     At(Between(100, 200000), node, [this, node = node] { node->node_->SetMembers(Members()); });
   }
 }
 
-void Simulation::ReadStore(Node* aNode)
+void
+Simulation::ReadStore(Node* aNode)
 {
   if (storeUp_) {
     std::vector<ShardRow> rows;
@@ -172,17 +186,19 @@
   At(Between(100000, 300000), aNode, [this, aNode] { ReadStore(aNode); });
 }
 
-void Simulation::Answer(Node* aNode,
-                        std::uint64_t aOperation,
-                        CommitOutcome aOutcome,
-                        std::optional<ShardRow> aRow)
+void
+Simulation::Answer(Node* aNode,
+                   std::uint64_t aOperation,
+                   CommitOutcome aOutcome,
+                   std::optional<ShardRow> aRow)
 {
   At(Between(500, 3000), aNode, [aNode, aOperation, aOutcome, aRow] {
     aNode->node_->OnStoreResult(aOperation, aOutcome, aRow);
   });
 }
 
-void Simulation::Commit(Node* aNode, const CommitRow& aCommit)
+void
+Simulation::Commit(Node* aNode, const CommitRow& aCommit)
 {
   const ShardId& shard = aCommit.expected_.shard_;
   if (!storeUp_) {
@@ -214,10 +230,11 @@
   });
 }
 
-void Simulation::ApplyCommit(Node* aNode,
-                             const CommitRow& aCommit,
-                             std::uint64_t aRevision,
-                             bool aAnswer)
+void
+Simulation::ApplyCommit(Node* aNode,
+                        const CommitRow& aCommit,
+                        std::uint64_t aRevision,
+                        bool aAnswer)
 {
   StoredRow& stored = store_[aCommit.expected_.shard_];
   if (!storeUp_) {
@@ -234,13 +251,13 @@
     ++counts_["commit"];
   }
   if (aAnswer) {
-    aNode->cache_[aCommit.expected_.shard_] =
-      Node::Cached{ stored.row_, stored.revision_, true };
+    aNode->cache_[aCommit.expected_.shard_] = Node::Cached{ stored.row_, stored.revision_, true };
     Answer(aNode, aCommit.operation_, outcome, stored.row_);
   }
 }
 
-void Simulation::Deliver(Node* aFrom, const SendMessage& aSend)
+void
+Simulation::Deliver(Node* aFrom, const SendMessage& aSend)
 {
   if (order_ % kSizeCheckEvery == 0) {
     std::ostringstream stream;
@@ -269,7 +286,8 @@
   }
 }
 
-void Simulation::Apply(Node* aNode, const Effect& aEffect)
+void
+Simulation::Apply(Node* aNode, const Effect& aEffect)
 {
   if (const auto* send = std::get_if<SendMessage>(&aEffect)) {
     Deliver(aNode, *send);
@@ -296,7 +314,8 @@
   }
 }
 
-void Simulation::Drain(Node* aNode)
+void
+Simulation::Drain(Node* aNode)
 {
   Effects effects = aNode->node_->TakeEffects();
   for (const Effect& effect : effects) {
@@ -325,7 +344,8 @@
   }
 }
 
-bool Simulation::CheckInvariants()
+bool
+Simulation::CheckInvariants()
 {
   if (!violation_.empty()) {
     return false;
@@ -349,7 +369,8 @@
   return true;
 }
 
-bool Simulation::Step()
+bool
+Simulation::Step()
 {
   Event event = events_.top();
   events_.pop();
@@ -376,7 +397,8 @@
   return CheckInvariants();
 }
 
-bool Simulation::Run(Duration aSpan)
+bool
+Simulation::Run(Duration aSpan)
 {
   const TimePoint end = now_ + aSpan;
   while (now_ < end) {
@@ -387,7 +409,8 @@
   return true;
 }
 
-std::optional<Duration> Simulation::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+std::optional<Duration>
+Simulation::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
 {
   const TimePoint begin = now_;
   while (now_ - begin <= aLimit) {
@@ -401,7 +424,8 @@
   return std::nullopt;
 }
 
-Simulation::Node* Simulation::OwnerOf(std::size_t aShard)
+Simulation::Node*
+Simulation::OwnerOf(std::size_t aShard)
 {
   for (auto& [id, node] : current_) {
     if (node->table_.Check(shards_[aShard], node->clock_.Now()).owned_) {
@@ -411,7 +435,8 @@
   return nullptr;
 }
 
-bool Simulation::AllOwned()
+bool
+Simulation::AllOwned()
 {
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     if (OwnerOf(i) == nullptr) {
@@ -421,7 +446,8 @@
   return true;
 }
 
-bool Simulation::AllWithSuccessor()
+bool
+Simulation::AllWithSuccessor()
 {
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     Node* owner = OwnerOf(i);
@@ -433,13 +459,15 @@
   return true;
 }
 
-void Simulation::Plan()
+void
+Simulation::Plan()
 {
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     if (current_.empty()) {
       return;
     }
-    auto planner = std::next(current_.begin(), static_cast<std::ptrdiff_t>(random_.Below(current_.size())));
+    auto planner =
+      std::next(current_.begin(), static_cast<std::ptrdiff_t>(random_.Below(current_.size())));
     if (now_ >= planner->second->pausedUntil_) {
       PlanAt(planner->second, i);
       Drain(planner->second);
@@ -447,10 +475,13 @@
   }
 }
 
-void Simulation::PlanAt(Node* aNode, std::size_t aShard)
+void
+Simulation::PlanAt(Node* aNode, std::size_t aShard)
 {
   const ShardId& shard = shards_[aShard];
-  auto target = std::next(current_.begin(), static_cast<std::ptrdiff_t>(random_.Below(current_.size())))->second;
+  auto target =
+    std::next(current_.begin(), static_cast<std::ptrdiff_t>(random_.Below(current_.size())))
+      ->second;
   Node* owner = OwnerOf(aShard);
   if (owner == nullptr) {
     aNode->node_->AssignShard(shard, target->ref_);
@@ -466,7 +497,7 @@
   if (plannerMoves_ && Chance(0.05)) {
     owner->node_->ProposeMove(shard, target->ref_);
     ++counts_["move"];
-  } else if (!named ||  (plannerMoves_ && Chance(0.1))) {
+  } else if (!named || (plannerMoves_ && Chance(0.1))) {
     if (plannerMoves_ || (target->ref_ != holder.Grantor() && target->ref_ != holder.Backup())) {
       owner->node_->ProposeSuccessorFor(shard, target->ref_);
     }
@@ -474,7 +505,8 @@
   Drain(owner);
 }
 
-void Simulation::Fault()
+void
+Simulation::Fault()
 {
   const std::string& id = ids_[random_.Below(ids_.size())];
   const std::string& other = ids_[random_.Below(ids_.size())];
@@ -508,7 +540,8 @@
   }
 }
 
-std::string Simulation::Describe()
+std::string
+Simulation::Describe()
 {
   std::ostringstream out;
   for (auto& [id, node] : current_) {
@@ -524,8 +557,8 @@
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     Node* owner = OwnerOf(i);
     const StoredRow& stored = store_[shards_[i]];
-    out << "shard " << i << " owner=" << (owner != nullptr ? Text(owner->ref_) : "-")
-        << " store=(" << Text(stored.row_.owner_) << ',' << stored.row_.token_ << ','
+    out << "shard " << i << " owner=" << (owner != nullptr ? Text(owner->ref_) : "-") << " store=("
+        << Text(stored.row_.owner_) << ',' << stored.row_.token_ << ','
         << Text(stored.row_.successor_) << ")\n";
   }
   return out.str();
--- a/tests/unit/ownership/Simulation.hpp
+++ b/tests/unit/ownership/Simulation.hpp
@@ -63,7 +63,10 @@
     std::set<InstanceRef> dead_;
   };
 
-  Simulation(std::uint64_t aSeed, std::size_t aNodes, std::size_t aShards, OwnershipSettings aSettings);
+  Simulation(std::uint64_t aSeed,
+             std::size_t aNodes,
+             std::size_t aShards,
+             OwnershipSettings aSettings);
 
   /// Processes one event; returns false when an invariant is violated.
   bool Step();
@@ -133,7 +136,10 @@
   void Deliver(Node* aFrom, const SendMessage& aSend);
   void Commit(Node* aNode, const CommitRow& aCommit);
   void ApplyCommit(Node* aNode, const CommitRow& aCommit, std::uint64_t aRevision, bool aAnswer);
-  void Answer(Node* aNode, std::uint64_t aOperation, CommitOutcome aOutcome, std::optional<ShardRow> aRow);
+  void Answer(Node* aNode,
+              std::uint64_t aOperation,
+              CommitOutcome aOutcome,
+              std::optional<ShardRow> aRow);
   void ReadStore(Node* aNode);
   std::vector<RingMember> Members();
   void SpreadMembers();
