--- a/src/membership/RingOrder.cpp
+++ b/src/membership/RingOrder.cpp
@@ -61,11 +61,21 @@
   std::size_t cell_ = 0;
 };
 
-/// Gives the members of each data centre cells by their hash, at most one member of a data centre in
-/// a cell; a member whose cell is taken moves to the next free one. A join or loss shifts at most the
-/// run of occupied cells behind it. In cell order, with a fixed order of data centres inside a cell,
-/// the data centres alternate except where a cell is empty.
-std::vector<Placed> PlaceInCells(std::span<const RingMember> aMembers, const std::string& aRegion)
+/// Returns the number of cells for data centres of at most aLargest members: a quarter more than
+/// members, rounded to a quarter of a power of two, so that it changes rarely with the fleet.
+std::size_t
+CellCount(std::size_t aLargest)
+{
+  const std::size_t step = std::max<std::size_t>(1, std::bit_floor(aLargest) / 4);
+  return ((aLargest * 5 / 4) / step + 1) * step;
+}
+
+/// Gives the members of each data centre cells by their hash, at most one member of a data centre
+/// in a cell; a member whose cell is taken moves to the next free one. A join or loss shifts at
+/// most the run of occupied cells behind it. In cell order, with a fixed order of data centres
+/// inside a cell, the data centres alternate except where a cell is empty.
+std::vector<Placed>
+PlaceInCells(std::span<const RingMember> aMembers, const std::string& aRegion)
 {
   std::map<std::string, std::map<std::pair<std::uint64_t, std::string>, RingMember>> centres;
   std::size_t largest = 0;
@@ -76,8 +86,7 @@
       largest = std::max(largest, centre.size());
     }
   }
-  // Powers of two: the number of cells changes rarely with the number of members.
-  const std::size_t cells = std::bit_ceil(largest + largest / 2);
+  const std::size_t cells = CellCount(largest);
   const auto range = static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   std::vector<Placed> placed;
   for (const auto& [name, centre] : centres) {
--- a/src/ownership/LeaseGrantor.cpp
+++ b/src/ownership/LeaseGrantor.cpp
@@ -62,15 +62,16 @@
 void
 LeaseGrantor::Erase(const InstanceRef& aRef)
 {
-  const InstanceRef ref = aRef;
-  bindings_.erase(ref);
-  // What was inherited through a binding and never came into force ends with it.
-  for (auto it = bindings_.begin(); it != bindings_.end();) {
-    if (!it->second.confirmed_ && it->second.source_ == ref) {
-      Erase(it->first);
-      it = bindings_.begin();
-    } else {
-      ++it;
+  std::vector<InstanceRef> ended{ aRef };
+  while (!ended.empty()) {
+    const InstanceRef ref = std::move(ended.back());
+    ended.pop_back();
+    bindings_.erase(ref);
+    // What was inherited through a binding and never came into force ends with it.
+    for (const auto& [other, binding] : bindings_) {
+      if (!binding.confirmed_ && binding.source_ == ref) {
+        ended.push_back(other);
+      }
     }
   }
 }
@@ -232,13 +233,13 @@
   if (offer.generation_ == 0 || !offer.orphanOf_.Empty()) {
     offer = Offer{ ++lastGeneration_, InstanceRef{} };
   }
-  aEffects.push_back(SendMessage{
-    aFrom,
-    BindOffer{ offer.generation_,
-               holder_.GrantorLeaseValid() && holder_.DistressLevel() == 0,
-               holder_.Healthy(),
-               false,
-               0 } });
+  aEffects.push_back(
+    SendMessage{ aFrom,
+                 BindOffer{ offer.generation_,
+                            holder_.GrantorLeaseValid() && holder_.DistressLevel() == 0,
+                            holder_.Healthy(),
+                            false,
+                            0 } });
 }
 
 void
--- a/tests/unit/membership/RingOrderTest.cpp
+++ b/tests/unit/membership/RingOrderTest.cpp
@@ -72,21 +72,24 @@
   BOOST_TEST((Predecessors(OrderRing(members, "north")) == Predecessors(ring)));
 }
 
-// Guards against a join or loss that moves many bindings.
+// Guards against a join or loss that moves many bindings, in a small and in a large region.
 BOOST_AUTO_TEST_CASE(LossOfOneMemberMovesFewNeighbours)
 {
-  constexpr std::size_t kMembers = 120;
-  const auto members = Fleet(kMembers, 4);
-  const auto before = Predecessors(OrderRing(members, "north"));
-  std::size_t moved = 0;
-  for (std::size_t lost = 0; lost < kMembers; ++lost) {
-    auto rest = members;
-    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
-    for (const auto& [id, predecessor] : Predecessors(OrderRing(rest, "north"))) {
-      moved += predecessor != before.at(id) ? 1U : 0U;
+  constexpr std::size_t kSamples = 120;
+  const std::map<std::size_t, double> limits{ { 120, 12.0 }, { 1300, 30.0 } };
+  for (const auto& [count, limit] : limits) {
+    const auto members = Fleet(count, 4);
+    const auto before = Predecessors(OrderRing(members, "north"));
+    std::size_t moved = 0;
+    for (std::size_t sample = 0; sample < kSamples; ++sample) {
+      auto rest = members;
+      rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(sample * (count / kSamples)));
+      for (const auto& [id, predecessor] : Predecessors(OrderRing(rest, "north"))) {
+        moved += predecessor != before.at(id) ? 1U : 0U;
+      }
     }
+    const double average = static_cast<double>(moved) / kSamples;
+    BOOST_TEST_MESSAGE(count << " members: " << average << " predecessors change on average");
+    BOOST_TEST(average <= limit);
   }
-  const double average = static_cast<double>(moved) / kMembers;
-  BOOST_TEST_MESSAGE("average number of changed predecessors: " << average);
-  BOOST_TEST(average <= 12.0);
 }
--- a/tests/unit/ownership/ExplorerTest.cpp
+++ b/tests/unit/ownership/ExplorerTest.cpp
@@ -95,6 +95,23 @@
   }
 }
 
+// Guards against faults that the explorer found once, with the seeds that showed them: two owners
+// after a superseded grantor returned (300138), released rows that nobody took (100015, 200011),
+// three members that never settled (400024, 100088).
+BOOST_AUTO_TEST_CASE(SeedsThatShowedFaultsPass)
+{
+  for (const std::uint64_t seed : { 300138, 100015, 200011, 400024, 100088 }) {
+    Simulation simulation(seed, kMinNodes + seed % kNodeCounts, kShards, OwnershipSettings{});
+    Explore(simulation, seed, kStepsPerSeed);
+    BOOST_TEST(simulation.Violation().empty(), "seed " << seed << ": " << simulation.Violation());
+    simulation.HealAll();
+    simulation.SetPlannerMoves(false);
+    BOOST_TEST(simulation.RunUntil([&] { return simulation.AllOwned(); }, std::chrono::seconds(30))
+                 .has_value(),
+               "seed " << seed << " does not recover");
+  }
+}
+
 // Guards against an explorer that cannot find violations: without the wait for the lease it must
 // report two owners.
 BOOST_AUTO_TEST_CASE(ExplorerFindsViolationWithoutLeaseWait)
