--- a/src/ownership/LeaseGrantor.hpp
+++ b/src/ownership/LeaseGrantor.hpp
@@ -72,6 +72,7 @@
                      const Heartbeat& aHeartbeat,
                      TimePoint aNow,
                      Effects& aEffects);
+  void Erase(const InstanceRef& aRef);
   void MarkHeard(DependantBinding& aBinding);
   DependantBinding* Find(const InstanceRef& aRef, std::uint64_t aGeneration);
   bool FromGrantor(const InstanceRef& aFrom, std::uint64_t aGeneration) const;
--- a/src/ownership/LeaseGrantorMessages.cpp
+++ b/src/ownership/LeaseGrantorMessages.cpp
@@ -73,7 +73,7 @@
     return;
   }
   if (aAck.refused_) {
-    bindings_.erase(aAck.dependant_);
+    Erase(aAck.dependant_);
     return;
   }
   const bool first = !binding->registered_;
@@ -120,7 +120,7 @@
     unbound_[binding->ref_] = binding->generation_;
     aEffects.push_back(SendMessage{ binding->ref_, UnbindAck{ binding->generation_ } });
   }
-  bindings_.erase(aAck.dependant_);
+  Erase(aAck.dependant_);
 }
 
 void
--- a/src/ownership/OwnershipNode.cpp
+++ b/src/ownership/OwnershipNode.cpp
@@ -183,8 +183,10 @@
 OwnershipNode::ReclaimReleases(TimePoint aNow)
 {
   for (const ShardRow& row : shards_.Releases().Pending()) {
-    if (gone_.IsGone(row.successor_, aNow)) {
+    const auto stored = storeRows_.find(row.shard_);
+    if (stored != storeRows_.end() && stored->second.token_ > row.token_) {
       shards_.Releases().Remove(row.shard_);
+    } else if (gone_.IsGone(row.successor_, aNow)) {
       claims_.Start(row, self_, false);
     }
   }
--- a/tests/unit/membership/RingOrderTest.cpp
+++ b/tests/unit/membership/RingOrderTest.cpp
@@ -1,7 +1,7 @@
 #include "membership/RingOrder.hpp"
 
-#include <boost/test/unit_test.hpp>
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <map>
 #include <set>
 
@@ -13,7 +13,8 @@
 
 constexpr std::size_t kRacks = 4;
 
-std::vector<RingMember> Fleet(std::size_t aCount, std::size_t aDataCentres)
+std::vector<RingMember>
+Fleet(std::size_t aCount, std::size_t aDataCentres)
 {
   std::vector<RingMember> members;
   for (std::size_t i = 0; i < aCount; ++i) {
@@ -26,7 +27,8 @@
 }
 
 /// Counts positions at which two of three consecutive members share a data centre.
-std::size_t SharedDataCentres(const std::vector<RingMember>& aRing)
+std::size_t
+SharedDataCentres(const std::vector<RingMember>& aRing)
 {
   std::size_t shared = 0;
   for (std::size_t i = 0; i < aRing.size(); ++i) {
@@ -38,7 +40,8 @@
   return shared;
 }
 
-std::map<std::string, std::string> Predecessors(const std::vector<RingMember>& aRing)
+std::map<std::string, std::string>
+Predecessors(const std::vector<RingMember>& aRing)
 {
   std::map<std::string, std::string> predecessors;
   for (std::size_t i = 0; i < aRing.size(); ++i) {
@@ -69,21 +72,24 @@
   BOOST_TEST((Predecessors(OrderRing(members, "north")) == Predecessors(ring)));
 }
 
-// Guards against a join or loss that moves many bindings.
+// Guards against a join or loss that moves many bindings, in a small and in a large region.
 BOOST_AUTO_TEST_CASE(LossOfOneMemberMovesFewNeighbours)
 {
-  constexpr std::size_t kMembers = 120;
-  const auto members = Fleet(kMembers, 4);
-  const auto before = Predecessors(OrderRing(members, "north"));
-  std::size_t moved = 0;
-  for (std::size_t lost = 0; lost < kMembers; ++lost) {
-    auto rest = members;
-    rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(lost));
-    for (const auto& [id, predecessor] : Predecessors(OrderRing(rest, "north"))) {
-      moved += predecessor != before.at(id) ? 1U : 0U;
+  constexpr std::size_t kSamples = 120;
+  const std::map<std::size_t, double> limits{ { 120, 12.0 }, { 1300, 30.0 } };
+  for (const auto& [count, limit] : limits) {
+    const auto members = Fleet(count, 4);
+    const auto before = Predecessors(OrderRing(members, "north"));
+    std::size_t moved = 0;
+    for (std::size_t sample = 0; sample < kSamples; ++sample) {
+      auto rest = members;
+      rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(sample * (count / kSamples)));
+      for (const auto& [id, predecessor] : Predecessors(OrderRing(rest, "north"))) {
+        moved += predecessor != before.at(id) ? 1U : 0U;
+      }
     }
+    const double average = static_cast<double>(moved) / kSamples;
+    BOOST_TEST_MESSAGE(count << " members: " << average << " predecessors change on average");
+    BOOST_TEST(average <= limit);
   }
-  const double average = static_cast<double>(moved) / kMembers;
-  BOOST_TEST_MESSAGE("average number of changed predecessors: " << average);
-  BOOST_TEST(average <= 12.0);
 }
--- a/tests/unit/ownership/ExplorerTest.cpp
+++ b/tests/unit/ownership/ExplorerTest.cpp
@@ -64,6 +64,7 @@
   const std::uint64_t steps = FromEnvironment("REDWING_EXPLORER_STEPS", kDefaultSteps);
   const std::uint64_t first = FromEnvironment("REDWING_EXPLORER_SEED", 1);
   std::uint64_t done = 0;
+  redwing::Duration slowest{};
   std::map<std::string, std::uint64_t> counts;
   for (std::uint64_t seed = first; done < steps; ++seed) {
     Simulation simulation(seed, kMinNodes + seed % kNodeCounts, kShards, OwnershipSettings{});
@@ -78,6 +79,7 @@
                           "seed " << seed << " does not recover: " << simulation.Violation() << '\n'
                                   << simulation.Describe());
     done += simulation.Steps();
+    slowest = std::max(slowest, *recovered);
     for (const auto& [name, count] : simulation.Counts()) {
       counts[name] += count;
     }
@@ -85,12 +87,31 @@
   for (const auto& [name, count] : counts) {
     BOOST_TEST_MESSAGE(name << "=" << count);
   }
-  BOOST_TEST_MESSAGE("steps=" << done);
+  BOOST_TEST_MESSAGE(
+    "steps=" << done << " slowest recovery="
+             << std::chrono::duration_cast<std::chrono::milliseconds>(slowest).count() << " ms");
   for (const char* name : { "gained", "dead", "expired", "kill", "reply lost" }) {
     BOOST_TEST(counts[name] > 0U, "the explorer never reached: " << name);
   }
 }
 
+// Guards against faults that the explorer found once, with the seeds that showed them: two owners
+// after a superseded grantor returned (300138), released rows that nobody took (100015, 200011),
+// three members that never settled (400024, 100088).
+BOOST_AUTO_TEST_CASE(SeedsThatShowedFaultsPass)
+{
+  for (const std::uint64_t seed : { 300138, 100015, 200011, 400024, 100088 }) {
+    Simulation simulation(seed, kMinNodes + seed % kNodeCounts, kShards, OwnershipSettings{});
+    Explore(simulation, seed, kStepsPerSeed);
+    BOOST_TEST(simulation.Violation().empty(), "seed " << seed << ": " << simulation.Violation());
+    simulation.HealAll();
+    simulation.SetPlannerMoves(false);
+    BOOST_TEST(simulation.RunUntil([&] { return simulation.AllOwned(); }, std::chrono::seconds(30))
+                 .has_value(),
+               "seed " << seed << " does not recover");
+  }
+}
+
 // Guards against an explorer that cannot find violations: without the wait for the lease it must
 // report two owners.
 BOOST_AUTO_TEST_CASE(ExplorerFindsViolationWithoutLeaseWait)
