--- a/src/peer/PeerDetail.hpp
+++ b/src/peer/PeerDetail.hpp
@@ -2,10 +2,21 @@
 
 #include "exchange/Events.hpp"
 
+#include <concepts>
+#include <type_traits>
 #include <variant>
 
 namespace redwing::Detail {
 
+/// A later event of an inbound exchange.
+template<typename T>
+concept RequestAlternative =
+  std::same_as<T, RequestBody> || std::same_as<T, RequestCancel> || std::same_as<T, ResponseCredit>;
+
+/// An event of one of our own attempts.
+template<typename T>
+concept ResponseAlternative = !std::is_reference_v<T> && std::is_constructible_v<ResponseEvent, T>;
+
 /// Visitor made of several lambdas.
 template<typename... Handlers>
 struct Overloaded : Handlers...
--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -69,18 +69,8 @@
         std::is_constructible_v<ResponseEvent, Type> || std::is_same_v<Type, CallReply>;
       if ((kToServer && !aLink->Inbound()) || (kToCaller && aLink->Inbound())) {
         aLink->Close("wrong_direction");
-      } else if constexpr (std::is_same_v<Type, Ping>) {
-        aLink->Send(Pong{ aAlternative.number_ });
-      } else if constexpr (std::is_same_v<Type, RequestStart>) {
+      } else {
         Receive(entry, std::move(aAlternative));
-      } else if constexpr (std::is_same_v<Type, CallRequest>) {
-        ReceiveCall(entry, std::move(aAlternative));
-      } else if constexpr (std::is_same_v<Type, CallReply>) {
-        ReceiveReply(std::move(aAlternative));
-      } else if constexpr (kToServer) {
-        ReceiveRequestEvent(entry, std::move(aAlternative));
-      } else if constexpr (kToCaller) {
-        ReceiveResponseEvent(entry, std::move(aAlternative));
       }
     },
     aMessage);
@@ -101,9 +91,21 @@
   }
 }
 
-template<typename Event>
 void
-PeerService::ReceiveRequestEvent(LinkEntry& aEntry, Event&& aEvent)
+PeerService::Receive(LinkEntry& aEntry, Ping&& aPing)
+{
+  aEntry.link_->Send(Pong{ aPing.number_ });
+}
+
+void
+PeerService::Receive(LinkEntry& /*aEntry*/, Pong&& /*aPong*/)
+{
+  // Its arrival was recorded as progress by the link.
+}
+
+template<Detail::RequestAlternative Event>
+void
+PeerService::Receive(LinkEntry& aEntry, Event&& aEvent)
 {
   if (aEntry.inbound_.contains(aEvent.key_.exchangeId_)) {
     aEvent.key_.linkId_ = aEntry.link_->Id();
@@ -111,9 +113,9 @@
   }
 }
 
-template<typename Event>
+template<Detail::ResponseAlternative Event>
 void
-PeerService::ReceiveResponseEvent(LinkEntry& aEntry, Event&& aEvent)
+PeerService::Receive(LinkEntry& aEntry, Event&& aEvent)
 {
   const auto attempt = attempts_.find(aEvent.key_.exchangeId_);
   // A response on another link than the attempt's own belongs to an attempt that ended.
@@ -130,7 +132,7 @@
 }
 
 void
-PeerService::ReceiveCall(LinkEntry& aEntry, CallRequest&& aCall)
+PeerService::Receive(LinkEntry& aEntry, CallRequest&& aCall)
 {
   if (!hooks_.onCall_) {
     return;
@@ -142,7 +144,7 @@
 }
 
 void
-PeerService::ReceiveReply(CallReply&& aReply)
+PeerService::Receive(LinkEntry& /*aEntry*/, CallReply&& aReply)
 {
   const auto it = calls_.find(aReply.callId_);
   if (it == calls_.end()) {
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -7,6 +7,7 @@
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
 #include "peer/Link.hpp"
+#include "peer/PeerDetail.hpp"
 #include "routing/RoutingView.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -172,12 +173,14 @@
   void StartAttempt(const std::string& aInstanceId, RequestStart&& aStart);
 
   void Receive(LinkEntry& aEntry, RequestStart&& aEvent);
-  template<typename Event>
-  void ReceiveRequestEvent(LinkEntry& aEntry, Event&& aEvent);
-  template<typename Event>
-  void ReceiveResponseEvent(LinkEntry& aEntry, Event&& aEvent);
-  void ReceiveCall(LinkEntry& aEntry, CallRequest&& aCall);
-  void ReceiveReply(CallReply&& aReply);
+  void Receive(LinkEntry& aEntry, Ping&& aPing);
+  void Receive(LinkEntry& aEntry, Pong&& aPong);
+  void Receive(LinkEntry& aEntry, CallRequest&& aCall);
+  void Receive(LinkEntry& aEntry, CallReply&& aReply);
+  template<Detail::RequestAlternative Event>
+  void Receive(LinkEntry& aEntry, Event&& aEvent);
+  template<Detail::ResponseAlternative Event>
+  void Receive(LinkEntry& aEntry, Event&& aEvent);
 
   std::shared_ptr<Link> LinkTo(const std::string& aInstanceId);
   std::shared_ptr<Link> OpenLink(const Address& aAddress, const std::string& aInstanceId);
