--- a/bench/Actions.cpp
+++ b/bench/Actions.cpp
@@ -187,6 +187,14 @@
   ChangeConfiguration(aContext);
 }
 
+void
+KillPooledServer(FaultContext& aContext)
+{
+  aContext.marks_.affected_.insert(aContext.pooledVictim_);
+  const auto& process = aContext.fleet_.Nodes()[aContext.pooledVictim_].backendProcess_;
+  process->Signal(SIGKILL);
+}
+
 void
 TurnCold(FaultContext& aContext)
 {
--- a/bench/Actions.hpp
+++ b/bench/Actions.hpp
@@ -23,6 +23,8 @@
 void ChangeConfiguration(FaultContext& aContext);
 /// Sends different documents to two instances at the same time.
 void ConflictingChanges(FaultContext& aContext);
+/// Kills the backend server of the pooled victim, not its instance.
+void KillPooledServer(FaultContext& aContext);
 void TurnCold(FaultContext& aContext);
 void StallConnections(FaultContext& aContext);
 /// Sends one poison request six times.
--- a/bench/Deployment.hpp
+++ b/bench/Deployment.hpp
@@ -44,6 +44,7 @@
   bool checkTokens_ = true;
   std::int64_t serviceTimeUs_ = 2000;
   std::int64_t reportLagMs_ = 0;
+  std::int64_t coldMs_ = 0;
   double rate_ = 600;
 
   bool Keyed(std::size_t aServer) const { return servers_[aServer].service_ == keyedService_; }
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -198,6 +198,7 @@
     "--check-tokens",    check ? "on" : "off",
     "--service-time-us", std::to_string(deployment_.serviceTimeUs_),
     "--report-lag-ms",   std::to_string(deployment_.reportLagMs_),
+    "--cold-ms",         std::to_string(deployment_.coldMs_),
     "--label",           "data-centre=" + node.spec_.dataCentre_,
     "--record-file",     node.records_
   };
--- a/bench/Judge.hpp
+++ b/bench/Judge.hpp
@@ -6,6 +6,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace redwing::bench {
@@ -42,6 +44,10 @@
   Json Figures() const;
 
 private:
+  /// Returns nullptr for runs that the load did not send, such as probes.
+  const OutcomeRecord* OutcomeOf(const RunRecord& aRun) const;
+  /// Runs for another workspace than that of the caller's key.
+  std::uint64_t WrongWorkspaces() const;
   std::uint64_t DoubleRuns() const;
   std::uint64_t FalseNotRuns() const;
   double DoubleOwnerMs() const;
@@ -58,6 +64,7 @@
   const Records& records_;
   const std::vector<OutcomeRecord>& outcomes_;
   const Marks& marks_;
+  std::unordered_map<std::string_view, const OutcomeRecord*> outcomesByLoadId_;
 };
 
 } // namespace redwing::bench
--- a/bench/Process.cpp
+++ b/bench/Process.cpp
@@ -25,7 +25,9 @@
 
 } // namespace
 
-Process::Process(const std::string& aProgram, std::vector<std::string> aArguments, std::string aLog)
+Process::Process(const std::string& aProgram,
+                 std::vector<std::string> aArguments,
+                 const std::string& aLog)
   : state_(std::make_unique<State>())
 {
   state_->child_ = bp::child(
--- a/bench/Process.hpp
+++ b/bench/Process.hpp
@@ -13,7 +13,9 @@
 {
 public:
   /// Starts the program with its output appended to aLog; throws when it can't be started.
-  Process(const std::string& aProgram, std::vector<std::string> aArguments, std::string aLog);
+  Process(const std::string& aProgram,
+          std::vector<std::string> aArguments,
+          const std::string& aLog);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
