--- a/bench/Runner.cpp
+++ b/bench/Runner.cpp
@@ -176,15 +176,15 @@
         RestartBackends();
       }
       action.get();
-      RestartBackends();
     }
   }
 
   void WaitUntil(std::int64_t aNs)
   {
-    auto wait = aNs - MonotonicNs();
-    if (wait > 0) {
-      std::this_thread::sleep_for(std::chrono::nanoseconds(wait));
+    for (auto wait = aNs - MonotonicNs(); wait > 0; wait = aNs - MonotonicNs()) {
+      RestartBackends();
+      std::this_thread::sleep_for(
+        std::min<std::chrono::nanoseconds>(kSupervision, std::chrono::nanoseconds(wait)));
     }
   }
 
