--- a/src/ownership/OwnershipTable.cpp
+++ b/src/ownership/OwnershipTable.cpp
@@ -29,7 +29,7 @@
   if (it == entries_.end()) {
     return {};
   }
-  const GateAnswer answer = Answer(it->second, aNow);
+  GateAnswer answer = Answer(it->second, aNow);
   if (answer.owned_) {
     ++it->second.running_;
   }
