Keep newcomers away from grantors that are about to lose their lease

Change: an instance whose lease is late, or that has ended, warns its dependants; a warned instance is not chosen by newcomers.

--- a/src/ownership/LeaseGrantor.cpp
+++ b/src/ownership/LeaseGrantor.cpp
@@ -114,12 +114,20 @@
 LeaseGrantor::WarnDependants(TimePoint aNow, Effects& aEffects)
 {
   const std::uint8_t level = holder_.DistressLevel();
-  if (level == 0 || aNow - lastDistress_ < settings_.resend_) {
+  if ((level == 0 && holder_.Renewed()) || aNow - lastDistress_ < settings_.resend_) {
     return;
   }
   lastDistress_ = aNow;
   for (const auto& [ref, binding] : bindings_) {
-    aEffects.push_back(SendMessage{ ref, Distress{ binding.generation_, level } });
+    aEffects.push_back(SendMessage{ ref, Distress{ binding.generation_, level, false } });
+  }
+}
+
+void
+LeaseGrantor::TellEnd(Effects& aEffects) const
+{
+  for (const auto& [ref, binding] : bindings_) {
+    aEffects.push_back(SendMessage{ ref, Distress{ binding.generation_, 0, true } });
   }
 }
 
--- a/src/ownership/LeaseGrantor.hpp
+++ b/src/ownership/LeaseGrantor.hpp
@@ -30,6 +30,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Tick(Effects& aEffects);
 
+  /// Tells all dependants that this incarnation has ended.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void TellEnd(Effects& aEffects) const;
+
   /// Drops all bindings because the grantor of this instance inherited them.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -210,6 +210,11 @@
     return;
   }
   const TimePoint now = clock_.Now();
+  grantorWarning_ = now;
+  grantorEnded_ = grantorEnded_ || aDistress.ended_;
+  if (aDistress.level_ == 0) {
+    return;
+  }
   if (grantorDistress_ == 0 || now - distressAt_ >= settings_.instanceLease_) {
     distressAt_ = now;
   }
@@ -217,10 +222,19 @@
 }
 
 bool
-LeaseHolder::Healthy() const
+LeaseHolder::Renewed() const
 {
   return !everBound_ || instanceDeadline_ == TimePoint{} ||
-         clock_.Now() - lastRenewal_ < settings_.heartbeat_ + 2 * settings_.resend_;
+         (!grantorEnded_ &&
+          clock_.Now() - lastRenewal_ < settings_.heartbeat_ + 2 * settings_.resend_);
+}
+
+bool
+LeaseHolder::Healthy() const
+{
+  const bool warned =
+    grantorWarning_ != TimePoint{} && clock_.Now() - grantorWarning_ < settings_.grantorLease_;
+  return Renewed() && !warned;
 }
 
 std::uint8_t
@@ -260,6 +274,8 @@
   grantorDeadline_ = TimePoint{};
   renewedHere_ = false;
   grantorDistress_ = 0;
+  grantorEnded_ = false;
+  grantorWarning_ = TimePoint{};
   everBound_ = true;
   boundAt_ = aNow;
   lastRenewal_ = aNow;
--- a/src/ownership/LeaseHolder.hpp
+++ b/src/ownership/LeaseHolder.hpp
@@ -56,6 +56,12 @@
   /// Returns whether the lease was renewed recently, or never obtained.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
+  bool Renewed() const;
+
+  /// Returns whether an instance without lease may choose this one as grantor: neither this one nor
+  /// its grantor is about to lose its lease.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
   bool Healthy() const;
 
   /// Returns the level of which dependants are to be warned; 0 for none.
@@ -132,6 +138,8 @@
   TimePoint lastSeek_{};
   TimePoint distressAt_{};
   std::uint8_t grantorDistress_ = 0;
+  bool grantorEnded_ = false;
+  TimePoint grantorWarning_{};
   std::map<InstanceRef, Offer> offers_;
   /// Grantor to move to after the current one acknowledged the unbinding.
   std::optional<InstanceRef> next_;
--- a/src/ownership/Messages.hpp
+++ b/src/ownership/Messages.hpp
@@ -104,17 +104,19 @@
   }
 };
 
-/// Warns a dependant: the sender (level 1) or the sender's grantor (level 2) has lost both of its
-/// own grantors and will soon lose its lease.
+/// Warns a dependant. Level 1: the sender has lost both of its grantors and will soon lose its
+/// lease; level 2: the sender's grantor has. Level 0: the sender's lease was not renewed recently.
 struct Distress
 {
   std::uint64_t generation_ = 0;
   std::uint8_t level_ = 0;
+  /// The sender's incarnation has ended.
+  bool ended_ = false;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(generation_, level_);
+    aArchive(generation_, level_, ended_);
   }
 };
 
--- a/src/ownership/OwnershipNode.cpp
+++ b/src/ownership/OwnershipNode.cpp
@@ -43,6 +43,7 @@
   if (!reportedExpiry_) {
     reportedExpiry_ = true;
     shards_.LoseAll(effects_);
+    grantor_.TellEnd(effects_);
     effects_.emplace_back(LeaseExpired{});
   }
   return true;
