Drop dependants when an instance binds as an orphan

Cause: explorer: two halves of a ring of four inherited each other's members, and a decision was acknowledged by a backup grantor that had got a new grantor lease as an orphan. Ruled out: acknowledging registrations only under a valid grantor lease does not cover larger islands. Change: an orphan drops its dependants. Conclusion: safety before availability; loss of owner and grantor is open.

--- a/src/ownership/LeaseHolder.cpp
+++ b/src/ownership/LeaseHolder.cpp
@@ -283,13 +283,13 @@
   offers_.clear();
 }
 
-void
+bool
 LeaseHolder::OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects)
 {
   const TimePoint now = clock_.Now();
   CheckExpiry(now);
   if (expired_) {
-    return;
+    return false;
   }
   if (aOffer.orphan_) {
     // An offer that was asked for before the last renewal is out of date.
@@ -298,10 +298,12 @@
       left_[grantor_] = std::max(left_[grantor_], generation_);
       BindTo(aFrom, aOffer.generation_, now);
       SendHeartbeat(now, aEffects);
+      return true;
     }
-    return;
+    return false;
   }
   offers_[aFrom] = Offer{ aOffer.generation_, aOffer.ready_, aOffer.healthy_, now };
+  return false;
 }
 
 bool
--- a/src/ownership/LeaseHolder.hpp
+++ b/src/ownership/LeaseHolder.hpp
@@ -36,8 +36,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void AllowRebind(bool aAllowed) { mayRebind_ = aAllowed; }
 
+  /// Handles an offer; returns true when this instance bound to the sender without leaving its
+  /// grantor. It must drop its dependants then, because that grantor may have inherited them.
+  ///
   /// Preconditions: none. Thread safety: not thread-safe.
-  void OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects);
+  bool OnOffer(const InstanceRef& aFrom, const BindOffer& aOffer, Effects& aEffects);
 
   /// Handles a reply; returns true when this instance must drop its dependants because its grantor
   /// inherited them.
--- a/src/ownership/OwnershipNodeMessages.cpp
+++ b/src/ownership/OwnershipNodeMessages.cpp
@@ -11,7 +11,9 @@
 void
 OwnershipNode::Handle(const InstanceRef& aFrom, const BindOffer& aMessage)
 {
-  holder_.OnOffer(aFrom, aMessage, effects_);
+  if (holder_.OnOffer(aFrom, aMessage, effects_)) {
+    grantor_.DropAll();
+  }
 }
 
 void
