Release exchanges and control calls that are open at shutdown

Cause: the leak check of the address sanitizer found exchanges, connections and control clients that refer to each other when the io_context stops while responses are awaited.

Change: the destructors drop these references; probes are owned by the monitor. After it the address sanitizer run of test_backend is clean (2 of 2 runs).

--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -41,7 +41,13 @@
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
 }
 
-BackendService::~BackendService() = default;
+BackendService::~BackendService()
+{
+  // Exchange, connection and observer refer to each other while a response is awaited.
+  for (auto& [key, exchange] : exchanges_) {
+    exchange->connection_.reset();
+  }
+}
 
 void
 BackendService::Start()
--- a/src/backend/ControlClient.cpp
+++ b/src/backend/ControlClient.cpp
@@ -74,6 +74,13 @@
   }
 }
 
+void
+ControlClient::Abandon()
+{
+  connection_.reset();
+  queue_.clear();
+}
+
 void
 ControlClient::Next()
 {
--- a/src/backend/ControlClient.hpp
+++ b/src/backend/ControlClient.hpp
@@ -46,6 +46,12 @@
   /// Preconditions: no call is open. Thread safety: backend thread only.
   void Reset();
 
+  /// Drops open calls without calling back, and with them the references among client, connection
+  /// and observer.
+  ///
+  /// Preconditions: the io_context no longer runs. Thread safety: not thread-safe.
+  void Abandon();
+
 private:
   struct Request
   {
--- a/src/backend/ServerMonitor.cpp
+++ b/src/backend/ServerMonitor.cpp
@@ -67,6 +67,16 @@
 {
 }
 
+ServerMonitor::~ServerMonitor()
+{
+  for (const auto& client : { health_, grants_, cancels_ }) {
+    client->Abandon();
+  }
+  for (const auto& client : probes_) {
+    client->Abandon();
+  }
+}
+
 void
 ServerMonitor::SetTarget(std::optional<Address> aAddress)
 {
@@ -106,15 +116,18 @@
     return;
   }
   auto client = std::make_shared<ControlClient>(context_, clock_);
-  client->Call(*address_,
-               "GET",
-               "/redwing/health",
-               {},
-               kProbeTimeout,
-               [client, callback = std::move(aCallback)](const ControlReply& aReply) {
-                 client->Reset();
-                 callback(ParseHealth(aReply), aReply.refused_);
-               });
+  probes_.push_back(client);
+  client->Call(
+    *address_,
+    "GET",
+    "/redwing/health",
+    {},
+    kProbeTimeout,
+    [this, raw = client.get(), callback = std::move(aCallback)](const ControlReply& aReply) {
+      raw->Reset();
+      std::erase_if(probes_, [raw](const auto& aProbe) { return aProbe.get() == raw; });
+      callback(ParseHealth(aReply), aReply.refused_);
+    });
 }
 
 void
--- a/src/backend/ServerMonitor.hpp
+++ b/src/backend/ServerMonitor.hpp
@@ -40,6 +40,7 @@
                 CounterRegistry& aCounters,
                 InstanceRef aSelf,
                 MonitorHooks aHooks);
+  ~ServerMonitor();
 
   /// Sets the server's address; grants are sent again to a new one.
   ///
@@ -86,6 +87,7 @@
   std::shared_ptr<ControlClient> health_;
   std::shared_ptr<ControlClient> grants_;
   std::shared_ptr<ControlClient> cancels_;
+  std::vector<std::shared_ptr<ControlClient>> probes_;
   bool polling_ = false;
   bool sendingGrants_ = false;
   std::optional<GrantSet> nextGrants_;
