Pass the reply callback by reference in LocalRouter

Cause: clang-tidy reported std::move on an argument that is taken by reference. Change: the argument is passed as it is. Conclusion: no change of behaviour.

--- a/src/operator/LocalRouter.cpp
+++ b/src/operator/LocalRouter.cpp
@@ -114,7 +114,7 @@
   }
   const std::string& path = target->path_;
   if (path == "/v1/announce" || path == "/v1/leave" || path == "/metrics" || path == "/healthz") {
-    HandleBackend(aRequest, *target, std::move(aReply));
+    HandleBackend(aRequest, *target, aReply);
     return;
   }
   AuditEntry entry{ aRequest.remote_,
