--- a/src/control/ControlCodec.cpp
+++ b/src/control/ControlCodec.cpp
@@ -1,13 +1,10 @@
 #include "control/ControlCodec.hpp"
 
 #include "core/Hash.hpp"
+#include "core/WireArchive.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
-#include <exception>
-#include <sstream>
 
 namespace cereal {
 
@@ -25,31 +22,16 @@
 
 constexpr std::size_t kTagBytes = 16;
 
-/// Returns nothing when aBytes are malformed. Only authentic bytes get here, so a hostile length
-/// cannot make the decoder reserve memory.
+/// Returns nothing when aBytes are malformed.
 template<typename Value>
 std::optional<Value>
 Read(std::string_view aBytes)
 {
-  try {
-    std::istringstream stream{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(stream);
-    Value value;
-    archive(value);
-    return value;
-  } catch (const std::exception&) {
+  Value value;
+  if (!ReadWire(aBytes, value)) {
     return std::nullopt;
   }
-}
-
-template<typename... Values>
-std::string
-Write(const Values&... aValues)
-{
-  std::ostringstream stream;
-  cereal::PortableBinaryOutputArchive archive(stream);
-  archive(aValues...);
-  return std::move(stream).str();
+  return value;
 }
 
 struct SignedPart
@@ -80,7 +62,7 @@
 std::string
 ControlCodec::EncodeDatagram(const InstanceRef& aFrom, const ControlDatagram& aDatagram) const
 {
-  const std::string body = Write(aFrom, aDatagram);
+  const std::string body = WriteWire(aFrom, aDatagram);
   const Sha256Digest digest = HmacSha256(fleetKey_, body);
   std::string bytes(View(digest));
   bytes += body;
@@ -108,13 +90,13 @@
 std::string
 ControlCodec::Encode(const ControlCall& aCall)
 {
-  return Write(aCall);
+  return WriteWire(aCall);
 }
 
 std::string
 ControlCodec::Encode(const ControlCallReply& aReply)
 {
-  return Write(aReply);
+  return WriteWire(aReply);
 }
 
 std::optional<ControlCall>
--- a/src/control/EntryCodec.cpp
+++ b/src/control/EntryCodec.cpp
@@ -1,13 +1,11 @@
 #include "control/EntryCodec.hpp"
 
+#include "core/WireArchive.hpp"
+
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/set.hpp>
-#include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <chrono>
-#include <exception>
-#include <sstream>
 
 namespace redwing {
 
@@ -74,29 +72,12 @@
   }
 };
 
-template<typename Value>
-std::string
-Write(const Value& aValue)
-{
-  std::ostringstream stream;
-  cereal::PortableBinaryOutputArchive archive(stream);
-  archive(aValue);
-  return std::move(stream).str();
-}
-
-template<typename Value>
-std::optional<Value>
-Read(std::string_view aBytes)
+/// Limits the time to a day, because larger numbers overflow the time point.
+TimePoint
+ExpiryOf(std::int64_t aRemainingMs, TimePoint aNow)
 {
-  try {
-    std::istringstream stream{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(stream);
-    Value value;
-    archive(value);
-    return value;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  constexpr std::int64_t kMaxRemainingMs = milliseconds(std::chrono::hours(24)).count();
+  return aNow + milliseconds(std::clamp<std::int64_t>(aRemainingMs, 0, kMaxRemainingMs));
 }
 
 } // namespace
@@ -114,19 +95,19 @@
                      entry.response_.value_or(StoredResponse{}),
                      RemainingMs(entry.expiry_, aNow) });
   }
-  return Write(wire);
+  return WriteWire(wire);
 }
 
 std::optional<std::vector<IdempotencyEntry>>
 DecodeEntries(std::string_view aBytes, TimePoint aNow)
 {
-  auto wire = Read<std::vector<WireEntry>>(aBytes);
-  if (!wire) {
+  std::vector<WireEntry> wire;
+  if (!ReadWire(aBytes, wire)) {
     return std::nullopt;
   }
   std::vector<IdempotencyEntry> entries;
-  entries.reserve(wire->size());
-  for (WireEntry& item : *wire) {
+  entries.reserve(wire.size());
+  for (WireEntry& item : wire) {
     if (item.state_ > static_cast<std::uint8_t>(IdempotencyState::Abandoned)) {
       return std::nullopt;
     }
@@ -137,7 +118,7 @@
     if (item.hasResponse_) {
       entry.response_ = std::move(item.response_);
     }
-    entry.expiry_ = aNow + milliseconds(item.remainingMs_);
+    entry.expiry_ = ExpiryOf(item.remainingMs_, aNow);
     entries.push_back(std::move(entry));
   }
   return entries;
@@ -146,21 +127,21 @@
 std::string
 EncodePoison(const PoisonEntry& aEntry, TimePoint aNow)
 {
-  return Write(WirePoison{
+  return WriteWire(WirePoison{
     aEntry.service_, aEntry.fingerprint_, aEntry.crashes_, RemainingMs(aEntry.expiry_, aNow) });
 }
 
 std::optional<PoisonEntry>
 DecodePoison(std::string_view aBytes, TimePoint aNow)
 {
-  auto wire = Read<WirePoison>(aBytes);
-  if (!wire) {
+  WirePoison wire;
+  if (!ReadWire(aBytes, wire)) {
     return std::nullopt;
   }
-  return PoisonEntry{ std::move(wire->service_),
-                      wire->fingerprint_,
-                      std::move(wire->crashes_),
-                      aNow + milliseconds(wire->remainingMs_) };
+  return PoisonEntry{ std::move(wire.service_),
+                      wire.fingerprint_,
+                      std::move(wire.crashes_),
+                      ExpiryOf(wire.remainingMs_, aNow) };
 }
 
 } // namespace redwing
--- a/src/control/MemberFact.cpp
+++ b/src/control/MemberFact.cpp
@@ -1,10 +1,8 @@
 #include "control/MemberFact.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
+#include "core/WireArchive.hpp"
+
 #include <cereal/types/map.hpp>
-#include <cereal/types/string.hpp>
-#include <exception>
-#include <sstream>
 
 namespace redwing {
 
@@ -24,46 +22,17 @@
            aMember.leaving_);
 }
 
-namespace {
-
-template<typename... Values>
-std::string
-Write(Values&... aValues)
-{
-  std::ostringstream stream;
-  cereal::PortableBinaryOutputArchive archive(stream);
-  archive(aValues...);
-  return std::move(stream).str();
-}
-
-template<typename... Values>
-bool
-Read(std::string_view aBytes, Values&... aValues)
-{
-  try {
-    std::istringstream stream{ std::string(aBytes) };
-    cereal::PortableBinaryInputArchive archive(stream);
-    archive(aValues...);
-    return true;
-  } catch (const std::exception&) {
-    return false;
-  }
-}
-
-} // namespace
-
 std::string
 MemberFact::Encode() const
 {
-  MemberFact copy = *this;
-  return Write(copy.member_, copy.gone_);
+  return WriteWire(member_, gone_);
 }
 
 std::optional<MemberFact>
 MemberFact::Decode(std::string_view aBytes)
 {
   MemberFact fact;
-  if (!Read(aBytes, fact.member_, fact.gone_)) {
+  if (!ReadWire(aBytes, fact.member_, fact.gone_) || fact.member_.state_ > BackendState::Down) {
     return std::nullopt;
   }
   return fact;
@@ -72,15 +41,14 @@
 std::string
 EncodeRow(const ShardRow& aRow)
 {
-  ShardRow copy = aRow;
-  return Write(copy);
+  return WriteWire(aRow);
 }
 
 std::optional<ShardRow>
 DecodeRow(std::string_view aBytes)
 {
   ShardRow row;
-  if (!Read(aBytes, row)) {
+  if (!ReadWire(aBytes, row)) {
     return std::nullopt;
   }
   return row;
--- a/src/peer/WireArchive.hpp
+++ b/src/core/WireArchive.hpp
@@ -11,9 +11,10 @@
 #include <type_traits>
 #include <utility>
 
-/// cereal archives for frames. They write into and read from memory without streams, check every
-/// length against the bytes that are left before allocating, and carry time points as remaining
-/// time, because the clocks of two machines are unrelated. All instances are little-endian.
+/// cereal archives for messages between instances. They write into and read from memory without
+/// streams, check every length against the bytes that are left before allocating, and carry time
+/// points as remaining time, because the clocks of two machines are unrelated. All instances are
+/// little-endian.
 namespace redwing {
 
 /// The input does not describe a valid message.
@@ -104,6 +105,41 @@
   }
 }
 
+template<typename T>
+void
+CEREAL_SAVE_FUNCTION_NAME(WireOutput& aArchive, const cereal::NameValuePair<T>& aPair)
+{
+  aArchive(aPair.value);
+}
+
+template<typename T>
+void
+CEREAL_LOAD_FUNCTION_NAME(WireInput& aArchive, cereal::NameValuePair<T>& aPair)
+{
+  aArchive(aPair.value);
+}
+
+template<typename T>
+void
+CEREAL_SAVE_FUNCTION_NAME(WireOutput& aArchive, const cereal::SizeTag<T>& aTag)
+{
+  aArchive(static_cast<std::uint32_t>(aTag.size));
+}
+
+template<typename T>
+void
+CEREAL_LOAD_FUNCTION_NAME(WireInput& aArchive, cereal::SizeTag<T>& aTag)
+{
+  std::uint32_t size = 0;
+  aArchive(size);
+  // No element is shorter than a length field. Containers allocate by this number.
+  constexpr std::size_t kLeastElementBytes = 4;
+  if (size > aArchive.Left() / kLeastElementBytes) {
+    throw WireError("element count exceeds the message");
+  }
+  aTag.size = size;
+}
+
 inline void
 CEREAL_SAVE_FUNCTION_NAME(WireOutput& aArchive, const std::string& aValue)
 {
@@ -120,6 +156,38 @@
   aValue = aArchive.Take(size);
 }
 
+/// Returns aValues as a message.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+template<typename... Values>
+std::string
+WriteWire(const Values&... aValues)
+{
+  std::string bytes;
+  WireOutput archive(bytes, {});
+  archive(aValues...);
+  return bytes;
+}
+
+/// Reads aValues from untrusted bytes; returns false when these are malformed.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+template<typename... Values>
+bool
+ReadWire(std::string_view aBytes, Values&... aValues)
+{
+  try {
+    WireInput archive(aBytes, {});
+    archive(aValues...);
+    return true;
+  } catch (const WireError&) {
+    return false;
+  } catch (const cereal::Exception&) {
+    // Thrown for an unknown alternative of a variant.
+    return false;
+  }
+}
+
 } // namespace redwing
 
 CEREAL_REGISTER_ARCHIVE(redwing::WireOutput)
--- a/src/intake/RequestHead.cpp
+++ b/src/intake/RequestHead.cpp
@@ -124,7 +124,7 @@
   if (SameName(name, "authorization")) {
     return TakeAuthorization(aHeader.value_, aHead);
   }
-  if (name.size() > kOwnPrefix.size() && SameName(name.substr(0, kOwnPrefix.size()), kOwnPrefix)) {
+  if (name.size() >= kOwnPrefix.size() && SameName(name.substr(0, kOwnPrefix.size()), kOwnPrefix)) {
     return TakeOwnHeader(aHeader, aHead);
   }
   if (SameName(name, "expect")) {
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -1,7 +1,7 @@
 #include "peer/FrameCodec.hpp"
 
 #include "core/Hash.hpp"
-#include "peer/WireArchive.hpp"
+#include "core/WireArchive.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/peer/Handshake.cpp
+++ b/src/peer/Handshake.cpp
@@ -1,7 +1,7 @@
 #include "peer/Handshake.hpp"
 
 #include "core/Hash.hpp"
-#include "peer/WireArchive.hpp"
+#include "core/WireArchive.hpp"
 
 #include <openssl/rand.h>
 #include <utility>
--- a/tests/support/FakeStore.hpp
+++ b/tests/support/FakeStore.hpp
@@ -23,7 +23,7 @@
   {
   }
 
-  void Range(std::string aKey, bool, StoreCallback<StoreRange> aDone) override
+  void Range(std::string aKey, bool aExact, StoreCallback<StoreRange> aDone) override
   {
     if (down_) {
       After(Delay(), [aDone] {
@@ -31,10 +31,12 @@
       });
       return;
     }
-    After(Delay(), [this, aKey, aDone] {
+    After(Delay(), [this, aKey, aExact, aDone] {
       StoreRange range{ {}, revision_ };
-      if (const auto found = entries_.find(aKey); found != entries_.end()) {
-        range.entries_.push_back(found->second);
+      for (const auto& [key, entry] : entries_) {
+        if (aExact ? key == aKey : key.starts_with(aKey)) {
+          range.entries_.push_back(entry);
+        }
       }
       Reply<StoreRange>(std::move(range), StoreErrorKind::Unavailable, aDone);
     });
@@ -52,7 +54,19 @@
       }
       return;
     }
+    if (down_) {
+      After(Delay(), [aDone] {
+        aDone(tl::unexpected(StoreError{ StoreErrorKind::Unavailable, "down" }));
+      });
+      return;
+    }
     After(Delay(), [this, aTransaction, aDone] {
+      if (loseReplies_ > 0) {
+        --loseReplies_;
+        Execute(aTransaction);
+        aDone(tl::unexpected(StoreError{ StoreErrorKind::OutcomeUnknown, "lost" }));
+        return;
+      }
       Reply<StoreTransactionResult>(Execute(aTransaction), StoreErrorKind::OutcomeUnknown, aDone);
     });
   }
@@ -82,6 +96,8 @@
   std::map<std::uint64_t, std::string> written_;
   ManualClock clock_;
   bool down_ = false;
+  /// Number of writes that take effect without a reply.
+  int loseReplies_ = 0;
 
 private:
   StoreTransactionResult Execute(const StoreTransaction& aTransaction)
