Accept 202 in redwingctl; let redwingd start beside redwingctl's variables

Cause: trying the operators' commands showed that (1) redwingctl reported an accepted drain (status 202) as refused with exit code 1, although the instance drained and ended; (2) redwingd refused to start when REDWING_INSTANCE was exported for redwingctl.

Change: a change answered with 202 is done; variables of redwingctl and of the scripts are no findings of redwingd.

--- a/src/ctl/Session.cpp
+++ b/src/ctl/Session.cpp
@@ -13,6 +13,8 @@
 using Json = nlohmann::ordered_json;
 
 constexpr unsigned kOk = 200;
+/// The change was accepted and is carried out after the reply, such as a drain.
+constexpr unsigned kAccepted = 202;
 constexpr unsigned kNotImplemented = 501;
 constexpr unsigned kFirstServerError = 500;
 /// A change takes about a second to reach all instances.
@@ -91,7 +93,7 @@
   if (!result) {
     return ReportError(result.error(), true);
   }
-  if (result->status_ != kOk) {
+  if (result->status_ != kOk && result->status_ != kAccepted) {
     return ReportProblem(*result, true);
   }
   const Json reply = Json::parse(result->body_, nullptr, false);
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -1,6 +1,7 @@
 #include "daemon/DaemonSettings.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <fstream>
 #include <iterator>
@@ -12,6 +13,12 @@
 constexpr std::size_t kMaxNameLength = 64;
 constexpr std::size_t kMinSecretLength = 16;
 constexpr std::string_view kVariablePrefix = "REDWING_";
+/// Variables of redwingctl and of the scripts, which may be set in the shell that starts redwingd.
+constexpr std::array<std::string_view, 3> kForeignVariables{
+  "REDWING_INSTANCE",
+  "REDWING_JOBS",
+  "REDWING_TEST_JOBS",
+};
 
 /// Reads settings one by one and collects what is wrong with them.
 class Checker
@@ -193,7 +200,9 @@
       std::any_of(settings.begin(), settings.end(), [&](const SettingInfo& aSetting) {
         return VariableOf(aSetting.flag_) == variable;
       });
-    if (variable.starts_with(kVariablePrefix) && !known) {
+    const bool foreign = std::find(kForeignVariables.begin(), kForeignVariables.end(), variable) !=
+                         kForeignVariables.end();
+    if (variable.starts_with(kVariablePrefix) && !known && !foreign) {
       findings.push_back({ variable, "is not a setting of redwingd" });
     }
   }
--- a/tests/unit/daemon/DaemonSettingsTest.cpp
+++ b/tests/unit/daemon/DaemonSettingsTest.cpp
@@ -116,3 +116,10 @@
   BOOST_TEST(findings[1].place_ == "REDWING_");
   BOOST_TEST(CheckVariables({ VariableOf("operator-token-file") }).empty());
 }
+
+// Guards against an instance that does not start in a shell that is set up for redwingctl.
+BOOST_AUTO_TEST_CASE(VariablesOfOtherProgramsAreNoFindings)
+{
+  BOOST_TEST(CheckVariables({ "REDWING_INSTANCE", "REDWING_JOBS", "REDWING_TEST_JOBS" }).empty());
+  BOOST_TEST(CheckVariables({ "REDWING_INSTANCES" }).size() == 1U);
+}
