Keep the configuration confirmed during a store outage; place shards once the fleet is settled

Planning while instances still joined moved shards again and emptied buckets. Ruled out: too few data centres reporting; the reports were there but too old.

--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -199,7 +199,7 @@
 void
 ControlService::Drain()
 {
-  mailbox_.Drain([](Task aTask) { aTask(); });
+  mailbox_.Drain([](const Task& aTask) { aTask(); });
 }
 
 void
--- a/src/control/PlannerRole.cpp
+++ b/src/control/PlannerRole.cpp
@@ -97,7 +97,7 @@
     if (aLeft->count() <= 0) {
       lease_ = 0;
       heldUntil_ = TimePoint{};
-      LogLine(LogLevel::Warning, "planner_role_lost");
+      LogLine(LogLevel::Warning, "planner_role_lost").With("instance", instanceId_);
       return;
     }
     heldUntil_ = sentAt + *aLeft;
--- a/src/control/PlanningLoop.cpp
+++ b/src/control/PlanningLoop.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwing {
@@ -14,6 +15,8 @@
 /// The planner compares its view with the store's rows at this interval.
 constexpr Duration kReadInterval = std::chrono::seconds(5);
 
+/// Time without a new member after which shards are placed.
+constexpr Duration kSettleTime = milliseconds(700);
 /// A shard whose owner is absent for this time was not taken over through the ring.
 constexpr Duration kOrphanTime = std::chrono::seconds(3);
 
@@ -60,7 +63,7 @@
   if (now >= nextRead_ && !reading_) {
     ReadRows();
   }
-  if (!rowsRead_ || now < nextRound_) {
+  if (!rowsRead_ || now < nextRound_ || !IsSettled()) {
     return;
   }
   nextRound_ = now + kRoundInterval;
@@ -79,6 +82,23 @@
   }
 }
 
+bool
+PlanningLoop::IsSettled()
+{
+  std::vector<InstanceRef> members;
+  for (const auto& [id, member] : fleet_.Members()) {
+    members.push_back(member.ref_);
+  }
+  const bool grown = std::any_of(members.begin(), members.end(), [&](const InstanceRef& aRef) {
+    return std::find(lastMembers_.begin(), lastMembers_.end(), aRef) == lastMembers_.end();
+  });
+  if (grown) {
+    stableSince_ = clock_.Now();
+  }
+  lastMembers_ = std::move(members);
+  return clock_.Now() - stableSince_ >= kSettleTime;
+}
+
 void
 PlanningLoop::ReadRows()
 {
--- a/src/control/PlanningLoop.hpp
+++ b/src/control/PlanningLoop.hpp
@@ -35,6 +35,9 @@
   bool IsPlanner() const { return role_.IsHeld(); }
 
 private:
+  /// Returns whether the members have not changed for a while. Placement while a fleet starts would
+  /// move most shards again when the next instances join.
+  bool IsSettled();
   void ReadRows();
   void PlanService(const std::string& aService,
                    std::uint32_t aShards,
@@ -54,6 +57,9 @@
   TimePoint nextRound_;
   TimePoint nextRead_;
   std::map<ShardId, TimePoint> absentSince_;
+  /// Members as of the last change of who may own shards.
+  std::vector<InstanceRef> lastMembers_;
+  TimePoint stableSince_;
   bool reading_ = false;
   bool rowsRead_ = false;
 };
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -66,6 +66,10 @@
   std::signal(SIGPIPE, SIG_IGN);
   EtcdStoreSettings storeSettings;
   storeSettings.address_ = settings_.storeAddress_;
+  // A call time-out and a back-off together stay below the time for which a report of an
+  // unreachable store counts, so that the configuration stays confirmed during an outage.
+  storeSettings.timeout_ = milliseconds(600);
+  storeSettings.budget_.maximumBackOff_ = milliseconds(600);
   store_ = std::make_unique<EtcdStore>(storeThread_.Context(), clock_, seed_, storeSettings);
   BuildControl();
   BuildPeer();
@@ -309,7 +313,7 @@
   shutdownTimer_.expires_after(kLeaveTimeout);
   shutdownTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
-      LogLine(LogLevel::Warning, "leave_timed_out");
+      LogLine(LogLevel::Warning, "leave_timed_out").With("instance", settings_.instanceId_);
       DrainTraffic();
     }
   });
@@ -325,7 +329,7 @@
   shutdownTimer_.expires_after(kDrainTimeout);
   shutdownTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
-      LogLine(LogLevel::Error, "drain_timed_out");
+      LogLine(LogLevel::Error, "drain_timed_out").With("instance", settings_.instanceId_);
       exitCode_ = 1;
       mainContext_.stop();
     }
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -149,18 +149,18 @@
 Daemon::Handlers()
 {
   LocalHandlers handlers;
-  handlers.announce_ = [this](BackendAnnouncement aAnnouncement, LocalReplyCallback aReply) {
+  handlers.announce_ = [this](BackendAnnouncement aAnnouncement, const LocalReplyCallback& aReply) {
     backend_->OnAnnounce(std::move(aAnnouncement));
     aReply(JsonReply("{}"));
   };
-  handlers.leave_ = [this](LocalReplyCallback aReply) {
+  handlers.leave_ = [this](const LocalReplyCallback& aReply) {
     backend_->OnLeave();
     aReply(JsonReply("{}"));
   };
-  handlers.metrics_ = [this](LocalReplyCallback aReply) {
+  handlers.metrics_ = [this](const LocalReplyCallback& aReply) {
     aReply({ 200, "text/plain; version=0.0.4", counters_.RenderText() });
   };
-  handlers.health_ = [this](LocalReplyCallback aReply) {
+  handlers.health_ = [this](const LocalReplyCallback& aReply) {
     const auto view = view_.Get();
     const bool joined = !view->self_.Empty();
     aReply({ joined ? 200U : 503U,
@@ -189,11 +189,11 @@
         JsonReply(ClusterStatusWriter::Shards(service, ToShardStatuses(aStatus, *view, service))));
     });
   };
-  handlers.drain_ = [this](DrainRequest, LocalReplyCallback aReply) {
+  handlers.drain_ = [this](const DrainRequest&, const LocalReplyCallback& aReply) {
     aReply({ 202, "application/json", "{}" });
     mainContext_.post([this] { BeginShutdown(); });
   };
-  handlers.forceShard_ = [this](ForceShardRequest aRequest, LocalReplyCallback aReply) {
+  handlers.forceShard_ = [this](const ForceShardRequest& aRequest, LocalReplyCallback aReply) {
     control_->ForceShard(
       { aRequest.service_, aRequest.shard_ }, [reply = std::move(aReply)](bool aAccepted) {
         reply(aAccepted ? LocalReply{ 202, "application/json", "{}" }
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -24,7 +24,7 @@
 
   std::string Name(std::string_view aFlag, bool aRequired)
   {
-    const std::string value = Text(aFlag);
+    std::string value = Text(aFlag);
     if (value.empty()) {
       if (aRequired) {
         Add(aFlag, "is required");
