Hand buckets over with their share shard; watch the configuration key; judge currency by the newest confirmed revision

Ruled out: slow pulls; all instances adopted the change within 3 ms of each other. Change: the releasing owner sends its buckets to the successor, which uses them only with the following token; watchers watch /redwing/config and read it every 400 ms to confirm it; a revision is current while one that is not newer was confirmed within the maximum age.

--- a/src/control/ConfigurationKeeper.cpp
+++ b/src/control/ConfigurationKeeper.cpp
@@ -14,8 +14,9 @@
 /// A configuration that is not confirmed for this long is not trusted. Below the 3 s in which a
 /// withdrawn key must stop working, to leave time for reports that are under way.
 constexpr Duration kMaxAge = milliseconds(2500);
-/// Interval of a watcher's reads; part of the time until a change is in force.
-constexpr Duration kReadInterval = milliseconds(300);
+/// Interval of the reads that confirm the configuration.
+constexpr Duration kReadInterval = milliseconds(400);
+constexpr Duration kWatchRetry = milliseconds(1000);
 
 } // namespace
 
@@ -63,10 +64,35 @@
 void
 ConfigurationKeeper::Tick(bool aIsWatcher)
 {
-  if (!aIsWatcher || reading_ || clock_.Now() < nextRead_) {
+  if (!aIsWatcher) {
     return;
   }
-  Read([](bool) {});
+  if (!watching_ && storeReachable_ && clock_.Now() >= nextWatch_) {
+    Watch();
+  }
+  if (!reading_ && clock_.Now() >= nextRead_) {
+    Read([](bool) {});
+  }
+}
+
+void
+ConfigurationKeeper::Watch()
+{
+  watching_ = true;
+  nextWatch_ = clock_.Now() + kWatchRetry;
+  store_.Watch(kConfigurationKey,
+               current_->revision_ + 1,
+               [this](const StoreResult<std::vector<StoreWatchEvent>>& aEvents) {
+                 if (!aEvents) {
+                   watching_ = false;
+                   return;
+                 }
+                 for (const StoreWatchEvent& event : *aEvents) {
+                   if (event.key_ == kConfigurationKey && event.value_) {
+                     Adopt(event.modRevision_, *event.value_);
+                   }
+                 }
+               });
 }
 
 void
--- a/src/control/ConfigurationKeeper.hpp
+++ b/src/control/ConfigurationKeeper.hpp
@@ -15,7 +15,8 @@
 
 /// Keeps the newest known configuration of this instance.
 ///
-/// Watchers (a few instances per data centre) read the store; all others learn from messages that a
+/// Watchers (a few instances per data centre) watch the key in the store, and read it regularly to
+/// confirm that nothing newer exists; all others learn from messages that a
 /// newer revision exists and pull it from the instance that told them.
 class ConfigurationKeeper
 {
@@ -61,6 +62,8 @@
   bool StoreReachable() const { return storeReachable_; }
 
 private:
+  void Watch();
+
   const Clock& clock_;
   Store& store_;
   std::string dataCentre_;
@@ -71,6 +74,8 @@
   bool reading_ = false;
   bool storeReachable_ = false;
   TimePoint nextRead_;
+  bool watching_ = false;
+  TimePoint nextWatch_;
 };
 
 } // namespace redwing
--- a/src/control/ControlMessage.hpp
+++ b/src/control/ControlMessage.hpp
@@ -43,8 +43,23 @@
   }
 };
 
-using ControlDatagram =
-  std::variant<OwnershipDatagram, GossipRound, SliceRequest, SliceReply, SliceReport>;
+/// Buckets of a share shard that its owner releases. The receiver uses them if it becomes the next
+/// owner, with the following token; otherwise it starts with empty buckets.
+struct BucketHandoff
+{
+  ShardId shard_;
+  std::uint64_t token_ = 0;
+  std::vector<BucketState> buckets_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(shard_, token_, buckets_);
+  }
+};
+
+using ControlDatagram = std::
+  variant<OwnershipDatagram, GossipRound, SliceRequest, SliceReply, SliceReport, BucketHandoff>;
 
 /// Asks for the facts that are newer than those named.
 struct GossipPull
--- a/src/control/ControlMessages.cpp
+++ b/src/control/ControlMessages.cpp
@@ -72,6 +72,39 @@
   shares_.OnReport(aFrom.id_, aReport, clock_.Now());
 }
 
+void
+ControlService::Handle(const InstanceRef&, const BucketHandoff& aHandoff)
+{
+  handoffs_[aHandoff.shard_] = aHandoff;
+}
+
+void
+ControlService::OnGained(const ShardId& aShard, std::uint64_t aToken)
+{
+  const auto handoff = handoffs_.extract(aShard);
+  if (!handoff.empty() && handoff.mapped().token_ + 1 == aToken) {
+    shares_.Continue(handoff.mapped().buckets_, clock_.Now());
+  }
+  if (aShard.service_ == kShareService) {
+    PrepareShares();
+  }
+}
+
+void
+ControlService::OnLost(const ShardId& aShard, std::uint64_t aToken, const InstanceRef& aSuccessor)
+{
+  if (aShard.service_ != kShareService) {
+    return;
+  }
+  const auto belongs = [&](std::string_view aWorkspace) {
+    return ShareShard(aWorkspace) == aShard;
+  };
+  const auto buckets = shares_.Release(belongs, clock_.Now());
+  if (!aSuccessor.Empty()) {
+    SendDatagram(aSuccessor.id_, BucketHandoff{ aShard, aToken, buckets });
+  }
+}
+
 void
 ControlService::SendSlice(SliceRequest aRequest)
 {
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -83,7 +83,10 @@
                 PushEntries(aShard, aSuccessor, std::move(aDone));
               },
               [this](Task aTask) { Post(std::move(aTask)); },
-              [this] { PrepareShares(); },
+              [this](const ShardId& aShard, std::uint64_t aToken) { OnGained(aShard, aToken); },
+              [this](const ShardId& aShard, std::uint64_t aToken, const InstanceRef& aSuccessor) {
+                OnLost(aShard, aToken, aSuccessor);
+              },
               [this] { Rejoin(); } })
   , planning_(aClock, settings_.self_.ref_.id_, store_, fleet_, driver_)
   , shares_([this](std::string_view aWorkspace) { return LimitOf(aWorkspace); },
--- a/src/control/ControlService.hpp
+++ b/src/control/ControlService.hpp
@@ -180,6 +180,7 @@
   void Handle(const InstanceRef& aFrom, const SliceRequest& aRequest);
   void Handle(const InstanceRef& aFrom, const SliceReply& aReply);
   void Handle(const InstanceRef& aFrom, const SliceReport& aReport);
+  void Handle(const InstanceRef& aFrom, const BucketHandoff& aHandoff);
   void SendDatagram(const std::string& aInstanceId, const ControlDatagram& aDatagram);
   void CallInstance(const std::string& aInstanceId,
                     const ControlCall& aCall,
@@ -198,6 +199,8 @@
   std::optional<ShareOwner::Limit> LimitOf(std::string_view aWorkspace) const;
   void OnConfiguration(const ConfigurationRevision& aRevision);
   void PrepareShares();
+  void OnGained(const ShardId& aShard, std::uint64_t aToken);
+  void OnLost(const ShardId& aShard, std::uint64_t aToken, const InstanceRef& aSuccessor);
   StatusReply OwnStatus() const;
 
   boost::asio::io_context& context_;
@@ -226,6 +229,8 @@
   bool leaving_ = false;
   bool viewCurrent_ = false;
   std::vector<Task> leaveDone_;
+  /// Buckets received for shards that this instance does not own yet.
+  std::map<ShardId, BucketHandoff> handoffs_;
   std::map<std::string, WorkspaceLimit, std::less<>> limits_;
   TimePoint limitsSince_;
   std::uint64_t seenFleetVersion_ = 0;
--- a/src/control/OwnershipDriver.cpp
+++ b/src/control/OwnershipDriver.cpp
@@ -205,18 +205,20 @@
   LogShard("ownership_gained", aEffect.shard_, aEffect.token_);
   owned_[aEffect.shard_] = aEffect.token_;
   grantsChanged_ = true;
-  hooks_.onShardsChanged_();
+  hooks_.onGained_(aEffect.shard_, aEffect.token_);
 }
 
 void
 OwnershipDriver::Run(const OwnershipLost& aEffect)
 {
   LogShard("ownership_lost", aEffect.shard_, aEffect.token_);
+  const bool released = table_.LeaseDeadline() > clock_.Now();
+  const InstanceRef successor = released ? successors_[aEffect.shard_] : InstanceRef{};
   owned_.erase(aEffect.shard_);
   successors_.erase(aEffect.shard_);
   releasing_.erase(aEffect.shard_);
   grantsChanged_ = true;
-  hooks_.onShardsChanged_();
+  hooks_.onLost_(aEffect.shard_, aEffect.token_, successor);
 }
 
 void
--- a/src/control/OwnershipDriver.hpp
+++ b/src/control/OwnershipDriver.hpp
@@ -34,8 +34,11 @@
     pushEntries_;
   /// Runs a task on the control thread.
   std::function<void(std::function<void()>)> post_;
-  /// The set of owned shards changed.
-  std::function<void()> onShardsChanged_;
+  /// This instance owns aShard from now on.
+  std::function<void(const ShardId& aShard, std::uint64_t aToken)> onGained_;
+  /// This instance owns aShard no longer; aSuccessor is set if it was released in its favour.
+  std::function<void(const ShardId& aShard, std::uint64_t aToken, const InstanceRef& aSuccessor)>
+    onLost_;
   /// The lease ended; the instance must rejoin.
   std::function<void()> onExpired_;
 };
--- a/src/limits/ShareBucket.cpp
+++ b/src/limits/ShareBucket.cpp
@@ -29,6 +29,35 @@
   slices_.push_back({ "", 0, aLimit.burst_, aNow + WithDrift(aEarlierSlices) });
 }
 
+ShareBucket::ShareBucket(WorkspaceLimit aLimit, const BucketState& aState, TimePoint aNow)
+  : limit_(aLimit)
+  , refilledAt_(aNow)
+{
+  for (const OpenSlice& slice : aState.slices_) {
+    outstanding_ += slice.tokens_;
+    const TimePoint expiry = aNow + WithDrift(std::chrono::milliseconds(slice.remainingMs_));
+    slices_.push_back({ slice.instance_, slice.requestId_, slice.tokens_, expiry });
+  }
+  level_ = std::min(aState.level_, std::max(0.0, limit_.burst_ - outstanding_));
+}
+
+BucketState
+ShareBucket::Export(std::string_view aWorkspace, TimePoint aNow)
+{
+  Advance(aNow);
+  BucketState state;
+  state.workspace_ = aWorkspace;
+  state.level_ = level_;
+  for (const Slice& slice : slices_) {
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(slice.expiry_ - aNow);
+    state.slices_.push_back({ slice.instance_,
+                              slice.requestId_,
+                              slice.tokens_,
+                              static_cast<std::uint32_t>(remaining.count()) });
+  }
+  return state;
+}
+
 SliceReply
 ShareBucket::Grant(std::string_view aInstance, const SliceRequest& aRequest, TimePoint aNow)
 {
--- a/src/limits/ShareBucket.hpp
+++ b/src/limits/ShareBucket.hpp
@@ -24,6 +24,14 @@
   /// they may have.
   ShareBucket(WorkspaceLimit aLimit, Duration aEarlierSlices, TimePoint aNow);
 
+  /// Continues a bucket that its former owner handed over.
+  ShareBucket(WorkspaceLimit aLimit, const BucketState& aState, TimePoint aNow);
+
+  /// Returns the state for the next owner. This bucket must not grant any more.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  BucketState Export(std::string_view aWorkspace, TimePoint aNow);
+
   /// Grants up to aRequest.tokens_ tokens to aInstance. A repeated request id gets no tokens.
   ///
   /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
--- a/src/limits/ShareOwner.cpp
+++ b/src/limits/ShareOwner.cpp
@@ -25,6 +25,32 @@
   Find(aWorkspace, aNow);
 }
 
+std::vector<BucketState>
+ShareOwner::Release(const std::function<bool(std::string_view)>& aBelongs, TimePoint aNow)
+{
+  std::vector<BucketState> states;
+  for (auto bucket = buckets_.begin(); bucket != buckets_.end();) {
+    if (!aBelongs(bucket->first)) {
+      ++bucket;
+      continue;
+    }
+    states.push_back(bucket->second.Export(bucket->first, aNow));
+    bucket = buckets_.erase(bucket);
+  }
+  return states;
+}
+
+void
+ShareOwner::Continue(std::span<const BucketState> aStates, TimePoint aNow)
+{
+  for (const BucketState& state : aStates) {
+    const auto limit = lookUpLimit_(state.workspace_);
+    if (limit && ownsShare_(state.workspace_)) {
+      buckets_.try_emplace(state.workspace_, limit->limit_, state, aNow);
+    }
+  }
+}
+
 ShareBucket*
 ShareOwner::Find(std::string_view aWorkspace, TimePoint aNow)
 {
--- a/src/limits/ShareOwner.hpp
+++ b/src/limits/ShareOwner.hpp
@@ -5,8 +5,10 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace redwing {
 
@@ -34,6 +36,18 @@
   /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
   void Prepare(std::string_view aWorkspace, TimePoint aNow);
 
+  /// Removes the buckets that aBelongs names and returns their state for the next owner.
+  ///
+  /// Preconditions: this instance no longer owns them. Thread safety: not thread-safe.
+  std::vector<BucketState> Release(const std::function<bool(std::string_view)>& aBelongs,
+                                   TimePoint aNow);
+
+  /// Continues buckets that their former owner handed over; those that exist here are left alone.
+  ///
+  /// Preconditions: this instance owns them, and nobody owned them in between. Thread safety: not
+  /// thread-safe.
+  void Continue(std::span<const BucketState> aStates, TimePoint aNow);
+
   /// Answers a request for tokens.
   ///
   /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
--- a/src/limits/SliceMessages.hpp
+++ b/src/limits/SliceMessages.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 /// Messages between an instance that needs tokens of a workspace and the owner of its bucket.
 namespace redwing {
@@ -54,4 +55,34 @@
   }
 };
 
+/// A slice that may still be used, as part of a bucket that changes its owner.
+struct OpenSlice
+{
+  std::string instance_;
+  std::uint64_t requestId_ = 0;
+  double tokens_ = 0;
+  /// Counted by the receiver from the arrival, which is later than true and therefore safe.
+  std::uint32_t remainingMs_ = 0;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(instance_, requestId_, tokens_, remainingMs_);
+  }
+};
+
+/// State of one bucket, sent by its owner after it stopped to grant.
+struct BucketState
+{
+  std::string workspace_;
+  double level_ = 0;
+  std::vector<OpenSlice> slices_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(workspace_, level_, slices_);
+  }
+};
+
 } // namespace redwing
--- a/src/membership/ConfigurationFreshness.cpp
+++ b/src/membership/ConfigurationFreshness.cpp
@@ -6,6 +6,12 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr std::size_t kRememberedRevisions = 8;
+
+} // namespace
+
 ConfigurationFreshness::ConfigurationFreshness(Duration aMaxAge)
   : maxAge_(aMaxAge)
 {
@@ -50,18 +56,20 @@
                                   std::size_t aDataCentres,
                                   TimePoint aNow) const
 {
+  // A revision at least as high as one that was the newest a moment ago is as new as that moment.
+  const auto end = confirmed_.upper_bound(aRevision);
+  const bool confirmed = std::any_of(confirmed_.begin(), end, [&](const auto& aEntry) {
+    return aNow - aEntry.second <= maxAge_;
+  });
+  if (confirmed) {
+    return true;
+  }
   if (aRevision == 0 || aRevision < highestRevision_) {
     return false;
   }
   std::size_t unreachable = 0;
   for (const auto& [dataCentre, entry] : entries_) {
-    if (aNow - entry.at_ > maxAge_) {
-      continue;
-    }
-    if (entry.storeReachable_ && entry.revision_ == aRevision) {
-      return true;
-    }
-    if (!entry.storeReachable_) {
+    if (aNow - entry.at_ <= maxAge_ && !entry.storeReachable_) {
       ++unreachable;
     }
   }
@@ -72,6 +80,13 @@
 ConfigurationFreshness::Record(std::string_view aDataCentre, const Entry& aEntry)
 {
   highestRevision_ = std::max(highestRevision_, aEntry.revision_);
+  if (aEntry.storeReachable_ && aEntry.revision_ != 0) {
+    TimePoint& at = confirmed_[aEntry.revision_];
+    at = std::max(at, aEntry.at_);
+    if (confirmed_.size() > kRememberedRevisions) {
+      confirmed_.erase(confirmed_.begin());
+    }
+  }
   const auto [place, inserted] = entries_.try_emplace(std::string(aDataCentre), aEntry);
   if (!inserted && aEntry.at_ > place->second.at_) {
     place->second = aEntry;
--- a/src/membership/ConfigurationFreshness.hpp
+++ b/src/membership/ConfigurationFreshness.hpp
@@ -30,7 +30,8 @@
 
 /// Decides whether this instance's configuration revision is confirmed to be current.
 ///
-/// A report of a watcher that reached the store confirms the revision it saw. Without such a
+/// A report of a watcher that reached the store confirms the revision it saw, for the maximum age:
+/// an instance goes on with it while it fetches a newer one. Without such a
 /// report, recent reports of an unreachable store from more than half of the data centres confirm
 /// that nothing newer exists: a single partitioned watcher cannot tell an outage from its own
 /// partition.
@@ -83,6 +84,8 @@
   Duration maxAge_;
   std::uint64_t highestRevision_ = 0;
   std::map<std::string, Entry, std::less<>> entries_;
+  /// When each of the latest revisions was last seen to be the newest in the store.
+  std::map<std::uint64_t, TimePoint> confirmed_;
 };
 
 } // namespace redwing
