--- a/bench/Actions.cpp
+++ b/bench/Actions.cpp
@@ -106,6 +106,16 @@
   aContext.fleet_.BackendCommand(aContext.pooledVictim_, "/control/slow?factor=20&ms=2000");
 }
 
+void
+SlowTwoServers(FaultContext& aContext)
+{
+  const auto servers = aContext.fleet_.Servers(false);
+  const auto victim = std::find(servers.begin(), servers.end(), aContext.pooledVictim_);
+  const auto next = std::next(victim) == servers.end() ? servers.begin() : std::next(victim);
+  SlowServer(aContext);
+  aContext.fleet_.BackendCommand(*next, "/control/slow?factor=20&ms=2000");
+}
+
 void
 WithdrawDataCentre(FaultContext& aContext)
 {
--- a/bench/Actions.hpp
+++ b/bench/Actions.hpp
@@ -16,6 +16,8 @@
 void LoseStoreReply(FaultContext& aContext);
 /// The pooled victim is 20 times slower for 2 s.
 void SlowServer(FaultContext& aContext);
+/// As SlowServer, for the pooled victim and the next pooled server.
+void SlowTwoServers(FaultContext& aContext);
 void WithdrawDataCentre(FaultContext& aContext);
 void RestoreDataCentre(FaultContext& aContext);
 void WithdrawKey(FaultContext& aContext);
--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -179,6 +179,8 @@
     arguments.push_back(advertiseFlag_);
     arguments.push_back(node.advertised_.ToString());
   }
+  arguments.insert(
+    arguments.end(), options_.instanceArguments_.begin(), options_.instanceArguments_.end());
   auto log = options_.directory_ / ("instance-" + std::to_string(aNode) + "-" +
                                     std::to_string(standins::MonotonicNs() / 1000000) + ".log");
   node.instanceProcess_ = std::make_unique<Process>(Program("redwingd"), arguments, log);
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -37,6 +37,8 @@
   std::filesystem::path directory_;
   /// Without instances: the load goes straight to the test servers, to test the harness itself.
   bool direct_ = false;
+  /// Added to the arguments of every instance.
+  std::vector<std::string> instanceArguments_{};
 };
 
 /// All processes of one run. Not thread-safe.
--- a/bench/Runner.cpp
+++ b/bench/Runner.cpp
@@ -71,6 +71,19 @@
   double from_;
 };
 
+/// Settings of the instances that turn the routing into the baseline that aVariant names.
+std::vector<std::string>
+InstanceArguments(const std::string& aVariant)
+{
+  if (aVariant == "round-robin" || aVariant == "least-outstanding") {
+    return { "--balancing", aVariant, "--hedging", "off", "--ejection", "off" };
+  }
+  if (aVariant == "no-hedging") {
+    return { "--hedging", "off" };
+  }
+  return {};
+}
+
 /// One pass of a scenario: fleet, load, faults, records.
 class Pass
 {
@@ -84,7 +97,11 @@
     , faults_(aFaults)
     , seconds_(aOptions.seconds_.value_or(aScenario.seconds_))
     , random_(aOptions.seed_)
-    , fleet_(Spec(), { aOptions.binaries_, aDirectory, aOptions.variant_ == "direct" })
+    , fleet_(Spec(),
+             { aOptions.binaries_,
+               aDirectory,
+               aOptions.variant_ == "direct",
+               InstanceArguments(aOptions.variant_) })
   {
   }
 
--- a/bench/Runner.hpp
+++ b/bench/Runner.hpp
@@ -14,7 +14,8 @@
   std::uint64_t seed_ = 1;
   std::optional<double> seconds_;
   /// `direct`: without instances, to test the harness; `store-down`: the store is down during the
-  /// load; `unchecked`: servers don't check grants; `half-load`: half the rate.
+  /// load; `unchecked`: servers don't check grants; `half-load`: half the rate;
+  /// `round-robin`, `least-outstanding`: that balancing without hedging and ejection; `no-hedging`.
   std::string variant_;
   std::filesystem::path binaries_;
   /// Where the directory of the run is created; removed after a run that passes unless keep_.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -101,7 +101,13 @@
   app.add_option("--seed", options.seed_);
   app.add_option("--seconds", options.seconds_)->check(CLI::Range(1.0, 3600.0));
   app.add_option("--variant", options.variant_)
-    ->check(CLI::IsMember({ "direct", "store-down", "unchecked", "half-load" }));
+    ->check(CLI::IsMember({ "direct",
+                            "store-down",
+                            "unchecked",
+                            "half-load",
+                            "round-robin",
+                            "least-outstanding",
+                            "no-hedging" }));
   app.add_option("--build-directory", options.binaries_)->required();
   app.add_option("--work-directory", options.work_)->required();
   app.add_flag("--keep", options.keep_, "keep logs and records of a run that passes");
