Require a fast trial before an ejected server returns

Cause: an ejected member returned when its time had passed, without a trial request: the fast-moving average was lowered to the threshold and the count of overtaken attempts to zero, so the next evaluation found it fast. An ingress also needed ten samples of a second member before it ejected any, although it sends nearly all requests to its near member.

Change: the result of an attempt that started after the ejection decides; a trial is hedged after the median latency; one member with samples is enough for the threshold; hedges prefer members without signs of slowness. A second hedge was tried and dropped before measuring: a request could then crash three servers.

--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -123,7 +123,8 @@
     start_.shard_->token_ = choice.token_;
     return true;
   }
-  const Member* member = core_.Selector().Choose(*entry_->route_, excluded_);
+  const ChoiceBy choice = attempts_.empty() ? ChoiceBy::Load : ChoiceBy::Speed;
+  const Member* member = core_.Selector().Choose(*entry_->route_, excluded_, choice);
   if (member == nullptr) {
     Refuse(ErrorCode::NoBackendServer,
            "no backend server of the service can take the request",
@@ -402,7 +403,12 @@
   if (!core_.Settings().routing_.hedging_ || start_.shard_ || !start_.idempotent_ || !CanReplay()) {
     return;
   }
-  if (const auto delay = core_.HedgesOf(ServiceId()).OnRequest()) {
+  HedgePolicy& policy = core_.HedgesOf(ServiceId());
+  auto delay = policy.OnRequest();
+  if (delay && core_.Selector().IsEjected(attempts_.front().instanceId_)) {
+    delay = std::min(delay, policy.EarlyDelay());
+  }
+  if (delay) {
     hedgeTimer_ = core_.Timers().Add(firstSent_ + *delay, id_, TimerKind::Hedge);
   }
 }
@@ -410,6 +416,7 @@
 void
 Exchange::OnHedgeTimer()
 {
+  // One hedge only: a third attempt could be a third server that the request crashes.
   if (responding_ || attempts_.size() != 1 || unknownCount_ > 0) {
     return;
   }
--- a/src/routing/HedgePolicy.cpp
+++ b/src/routing/HedgePolicy.cpp
@@ -17,6 +17,7 @@
 /// straggler do not put off the hedges against it.
 constexpr int kMaxDelayFactor = 2;
 constexpr double kReferenceQuantile = 0.9;
+constexpr double kEarlyQuantile = 0.5;
 /// Below this a hedge costs more than it can save.
 constexpr Duration kMinDelay = std::chrono::milliseconds(1);
 
@@ -36,6 +37,15 @@
   return std::max(kMinDelay, std::min(limit, latencies_.Quantile(quantile)));
 }
 
+std::optional<Duration>
+HedgePolicy::EarlyDelay() const
+{
+  if (latencies_.Samples() < kMinSamples) {
+    return std::nullopt;
+  }
+  return std::max(kMinDelay, latencies_.Quantile(kEarlyQuantile));
+}
+
 bool
 HedgePolicy::TryTake()
 {
--- a/src/routing/HedgePolicy.hpp
+++ b/src/routing/HedgePolicy.hpp
@@ -16,6 +16,12 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   std::optional<Duration> OnRequest();
 
+  /// Returns the delay of the hedge when the attempt may well be slow, because it is the trial of
+  /// an ejected member; nothing while too few latencies are known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::optional<Duration> EarlyDelay() const;
+
   /// Adds the latency of a request from its first attempt to its first response.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -26,6 +26,7 @@
 {
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
     AddSample(aNow - attempt->start_);
+    lastResult_ = { attempt->start_, aNow - attempt->start_, true };
     overtaken_ = 0;
     StopWaiting(*attempt);
   }
@@ -43,6 +44,10 @@
       AddSample(age);
     }
     overtaken_ += aEnd == AttemptEnd::Overtaken ? 1 : 0;
+    // A refusal, or a caller that left, says nothing about the speed.
+    if (aEnd == AttemptEnd::Overtaken || aEnd == AttemptEnd::Lost) {
+      lastResult_ = { attempt->start_, age, false };
+    }
     StopWaiting(*attempt);
   }
 }
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -22,6 +22,14 @@
   Lost,
 };
 
+/// The newest attempt of which the first response came or will not be waited for.
+struct AttemptResult
+{
+  TimePoint start_{};
+  Duration latency_{};
+  bool answered_ = false;
+};
+
 /// What the ingress knows about the load and speed of one pooled backend server.
 class MemberLoad
 {
@@ -69,7 +77,8 @@
   /// Number of attempts in a row that a later hedge overtook. Hedging cancels slow attempts before
   /// they are old enough to stand out, so their latencies alone do not show a straggler.
   std::uint32_t Overtaken() const { return overtaken_; }
-  /// Replaces the average; used when an ejected server is given another chance.
+  const AttemptResult& LastResult() const { return lastResult_; }
+  /// Replaces the average; used when an ejected server passed its trial.
   void ResetRecent(Duration aRecent)
   {
     recent_ = aRecent;
@@ -94,6 +103,7 @@
   std::uint32_t overtaken_ = 0;
   LatencyTracker latencies_;
   Duration recent_{};
+  AttemptResult lastResult_;
   LoadReport report_;
   TimePoint reportAt_{};
 };
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -10,7 +10,6 @@
 constexpr int kFactor = 3;
 constexpr double kQuantile = 0.9;
 constexpr std::uint32_t kMinSamples = 10;
-constexpr std::size_t kMinPool = 2;
 /// Differences below this are noise of the network and scheduler.
 constexpr Duration kMinThreshold = std::chrono::milliseconds(4);
 /// One old attempt may be an expensive request; two are a sign of a slow server.
@@ -28,6 +27,26 @@
          aLoad.WaitingAge(kOldAttemptsIgnored, aNow) > aThreshold;
 }
 
+/// Ends or prolongs the ejection by the result of the trial request; returns whether it ended. Only
+/// an attempt that started after the ejection counts: older ones say nothing about the present, and
+/// without a trial every request would go to the member at once.
+bool
+JudgeTrial(OutlierState& aMember, Duration aThreshold, TimePoint aNow)
+{
+  const AttemptResult& result = aMember.load_->LastResult();
+  if (aNow < aMember.ejectedUntil_ || result.start_ < aMember.ejectedUntil_) {
+    return false;
+  }
+  if (result.answered_ && result.latency_ <= aThreshold) {
+    aMember.ejected_ = false;
+    aMember.load_->ResetRecent(result.latency_);
+    return true;
+  }
+  aMember.ejection_ = std::min(kMaxEjection, aMember.ejection_ * 2);
+  aMember.ejectedUntil_ = aNow + aMember.ejection_;
+  return false;
+}
+
 } // namespace
 
 void
@@ -42,19 +61,9 @@
     ejected += member->ejected_ ? 1 : 0;
   }
   for (OutlierState* member : aMembers) {
-    const bool slow = IsSlow(*member->load_, threshold, aNow);
     if (member->ejected_) {
-      if (!slow && aNow >= member->ejectedUntil_) {
-        member->ejected_ = false;
-        --ejected;
-      } else if (slow && aNow >= member->ejectedUntil_ && member->load_->Waiting() == 0) {
-        // The average is lowered to the threshold, so that one fast response to the trial request
-        // ends the ejection and one slow response prolongs it.
-        member->load_->ResetRecent(threshold);
-        member->ejection_ = std::min(kMaxEjection, member->ejection_ * 2);
-        member->ejectedUntil_ = aNow + member->ejection_;
-      }
-    } else if (slow && (ejected + 1) * 2 <= aMembers.size()) {
+      ejected -= JudgeTrial(*member, threshold, aNow) ? 1 : 0;
+    } else if (IsSlow(*member->load_, threshold, aNow) && (ejected + 1) * 2 <= aMembers.size()) {
       member->ejected_ = true;
       member->ejection_ = kFirstEjection;
       member->ejectedUntil_ = aNow + kFirstEjection;
@@ -78,7 +87,9 @@
       scratch_.push_back(member->load_->Latencies().Quantile(kQuantile));
     }
   }
-  if (scratch_.size() < kMinPool) {
+  // One is enough: an ingress that prefers its near member knows the others too little, and that
+  // member's own history shows a sudden slowness as well.
+  if (scratch_.empty()) {
     return Duration::zero();
   }
   // The lower median: with two members the faster one is the reference.
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -60,8 +60,9 @@
 }
 
 const Member*
-PoolSelector::Choose(const Route& aRoute, std::span<const std::string> aExcluded)
+PoolSelector::Choose(const Route& aRoute, std::span<const std::string> aExcluded, ChoiceBy aChoice)
 {
+  choice_ = aChoice;
   now_ = clock_.Now();
   Pool& pool = PoolOf(aRoute);
   if (settings_.outlierEjection_ && now_ >= pool.nextEvaluation_) {
@@ -95,6 +96,13 @@
   return nullptr;
 }
 
+bool
+PoolSelector::IsEjected(const std::string& aInstanceId) const
+{
+  const auto found = tracked_.find(aInstanceId);
+  return found != tracked_.end() && found->second->outlier_.ejected_;
+}
+
 MemberLoad&
 PoolSelector::LoadOf(const std::string& aInstanceId)
 {
@@ -184,7 +192,8 @@
   if (near_.empty() && far_.empty()) {
     return nullptr;
   }
-  return Balance(aPool)->member_;
+  const bool fastest = choice_ == ChoiceBy::Speed && settings_.balancing_ == Balancing::TwoChoices;
+  return (fastest ? Fastest() : Balance(aPool))->member_;
 }
 
 void
@@ -235,6 +244,27 @@
   return Score(*far) + kFarPenalty < Score(*near) ? far : near;
 }
 
+const PoolSelector::Candidate*
+PoolSelector::Fastest()
+{
+  near_.insert(near_.end(), far_.begin(), far_.end());
+  return *std::min_element(
+    near_.begin(), near_.end(), [this](const Candidate* aLeft, const Candidate* aRight) {
+      const MemberLoad& left = aLeft->tracked_->load_;
+      const MemberLoad& right = aRight->tracked_->load_;
+      if (left.Overtaken() != right.Overtaken()) {
+        return left.Overtaken() < right.Overtaken();
+      }
+      const Duration leftAge = left.WaitingAge(0, now_);
+      const Duration rightAge = right.WaitingAge(0, now_);
+      if (leftAge != rightAge) {
+        return leftAge < rightAge;
+      }
+      // The latest news of equally idle members is the most reliable.
+      return left.LastResult().start_ > right.LastResult().start_;
+    });
+}
+
 const PoolSelector::Candidate*
 PoolSelector::BetterOfTwo(const std::vector<const Candidate*>& aFrom)
 {
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -14,6 +14,16 @@
 
 namespace redwing {
 
+/// What the choice among the members that may be chosen follows.
+enum class ChoiceBy : std::uint8_t
+{
+  /// The balancing of the settings.
+  Load,
+  /// The signs of a straggler; for hedges, because a hedge that meets another straggler gains
+  /// nothing and cannot be hedged again.
+  Speed,
+};
+
 /// Chooses the backend server of a pooled service for each attempt.
 class PoolSelector
 {
@@ -30,7 +40,14 @@
   ///
   /// Preconditions: aRoute is from the configuration of the current view. Thread safety: not
   /// thread-safe.
-  const Member* Choose(const Route& aRoute, std::span<const std::string> aExcluded);
+  const Member* Choose(const Route& aRoute,
+                       std::span<const std::string> aExcluded,
+                       ChoiceBy aChoice = ChoiceBy::Load);
+
+  /// Returns whether aInstanceId is ejected, so that a request sent to it serves as its trial.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool IsEjected(const std::string& aInstanceId) const;
 
   /// Returns the load of aInstanceId; the reference stays valid for the selector's lifetime.
   ///
@@ -74,6 +91,7 @@
   void Collect(const Group& aGroup, std::span<const std::string> aExcluded, bool aAdmittedOnly);
   const Candidate* Balance(Pool& aPool);
   const Candidate* TwoChoices();
+  const Candidate* Fastest();
   const Candidate* BetterOfTwo(const std::vector<const Candidate*>& aFrom);
   double Score(const Candidate& aCandidate) const;
 
@@ -86,6 +104,7 @@
   std::vector<const Candidate*> near_;
   std::vector<const Candidate*> far_;
   TimePoint now_{};
+  ChoiceBy choice_ = ChoiceBy::Load;
 };
 
 } // namespace redwing
--- a/tests/unit/routing/PoolSelectorTest.cpp
+++ b/tests/unit/routing/PoolSelectorTest.cpp
@@ -181,6 +181,65 @@
   BOOST_TEST(Count(selector).count("a") == 0U);
 }
 
+// Guards against an ejection that ends by the passage of time alone, after which every request goes
+// to a member that is still slow.
+BOOST_AUTO_TEST_CASE(EjectedMemberReturnsOnlyAfterAFastTrial)
+{
+  PoolSelector selector = Make();
+  RunWithStraggler(selector, 2ms, 500);
+  const auto overtake = [&] {
+    selector.LoadOf("a").OnStart(++lastAttempt_, clock_.Now());
+    clock_.Advance(3ms);
+    selector.LoadOf("a").OnEnd(lastAttempt_, clock_.Now(), AttemptEnd::Overtaken);
+  };
+  overtake();
+  overtake();
+  Count(selector);
+  const std::vector<std::string> others{ "b", "c", "d" };
+  for (const Duration ejection : { 101ms, 201ms, 401ms }) {
+    clock_.Advance(ejection);
+    BOOST_TEST_REQUIRE(selector.Choose(route_, others)->ref_.id_ == "a");
+    overtake();
+    BOOST_TEST(Count(selector).count("a") == 0U);
+  }
+  BOOST_TEST(selector.IsEjected("a"));
+  clock_.Advance(401ms);
+  Count(selector, 1);
+  selector.LoadOf("a").OnStart(++lastAttempt_, clock_.Now());
+  BOOST_TEST(Count(selector).count("a") == 0U);
+  clock_.Advance(2ms);
+  selector.LoadOf("a").OnResponse(lastAttempt_, clock_.Now());
+  selector.LoadOf("a").OnEnd(lastAttempt_, clock_.Now(), AttemptEnd::Answered);
+  clock_.Advance(3ms);
+  BOOST_TEST(Count(selector)["a"] > 180);
+  BOOST_TEST(!selector.IsEjected("a"));
+}
+
+// Guards against a near straggler that an ingress never ejects, because it knows the far members by
+// a few hedges only.
+BOOST_AUTO_TEST_CASE(NearStragglerIsEjectedWithoutSamplesOfOthers)
+{
+  for (const char* id : { "b", "c", "d" }) {
+    view_.members_[id].dataCentre_ = "far";
+  }
+  PoolSelector selector = Make();
+  RunWithStraggler(selector, 2ms, 200);
+  BOOST_TEST(RunWithStraggler(selector, 400ms, 60) == 0);
+}
+
+// Guards against hedges that meet a second straggler although a member that answers is known.
+BOOST_AUTO_TEST_CASE(HedgeAvoidsMembersThatKeepAttemptsWaiting)
+{
+  PoolSelector selector = Make();
+  selector.LoadOf("b").OnStart(1, clock_.Now());
+  selector.LoadOf("c").OnStart(2, clock_.Now());
+  clock_.Advance(5ms);
+  const std::vector<std::string> excluded{ "a" };
+  for (int i = 0; i < 100; ++i) {
+    BOOST_TEST(selector.Choose(route_, excluded, ChoiceBy::Speed)->ref_.id_ == "d");
+  }
+}
+
 // Guards against the ejection of most of a pool when every member becomes slow.
 BOOST_AUTO_TEST_CASE(AtMostHalfAreEjected)
 {
