Use requests that can be hedged as trials; add throughput mode of the bench

A request that cannot be hedged is now a trial only 400 ms after others could have been.

bench/run throughput starts one ingress and one serving instance and reports rates, processor time per thread and added latency. Not measured yet.

--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -201,9 +201,11 @@
     "--service-time-us", std::to_string(deployment_.serviceTimeUs_),
     "--report-lag-ms",   std::to_string(deployment_.reportLagMs_),
     "--cold-ms",         std::to_string(deployment_.coldMs_),
-    "--label",           "data-centre=" + node.spec_.dataCentre_,
-    "--record-file",     node.records_
+    "--label",           "data-centre=" + node.spec_.dataCentre_
   };
+  if (options_.record_) {
+    arguments.insert(arguments.end(), { "--record-file", node.records_ });
+  }
   if (!options_.direct_) {
     arguments.insert(arguments.end(), { "--instance-address", node.local_.ToString() });
   }
@@ -216,7 +218,7 @@
 void
 Fleet::Start()
 {
-  if (!options_.direct_) {
+  if (!options_.direct_ && options_.proxy_) {
     StartProxy();
   }
   StartStore();
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -39,6 +39,10 @@
   bool direct_ = false;
   /// Added to the arguments of every instance.
   std::vector<std::string> instanceArguments_{};
+  /// Delays and faults between instances; without it they connect directly.
+  bool proxy_ = true;
+  /// Whether the backend servers record each run.
+  bool record_ = true;
 };
 
 /// All processes of one run. Not thread-safe.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "Actions.hpp"
 #include "Runner.hpp"
+#include "Throughput.hpp"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -60,6 +61,18 @@
   return figures["pass"] ? 0 : 1;
 }
 
+int
+RunThroughputMode(const RunOptions& aOptions, bool aJson)
+{
+  auto figures = RunThroughput(aOptions);
+  if (aJson) {
+    std::cout << figures.dump() << std::endl;
+  } else {
+    PrintTable(figures);
+  }
+  return figures["pass"] ? 0 : 1;
+}
+
 int
 RunNamed(const std::string& aName, const RunOptions& aOptions, bool aJson)
 {
@@ -118,9 +131,13 @@
     for (const auto& scenario : AllScenarios()) {
       std::cout << scenario.name_ << ": " << scenario.about_ << "\n";
     }
+    std::cout << "throughput: one ingress and one serving instance at rising rates\n";
     return 0;
   }
   try {
+    if (name == "throughput") {
+      return RunThroughputMode(options, json);
+    }
     return name == "demo" ? RunDemo(options, once) : RunNamed(name, options, json);
   } catch (const std::exception& error) {
     std::cerr << "redwing-bench: " << error.what() << "\n";
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -98,6 +98,7 @@
   void EndAttempt(const Attempt& aAttempt, AttemptEnd aEnd);
   void OnDeadline();
   void OnHedgeTimer();
+  bool MayHedge() const;
   void ArmHedge();
 
   // Bodies, in ExchangeBodies.cpp
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -123,8 +123,11 @@
     start_.shard_->token_ = choice.token_;
     return true;
   }
-  const ChoiceBy choice = attempts_.empty() ? ChoiceBy::Load : ChoiceBy::Speed;
-  const Member* member = core_.Selector().Choose(*entry_->route_, excluded_, choice);
+  const bool hedgeable =
+    attemptCount_ == 0 && MayHedge() && core_.HedgesOf(ServiceId()).HasBudget();
+  const ChoiceBy balanced = hedgeable ? ChoiceBy::Load : ChoiceBy::LoadUnhedged;
+  const Member* member = core_.Selector().Choose(
+    *entry_->route_, excluded_, attempts_.empty() ? balanced : ChoiceBy::Speed);
   if (member == nullptr) {
     Refuse(ErrorCode::NoBackendServer,
            "no backend server of the service can take the request",
@@ -397,10 +400,16 @@
          mayHaveRun ? Outcome::Unknown : Outcome::NotRun);
 }
 
+bool
+Exchange::MayHedge() const
+{
+  return core_.Settings().routing_.hedging_ && !start_.shard_ && start_.idempotent_ && CanReplay();
+}
+
 void
 Exchange::ArmHedge()
 {
-  if (!core_.Settings().routing_.hedging_ || start_.shard_ || !start_.idempotent_ || !CanReplay()) {
+  if (!MayHedge()) {
     return;
   }
   HedgePolicy& policy = core_.HedgesOf(ServiceId());
--- a/src/routing/HedgePolicy.cpp
+++ b/src/routing/HedgePolicy.cpp
@@ -49,7 +49,7 @@
 bool
 HedgePolicy::TryTake()
 {
-  if (tokens_ < 1.0) {
+  if (!HasBudget()) {
     return false;
   }
   tokens_ -= 1.0;
--- a/src/routing/HedgePolicy.hpp
+++ b/src/routing/HedgePolicy.hpp
@@ -27,6 +27,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnLatency(Duration aLatency) { latencies_.Add(aLatency); }
 
+  /// Returns whether TryTake would succeed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool HasBudget() const { return tokens_ >= 1.0; }
+
   /// Takes one hedge from the budget if there is one.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/src/routing/OutlierDetector.cpp
+++ b/src/routing/OutlierDetector.cpp
@@ -19,6 +19,9 @@
 /// failed trial, because each trial delays the request that serves for it.
 constexpr Duration kFirstEjection = std::chrono::milliseconds(100);
 constexpr Duration kMaxEjection = std::chrono::milliseconds(400);
+/// A request that cannot be hedged would wait out a failed trial; it serves as trial only when no
+/// other request did for this time.
+constexpr Duration kTrialWait = std::chrono::milliseconds(400);
 
 bool
 IsSlow(const MemberLoad& aLoad, Duration aThreshold, TimePoint aNow)
@@ -73,9 +76,10 @@
 }
 
 bool
-OutlierDetector::Admits(const OutlierState& aMember, TimePoint aNow)
+OutlierDetector::Admits(const OutlierState& aMember, bool aHedgeable, TimePoint aNow)
 {
-  return !aMember.ejected_ || (aNow >= aMember.ejectedUntil_ && aMember.load_->Waiting() == 0);
+  const TimePoint trialFrom = aMember.ejectedUntil_ + (aHedgeable ? Duration::zero() : kTrialWait);
+  return !aMember.ejected_ || (aNow >= trialFrom && aMember.load_->Waiting() == 0);
 }
 
 Duration
--- a/src/routing/OutlierDetector.hpp
+++ b/src/routing/OutlierDetector.hpp
@@ -29,9 +29,10 @@
   void Evaluate(std::span<OutlierState*> aMembers, TimePoint aNow);
 
   /// Returns whether a request may go to aMember: it is not ejected, or it is due for a trial.
+  /// aHedgeable says whether the request can be hedged.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
-  static bool Admits(const OutlierState& aMember, TimePoint aNow);
+  static bool Admits(const OutlierState& aMember, bool aHedgeable, TimePoint aNow);
 
 private:
   Duration Threshold(std::span<OutlierState*> aMembers);
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -207,7 +207,8 @@
     const bool excluded =
       std::find(aExcluded.begin(), aExcluded.end(), candidate.member_->ref_.id_) != aExcluded.end();
     if (excluded ||
-        (aAdmittedOnly && !OutlierDetector::Admits(candidate.tracked_->outlier_, now_))) {
+        (aAdmittedOnly &&
+         !OutlierDetector::Admits(candidate.tracked_->outlier_, choice_ == ChoiceBy::Load, now_))) {
       continue;
     }
     (candidate.near_ ? near_ : far_).push_back(&candidate);
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -19,6 +19,8 @@
 {
   /// The balancing of the settings.
   Load,
+  /// As Load, for a request that cannot be hedged: it is rarely the trial of an ejected member.
+  LoadUnhedged,
   /// The signs of a straggler; for hedges, because a hedge that meets another straggler gains
   /// nothing and cannot be hedged again.
   Speed,
--- a/tests/unit/routing/PoolSelectorTest.cpp
+++ b/tests/unit/routing/PoolSelectorTest.cpp
@@ -215,6 +215,29 @@
   BOOST_TEST(!selector.IsEjected("a"));
 }
 
+// Guards against trials that cost their caller the whole slow response, and against a member that
+// never returns because no request of its service can be hedged.
+BOOST_AUTO_TEST_CASE(UnhedgedRequestsAreLateTrials)
+{
+  PoolSelector selector = Make();
+  RunWithStraggler(selector, 2ms, 500);
+  for (int i = 0; i < 2; ++i) {
+    selector.LoadOf("a").OnStart(++lastAttempt_, clock_.Now());
+    clock_.Advance(3ms);
+    selector.LoadOf("a").OnEnd(lastAttempt_, clock_.Now(), AttemptEnd::Overtaken);
+  }
+  Count(selector);
+  clock_.Advance(101ms);
+  const std::vector<std::string> others{ "b", "c" };
+  BOOST_TEST(selector.Choose(route_, others, ChoiceBy::LoadUnhedged)->ref_.id_ == "d");
+  clock_.Advance(400ms);
+  bool tried = false;
+  for (int i = 0; i < 100; ++i) {
+    tried = tried || selector.Choose(route_, others, ChoiceBy::LoadUnhedged)->ref_.id_ == "a";
+  }
+  BOOST_TEST(tried);
+}
+
 // Guards against a near straggler that an ingress never ejects, because it knows the far members by
 // a few hedges only.
 BOOST_AUTO_TEST_CASE(NearStragglerIsEjectedWithoutSamplesOfOthers)
