--- a/bench/Deployment.hpp
+++ b/bench/Deployment.hpp
@@ -45,6 +45,8 @@
   std::int64_t serviceTimeUs_ = 2000;
   std::int64_t reportLagMs_ = 0;
   std::int64_t coldMs_ = 0;
+  /// Concurrency at which the instances start a cold server.
+  std::uint32_t coldInitial_ = 1;
   double rate_ = 600;
 
   bool Keyed(std::size_t aServer) const { return servers_[aServer].service_ == keyedService_; }
--- a/bench/Throughput.cpp
+++ b/bench/Throughput.cpp
@@ -33,6 +33,8 @@
   result.servers_ = { { "braga", result.keyedService_ }, { "braga", result.pooledService_ } };
   result.workspaces_ = { { "ws0", 1, 10'000'000, 10'000'000 } };
   result.slots_ = kSlots;
+  // The server is warm: what is measured is the path, not the ramp after the first announcement.
+  result.coldInitial_ = kSlots;
   result.connections_ = 4 * kConnections;
   result.serviceTimeUs_ = 0;
   return result;
