--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -179,6 +179,8 @@
     arguments.push_back(advertiseFlag_);
     arguments.push_back(node.advertised_.ToString());
   }
+  arguments.insert(
+    arguments.end(), options_.instanceArguments_.begin(), options_.instanceArguments_.end());
   auto log = options_.directory_ / ("instance-" + std::to_string(aNode) + "-" +
                                     std::to_string(standins::MonotonicNs() / 1000000) + ".log");
   node.instanceProcess_ = std::make_unique<Process>(Program("redwingd"), arguments, log);
@@ -199,9 +201,11 @@
     "--service-time-us", std::to_string(deployment_.serviceTimeUs_),
     "--report-lag-ms",   std::to_string(deployment_.reportLagMs_),
     "--cold-ms",         std::to_string(deployment_.coldMs_),
-    "--label",           "data-centre=" + node.spec_.dataCentre_,
-    "--record-file",     node.records_
+    "--label",           "data-centre=" + node.spec_.dataCentre_
   };
+  if (options_.record_) {
+    arguments.insert(arguments.end(), { "--record-file", node.records_ });
+  }
   if (!options_.direct_) {
     arguments.insert(arguments.end(), { "--instance-address", node.local_.ToString() });
   }
@@ -214,7 +218,7 @@
 void
 Fleet::Start()
 {
-  if (!options_.direct_) {
+  if (!options_.direct_ && options_.proxy_) {
     StartProxy();
   }
   StartStore();
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -37,6 +37,12 @@
   std::filesystem::path directory_;
   /// Without instances: the load goes straight to the test servers, to test the harness itself.
   bool direct_ = false;
+  /// Added to the arguments of every instance.
+  std::vector<std::string> instanceArguments_{};
+  /// Delays and faults between instances; without it they connect directly.
+  bool proxy_ = true;
+  /// Whether the backend servers record each run.
+  bool record_ = true;
 };
 
 /// All processes of one run. Not thread-safe.
--- a/src/routing/HedgePolicy.hpp
+++ b/src/routing/HedgePolicy.hpp
@@ -16,11 +16,22 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   std::optional<Duration> OnRequest();
 
+  /// Returns the delay of the hedge when the attempt may well be slow, because it is the trial of
+  /// an ejected member; nothing while too few latencies are known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::optional<Duration> EarlyDelay() const;
+
   /// Adds the latency of a request from its first attempt to its first response.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnLatency(Duration aLatency) { latencies_.Add(aLatency); }
 
+  /// Returns whether TryTake would succeed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool HasBudget() const { return tokens_ >= 1.0; }
+
   /// Takes one hedge from the budget if there is one.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
