--- a/bench/Fleet.cpp
+++ b/bench/Fleet.cpp
@@ -214,7 +214,7 @@
 void
 Fleet::Start()
 {
-  if (!options_.direct_) {
+  if (!options_.direct_ && options_.proxied_) {
     StartProxy();
   }
   StartStore();
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -37,6 +37,8 @@
   std::filesystem::path directory_;
   /// Without instances: the load goes straight to the test servers, to test the harness itself.
   bool direct_ = false;
+  /// Traffic between instances passes the proxy, which delays it.
+  bool proxied_ = true;
 };
 
 /// All processes of one run. Not thread-safe.
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,6 @@
 #include "Actions.hpp"
 #include "Runner.hpp"
+#include "Scale.hpp"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -91,11 +92,12 @@
 main(int aCount, char** aArguments)
 {
   RunOptions options;
+  ScaleOptions scale;
   std::string name;
   bool json = false;
   bool once = false;
   CLI::App app{ "Runs scenarios against real processes" };
-  app.add_option("scenario", name, "name of a scenario, all, list or demo")->required();
+  app.add_option("scenario", name, "name of a scenario, all, list, demo or scale")->required();
   app.add_option("--deployment", options.deployment_)
     ->check(CLI::IsMember({ "taco-certo", "halvorsen" }));
   app.add_option("--seed", options.seed_);
@@ -107,6 +109,11 @@
   app.add_flag("--keep", options.keep_, "keep logs and records of a run that passes");
   app.add_flag("--json", json, "one JSON object per scenario");
   app.add_flag("--once", once, "demo: print only the line of JSON");
+  app.add_option("--instances", scale.instances_, "scale: number of instances")
+    ->check(CLI::Range(2, 120));
+  app.add_option("--shards", scale.shards_, "scale: shards of the keyed service")
+    ->check(CLI::Range(1, 65536));
+  app.add_option("--rate", scale.rate_, "scale: requests per second over all instances");
   CLI11_PARSE(app, aCount, aArguments);
   if (name == "list") {
     for (const auto& scenario : AllScenarios()) {
@@ -115,6 +122,13 @@
     return 0;
   }
   try {
+    if (name == "scale") {
+      scale.seconds_ = options.seconds_.value_or(scale.seconds_);
+      scale.binaries_ = options.binaries_;
+      scale.work_ = options.work_;
+      std::cout << RunScale(scale).dump(2) << "\n";
+      return 0;
+    }
     return name == "demo" ? RunDemo(options, once) : RunNamed(name, options, json);
   } catch (const std::exception& error) {
     std::cerr << "redwing-bench: " << error.what() << "\n";
