Connect peer links from the peers' address

Cause: outgoing links left the choice of the source address to the system, which takes 127.0.0.1 for loopback addresses. A proxy or firewall between instances could not tell which instance a link came from, so that rules by source, among them the delays between data centres, had no effect on TCP links.

Change: a link is bound to the IP of the peers' address before it connects; the port is chosen at connect. Without effect for 0.0.0.0 or another address family.

--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <cstring>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -35,7 +36,27 @@
 }
 
 void
-Link::Connect(const Address& aAddress, std::string aExpectedId)
+Link::BindSource(const std::string& aSourceIp, const asio::ip::address& aTo)
+{
+  error_code error;
+  const auto source = asio::ip::make_address(aSourceIp, error);
+  // 0.0.0.0 leaves the choice to the system, and the families must agree.
+  if (error || source.is_unspecified() || source.is_v4() != aTo.is_v4()) {
+    return;
+  }
+  const asio::ip::tcp::endpoint endpoint(source, 0);
+  socket_.open(endpoint.protocol(), error);
+#ifdef IP_BIND_ADDRESS_NO_PORT
+  // The port is chosen at connect, so that it need not be unique for the source address alone.
+  const int lateBind = 1;
+  ::setsockopt(
+    socket_.native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &lateBind, sizeof(lateBind));
+#endif
+  socket_.bind(endpoint, error);
+}
+
+void
+Link::Connect(const Address& aAddress, std::string aExpectedId, const std::string& aSourceIp)
 {
   expectedId_ = std::move(aExpectedId);
   error_code error;
@@ -46,6 +67,9 @@
                [self = shared_from_this()] { self->Close("address_invalid"); });
     return;
   }
+  if (!aSourceIp.empty()) {
+    BindSource(aSourceIp, ip);
+  }
   socket_.async_connect({ ip, aAddress.port_ }, [self = shared_from_this()](error_code aError) {
     if (aError) {
       self->Close("connect_failed");
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -49,10 +49,11 @@
        const Clock& aClock,
        LinkObserver& aObserver);
 
-  /// Connects as the initiator; aExpectedId is empty when any instance may answer.
+  /// Connects as the initiator, from aSourceIp unless that is empty; aExpectedId is empty when any
+  /// instance may answer.
   ///
   /// Preconditions: called once, and not Accept. Thread safety: peer thread only.
-  void Connect(const Address& aAddress, std::string aExpectedId);
+  void Connect(const Address& aAddress, std::string aExpectedId, const std::string& aSourceIp = {});
 
   /// Runs the acceptor's side on a connected socket.
   ///
@@ -85,6 +86,8 @@
 private:
   static constexpr std::size_t kReadBufferBytes = 128 * 1024;
 
+  /// Binds the socket to an address before it connects; without effect when that is not possible.
+  void BindSource(const std::string& aSourceIp, const boost::asio::ip::address& aTo);
   void SetOptions();
   void ReadHandshake(std::function<void(std::string_view)> aNext);
   void SendHandshake(std::string_view aText, std::function<void()> aNext);
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -353,7 +353,8 @@
     observer);
   links_[id].link_ = link;
   open.push_back(link);
-  link->Connect(aAddress, aInstanceId);
+  // Peers and firewalls recognise the instance by the address it is known under.
+  link->Connect(aAddress, aInstanceId, settings_.peersAddress_.ip_);
   return link;
 }
 
