Add integration tests and scenarios of combined faults

A run holds its loopback network by a bound address for as long as it lasts; formerly two runs could choose the same network between the check and the start of the store.

The proxy may lie between the instances and the store, with one listener per instance, so that one instance can be cut off.

--- a/bench/Deployment.hpp
+++ b/bench/Deployment.hpp
@@ -42,6 +42,8 @@
   std::vector<ServerSpec> servers_;
   std::vector<WorkspaceSpec> workspaces_;
   bool checkTokens_ = true;
+  /// Instances reach the store through the proxy, which can cut them off.
+  bool storeThroughProxy_ = false;
   std::int64_t serviceTimeUs_ = 2000;
   std::int64_t reportLagMs_ = 0;
   std::int64_t coldMs_ = 0;
--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -22,6 +22,8 @@
   Address peers_;
   Address advertised_;
   Address local_;
+  /// Where the instance reaches the store when a proxy lies between them.
+  Address store_;
   Address backend_;
   Address backendControl_;
   std::filesystem::path records_;
@@ -39,11 +41,16 @@
   bool direct_ = false;
 };
 
+struct NetworkLock;
+
 /// All processes of one run. Not thread-safe.
 class Fleet
 {
 public:
   Fleet(Deployment aDeployment, FleetOptions aOptions);
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
 
   /// Starts everything, applies the configuration and waits until every instance answers requests
   /// of every key; throws after 30 s.
@@ -76,6 +83,12 @@
   std::vector<std::size_t> Servers(bool aKeyed) const;
   std::vector<std::string> Targets() const;
   std::string Program(const std::string& aName) const;
+  /// Name of the node at the proxy.
+  static std::string ProxyName(const Node& aNode);
+  /// Counters of the store's test server; an empty object without an answer.
+  Json StoreCounts() const;
+  /// Value of a key in the store; empty when there is none.
+  std::string StoreValue(const std::string& aKey) const;
   bool HasProxy() const { return proxy_ != nullptr; }
   const std::filesystem::path& Directory() const { return options_.directory_; }
   bool Direct() const { return options_.direct_; }
@@ -92,6 +105,7 @@
   Deployment deployment_;
   FleetOptions options_;
   std::string network_;
+  std::unique_ptr<NetworkLock> lock_;
   Address store_;
   Address storeControl_;
   Address proxyControl_;
--- a/bench/Judge.cpp
+++ b/bench/Judge.cpp
@@ -13,6 +13,9 @@
 /// Time within which a withdrawn data centre stops getting work (guarantee 4).
 constexpr std::int64_t kWithdrawLimitNs = 3'000'000'000;
 
+/// After an overload, requests are judged that arrive this much later, and must end within it.
+constexpr std::int64_t kRecoveryNs = 1'000'000'000;
+
 double
 ToMs(std::int64_t aNs)
 {
@@ -332,6 +335,30 @@
   aResult["worst_workspace_p99_ms"] = workspaces.empty() ? Json() : Json(worstP99);
 }
 
+void
+Judge::Overload(Json& aResult) const
+{
+  if (marks_.capacity_ <= 0) {
+    return;
+  }
+  std::uint64_t served = 0;
+  std::uint64_t after = 0;
+  std::uint64_t servedAfter = 0;
+  for (const auto& outcome : outcomes_) {
+    bool inside =
+      outcome.doneNs_ >= marks_.overloadFromNs_ && outcome.doneNs_ < marks_.overloadUntilNs_;
+    served += outcome.Ok() && inside ? 1 : 0;
+    if (outcome.scheduledNs_ >= marks_.overloadUntilNs_ + kRecoveryNs) {
+      ++after;
+      servedAfter += outcome.Ok() && outcome.doneNs_ - outcome.scheduledNs_ < kRecoveryNs ? 1 : 0;
+    }
+  }
+  double seconds = ToMs(marks_.overloadUntilNs_ - marks_.overloadFromNs_) / 1000;
+  aResult["goodput_share"] = static_cast<double>(served) / (marks_.capacity_ * seconds);
+  aResult["ok_after_overload"] =
+    after == 0 ? Json() : Json(static_cast<double>(servedAfter) / static_cast<double>(after));
+}
+
 Json
 Judge::Figures() const
 {
@@ -356,6 +383,10 @@
   result["config_spread_ms_max"] = marks_.configSpreadMs_ ? Json(*marks_.configSpreadMs_) : Json();
   result["withdrawn_key_ms_max"] = WithdrawnKeyMs();
   result["after_withdraw_requests"] = AfterWithdrawRequests();
+  Overload(result);
+  for (const auto& [name, value] : marks_.observed_) {
+    result[name] = value;
+  }
   result["collapses"] = records_.collapses_;
   result["crashes"] = records_.crashes_;
   result["caller_keys_seen"] = records_.callerKeysSeen_;
--- a/bench/Judge.hpp
+++ b/bench/Judge.hpp
@@ -3,6 +3,7 @@
 #include "Deployment.hpp"
 #include "Records.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -29,6 +30,12 @@
   std::set<std::string> limited_;
   /// Workspaces that are not counted for the worst-served workspace.
   std::set<std::string> exempt_;
+  /// Requests per second that the pool can serve; 0 when no overload is judged.
+  double capacity_ = 0;
+  std::int64_t overloadFromNs_ = 0;
+  std::int64_t overloadUntilNs_ = 0;
+  /// Further figures of the run, as observed by its faults.
+  std::map<std::string, double> observed_;
 };
 
 /// Computes the figures of a run from the records; fields that don't apply are null.
@@ -59,6 +66,8 @@
   Json WithdrawnKeyMs() const;
   Json AfterWithdrawRequests() const;
   void WorstWorkspace(Json& aResult) const;
+  /// Share of the capacity that was served during the overload, and share served after it.
+  void Overload(Json& aResult) const;
 
   const Deployment& deployment_;
   const Records& records_;
--- a/bench/Runner.cpp
+++ b/bench/Runner.cpp
@@ -146,6 +146,14 @@
     if (options_.variant_ == "half-load") {
       plan["rate"] = plan["rate"].get<double>() / 2;
     }
+    if (marks_.capacity_ > 0) {
+      auto at = [&](const char* aName) {
+        auto second = plan.at("bursts").at(0).at(aName).get<double>();
+        return marks_.startNs_ + static_cast<std::int64_t>(second * 1e9);
+      };
+      marks_.overloadFromNs_ = at("from_s");
+      marks_.overloadUntilNs_ = at("until_s");
+    }
     std::ofstream(fleet_.Directory() / "plan.json") << plan;
   }
 
@@ -169,6 +177,10 @@
       auto at = std::max(0.0, fault.at_ + shift) * seconds_;
       WaitUntil(marks_.startNs_ + static_cast<std::int64_t>(at * 1e9));
       std::cerr << scenario_.name_ << ": fault at " << at << " s\n";
+      if (fault.startsProcesses_) {
+        fault.action_(context);
+        continue;
+      }
       // Processes are started on this thread only: the kernel ends them with the thread that
       // started them.
       auto action = std::async(std::launch::async, [&] { fault.action_(context); });
@@ -255,10 +267,13 @@
 }
 
 void
-ApplyBounds(const Scenario& aScenario, Json& aFigures)
+ApplyBounds(const Scenario& aScenario, bool aCorrectness, Json& aFigures)
 {
-  auto bounds = CommonBounds();
-  bounds.insert(bounds.end(), aScenario.bounds_.begin(), aScenario.bounds_.end());
+  auto bounds = CorrectnessBounds(aScenario);
+  if (!aCorrectness) {
+    bounds = CommonBounds();
+    bounds.insert(bounds.end(), aScenario.bounds_.begin(), aScenario.bounds_.end());
+  }
   bool pass = true;
   for (const auto& bound : bounds) {
     Json value = aFigures.contains(bound.name_) ? aFigures[bound.name_] : Json();
@@ -331,15 +346,16 @@
   Json figures = EmptyFigures();
   try {
     Json baseline;
-    if (aScenario.compare_) {
+    bool compare = aScenario.compare_ && !aOptions.correctness_;
+    if (compare) {
       baseline = RunOnce(aScenario, aOptions, false, directory / "baseline");
     }
     figures.update(RunOnce(aScenario, aOptions, true, directory));
-    if (aScenario.compare_) {
+    if (compare) {
       AddRatio(figures, baseline, "p99");
       AddRatio(figures, baseline, "p999");
     }
-    ApplyBounds(aScenario, figures);
+    ApplyBounds(aScenario, aOptions.correctness_, figures);
   } catch (const std::exception& error) {
     std::cerr << aScenario.name_ << ": " << error.what() << "\n";
     figures["error"] = error.what();
--- a/bench/Runner.hpp
+++ b/bench/Runner.hpp
@@ -20,6 +20,9 @@
   /// Where the directory of the run is created; removed after a run that passes unless keep_.
   std::filesystem::path work_;
   bool keep_ = false;
+  /// Asserts only what must hold on a busy computer too: correctness, and liveness with generous
+  /// limits. Used by the integration tests.
+  bool correctness_ = false;
 };
 
 /// Runs one scenario against real processes and returns its figures with bounds and `pass`.
--- a/bench/Scenario.hpp
+++ b/bench/Scenario.hpp
@@ -25,6 +25,8 @@
 {
   double at_ = 0;
   std::function<void(FaultContext&)> action_;
+  /// For actions that start processes; servers that end meanwhile are not restarted.
+  bool startsProcesses_ = false;
 };
 
 struct Bound
@@ -35,6 +37,13 @@
   bool atLeast_ = false;
 };
 
+/// Whether the load has requests for keys, whose unavailable time can be judged.
+enum class LoadKind
+{
+  Keyed,
+  PooledOnly
+};
+
 /// One scenario of the bench. All members but the name are optional.
 struct Scenario
 {
@@ -49,6 +58,9 @@
   bool compare_ = false;
   /// Starts a backend server again when it has ended, as a supervisor does.
   bool restartBackends_ = false;
+  LoadKind kind_ = LoadKind::Keyed;
+  /// Limit of the time without service in the integration tests.
+  double livenessMs_ = 2500;
 };
 
 /// Returns all scenarios.
@@ -57,4 +69,8 @@
 /// Bounds that hold in every scenario.
 std::vector<Bound> CommonBounds();
 
+/// Bounds of an integration test: the common ones, those of the scenario that no busy computer
+/// breaks, and liveness.
+std::vector<Bound> CorrectnessBounds(const Scenario& aScenario);
+
 } // namespace redwing::bench
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -105,6 +105,9 @@
   app.add_option("--build-directory", options.binaries_)->required();
   app.add_option("--work-directory", options.work_)->required();
   app.add_flag("--keep", options.keep_, "keep logs and records of a run that passes");
+  app.add_flag("--correctness",
+               options.correctness_,
+               "assert correctness and, with generous limits, liveness, but no other bound");
   app.add_flag("--json", json, "one JSON object per scenario");
   app.add_flag("--once", once, "demo: print only the line of JSON");
   CLI11_PARSE(app, aCount, aArguments);
--- a/standins/proxy/Rules.hpp
+++ b/standins/proxy/Rules.hpp
@@ -18,6 +18,9 @@
   std::string name_;
   Address listen_;
   Address to_;
+  /// Name of the only sender, for a node that others reach by TCP only and each through a listener
+  /// of its own, such as the store.
+  std::string from_{};
 };
 
 /// What happens to bytes from one node to another.
--- a/standins/proxy/main.cpp
+++ b/standins/proxy/main.cpp
@@ -40,9 +40,12 @@
     for (const auto& entry : aConfiguration.at("nodes")) {
       ProxyNode node{ entry.at("name"),
                       RequireAddress(entry.at("listen"), "listen"),
-                      RequireAddress(entry.at("to"), "to") };
-      context_.names_[node.to_.ip_] = node.name_;
-      udp_[node.name_] = std::make_unique<UdpForwarder>(context_, node, udp_);
+                      RequireAddress(entry.at("to"), "to"),
+                      entry.value("from", "") };
+      if (node.from_.empty()) {
+        context_.names_[node.to_.ip_] = node.name_;
+        udp_[node.name_] = std::make_unique<UdpForwarder>(context_, node, udp_);
+      }
       tcp_.push_back(std::make_unique<TcpForwarder>(context_, node));
     }
     for (const auto& entry : aConfiguration.value("rules", Json::array())) {
