Adopt an accepted configuration change at once where it was accepted

Cause: the instance that stored the change learned of it by its next read of the store only. ControlService::AdoptConfiguration existed but nothing called it. In the log, instance 0 stored the change at 16:01.260 and adopted it at 16:04.333, after the outage; the others meanwhile took the unreachable store as proof that there was nothing newer, so that a longer outage would have kept the key valid. Ruled out: clock of the measurement (the log agrees) and open connections.

Change: the editor names each record that it found in force, and the instance adopts it and spreads it by gossip. The unit test fails without the call.

--- a/src/config/ConfigurationEditor.cpp
+++ b/src/config/ConfigurationEditor.cpp
@@ -50,6 +50,14 @@
   Settings settings_;
   /// Configurations seen lately, by revision.
   std::map<std::uint64_t, Configuration> seen_;
+  OnStored onStored_;
+
+  void Announce(std::uint64_t aRevision, const std::string& aRecord) const
+  {
+    if (onStored_) {
+      onStored_(aRevision, aRecord);
+    }
+  }
 
   void Remember(std::uint64_t aRevision, const Configuration& aConfiguration)
   {
@@ -107,6 +115,7 @@
       shared_->Remember(aCurrent.revision_, aCurrent.record_.configuration_);
     }
     if (const auto stored = aCurrent.record_.RevisionOf(operation_, aCurrent.revision_)) {
+      shared_->Announce(aCurrent.revision_, aCurrent.record_.ToText());
       Finish(EditStored{ *stored, std::move(aCurrent.record_.configuration_) });
       return;
     }
@@ -180,13 +189,14 @@
   {
     StoreTransaction transaction;
     transaction.compares_.push_back({ kConfigurationKey, aRevision });
-    transaction.writes_.push_back({ kConfigurationKey, std::move(aText), 0 });
+    transaction.writes_.push_back({ kConfigurationKey, aText, 0 });
     shared_->store_.Commit(
       std::move(transaction),
-      [self = shared_from_this(), aRevision, next = std::move(aNext)](
+      [self = shared_from_this(), aRevision, next = std::move(aNext), text = std::move(aText)](
         StoreResult<StoreTransactionResult> aResult) {
         if (aResult && aResult->succeeded_) {
           self->shared_->Remember(aResult->revision_, next);
+          self->shared_->Announce(aResult->revision_, text);
           self->Finish(EditStored{ aResult->revision_, next });
         } else if (aResult) {
           // Another write came first, or our own earlier one did; reading tells which.
@@ -233,9 +243,15 @@
                                          const Clock& aClock,
                                          std::uint64_t aSeed,
                                          Schedule aSchedule,
-                                         Settings aSettings)
-  : shared_(std::make_shared<Shared>(
-      Shared{ aStore, aClock, Random(aSeed), std::move(aSchedule), aSettings, {} }))
+                                         Settings aSettings,
+                                         OnStored aOnStored)
+  : shared_(std::make_shared<Shared>(Shared{ aStore,
+                                             aClock,
+                                             Random(aSeed),
+                                             std::move(aSchedule),
+                                             aSettings,
+                                             {},
+                                             std::move(aOnStored) }))
 {
 }
 
--- a/src/config/ConfigurationEditor.hpp
+++ b/src/config/ConfigurationEditor.hpp
@@ -68,6 +68,9 @@
   /// Calls the function after the delay, on the store thread.
   using Schedule = std::function<void(Duration, std::function<void()>)>;
 
+  /// Called with each record that an edit has found in force, before the edit's result.
+  using OnStored = std::function<void(std::uint64_t aRevision, const std::string& aRecord)>;
+
   struct Settings
   {
     /// Time after which an edit gives up.
@@ -81,7 +84,8 @@
                       const Clock& aClock,
                       std::uint64_t aSeed,
                       Schedule aSchedule,
-                      Settings aSettings);
+                      Settings aSettings,
+                      OnStored aOnStored = {});
 
   /// Stores aConfiguration if the revision is aExpected (0: none is stored; no value: any).
   ///
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -133,7 +133,11 @@
       timer->async_wait(
         [timer, task = std::move(aTask)](const boost::system::error_code&) { task(); });
     },
-    ConfigurationEditor::Settings{});
+    ConfigurationEditor::Settings{},
+    // An accepted change spreads from this instance even when the store goes down at once.
+    [this](std::uint64_t aRevision, const std::string& aRecord) {
+      control_->AdoptConfiguration(aRevision, aRecord);
+    });
   LocalHandlers handlers = Handlers();
   ConfigurationOperations(*editor_, [this](std::function<void()> aTask) {
     storeThread_.Context().post(std::move(aTask));
--- a/tests/unit/config/ConfigurationEditorTest.cpp
+++ b/tests/unit/config/ConfigurationEditorTest.cpp
@@ -47,7 +47,10 @@
       [this](Duration aDelay, std::function<void()> aNext) {
         store_.After(aDelay, std::move(aNext));
       },
-      ConfigurationEditor::Settings()));
+      ConfigurationEditor::Settings(),
+      [this](std::uint64_t aRevision, const std::string& aRecord) {
+        announced_.insert_or_assign(aRevision, aRecord);
+      }));
     return *editors_.back();
   }
 
@@ -66,6 +69,8 @@
 
   FakeStore store_;
   std::vector<std::unique_ptr<ConfigurationEditor>> editors_;
+  /// Records that the editors named as in force, by revision.
+  std::map<std::uint64_t, std::string> announced_;
 };
 
 } // namespace
@@ -186,3 +191,19 @@
   BOOST_TEST(!parsed->Remembers(0));
   BOOST_TEST(!ConfigurationRecord::Parse("{}").has_value());
 }
+
+// Guards against an accepted change that nobody but the store knows: it would have no effect while
+// the store is down, however long that lasts.
+BOOST_AUTO_TEST_CASE(StoredChangesAreAnnouncedWithTheirRecord)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Operators operators(seed, 0.3);
+    const auto result = operators.Apply(operators.Add(), "a", {}, Base());
+    if (const auto* stored = std::get_if<EditStored>(&result)) {
+      BOOST_REQUIRE(operators.announced_.contains(stored->revision_));
+    }
+    for (const auto& [revision, text] : operators.announced_) {
+      BOOST_TEST((operators.store_.written_.at(revision) == text));
+    }
+  }
+}
