--- a/tests/unit/bench/JudgeTest.cpp
+++ b/tests/unit/bench/JudgeTest.cpp
@@ -127,4 +127,22 @@
   BOOST_TEST(Figures()["after_withdraw_requests"] == 1);
 }
 
+// Guards against goodput that counts answers from outside the overload, and against a recovery
+// that counts late answers as served.
+BOOST_AUTO_TEST_CASE(MeasuresGoodputDuringAndServiceAfterAnOverload)
+{
+  marks_.capacity_ = 4;
+  marks_.overloadFromNs_ = 1000 * kMs;
+  marks_.overloadUntilNs_ = 2000 * kMs;
+  Outcome("before", "ok", 900, 950);
+  Outcome("inside", "ok", 950, 1500);
+  Outcome("refused", "refused_not_run", 1400, 1410);
+  Outcome("served later", "ok", 1900, 2500);
+  Outcome("soon after", "refused_not_run", 2500, 2510);
+  Outcome("recovered", "ok", 3500, 3510);
+  Outcome("late", "ok", 3600, 4700);
+  BOOST_TEST(Figures()["goodput_share"].get<double>() == 0.25);
+  BOOST_TEST(Figures()["ok_after_overload"].get<double>() == 0.5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
