--- a/src/membership/ConfigurationFreshness.cpp
+++ b/src/membership/ConfigurationFreshness.cpp
@@ -58,9 +58,8 @@
 {
   // A revision at least as high as one that was the newest a moment ago is as new as that moment.
   const auto end = confirmed_.upper_bound(aRevision);
-  const bool confirmed = std::any_of(confirmed_.begin(), end, [&](const auto& aEntry) {
-    return aNow - aEntry.second <= maxAge_;
-  });
+  const bool confirmed = std::any_of(
+    confirmed_.begin(), end, [&](const auto& aEntry) { return aNow - aEntry.second <= maxAge_; });
   if (confirmed) {
     return true;
   }
