--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,5 +1,7 @@
 #include "Actions.hpp"
 #include "Runner.hpp"
+#include "Scale.hpp"
+#include "Throughput.hpp"
 
 #include <CLI/CLI.hpp>
 #include <algorithm>
@@ -60,6 +62,18 @@
   return figures["pass"] ? 0 : 1;
 }
 
+int
+RunThroughputMode(const RunOptions& aOptions, bool aJson)
+{
+  auto figures = RunThroughput(aOptions);
+  if (aJson) {
+    std::cout << figures.dump() << std::endl;
+  } else {
+    PrintTable(figures);
+  }
+  return figures["pass"] ? 0 : 1;
+}
+
 int
 RunNamed(const std::string& aName, const RunOptions& aOptions, bool aJson)
 {
@@ -91,30 +105,56 @@
 main(int aCount, char** aArguments)
 {
   RunOptions options;
+  ScaleOptions scale;
   std::string name;
   bool json = false;
   bool once = false;
   CLI::App app{ "Runs scenarios against real processes" };
-  app.add_option("scenario", name, "name of a scenario, all, list or demo")->required();
+  app.add_option("scenario", name, "name of a scenario, all, list, demo or scale")->required();
   app.add_option("--deployment", options.deployment_)
     ->check(CLI::IsMember({ "taco-certo", "halvorsen" }));
   app.add_option("--seed", options.seed_);
   app.add_option("--seconds", options.seconds_)->check(CLI::Range(1.0, 3600.0));
   app.add_option("--variant", options.variant_)
-    ->check(CLI::IsMember({ "direct", "store-down", "unchecked", "half-load" }));
+    ->check(CLI::IsMember({ "direct",
+                            "store-down",
+                            "unchecked",
+                            "half-load",
+                            "round-robin",
+                            "least-outstanding",
+                            "no-hedging" }));
   app.add_option("--build-directory", options.binaries_)->required();
   app.add_option("--work-directory", options.work_)->required();
   app.add_flag("--keep", options.keep_, "keep logs and records of a run that passes");
+  app.add_flag("--correctness",
+               options.correctness_,
+               "assert correctness and, with generous limits, liveness, but no other bound");
   app.add_flag("--json", json, "one JSON object per scenario");
   app.add_flag("--once", once, "demo: print only the line of JSON");
+  app.add_option("--instances", scale.instances_, "scale: number of instances")
+    ->check(CLI::Range(2, 120));
+  app.add_option("--shards", scale.shards_, "scale: shards of the keyed service")
+    ->check(CLI::Range(1, 65536));
+  app.add_option("--rate", scale.rate_, "scale: requests per second over all instances");
   CLI11_PARSE(app, aCount, aArguments);
   if (name == "list") {
     for (const auto& scenario : AllScenarios()) {
       std::cout << scenario.name_ << ": " << scenario.about_ << "\n";
     }
+    std::cout << "throughput: one ingress and one serving instance at rising rates\n";
     return 0;
   }
   try {
+    if (name == "throughput") {
+      return RunThroughputMode(options, json);
+    }
+    if (name == "scale") {
+      scale.seconds_ = options.seconds_.value_or(scale.seconds_);
+      scale.binaries_ = options.binaries_;
+      scale.work_ = options.work_;
+      std::cout << RunScale(scale).dump(2) << "\n";
+      return 0;
+    }
     return name == "demo" ? RunDemo(options, once) : RunNamed(name, options, json);
   } catch (const std::exception& error) {
     std::cerr << "redwing-bench: " << error.what() << "\n";
--- a/src/control/OwnershipDriver.hpp
+++ b/src/control/OwnershipDriver.hpp
@@ -34,8 +34,11 @@
     pushEntries_;
   /// Runs a task on the control thread.
   std::function<void(std::function<void()>)> post_;
-  /// The set of owned shards changed.
-  std::function<void()> onShardsChanged_;
+  /// This instance owns aShard from now on.
+  std::function<void(const ShardId& aShard, std::uint64_t aToken)> onGained_;
+  /// This instance owns aShard no longer; aSuccessor is set if it was released in its favour.
+  std::function<void(const ShardId& aShard, std::uint64_t aToken, const InstanceRef& aSuccessor)>
+    onLost_;
   /// The lease ended; the instance must rejoin.
   std::function<void()> onExpired_;
 };
@@ -111,6 +114,7 @@
     TimePoint until_;
   };
 
+  void UpdateRing();
   void RunEffects();
   void Run(const SendMessage& aEffect);
   void Run(const CommitRow& aEffect);
@@ -138,7 +142,8 @@
   std::map<ShardId, std::uint64_t> owned_;
   std::map<ShardId, InstanceRef> successors_;
   std::map<ShardId, std::vector<DropWaiter>> dropWaiters_;
-  std::map<ShardId, ShardRow> seenRows_;
+  /// Version of the fleet state up to which changes were passed on.
+  std::uint64_t seenVersion_ = 0;
   /// Deadline of the last grant that the backend server was sent for a shard.
   std::map<ShardId, TimePoint> grantedUntil_;
   std::set<ShardId> releasing_;
