--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -136,7 +136,8 @@
   hooks.setGrants_ = [](std::vector<ShardGrant>, TimePoint, std::function<void(bool)>) {};
   hooks.pushEntries_ = [](const ShardId&, const InstanceRef&, std::function<void(bool)>) {};
   hooks.post_ = [](std::function<void()>) {};
-  hooks.onShardsChanged_ = [] {};
+  hooks.onGained_ = [](const ShardId&, std::uint64_t) {};
+  hooks.onLost_ = [](const ShardId&, std::uint64_t, const InstanceRef&) {};
   hooks.onExpired_ = [] {};
   OwnershipDriver driver(clock, random, table, *fleet, store, hooks);
   MeasureMemory("control.ownership_driver", [&] { driver.Start(MakeMember(0).ref_); });
