Count an accepted write as confirmation of its revision

The logs show that the new revision is adopted before any report of a watcher names it, so that nothing confirmed it until the outage was known; with the store up the same gap lasts until the next read, up to 300 ms.

Change: the successful write is recorded as a report of this data centre, sent at the time of the store call. A read sent later but answered before the write does not replace it.

--- a/src/config/ConfigurationEditor.cpp
+++ b/src/config/ConfigurationEditor.cpp
@@ -52,10 +52,10 @@
   std::map<std::uint64_t, Configuration> seen_;
   OnStored onStored_;
 
-  void Announce(std::uint64_t aRevision, const std::string& aRecord) const
+  void Announce(std::uint64_t aRevision, const std::string& aRecord, TimePoint aSentAt) const
   {
     if (onStored_) {
-      onStored_(aRevision, aRecord);
+      onStored_(aRevision, aRecord, aSentAt);
     }
   }
 
@@ -92,6 +92,7 @@
 
   void Start()
   {
+    sentAt_ = shared_->clock_.Now();
     shared_->store_.Range(
       kConfigurationKey, true, [self = shared_from_this()](StoreResult<StoreRange> aResult) {
         if (!aResult) {
@@ -115,7 +116,7 @@
       shared_->Remember(aCurrent.revision_, aCurrent.record_.configuration_);
     }
     if (const auto stored = aCurrent.record_.RevisionOf(operation_, aCurrent.revision_)) {
-      shared_->Announce(aCurrent.revision_, aCurrent.record_.ToText());
+      shared_->Announce(aCurrent.revision_, aCurrent.record_.ToText(), sentAt_);
       Finish(EditStored{ *stored, std::move(aCurrent.record_.configuration_) });
       return;
     }
@@ -187,6 +188,7 @@
 
   void Commit(std::uint64_t aRevision, Configuration aNext, std::string aText)
   {
+    sentAt_ = shared_->clock_.Now();
     StoreTransaction transaction;
     transaction.compares_.push_back({ kConfigurationKey, aRevision });
     transaction.writes_.push_back({ kConfigurationKey, aText, 0 });
@@ -196,7 +198,7 @@
         StoreResult<StoreTransactionResult> aResult) {
         if (aResult && aResult->succeeded_) {
           self->shared_->Remember(aResult->revision_, next);
-          self->shared_->Announce(aResult->revision_, text);
+          self->shared_->Announce(aResult->revision_, text, self->sentAt_);
           self->Finish(EditStored{ aResult->revision_, next });
         } else if (aResult) {
           // Another write came first, or our own earlier one did; reading tells which.
@@ -237,6 +239,8 @@
   ConfigurationMutation mutation_;
   /// Revision that a write with unknown outcome compares with.
   std::optional<std::uint64_t> writtenOver_;
+  /// Sending time of the latest store call.
+  TimePoint sentAt_;
 };
 
 ConfigurationEditor::ConfigurationEditor(Store& aStore,
--- a/src/config/ConfigurationEditor.hpp
+++ b/src/config/ConfigurationEditor.hpp
@@ -68,8 +68,10 @@
   /// Calls the function after the delay, on the store thread.
   using Schedule = std::function<void(Duration, std::function<void()>)>;
 
-  /// Called with each record that an edit has found in force, before the edit's result.
-  using OnStored = std::function<void(std::uint64_t aRevision, const std::string& aRecord)>;
+  /// Called with each record that an edit has found in force, before the edit's result. The record
+  /// was the newest at some time after aSentAt, when the store call was sent.
+  using OnStored =
+    std::function<void(std::uint64_t aRevision, const std::string& aRecord, TimePoint aSentAt)>;
 
   struct Settings
   {
--- a/src/control/ConfigurationKeeper.cpp
+++ b/src/control/ConfigurationKeeper.cpp
@@ -61,6 +61,15 @@
   onAdopted_(current_);
 }
 
+void
+ConfigurationKeeper::AdoptStored(std::uint64_t aRevision,
+                                 const std::string& aRecord,
+                                 TimePoint aSentAt)
+{
+  freshness_.OnOwnCall(dataCentre_, aRevision, true, aSentAt);
+  Adopt(aRevision, aRecord);
+}
+
 void
 ConfigurationKeeper::Tick(bool aIsWatcher)
 {
--- a/src/control/ConfigurationKeeper.hpp
+++ b/src/control/ConfigurationKeeper.hpp
@@ -34,6 +34,12 @@
   /// Preconditions: none. Thread safety: control thread only.
   void Adopt(std::uint64_t aRevision, const std::string& aRecord);
 
+  /// Adopts a record that this instance has stored, and counts the write as a confirmation: its
+  /// revision was the newest at some time after aSentAt.
+  ///
+  /// Preconditions: none. Thread safety: control thread only.
+  void AdoptStored(std::uint64_t aRevision, const std::string& aRecord, TimePoint aSentAt);
+
   /// Reads the store if this instance is a watcher and a read is due.
   ///
   /// Preconditions: none. Thread safety: control thread only.
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -156,9 +156,11 @@
 }
 
 void
-ControlService::AdoptConfiguration(std::uint64_t aRevision, std::string aRecord)
+ControlService::AdoptConfiguration(std::uint64_t aRevision, std::string aRecord, TimePoint aSentAt)
 {
-  Post([this, aRevision, record = std::move(aRecord)] { keeper_.Adopt(aRevision, record); });
+  Post([this, aRevision, record = std::move(aRecord), aSentAt] {
+    keeper_.AdoptStored(aRevision, record, aSentAt);
+  });
 }
 
 void
--- a/src/control/ControlService.hpp
+++ b/src/control/ControlService.hpp
@@ -133,10 +133,10 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   void OnCall(InstanceRef aFrom, std::string aPayload, std::function<void(std::string)> aReply);
 
-  /// Adopts a configuration that this instance has stored.
+  /// Adopts a configuration that this instance has stored with a call sent at aSentAt.
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
-  void AdoptConfiguration(std::uint64_t aRevision, std::string aRecord);
+  void AdoptConfiguration(std::uint64_t aRevision, std::string aRecord, TimePoint aSentAt);
 
   /// Leaves gracefully: takes no new work, hands all shards to their successors, then calls aDone.
   ///
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -135,8 +135,8 @@
     },
     ConfigurationEditor::Settings{},
     // An accepted change spreads from this instance even when the store goes down at once.
-    [this](std::uint64_t aRevision, const std::string& aRecord) {
-      control_->AdoptConfiguration(aRevision, aRecord);
+    [this](std::uint64_t aRevision, const std::string& aRecord, TimePoint aSentAt) {
+      control_->AdoptConfiguration(aRevision, aRecord, aSentAt);
     });
   LocalHandlers handlers = Handlers();
   ConfigurationOperations(*editor_, [this](std::function<void()> aTask) {
--- a/src/membership/ConfigurationFreshness.cpp
+++ b/src/membership/ConfigurationFreshness.cpp
@@ -87,7 +87,11 @@
     }
   }
   const auto [place, inserted] = entries_.try_emplace(std::string(aDataCentre), aEntry);
-  if (!inserted && aEntry.at_ > place->second.at_) {
+  // A read that the store answered before a write, but that was sent after it, must not hide that
+  // the write confirmed its revision.
+  const bool overtaken = aEntry.storeReachable_ && place->second.storeReachable_ &&
+                         aEntry.revision_ < place->second.revision_;
+  if (!inserted && !overtaken && aEntry.at_ > place->second.at_) {
     place->second = aEntry;
   }
 }
--- a/tests/unit/config/ConfigurationEditorTest.cpp
+++ b/tests/unit/config/ConfigurationEditorTest.cpp
@@ -48,7 +48,7 @@
         store_.After(aDelay, std::move(aNext));
       },
       ConfigurationEditor::Settings(),
-      [this](std::uint64_t aRevision, const std::string& aRecord) {
+      [this](std::uint64_t aRevision, const std::string& aRecord, TimePoint) {
         announced_.insert_or_assign(aRevision, aRecord);
       }));
     return *editors_.back();
