--- a/tests/unit/ownership/LossCheck.hpp
+++ b/tests/unit/ownership/LossCheck.hpp
@@ -19,10 +19,13 @@
 };
 
 inline void
-CheckLoss(Loss aLoss, bool aStoreUp)
+CheckLoss(Loss aLoss,
+          bool aStoreUp,
+          std::uint64_t aFirstSeed = 1,
+          std::uint64_t aLastSeed = kLossSeeds)
 {
   Duration worst{};
-  for (std::uint64_t seed = 1; seed <= kLossSeeds; ++seed) {
+  for (std::uint64_t seed = aFirstSeed; seed <= aLastSeed; ++seed) {
     Simulation simulation(seed, kLossNodes, kLossShards, OwnershipSettings{});
     const auto ready =
       simulation.RunUntil([&] { return simulation.AllWithSuccessor(); }, std::chrono::seconds(30));
