Let the timer of the rate limiter rest while there is nothing to do

Cause: perf of two idle instances attributed 48 % of the samples of the process to the intake thread; its timer runs the limiter every 2 ms even without slices and waiting requests.

Change: the timer runs every 50 ms while every holder is idle; a request or a reply of an owner brings back 2 ms. Nothing changes while there are slices, waiting requests, an open request to the owner or demand to fetch ahead.

The scenario rate-limit was not run.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kIntakeMailboxCapacity = 16384;
 constexpr std::size_t kSliceMailboxCapacity = 4096;
 constexpr auto kLimiterInterval = milliseconds(2);
+/// Without slices and waiting requests, wake-ups every 2 ms were half of an idle process's work.
+constexpr auto kIdleLimiterInterval = milliseconds(50);
 /// Time in which a leaving instance hands its shards over; after it, traffic is drained anyway.
 constexpr auto kLeaveTimeout = std::chrono::seconds(10);
 /// Time in which running requests may end; after it, the process stops.
@@ -216,6 +218,7 @@
     [this](const std::string& aId, RequestEvent&& aEvent) { peer_->Send(aId, std::move(aEvent)); },
     [this](const Workspace& aWorkspace, TimePoint aDeadline, RateDecision aDecide) {
       limiter_->Admit(aWorkspace.id_, aDeadline, std::move(aDecide));
+      WakeLimiter();
     } });
   intakeMailbox_.SetWake([this] {
     intakeThread_.Context().post([this] {
@@ -226,6 +229,7 @@
   sliceMailbox_.SetWake([this] {
     intakeThread_.Context().post([this] {
       sliceMailbox_.Drain([this](const SliceReply& aReply) { limiter_->OnReply(aReply); });
+      WakeLimiter();
     });
   });
 }
@@ -269,7 +273,8 @@
 void
 Daemon::TickLimiter()
 {
-  limiterTimer_.expires_after(kLimiterInterval);
+  limiterIdle_ = limiter_->Idle();
+  limiterTimer_.expires_after(limiterIdle_ ? kIdleLimiterInterval : kLimiterInterval);
   limiterTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
       limiter_->Tick();
@@ -278,6 +283,14 @@
   });
 }
 
+void
+Daemon::WakeLimiter()
+{
+  if (limiterIdle_) {
+    TickLimiter();
+  }
+}
+
 void
 Daemon::WaitForSignal()
 {
--- a/src/daemon/Daemon.hpp
+++ b/src/daemon/Daemon.hpp
@@ -44,6 +44,7 @@
   void BuildOperator();
   bool StartServices();
   void TickLimiter();
+  void WakeLimiter();
   void WaitForSignal();
   void BeginShutdown();
   void DrainTraffic();
@@ -80,6 +81,8 @@
   std::unique_ptr<PeerService> peer_;
   std::unique_ptr<BackendService> backend_;
   std::unique_ptr<WorkspaceLimiter> limiter_;
+  /// The timer of the limiter runs at the long interval.
+  bool limiterIdle_ = false;
   std::unique_ptr<IntakeService> intake_;
   std::unique_ptr<LocalServer> operator_;
   bool shuttingDown_ = false;
--- a/src/limits/SliceHolder.cpp
+++ b/src/limits/SliceHolder.cpp
@@ -171,6 +171,13 @@
   return std::exchange(reports_, {});
 }
 
+bool
+SliceHolder::Idle(TimePoint aNow) const
+{
+  return slices_.empty() && waiters_.empty() && reports_.empty() && !pendingId_ &&
+         DemandPerSecond(aNow) <= kDemandNotFetchedAhead;
+}
+
 bool
 SliceHolder::UseToken(TimePoint aNow)
 {
--- a/src/limits/SliceHolder.hpp
+++ b/src/limits/SliceHolder.hpp
@@ -62,6 +62,12 @@
   /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
   std::vector<SliceReport> TakeReports(TimePoint aNow);
 
+  /// Returns whether Tick, TakeRequest and TakeReports have nothing to do until the next Admit or
+  /// OnReply.
+  ///
+  /// Preconditions: aNow does not go back. Thread safety: not thread-safe.
+  bool Idle(TimePoint aNow) const;
+
   /// Returns the retry time to tell a caller that is refused now.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/src/limits/WorkspaceLimiter.cpp
+++ b/src/limits/WorkspaceLimiter.cpp
@@ -1,5 +1,6 @@
 #include "limits/WorkspaceLimiter.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwing {
@@ -71,6 +72,15 @@
   Conclude(decisions);
 }
 
+bool
+WorkspaceLimiter::Idle() const
+{
+  const TimePoint now = clock_.Now();
+  return std::all_of(entries_.begin(), entries_.end(), [now](const auto& aEntry) {
+    return aEntry.second.holder_.Idle(now);
+  });
+}
+
 void
 WorkspaceLimiter::Send(SliceHolder& aHolder, TimePoint aNow)
 {
--- a/src/limits/WorkspaceLimiter.hpp
+++ b/src/limits/WorkspaceLimiter.hpp
@@ -34,11 +34,16 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnReply(const SliceReply& aReply);
 
-  /// Advances time; call it every few milliseconds.
+  /// Advances time; call it every few milliseconds unless Idle returns true.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   void Tick();
 
+  /// Returns whether Tick has nothing urgent to do until the next Admit or OnReply.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool Idle() const;
+
 private:
   struct Entry
   {
--- a/tests/unit/limits/RateBoundTest.cpp
+++ b/tests/unit/limits/RateBoundTest.cpp
@@ -247,3 +247,36 @@
   simulation.Run(600, 5s);
   BOOST_TEST(simulation.LargestExcess({ 100, 10 }) > 0);
 }
+
+// Guards against a limiter that is taken for idle while it waits for the owner, holds tokens to
+// give back, or has demand to fetch ahead.
+BOOST_AUTO_TEST_CASE(HolderIsIdleOnlyWithoutWork)
+{
+  test::ManualClock clock;
+  SliceHolder holder("w");
+  BOOST_TEST(holder.Idle(clock.Now()));
+  holder.Admit(1, clock.Now() + 1s, clock.Now());
+  BOOST_TEST(!holder.Idle(clock.Now()));
+  const auto request = holder.TakeRequest(clock.Now());
+  BOOST_TEST_REQUIRE(request.has_value());
+  SliceReply reply;
+  reply.workspace_ = "w";
+  reply.requestId_ = request->requestId_;
+  reply.owner_ = true;
+  reply.tokens_ = 3;
+  reply.timeToLiveMs_ = 50;
+  BOOST_TEST(holder.OnReply(reply, clock.Now()).size() == 1U);
+  clock.Advance(5ms);
+  BOOST_TEST(!holder.Idle(clock.Now()));
+  clock.Advance(25ms);
+  BOOST_TEST(holder.TakeReports(clock.Now()).size() == 1U);
+  BOOST_TEST(holder.Idle(clock.Now()));
+  for (std::uint64_t id = 2; id < 12; ++id) {
+    holder.Admit(id, clock.Now() + 1ms, clock.Now());
+  }
+  clock.Advance(2ms);
+  holder.Tick(clock.Now());
+  BOOST_TEST(!holder.Idle(clock.Now()));
+  clock.Advance(1s);
+  BOOST_TEST(holder.Idle(clock.Now()));
+}
