--- a/src/limits/WorkspaceLimiter.cpp
+++ b/src/limits/WorkspaceLimiter.cpp
@@ -36,12 +36,11 @@
   const auto admission = entry.holder_.Admit(waiterId, aDeadline, now);
   if (admission == SliceHolder::Admission::Waiting) {
     waiting_.emplace(waiterId, std::move(aDecide));
+    Send(entry.holder_, now);
+    return;
   }
   Send(entry.holder_, now);
-  if (admission != SliceHolder::Admission::Waiting) {
-    const bool admitted = admission == SliceHolder::Admission::Admitted;
-    aDecide(admitted, entry.holder_.RetryAfterMs());
-  }
+  aDecide(admission == SliceHolder::Admission::Admitted, entry.holder_.RetryAfterMs());
 }
 
 void
