--- a/src/membership/Gossip.hpp
+++ b/src/membership/Gossip.hpp
@@ -47,7 +47,7 @@
 
 /// Holds the newest version of each fact and decides what to send.
 ///
-/// A new fact is sent in a limited number of rounds (about 3 log2 of the number of members), with a
+/// A new fact is sent in a limited number of rounds (about log2 of the number of members), with a
 /// fan-out chosen by the caller. A digest of all facts lets two instances notice that one lacks
 /// something; then digests of parts show which facts differ.
 class Gossip
