--- a/bench/micro/main.cpp
+++ b/bench/micro/main.cpp
@@ -133,9 +133,10 @@
   const auto fleet = FullFleet();
   OwnershipHooks hooks;
   hooks.send_ = [](const InstanceRef&, const OwnershipMessage&) {};
-  hooks.setGrants_ = [](std::vector<ShardGrant>, TimePoint, std::function<void(bool)>) {};
-  hooks.pushEntries_ = [](const ShardId&, const InstanceRef&, std::function<void(bool)>) {};
-  hooks.post_ = [](std::function<void()>) {};
+  hooks.setGrants_ =
+    [](const std::vector<ShardGrant>&, TimePoint, const std::function<void(bool)>&) {};
+  hooks.pushEntries_ = [](const ShardId&, const InstanceRef&, const std::function<void(bool)>&) {};
+  hooks.post_ = [](const std::function<void()>&) {};
   hooks.onShardsChanged_ = [] {};
   hooks.onExpired_ = [] {};
   OwnershipDriver driver(clock, random, table, *fleet, store, hooks);
--- a/src/membership/Gossip.cpp
+++ b/src/membership/Gossip.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// With a fan-out of 3 each instance sends a fact 3 times per doubling of the fleet; what a loss leaves
-/// behind is repaired by digests.
+/// With a fan-out of 3 each instance sends a fact 3 times per doubling of the fleet; what a loss
+/// leaves behind is repaired by digests.
 constexpr std::uint32_t kRoundsPerDoubling = 1;
 /// Keeps the request short in small fleets, and the reply short in large ones.
 constexpr std::size_t kFactsPerDigest = 16;
