--- a/bench/Scale.cpp
+++ b/bench/Scale.cpp
@@ -159,7 +159,7 @@
   const auto directory = aOptions.work_ / ("scale-" + std::to_string(::getpid()));
   std::filesystem::create_directories(directory);
   FleetOptions options{ aOptions.binaries_, directory };
-  options.proxied_ = false;
+  options.proxy_ = false;
   Fleet fleet(ScaleDeployment(aOptions), options);
   fleet.Start();
   std::this_thread::sleep_for(kSettle);
