Let the planner wait for a step before it proposes another one for the same shard

Cause: in a run with 40 instances the planner proposed moves of the same shards in every round (6 to 8 a second) and the owners did not carry them out. An owner that is told another target starts its change of successor again, and the least loaded target changes from round to round. Ruled out so far: lost proposals; the owners received them. Change: a step stays pending for 2 s or until the shard's row shows it; loads are planned as if it were done.

--- a/src/control/PlanningLoop.cpp
+++ b/src/control/PlanningLoop.cpp
@@ -17,6 +17,9 @@
 
 /// Time without a new member after which shards are placed.
 constexpr Duration kSettleTime = milliseconds(700);
+/// Time in which a step is carried out; it includes store writes and the hand-over of a shard whose
+/// requests have to end.
+constexpr Duration kStepTime = milliseconds(2000);
 /// A shard whose owner is absent for this time was not taken over through the ring.
 constexpr Duration kOrphanTime = std::chrono::seconds(3);
 
@@ -131,9 +134,37 @@
     if (IsOrphan(shards[index].row_)) {
       shards[index].row_.owner_ = {};
     }
+    ApplyPending(shards[index].row_);
   }
   for (const PlanStep& step : planner_.Plan(shards, aCandidates)) {
-    Carry(step);
+    const ShardId& shard =
+      std::visit([](const auto& aStep) -> const ShardId& { return aStep.shard_; }, step);
+    // An owner that is told another target in each round would start its change again each time.
+    const bool isNew = pending_.try_emplace(shard, step, clock_.Now() + kStepTime).second;
+    if (isNew) {
+      Carry(step);
+    }
+  }
+}
+
+void
+PlanningLoop::ApplyPending(ShardRow& aRow)
+{
+  const auto pending = pending_.find(aRow.shard_);
+  if (pending == pending_.end()) {
+    return;
+  }
+  const ShardRow before = aRow;
+  if (const auto* assign = std::get_if<AssignShard>(&pending->second.step_)) {
+    aRow.owner_ = assign->target_;
+  } else if (const auto* move = std::get_if<MoveShard>(&pending->second.step_)) {
+    aRow.owner_ = move->target_;
+  } else {
+    aRow.successor_ = std::get<ChangeSuccessor>(pending->second.step_).successor_;
+  }
+  if (aRow == before || clock_.Now() >= pending->second.until_) {
+    aRow = before;
+    pending_.erase(pending);
   }
 }
 
--- a/src/control/PlanningLoop.hpp
+++ b/src/control/PlanningLoop.hpp
@@ -35,6 +35,22 @@
   bool IsPlanner() const { return role_.IsHeld(); }
 
 private:
+  /// A step that was passed on and is not visible in the shard's row yet.
+  struct PendingStep
+  {
+    PendingStep(PlanStep aStep, TimePoint aUntil)
+      : step_(std::move(aStep))
+      , until_(aUntil)
+    {
+    }
+
+    PlanStep step_;
+    TimePoint until_;
+  };
+
+  /// Changes aRow to what it will be when its pending step has been carried out; forgets the step
+  /// when that is so or when it has taken too long.
+  void ApplyPending(ShardRow& aRow);
   /// Returns whether the members have not changed for a while. Placement while a fleet starts would
   /// move most shards again when the next instances join.
   bool IsSettled();
@@ -57,6 +73,7 @@
   TimePoint nextRound_;
   TimePoint nextRead_;
   std::map<ShardId, TimePoint> absentSince_;
+  std::map<ShardId, PendingStep> pending_;
   /// Members as of the last change of who may own shards.
   std::vector<InstanceRef> lastMembers_;
   TimePoint stableSince_;
