--- a/bench/Fleet.hpp
+++ b/bench/Fleet.hpp
@@ -95,7 +95,7 @@
   Json StoreCounts() const;
   /// Value of a key in the store; empty when there is none.
   std::string StoreValue(const std::string& aKey) const;
-  bool HasProxy() const { return proxy_ != nullptr; }
+  bool HasProxy() const { return !advertiseFlag_.empty(); }
   const std::filesystem::path& Directory() const { return options_.directory_; }
   bool Direct() const { return options_.direct_; }
   /// Headers of an operator call.
--- a/src/control/PlanningLoop.cpp
+++ b/src/control/PlanningLoop.cpp
@@ -2,7 +2,6 @@
 
 #include "core/Log.hpp"
 
-#include <algorithm>
 #include <utility>
 
 namespace redwing {
@@ -15,14 +14,21 @@
 /// The planner compares its view with the store's rows at this interval.
 constexpr Duration kReadInterval = std::chrono::seconds(5);
 
-/// Time without a new member after which shards are placed.
-constexpr Duration kSettleTime = milliseconds(700);
+/// Time without a new instance or backend server after which shards are placed. Backend servers
+/// announce themselves each second, so those of a starting fleet come within that time.
+constexpr Duration kSettleTime = milliseconds(1100);
 /// Time in which a step is carried out; it includes store writes and the hand-over of a shard whose
 /// requests have to end.
 constexpr Duration kStepTime = milliseconds(2000);
 /// A shard whose owner is absent for this time was not taken over through the ring.
 constexpr Duration kOrphanTime = std::chrono::seconds(3);
 
+bool
+Serves(const Member& aMember)
+{
+  return aMember.state_ == BackendState::Ready || aMember.state_ == BackendState::Cold;
+}
+
 void
 LogStep(std::string_view aStep,
         const ShardId& aShard,
@@ -88,17 +94,14 @@
 bool
 PlanningLoop::IsSettled()
 {
-  std::vector<InstanceRef> members;
   for (const auto& [id, member] : fleet_.Members()) {
-    members.push_back(member.ref_);
-  }
-  const bool grown = std::any_of(members.begin(), members.end(), [&](const InstanceRef& aRef) {
-    return std::find(lastMembers_.begin(), lastMembers_.end(), aRef) == lastMembers_.end();
-  });
-  if (grown) {
-    stableSince_ = clock_.Now();
+    // Each counts once, so that a backend server that comes and goes does not stop the planner.
+    const bool joined = joined_.insert(member.ref_).second;
+    const bool serves = Serves(member) && served_.insert(member.ref_).second;
+    if (joined || serves) {
+      stableSince_ = clock_.Now();
+    }
   }
-  lastMembers_ = std::move(members);
   return clock_.Now() - stableSince_ >= kSettleTime;
 }
 
@@ -196,8 +199,7 @@
     candidate.dataCentre_ = member.dataCentre_;
     candidate.rack_ = member.rack_;
     candidate.capacity_ = internal ? 1 : member.slots_;
-    const bool serves =
-      internal || member.state_ == BackendState::Ready || member.state_ == BackendState::Cold;
+    const bool serves = internal || Serves(member);
     candidate.takesWork_ = serves && !member.leaving_ && !aWithdrawn.contains(member.dataCentre_);
     candidates.push_back(std::move(candidate));
   }
--- a/src/control/PlanningLoop.hpp
+++ b/src/control/PlanningLoop.hpp
@@ -51,8 +51,8 @@
   /// Changes aRow to what it will be when its pending step has been carried out; forgets the step
   /// when that is so or when it has taken too long.
   void ApplyPending(ShardRow& aRow);
-  /// Returns whether the members have not changed for a while. Placement while a fleet starts would
-  /// move most shards again when the next instances join.
+  /// Returns whether no instance or backend server has come for a while. Placement while a fleet
+  /// starts would move most shards again when the next instances join.
   bool IsSettled();
   void ReadRows();
   void PlanService(const std::string& aService,
@@ -74,8 +74,9 @@
   TimePoint nextRead_;
   std::map<ShardId, TimePoint> absentSince_;
   std::map<ShardId, PendingStep> pending_;
-  /// Members as of the last change of who may own shards.
-  std::vector<InstanceRef> lastMembers_;
+  /// Instances that were seen, and those whose backend server was seen to serve.
+  std::set<InstanceRef> joined_;
+  std::set<InstanceRef> served_;
   TimePoint stableSince_;
   bool reading_ = false;
   bool rowsRead_ = false;
