Send fewer bytes in gossip rounds without items

Ruled out: heartbeats, which are 2.4 KB/s. Change: two partners in rounds without items; one confirming report instead of one per data centre, and all reports of an outage.

--- a/src/control/GossipLoop.cpp
+++ b/src/control/GossipLoop.cpp
@@ -12,6 +12,10 @@
 
 constexpr Duration kRoundInterval = milliseconds(100);
 constexpr std::size_t kFanOut = 3;
+/// Rounds without items carry the confirmation of the configuration. With two partners it reaches n
+/// instances in about log3(n) + ln(n) / 2 rounds, which is 12 for 4,000 and leaves half of its
+/// maximum age.
+constexpr std::size_t kIdleFanOut = 2;
 /// Items of one round; with the header and the watchers' reports a datagram stays below 1,400
 /// bytes.
 constexpr std::size_t kRoundBytes = 900;
@@ -54,7 +58,8 @@
   round.digest_ = gossip.Digest();
   round.reports_ = keeper_.Reports();
   round.configurationRevision_ = keeper_.Current()->revision_;
-  for (std::size_t i = 0; i < kFanOut && !partners.empty(); ++i) {
+  const std::size_t fanOut = round.items_.empty() ? kIdleFanOut : kFanOut;
+  for (std::size_t i = 0; i < fanOut && !partners.empty(); ++i) {
     const std::size_t pick = random_.Below(partners.size());
     sendRound_(partners[pick], round);
     partners.erase(partners.begin() + static_cast<std::ptrdiff_t>(pick));
--- a/src/membership/ConfigurationFreshness.cpp
+++ b/src/membership/ConfigurationFreshness.cpp
@@ -39,18 +39,36 @@
 ConfigurationFreshness::Reports(TimePoint aNow) const
 {
   std::vector<WatcherReport> reports;
+  const Entry* youngest = nullptr;
+  std::string_view youngestDataCentre;
   for (const auto& [dataCentre, entry] : entries_) {
-    const Duration age = aNow - entry.at_;
-    if (age > maxAge_) {
+    if (aNow - entry.at_ > maxAge_) {
       continue;
     }
-    const auto ageMs = std::chrono::ceil<milliseconds>(std::max(age, Duration(0))).count();
-    reports.push_back(
-      { dataCentre, entry.revision_, entry.storeReachable_, static_cast<std::uint32_t>(ageMs) });
+    if (!entry.storeReachable_) {
+      reports.push_back(ToReport(dataCentre, entry, aNow));
+    } else if (youngest == nullptr || entry.at_ > youngest->at_) {
+      youngest = &entry;
+      youngestDataCentre = dataCentre;
+    }
+  }
+  if (youngest != nullptr) {
+    reports.push_back(ToReport(youngestDataCentre, *youngest, aNow));
   }
   return reports;
 }
 
+WatcherReport
+ConfigurationFreshness::ToReport(std::string_view aDataCentre, const Entry& aEntry, TimePoint aNow)
+{
+  const Duration age = std::max(aNow - aEntry.at_, Duration(0));
+  const auto ageMs = std::chrono::ceil<milliseconds>(age).count();
+  return { std::string(aDataCentre),
+           aEntry.revision_,
+           aEntry.storeReachable_,
+           static_cast<std::uint32_t>(ageMs) };
+}
+
 bool
 ConfigurationFreshness::IsCurrent(std::uint64_t aRevision,
                                   std::size_t aDataCentres,
--- a/src/membership/ConfigurationFreshness.hpp
+++ b/src/membership/ConfigurationFreshness.hpp
@@ -55,7 +55,8 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Merge(std::span<const WatcherReport> aReports, TimePoint aNow);
 
-  /// Returns the reports to send to other instances.
+  /// Returns the reports to send to other instances: the youngest of a watcher that reached the
+  /// store, which is enough to confirm a revision, and all of watchers that did not.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   std::vector<WatcherReport> Reports(TimePoint aNow) const;
@@ -79,6 +80,7 @@
     TimePoint at_;
   };
 
+  static WatcherReport ToReport(std::string_view aDataCentre, const Entry& aEntry, TimePoint aNow);
   void Record(std::string_view aDataCentre, const Entry& aEntry);
 
   Duration maxAge_;
--- a/tests/unit/membership/ConfigurationFreshnessTest.cpp
+++ b/tests/unit/membership/ConfigurationFreshnessTest.cpp
@@ -23,6 +23,22 @@
   BOOST_TEST(!freshness.IsCurrent(7, 3, clock.Now()));
 }
 
+// Guards against control traffic that grows with the data centres, and against an outage that the
+// others learn of only when the last confirmation has become too old.
+BOOST_AUTO_TEST_CASE(OneConfirmationAndAllReportsOfAnOutageAreSent)
+{
+  test::ManualClock clock;
+  ConfigurationFreshness freshness(3s);
+  const std::vector<WatcherReport> reached{ { "braga", 7, true, 300 }, { "porto", 7, true, 100 } };
+  freshness.Merge(reached, clock.Now());
+  const auto settled = freshness.Reports(clock.Now());
+  BOOST_REQUIRE(settled.size() == 1U);
+  BOOST_TEST(settled.front().dataCentre_ == "porto");
+  const std::vector<WatcherReport> outage{ { "viana", 7, false, 0 }, { "braga", 7, false, 0 } };
+  freshness.Merge(outage, clock.Now());
+  BOOST_TEST(freshness.Reports(clock.Now()).size() == 3U);
+}
+
 // Guards against an old revision that stays current although a newer one is known, and against
 // refusals during the short time in which an instance fetches the newer one.
 BOOST_AUTO_TEST_CASE(AnOlderRevisionIsCurrentOnlyUntilItsConfirmationIsTooOld)
