--- a/tests/UnitTestMain.cpp
+++ b/tests/UnitTestMain.cpp
@@ -1,14 +1,19 @@
 #define BOOST_TEST_MODULE redwing
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <ctime>
 
 namespace {
 
-/// Reads the time zone before threads start: the first log line does so otherwise, under a lock of
-/// the C library that the thread sanitizer does not see.
+/// Fixes the time zone before threads start. Without TZ the C library reads the zone again for each
+/// log line, under a lock that the thread sanitizer does not see.
 struct TimeZone
 {
-  TimeZone() { tzset(); }
+  TimeZone()
+  {
+    setenv("TZ", "UTC", 1);
+    tzset();
+  }
 };
 
 } // namespace
