Match selectors in one place

Cause: routing had its own copy of the selector match, which did not know the labels data_centre and region that docs/configuration.md promises; config/SelectorMatcher, which does, was used by tests only. Ruled out: keeping both; they had already drifted apart. The test keeps its assertions and gains one for data_centre. Measured: test_routing, 21 cases, passes in release; redwingd builds. Other suites were not run again.

--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -1,6 +1,6 @@
 #include "routing/PoolSelector.hpp"
 
-#include "routing/SelectorMatch.hpp"
+#include "config/SelectorMatcher.hpp"
 
 #include <algorithm>
 
@@ -131,14 +131,12 @@
     pool->groups_.push_back({ 1, std::move(members) });
     return pool;
   }
-  static const Labels kNoLabels;
   for (const Selector& selector : aRoute.selectors_) {
     Group group{ selector.weight_, {} };
     for (const Candidate& candidate : members) {
-      const DataCentre* dataCentre = FindDataCentre(*view_, candidate.member_->dataCentre_);
-      if (Selects(selector,
-                  candidate.member_->labels_,
-                  dataCentre == nullptr ? kNoLabels : dataCentre->labels_)) {
+      const SelectorSubject subject{ candidate.member_->labels_,
+                                     FindDataCentre(*view_, candidate.member_->dataCentre_) };
+      if (SelectorMatcher::Matches(selector, subject)) {
         group.candidates_.push_back(candidate);
       }
     }
--- a/tests/unit/routing/RouteTableTest.cpp
+++ b/tests/unit/routing/RouteTableTest.cpp
@@ -1,6 +1,6 @@
 #include "routing/RouteTable.hpp"
 
-#include "routing/SelectorMatch.hpp"
+#include "config/SelectorMatcher.hpp"
 #include "routing/ShardMap.hpp"
 
 #include <array>
@@ -84,19 +84,23 @@
 BOOST_AUTO_TEST_CASE(SelectorTermsMustAllHold)
 {
   const Labels own{ { "disk", "ssd" }, { "zone", "own" } };
-  const Labels dataCentre{ { "zone", "shared" }, { "power", "green" } };
+  const DataCentre dataCentre{
+    "porto", "north", false, { { "zone", "shared" }, { "power", "green" } }
+  };
+  const SelectorSubject subject{ own, &dataCentre };
   const auto selects = [&](SelectorTerm aTerm) {
-    return Selects({ { std::move(aTerm) }, 1 }, own, dataCentre);
+    return SelectorMatcher::Matches({ { std::move(aTerm) }, 1 }, subject);
   };
   BOOST_TEST(selects({ "disk", SelectorOperator::Equals, { "ssd" } }));
   BOOST_TEST(selects({ "zone", SelectorOperator::Equals, { "own" } }));
   BOOST_TEST(selects({ "power", SelectorOperator::In, { "grey", "green" } }));
   BOOST_TEST(!selects({ "power", SelectorOperator::NotIn, { "grey", "green" } }));
+  BOOST_TEST(selects({ "data_centre", SelectorOperator::Equals, { "porto" } }));
   BOOST_TEST(selects({ "absent", SelectorOperator::NotEquals, { "x" } }));
   BOOST_TEST(!selects({ "absent", SelectorOperator::Exists, {} }));
   BOOST_TEST(selects({ "absent", SelectorOperator::NotExists, {} }));
   const Selector both{
     { { "disk", SelectorOperator::Exists, {} }, { "absent", SelectorOperator::Exists, {} } }, 1
   };
-  BOOST_TEST(!Selects(both, own, dataCentre));
+  BOOST_TEST(!SelectorMatcher::Matches(both, subject));
 }
