--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -17,8 +17,13 @@
   if (aRate.running_ > 0 || size_ > 0) {
     const bool mustWait = aRate.running_ >= limit || size_ > 0;
     const double rounds = mustWait ? (ExpectedAhead(aItem) + 1) / limit : 0;
-    const auto wait = Duration(
+    auto wait = Duration(
       static_cast<Duration::rep>(rounds * static_cast<double>(aRate.serviceTime_.count())));
+    if (aRate.perSecond_ > 0) {
+      constexpr Duration kSecond = std::chrono::seconds(1);
+      const double seconds = ExpectedAhead(aItem) / aRate.perSecond_;
+      wait = std::max(wait, Duration(static_cast<Duration::rep>(seconds * kSecond.count())));
+    }
     if (aNow + wait + aRate.serviceTime_ > aItem.deadline_) {
       return QueueVerdict::TooLate;
     }
--- a/src/admission/FairQueue.hpp
+++ b/src/admission/FairQueue.hpp
@@ -31,6 +31,8 @@
   Duration serviceTime_{};
   std::uint32_t running_ = 0;
   std::uint32_t limit_ = 1;
+  /// Requests per second that the server may get; 0: no limit.
+  double perSecond_ = 0;
 };
 
 enum class QueueVerdict : std::uint8_t
--- a/src/admission/LoadEstimator.cpp
+++ b/src/admission/LoadEstimator.cpp
@@ -41,6 +41,12 @@
   return Duration(static_cast<Duration::rep>(*recent_ * std::exp2(-std::max(0.0, halves - 1))));
 }
 
+Duration
+LoadEstimator::UsualServiceTime() const
+{
+  return Duration(static_cast<Duration::rep>(usual_.value_or(0)));
+}
+
 bool
 LoadEstimator::LatencyJumped() const
 {
--- a/src/admission/LoadEstimator.hpp
+++ b/src/admission/LoadEstimator.hpp
@@ -23,6 +23,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   Duration ServiceTime(TimePoint aNow) const;
 
+  /// Returns the average over many requests, which does not fade; zero while nothing is known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  Duration UsualServiceTime() const;
+
   /// Returns whether recent requests took several times as long as usual.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- /dev/null
+++ b/src/backend/AnnouncedServer.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "backend/ServerControl.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+namespace redwing {
+
+/// Control of a backend server that reports its state and fetches its grants with its own
+/// heartbeats, and that cancels a request when the request's connection closes. Backend thread
+/// only.
+class AnnouncedServer final : public ServerControl
+{
+public:
+  explicit AnnouncedServer(boost::asio::io_context& aContext);
+  ~AnnouncedServer() override;
+
+  void SetTarget(std::optional<Address> aAddress) override;
+  void Poll() override {}
+
+  /// Connects and closes again: the health path of such a server may wait for a slot.
+  void Probe(std::function<void(std::optional<HealthReport>, bool aRefused)> aCallback) override;
+
+  void SetGrants(const std::vector<ShardGrant>& aGrants,
+                 TimePoint aDeadline,
+                 std::function<void(bool)> aAcknowledged) override;
+  bool Cancel(const std::string& /*aRequestId*/) override { return false; }
+
+private:
+  struct Attempt;
+
+  boost::asio::io_context& context_;
+  std::optional<Address> address_;
+  std::weak_ptr<Attempt> open_;
+};
+
+} // namespace redwing
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -58,12 +58,19 @@
   if (!Serving() || announcement_->service_ != aStart.service_) {
     return ErrorCode::NoBackendServer;
   }
-  if (draining_ || leaving_ || health_.draining_) {
+  if (draining_ || Leaves(aStart, aNow)) {
     return ErrorCode::Draining;
   }
   return checks_.Refuses(aStart, aNow);
 }
 
+bool
+BackendService::Leaves(const RequestStart& aStart, TimePoint aNow) const
+{
+  const bool moves = aStart.shard_ && aNow - leavingSince_ < settings_.leaveGrace_;
+  return (leaving_ && !moves) || health_.draining_;
+}
+
 bool
 BackendService::PeekTable(const ExchangePtr& aExchange, TimePoint aNow)
 {
@@ -130,7 +137,8 @@
   }
   pumping_ = true;
   limiter_.SetCap(ramp_.Allowed());
-  while (Serving() && !queue_.Empty() && pool_->Available() && limiter_.TryAcquire()) {
+  while (Serving() && !queue_.Empty() && pool_->Available() && coldRate_.Allows(clock_.Now()) &&
+         limiter_.TryAcquire()) {
     const auto item = queue_.Pop();
     const auto exchange = exchanges_[item->key_];
     exchange->phase_ = ServedPhase::Running;
@@ -148,6 +156,10 @@
     RefuseNotRun(aExchange, *code);
     return;
   }
+  if (Leaves(aExchange->start_, now)) {
+    RefuseNotRun(aExchange, ErrorCode::Draining);
+    return;
+  }
   if (limiter_.Running() > 1 && now + estimator_.ServiceTime(now) > aExchange->start_.deadline_) {
     RefuseNotRun(aExchange, ErrorCode::DeadlineExceeded, "deadline_cannot_be_met");
     return;
@@ -265,6 +277,7 @@
     refusal.code_ = aCode;
     refusal.detail_ = aDetail;
     refusal.load_ = Load();
+    refusal.reachedServer_ = aExchange->reachedServer_;
     if (start.shard_ && aCode == ErrorCode::NotOwner) {
       const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
       refusal.ownerHint_ = answer.owner_.id_;
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -11,19 +11,31 @@
 namespace {
 
 constexpr std::uint16_t kStatusUnavailable = 503;
+constexpr std::uint16_t kStatusMisdirected = 421;
+constexpr std::uint16_t kFirstSuccess = 200;
+constexpr std::uint16_t kFirstRedirect = 300;
 
-bool
-IsShed(const HttpHead& aHead)
+const std::string*
+FindHeader(const HttpHead& aHead, std::string_view aName)
 {
-  if (aHead.status_ != kStatusUnavailable) {
-    return false;
-  }
   for (const auto& header : aHead.headers_) {
-    if (boost::algorithm::iequals(header.name_, "redwing-shed")) {
-      return header.value_ == "not-run";
+    if (boost::algorithm::iequals(header.name_, aName)) {
+      return &header.value_;
     }
   }
-  return false;
+  return nullptr;
+}
+
+/// Returns whether the response says that the server did not run the request.
+bool
+SaysNotRun(const HttpProtocol& aProtocol, const HttpHead& aHead)
+{
+  const std::string* notRun = FindHeader(aHead, aProtocol.notRunHeader_);
+  if (aProtocol.notRunValue_.empty()) {
+    return notRun != nullptr || aHead.status_ == kStatusMisdirected;
+  }
+  return aHead.status_ == kStatusUnavailable && notRun != nullptr &&
+         *notRun == aProtocol.notRunValue_;
 }
 
 } // namespace
@@ -75,7 +87,12 @@
     return;
   }
   const auto now = clock_.Now();
-  auto request = BuildRequest(start, aExchange->token_, connection->Target(), now);
+  auto request = BuildRequest(settings_.protocol_,
+                              start,
+                              aExchange->token_,
+                              connection->Target(),
+                              announcement_ ? announcement_->serverId_ : std::string(),
+                              now);
   if (!request) {
     pool_->Release(connection);
     fail(ErrorCode::BadRequest, "bad_request_line");
@@ -89,6 +106,7 @@
   aExchange->phase_ = ServedPhase::Running;
   aExchange->dispatchedAt_ = now;
   aExchange->connection_ = connection;
+  coldRate_.OnSent(now);
   connection->Start(std::move(*request), std::make_shared<Observer>(*this, aExchange));
 }
 
@@ -165,10 +183,8 @@
     return;
   }
   // With an Idempotency-Key the caller may come back for the response.
-  if (!aExchange->entered_) {
-    monitor_.Cancel(start.requestId_);
-  }
-  if (!aExchange->bodyComplete_) {
+  const bool cancelled = !aExchange->entered_ && monitor_->Cancel(start.requestId_);
+  if (!aExchange->bodyComplete_ || (!aExchange->entered_ && !cancelled)) {
     connection->Close();
   } else {
     constexpr std::size_t kNoLimit = 1ULL << 40U;
@@ -176,22 +192,42 @@
   }
 }
 
+bool
+BackendService::IsAnswer(const HttpHead& aHead) const
+{
+  const HttpProtocol& protocol = settings_.protocol_;
+  if (protocol.signatureHeader_.empty()) {
+    return true;
+  }
+  const bool success = aHead.status_ >= kFirstSuccess && aHead.status_ < kFirstRedirect;
+  const bool isSigned = FindHeader(aHead, protocol.signatureHeader_) != nullptr;
+  return (isSigned || !success) && FindHeader(aHead, "content-encoding") == nullptr;
+}
+
 bool
 BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
 {
   // A shed of a resent request says nothing about its first dispatch.
-  if (!IsShed(aHead) || aExchange->resent_) {
+  if (!SaysNotRun(settings_.protocol_, aHead) || aExchange->resent_) {
     return false;
   }
-  const auto now = clock_.Now();
-  sheds_.Add();
-  limiter_.OnShed(now);
-  ramp_.OnShed(now);
+  const bool misdirected = aHead.status_ == kStatusMisdirected;
+  if (!misdirected) {
+    const auto now = clock_.Now();
+    sheds_.Add();
+    limiter_.OnShed(now);
+    ramp_.OnShed(now);
+  }
   const auto connection = std::exchange(aExchange->connection_, nullptr);
   if (aLast) {
     pool_->Release(connection);
   }
-  RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
+  aExchange->reachedServer_ = true;
+  if (misdirected) {
+    RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
+  } else {
+    RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
+  }
   if (!aLast) {
     // A connection with an unread response is never reused; End made later callbacks harmless.
     connection->Close();
@@ -208,6 +244,13 @@
   if (aExchange->phase_ == ServedPhase::Ended || OnShed(aExchange, aHead, aLast)) {
     return;
   }
+  if (!IsAnswer(aHead)) {
+    std::exchange(aExchange->connection_, nullptr)->Close();
+    if (aExchange->phase_ != ServedPhase::Ended) {
+      FailUnknown(aExchange, "invalid_response");
+    }
+    return;
+  }
   if (aExchange->entered_) {
     aExchange->kept_ = StoredResponse{ aHead.status_, aHead.headers_, aBody };
   }
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -14,10 +14,11 @@
 namespace {
 
 constexpr milliseconds kTickInterval{ 20 };
+constexpr milliseconds kIdleTickInterval{ 100 };
 constexpr milliseconds kHealthInterval{ 200 };
 constexpr milliseconds kSweepInterval{ 1000 };
-/// An announcement comes each second; a server that missed three is considered gone.
-constexpr milliseconds kAnnouncementExpiry{ 3000 };
+/// An announcement of a crashed server may arrive this long after the crash.
+constexpr milliseconds kLateAnnouncement{ 2500 };
 /// Failed polls for this long, without a refused connection, mean that the server is frozen.
 constexpr milliseconds kHealthExpiry{ 1500 };
 constexpr milliseconds kProgressTimeout{ 1000 };
@@ -34,30 +35,29 @@
 /// Connections for health, grants, cancellation and probes, out of the server's limit.
 constexpr std::uint32_t kControlConnections = 4;
 constexpr std::uint32_t kDefaultConnections = 64;
-/// Opening a connection costs the server about a millisecond, so only a few are opened in advance.
-constexpr std::uint32_t kWarmConnections = 8;
 
 } // namespace
 
 void
 BackendService::Tick()
 {
-  timer_.expires_after(kTickInterval);
+  timer_.expires_after(exchanges_.empty() && settings_.announcedState_ ? kIdleTickInterval
+                                                                       : kTickInterval);
   timer_.async_wait([this](const boost::system::error_code& aError) {
     if (aError || stopped_) {
       return;
     }
     const auto now = clock_.Now();
-    if (announcement_ && now - announcedAt_ > kAnnouncementExpiry) {
+    if (announcement_ && now - announcedAt_ > settings_.announcementExpiry_) {
       LogLine(LogLevel::Warning, "backend_announcement_expired")
         .With("service", announcement_->service_);
       GoDown("announcement_expired");
       announcement_.reset();
-      monitor_.SetTarget(std::nullopt);
+      monitor_->SetTarget(std::nullopt);
     }
     if (now >= nextPoll_) {
       nextPoll_ = now + kHealthInterval;
-      monitor_.Poll();
+      monitor_->Poll();
     }
     if (now >= nextSweep_) {
       nextSweep_ = now + kSweepInterval;
@@ -65,7 +65,9 @@
       poison_.Expire(now);
     }
     ExpireRequests(now);
-    CheckLeases(now);
+    if (!settings_.announcedState_) {
+      CheckLeases(now);
+    }
     CheckProgress(now);
     Pump();
     PublishStatus();
@@ -105,6 +107,7 @@
 {
   // Servers that do not check grants rely on this: what still runs when the lease ends is
   // cancelled.
+  std::vector<std::shared_ptr<HttpConnection>> lost;
   for (const auto& [key, exchange] : exchanges_) {
     const auto& start = exchange->start_;
     if (!exchange->counted_ || !exchange->connection_ || exchange->leaseLost_) {
@@ -113,9 +116,14 @@
     const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, aNow);
     if (!answer.owned_ || answer.token_ != exchange->token_) {
       exchange->leaseLost_ = true;
-      monitor_.Cancel(start.requestId_);
+      if (!monitor_->Cancel(start.requestId_)) {
+        lost.push_back(exchange->connection_);
+      }
     }
   }
+  for (const auto& connection : lost) {
+    connection->Close();
+  }
 }
 
 void
@@ -134,7 +142,7 @@
     return;
   }
   probingProgress_ = true;
-  monitor_.Probe([this](const std::optional<HealthReport>& aReport, bool /*aRefused*/) {
+  monitor_->Probe([this](const std::optional<HealthReport>& aReport, bool /*aRefused*/) {
     probingProgress_ = false;
     nextProbe_ = clock_.Now() + kProbeInterval;
     if (aReport) {
@@ -176,19 +184,40 @@
 BackendService::Announce(BackendAnnouncement&& aAnnouncement)
 {
   const auto now = clock_.Now();
+  if (!aAnnouncement.life_.empty() && aAnnouncement.life_ == crashedLife_ &&
+      now - crashedAt_ < kLateAnnouncement) {
+    return;
+  }
+  if (aAnnouncement.life_ == crashedLife_) {
+    crashedLife_.clear();
+  }
   announcedAt_ = now;
-  leaving_ = false;
+  coldRate_.SetColdUntil(now + std::exchange(aAnnouncement.coldFor_, milliseconds::zero()));
+  const bool draining = std::exchange(aAnnouncement.draining_, false);
+  if (!draining) {
+    leaving_ = false;
+  } else if (!leaving_) {
+    BeginLeaving(now);
+  }
+  const auto service = checks_.ServiceOf(aAnnouncement.service_);
+  coldRate_.SetRate(service.coldStart_.perSecond_);
   if (announcement_ == aAnnouncement) {
+    if (down_ && announcement_->reportsState_) {
+      OnNewServer(now);
+    }
+    PublishStatus();
     return;
   }
-  const bool moved = !announcement_ || announcement_->address_ != aAnnouncement.address_;
+  const bool moved = !announcement_ || announcement_->address_ != aAnnouncement.address_ ||
+                     announcement_->life_ != aAnnouncement.life_;
   announcement_ = std::move(aAnnouncement);
-  const auto coldStart = checks_.ColdStartOf(announcement_->service_);
   const auto slots = announcement_->slots_;
   limiter_.SetSlots(slots);
-  ramp_.Configure(coldStart.initial_, coldStart.ramp_, slots);
-  const auto connections =
-    announcement_->connections_ == 0 ? kDefaultConnections : announcement_->connections_;
+  ramp_.Configure(service.coldStart_.initial_, service.coldStart_.ramp_, slots);
+  auto connections = announcement_->connections_;
+  if (connections == 0) {
+    connections = service.connections_ == 0 ? kDefaultConnections : service.connections_;
+  }
   // At least one connection is left for requests, however small the limit is.
   pool_->SetTarget(announcement_->address_,
                    std::max(1U, connections - std::min(connections, kControlConnections)));
@@ -197,24 +226,62 @@
       .With("service", announcement_->service_)
       .With("address", announcement_->address_.ToString())
       .With("slots", slots);
-    ramp_.Begin(now);
-    estimator_.Reset();
-    down_ = true;
-    lastHealthy_ = now;
-    nextPoll_ = now + kHealthInterval;
-    monitor_.SetTarget(announcement_->address_);
-    monitor_.Poll();
+    OnNewServer(now);
   }
   PublishStatus();
 }
 
 void
-BackendService::Leave()
+BackendService::OnNewServer(TimePoint aNow)
+{
+  ramp_.Begin(aNow);
+  estimator_.Reset();
+  pool_->Clear();
+  down_ = true;
+  lastHealthy_ = aNow;
+  nextPoll_ = aNow + kHealthInterval;
+  monitor_->SetTarget(announcement_->address_);
+  if (announcement_->reportsState_) {
+    HealthReport report;
+    report.ready_ = true;
+    OnHealth(report);
+  } else {
+    monitor_->Poll();
+  }
+}
+
+void
+BackendService::BeginLeaving(TimePoint aNow)
 {
   leaving_ = true;
+  leavingSince_ = aNow;
   if (announcement_) {
     LogLine(LogLevel::Info, "backend_leaves").With("service", announcement_->service_);
   }
+  // Requests that another server could run shall not wait here.
+  std::vector<QueueItem> keyed;
+  while (auto item = queue_.Pop()) {
+    const ExchangePtr exchange = exchanges_[item->key_];
+    if (exchange->start_.shard_) {
+      keyed.push_back(std::move(*item));
+    } else {
+      RefuseNotRun(exchange, ErrorCode::Draining);
+    }
+  }
+  for (auto& item : keyed) {
+    const ExchangePtr exchange = exchanges_[item.key_];
+    if (queue_.Push(std::move(item), Rate(aNow), aNow) != QueueVerdict::Queued) {
+      RefuseNotRun(exchange, ErrorCode::Draining);
+    }
+  }
+}
+
+void
+BackendService::Leave()
+{
+  if (!leaving_) {
+    BeginLeaving(clock_.Now());
+  }
   PublishStatus();
 }
 
@@ -230,7 +297,7 @@
     LogLine(LogLevel::Info, "backend_up").With("service", announcement_->service_);
     ramp_.Begin(now);
     // The first requests shall not pay for connecting.
-    pool_->Warm(std::min(announcement_->slots_, kWarmConnections));
+    pool_->Warm(std::min(announcement_->slots_, settings_.warmConnections_));
   }
   PublishStatus();
   Pump();
@@ -253,7 +320,7 @@
     return;
   }
   probingCrash_ = true;
-  monitor_.Probe([this](const std::optional<HealthReport>& aReport, bool aRefused) {
+  monitor_->Probe([this](const std::optional<HealthReport>& aReport, bool aRefused) {
     probingCrash_ = false;
     // A connection accepted by a process that is just ending breaks without a word; ask again.
     if (!aReport && !aRefused && ++silentProbes_ < kSilentProbes) {
@@ -271,6 +338,8 @@
 void
 BackendService::OnCrash()
 {
+  crashedLife_ = announcement_->life_;
+  crashedAt_ = clock_.Now();
   crashCount_.Add();
   ++crashes_;
   std::vector<std::uint64_t> fingerprints;
@@ -338,11 +407,14 @@
   }
   next.limit_ = limiter_.Limit();
   next.running_ = limiter_.Running();
+  next.serviceTime_ = estimator_.UsualServiceTime();
+  next.crashed_ = down_ && announcement_ && !crashedLife_.empty() &&
+                  announcement_->life_ == crashedLife_;
   next.queued_ = static_cast<std::uint32_t>(queue_.Size());
   bool changed = false;
   {
     std::lock_guard lock(statusMutex_);
-    changed = status_.state_ != next.state_ || status_.limit_ != next.limit_ ||
+    changed = status_.state_ != next.state_ || status_.crashed_ != next.crashed_ || status_.limit_ != next.limit_ ||
               status_.announcement_ != next.announcement_;
     status_ = next;
   }
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -1,5 +1,8 @@
 #include "backend/BackendService.hpp"
 
+#include "backend/AnnouncedServer.hpp"
+#include "backend/ServerMonitor.hpp"
+
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -19,17 +22,12 @@
   , gate_(aGate)
   , settings_(std::move(aSettings))
   , hooks_(std::move(aHooks))
-  , checks_(aView)
+  , checks_(aView, settings_.withdrawalGrace_)
   , mailbox_(settings_.mailboxCapacity_)
   , timer_(aContext)
   , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
-  , monitor_(aContext,
-             aClock,
-             aCounters,
-             settings_.self_,
-             { [this](const HealthReport& aReport) { OnHealth(aReport); },
-               [this](bool aRefused) { OnHealthFailed(aRefused); } })
   , queue_(settings_.queueCapacity_)
+  , coldRate_(aClock.Now())
   , started_(aCounters.GetCounter("redwing_backend_requests_total"))
   , answered_(aCounters.GetCounter("redwing_backend_answered_total"))
   , notRun_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"not-run\""))
@@ -39,6 +37,17 @@
   , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
 {
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
+  if (settings_.announcedState_) {
+    monitor_ = std::make_unique<AnnouncedServer>(aContext);
+  } else {
+    monitor_ = std::make_unique<ServerMonitor>(
+      aContext,
+      aClock,
+      aCounters,
+      settings_.self_,
+      MonitorHooks{ [this](const HealthReport& aReport) { OnHealth(aReport); },
+                    [this](bool aRefused) { OnHealthFailed(aRefused); } });
+  }
 }
 
 BackendService::~BackendService()
@@ -145,7 +154,7 @@
         grants = std::move(aGrants),
         aDeadline,
         acknowledged = std::move(aAcknowledged)]() mutable {
-    monitor_.SetGrants(grants, aDeadline, std::move(acknowledged));
+    monitor_->SetGrants(grants, aDeadline, std::move(acknowledged));
   });
 }
 
@@ -189,13 +198,22 @@
 LoadReport
 BackendService::Load() const
 {
-  return { limiter_.Running(), static_cast<std::uint32_t>(queue_.Size()), limiter_.Limit() };
+  using std::chrono::microseconds;
+  const auto serviceTime =
+    std::chrono::duration_cast<microseconds>(estimator_.ServiceTime(clock_.Now()));
+  return { limiter_.Running(),
+           static_cast<std::uint32_t>(queue_.Size()),
+           limiter_.Limit(),
+           static_cast<std::uint32_t>(serviceTime.count()) };
 }
 
 ServiceRate
 BackendService::Rate(TimePoint aNow) const
 {
-  return { estimator_.ServiceTime(aNow), limiter_.Running(), limiter_.Limit() };
+  return { estimator_.ServiceTime(aNow),
+           limiter_.Running(),
+           limiter_.Limit(),
+           coldRate_.Rate(aNow) };
 }
 
 } // namespace redwing
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/ColdRateLimit.hpp"
 #include "admission/ColdStartRamp.hpp"
 #include "admission/FairQueue.hpp"
 #include "admission/LoadEstimator.hpp"
@@ -9,7 +10,7 @@
 #include "backend/RefusalLog.hpp"
 #include "backend/RequestChecks.hpp"
 #include "backend/ServedExchange.hpp"
-#include "backend/ServerMonitor.hpp"
+#include "backend/ServerControl.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
 #include "core/Mailbox.hpp"
@@ -121,6 +122,7 @@
   // Admission (BackendAdmission.cpp).
   void Admit(RequestStart&& aStart);
   std::optional<ErrorCode> CheckArrival(const RequestStart& aStart, TimePoint aNow);
+  bool Leaves(const RequestStart& aStart, TimePoint aNow) const;
   bool AnswerFromTable(const ExchangePtr& aExchange, IdempotencyVerdict aVerdict);
   bool PeekTable(const ExchangePtr& aExchange, TimePoint aNow);
   void Pump();
@@ -145,6 +147,7 @@
   void OnRequestWritten(const ExchangePtr& aExchange, std::size_t aBytes);
   void OnFailed(const ExchangePtr& aExchange, const HttpFailure& aFailure);
   bool OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast);
+  bool IsAnswer(const HttpHead& aHead) const;
   void FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail);
   void Complete(const ExchangePtr& aExchange);
   void Detach(const ExchangePtr& aExchange, ErrorCode aCode);
@@ -159,6 +162,8 @@
   void OnProgressProbe(const HealthReport& aReport);
   void Announce(BackendAnnouncement&& aAnnouncement);
   void Leave();
+  void BeginLeaving(TimePoint aNow);
+  void OnNewServer(TimePoint aNow);
   void OnHealth(const HealthReport& aReport);
   void OnHealthFailed(bool aRefused);
   void SuspectCrash();
@@ -183,10 +188,11 @@
   Mailbox<RequestEvent> mailbox_;
   boost::asio::steady_timer timer_;
   std::shared_ptr<ConnectionPool> pool_;
-  ServerMonitor monitor_;
+  std::unique_ptr<ServerControl> monitor_;
   SlotLimiter limiter_;
   FairQueue queue_;
   ColdStartRamp ramp_;
+  ColdRateLimit coldRate_;
   LoadEstimator estimator_;
   IdempotencyTable entries_;
   PoisonRegistry poison_;
@@ -200,6 +206,10 @@
   HealthReport health_;
   bool down_ = true;
   bool leaving_ = false;
+  TimePoint leavingSince_{};
+  /// Run of the server that crashed last; announcements that it sent before may still arrive.
+  std::string crashedLife_;
+  TimePoint crashedAt_{};
   bool stopped_ = false;
   bool pumping_ = false;
   bool probingCrash_ = false;
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -6,10 +6,12 @@
 #include "core/Address.hpp"
 #include "exchange/BackendAnnouncement.hpp"
 #include "exchange/Events.hpp"
+#include "exchange/HttpProtocol.hpp"
 #include "exchange/ShardGrant.hpp"
 #include "ownership/ShardRow.hpp"
 #include "routing/RoutingView.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -26,6 +28,10 @@
   std::uint32_t limit_ = 0;
   std::uint32_t running_ = 0;
   std::uint32_t queued_ = 0;
+  /// Average time that the server works on a request; zero: not known.
+  Duration serviceTime_{};
+  /// The server of this announcement has crashed for certain: nothing listens at its address.
+  bool crashed_ = false;
 };
 
 struct BackendSettings
@@ -34,6 +40,19 @@
   std::size_t mailboxCapacity_ = 4096;
   /// Requests that may wait for a slot.
   std::size_t queueCapacity_ = 1024;
+  HttpProtocol protocol_;
+  /// The backend server reports its state with its announcements and checks its grants itself; it is
+  /// neither polled nor told to end requests.
+  bool announcedState_ = false;
+  /// A backend server without announcements for this long is considered gone.
+  std::chrono::milliseconds announcementExpiry_{ 3000 };
+  /// Opening a connection costs the server about a millisecond, so only a few are opened in advance.
+  std::uint32_t warmConnections_ = 8;
+  /// Time in which the shards of a withdrawn data centre move away and are still served. New work
+  /// must have stopped 3 s after the withdrawal.
+  std::chrono::milliseconds withdrawalGrace_{ 1500 };
+  /// Time in which the shards of a leaving backend server move away and are still served.
+  std::chrono::milliseconds leaveGrace_{ 0 };
 };
 
 struct BackendHooks
--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -21,7 +21,8 @@
 
 namespace {
 
-constexpr std::size_t kInputBytes = kMaxChunkBytes;
+constexpr std::size_t kFirstInputBytes = 8 * 1024;
+constexpr std::size_t kMaxInputBytes = kMaxChunkBytes;
 constexpr int kTcpUserTimeoutMs = 2000;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr std::uint16_t kFirstFinalStatus = 200;
@@ -140,7 +141,7 @@
     self->socket_.set_option(UserTimeout(kTcpUserTimeoutMs), ignored);
     self->state_ = State::Open;
     self->progress_.connected_ = true;
-    self->input_.resize(kInputBytes);
+    self->input_.resize(kFirstInputBytes);
     self->lastProgress_ = self->clock_.Now();
     self->Read();
     self->Write();
@@ -159,6 +160,8 @@
   lastProgress_ = clock_.Now();
   readCredit_ = kBodyWindowBytes;
   chunked_ = aRequest.chunked_;
+  idHeader_ = std::move(aRequest.idHeader_);
+  id_ = std::move(aRequest.id_);
   requestComplete_ = false;
   headDelivered_ = false;
   pending_ = std::move(aRequest.head_);
@@ -277,7 +280,7 @@
     if (error) {
       break;
     }
-    if (reader_->is_done() && reader_->head_.status_ < kFirstFinalStatus) {
+    if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || IsForeign())) {
       reader_ = std::make_unique<Reader>(false);
     }
   }
@@ -288,17 +291,34 @@
   std::memmove(input_.data(), input_.data() + used, inputBytes_ - used);
   inputBytes_ -= used;
   if (inputBytes_ == input_.size()) {
-    Fail(true);
-    return;
+    if (input_.size() >= kMaxInputBytes) {
+      Fail(true);
+      return;
+    }
+    input_.resize(input_.size() * 2);
   }
   Deliver();
   Read();
 }
 
+bool
+HttpConnection::IsForeign() const
+{
+  if (idHeader_.empty() || !reader_->is_header_done()) {
+    return false;
+  }
+  for (const Header& header : reader_->head_.headers_) {
+    if (boost::beast::iequals(header.name_, idHeader_)) {
+      return header.value_ != id_;
+    }
+  }
+  return false;
+}
+
 void
 HttpConnection::Deliver()
 {
-  if (!reader_->is_header_done() || reader_->head_.status_ < kFirstFinalStatus) {
+  if (!reader_->is_header_done() || reader_->head_.status_ < kFirstFinalStatus || IsForeign()) {
     return;
   }
   const bool last = reader_->is_done();
@@ -325,7 +345,7 @@
 void
 HttpConnection::OnEnd(bool aClean)
 {
-  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done()) {
+  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done() && !IsForeign()) {
     error_code error;
     reader_->put_eof(error);
     if (!error && reader_->is_done()) {
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -26,6 +26,10 @@
   bool chunked_ = false;
   /// Responses to HEAD have no body whatever their head says.
   bool headMethod_ = false;
+  /// Response header that repeats id_; empty if responses carry no id. A response with another id
+  /// belongs to an earlier request and is discarded.
+  std::string idHeader_;
+  std::string id_;
 };
 
 struct HttpHead
@@ -127,6 +131,7 @@
   void Connect();
   void Read();
   void OnRead(std::size_t aBytes);
+  bool IsForeign() const;
   void Deliver();
   void OnEnd(bool aClean);
   void Write();
@@ -148,6 +153,8 @@
   std::size_t writingBody_ = 0;
   std::size_t readCredit_ = kBodyWindowBytes;
   TimePoint lastProgress_;
+  std::string idHeader_;
+  std::string id_;
   HttpFailure progress_;
   bool used_ = false;
   bool reading_ = false;
--- a/src/backend/RequestChecks.cpp
+++ b/src/backend/RequestChecks.cpp
@@ -7,16 +7,10 @@
 
 namespace redwing {
 
-namespace {
-
-/// Time in which the shards of a withdrawn data centre move away and are still served. New work
-/// must have stopped 3 s after the withdrawal.
-constexpr std::chrono::milliseconds kWithdrawalGrace{ 1500 };
-
-} // namespace
-
-RequestChecks::RequestChecks(const Published<RoutingView>& aView)
+RequestChecks::RequestChecks(const Published<RoutingView>& aView,
+                             std::chrono::milliseconds aWithdrawalGrace)
   : view_(aView)
+  , withdrawalGrace_(aWithdrawalGrace)
 {
 }
 
@@ -53,7 +47,7 @@
   if (aNow >= aStart.deadline_) {
     return ErrorCode::DeadlineExceeded;
   }
-  if (withdrawnSince_ && (!aStart.shard_ || aNow - *withdrawnSince_ >= kWithdrawalGrace)) {
+  if (withdrawnSince_ && (!aStart.shard_ || aNow - *withdrawnSince_ >= withdrawalGrace_)) {
     return ErrorCode::Draining;
   }
   if (aStart.keyId_.empty() || keys_.contains(aStart.keyId_)) {
@@ -88,14 +82,14 @@
   return chosen == view.self_.id_;
 }
 
-ColdStart
-RequestChecks::ColdStartOf(const std::string& aService)
+Service
+RequestChecks::ServiceOf(const std::string& aService)
 {
   const auto& configuration = view_.Get()->configuration_;
   if (configuration) {
     for (const auto& service : configuration->configuration_.services_) {
       if (service.id_ == aService) {
-        return service.coldStart_;
+        return service;
       }
     }
   }
--- a/src/backend/RequestChecks.hpp
+++ b/src/backend/RequestChecks.hpp
@@ -4,6 +4,7 @@
 #include "exchange/Events.hpp"
 #include "routing/RoutingView.hpp"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,7 +17,7 @@
 class RequestChecks
 {
 public:
-  explicit RequestChecks(const Published<RoutingView>& aView);
+  RequestChecks(const Published<RoutingView>& aView, std::chrono::milliseconds aWithdrawalGrace);
 
   /// Returns why aStart must not run, or nothing.
   ///
@@ -29,15 +30,16 @@
   /// Preconditions: none. Thread safety: backend thread only.
   bool MayTry(const RequestStart& aStart);
 
-  /// Returns the cold-start settings of aService.
+  /// Returns the configuration of aService, or defaults if it is not known.
   ///
   /// Preconditions: none. Thread safety: backend thread only.
-  ColdStart ColdStartOf(const std::string& aService);
+  Service ServiceOf(const std::string& aService);
 
 private:
   void Refresh(TimePoint aNow);
 
   PublishedReader<RoutingView> view_;
+  std::chrono::milliseconds withdrawalGrace_;
   std::shared_ptr<const ConfigurationRevision> configuration_;
   std::unordered_set<std::string> keys_;
   std::optional<TimePoint> withdrawnSince_;
--- a/src/backend/RequestText.cpp
+++ b/src/backend/RequestText.cpp
@@ -9,17 +9,17 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 11> kDroppedHeaders{
-  "authorization",      "connection", "content-length",    "expect",  "keep-alive",
-  "proxy-connection",   "te",         "transfer-encoding", "trailer", "upgrade",
-  "proxy-authorization"
+constexpr std::array<std::string_view, 10> kDroppedHeaders{
+  "connection", "content-length",    "expect",  "keep-alive", "proxy-connection",
+  "te",         "transfer-encoding", "trailer", "upgrade",    "proxy-authorization"
 };
-constexpr std::string_view kOwnPrefix = "redwing-";
 
 bool
-IsDropped(std::string_view aName)
+IsDropped(const HttpProtocol& aProtocol, std::string_view aName)
 {
-  return boost::algorithm::istarts_with(aName, kOwnPrefix) ||
+  const std::string& prefix = aProtocol.ownPrefix_;
+  return (!prefix.empty() && boost::algorithm::istarts_with(aName, prefix)) ||
+         boost::algorithm::iequals(aName, aProtocol.apiKeyHeader_) ||
          std::any_of(
            kDroppedHeaders.begin(), kDroppedHeaders.end(), [&](std::string_view aDropped) {
              return boost::algorithm::iequals(aName, aDropped);
@@ -51,20 +51,37 @@
   aHead.append(aName).append(": ").append(aValue).append("\r\n");
 }
 
+void
+AppendOwnHeader(std::string& aHead, std::string_view aName, std::string_view aValue)
+{
+  if (!aName.empty()) {
+    AppendHeader(aHead, aName, aValue);
+  }
+}
+
 void
 AppendOwnHeaders(std::string& aHead,
+                 const HttpProtocol& aProtocol,
                  const RequestStart& aStart,
                  std::uint64_t aToken,
+                 const std::string& aServerId,
                  TimePoint aNow)
 {
   using std::chrono::milliseconds;
   const auto left = std::chrono::duration_cast<milliseconds>(aStart.deadline_ - aNow).count();
-  AppendHeader(aHead, "Redwing-Request-Id", aStart.requestId_);
-  AppendHeader(aHead, "Redwing-Workspace", aStart.workspace_);
-  AppendHeader(aHead, "Redwing-Deadline-Ms", std::to_string(std::max<std::int64_t>(0, left)));
+  AppendOwnHeader(aHead, aProtocol.requestIdHeader_, aStart.requestId_);
+  if (!aStart.workspace_.empty()) {
+    AppendOwnHeader(aHead, aProtocol.workspaceHeader_, aStart.workspace_);
+  }
+  AppendOwnHeader(
+    aHead, aProtocol.deadlineHeader_, std::to_string(std::max<std::int64_t>(0, left)));
   if (aStart.shard_) {
-    AppendHeader(aHead, "Redwing-Shard", ShardName(aStart.service_, aStart.shard_->shard_));
-    AppendHeader(aHead, "Redwing-Token", std::to_string(aToken));
+    AppendOwnHeader(
+      aHead, aProtocol.shardHeader_, ShardName(aStart.service_, aStart.shard_->shard_));
+    AppendOwnHeader(aHead, aProtocol.tokenHeader_, std::to_string(aToken));
+  }
+  if (!aServerId.empty()) {
+    AppendOwnHeader(aHead, aProtocol.expectedServerHeader_, aServerId);
   }
 }
 
@@ -77,9 +94,11 @@
 }
 
 std::optional<HttpRequest>
-BuildRequest(const RequestStart& aStart,
+BuildRequest(const HttpProtocol& aProtocol,
+             const RequestStart& aStart,
              std::uint64_t aToken,
              const Address& aAddress,
+             const std::string& aServerId,
              TimePoint aNow)
 {
   if (!IsWord(aStart.method_) || !IsWord(aStart.target_)) {
@@ -96,7 +115,7 @@
   bool hasHost = false;
   for (const auto& header : aStart.headers_) {
     if (!IsWord(header.name_) || header.name_.find(':') != std::string::npos ||
-        HasControl(header.value_, kSpace) || IsDropped(header.name_)) {
+        HasControl(header.value_, kSpace) || IsDropped(aProtocol, header.name_)) {
       continue;
     }
     hasHost = hasHost || boost::algorithm::iequals(header.name_, "host");
@@ -105,7 +124,11 @@
   if (!hasHost) {
     AppendHeader(head, "Host", aAddress.ToString());
   }
-  AppendOwnHeaders(head, aStart, aToken, aNow);
+  AppendOwnHeaders(head, aProtocol, aStart, aToken, aServerId, aNow);
+  if (aProtocol.serverEchoesId_) {
+    request.idHeader_ = aProtocol.requestIdHeader_;
+    request.id_ = aStart.requestId_;
+  }
   if (aStart.last_) {
     const bool bodyless = aStart.method_ == "GET" || request.headMethod_;
     if (!aStart.body_.empty() || !bodyless) {
--- a/src/backend/RequestText.hpp
+++ b/src/backend/RequestText.hpp
@@ -2,6 +2,7 @@
 
 #include "backend/HttpConnection.hpp"
 #include "exchange/Events.hpp"
+#include "exchange/HttpProtocol.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -10,13 +11,16 @@
 namespace redwing {
 
 /// Builds the HTTP request for the backend server. Headers that the router sets itself, hop-by-hop
-/// headers and Authorization are left out whatever the caller sent; nothing is returned if method
-/// or target would break the request line.
+/// headers and the API key are left out whatever the caller sent; nothing is returned if method or
+/// target would break the request line. aServerId names the run of the server that the request is
+/// meant for; it may be empty.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-std::optional<HttpRequest> BuildRequest(const RequestStart& aStart,
+std::optional<HttpRequest> BuildRequest(const HttpProtocol& aProtocol,
+                                        const RequestStart& aStart,
                                         std::uint64_t aToken,
                                         const Address& aAddress,
+                                        const std::string& aServerId,
                                         TimePoint aNow);
 
 /// Returns `service/index`.
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -40,6 +40,8 @@
   /// Runs as the one trial of a suspected request.
   bool trial_ = false;
   bool resent_ = false;
+  /// The server answered that it did not run the request.
+  bool reachedServer_ = false;
   bool headSent_ = false;
   /// The caller got its final event; the rest of the response is discarded.
   bool detached_ = false;
--- a/src/backend/ServerMonitor.cpp
+++ b/src/backend/ServerMonitor.cpp
@@ -185,7 +185,7 @@
     });
 }
 
-void
+bool
 ServerMonitor::Cancel(const std::string& aRequestId)
 {
   if (address_) {
@@ -195,6 +195,7 @@
       *address_, "POST", "/redwing/cancel", body.dump(), kCancelTimeout, [](const ControlReply&) {
       });
   }
+  return true;
 }
 
 } // namespace redwing
--- a/src/backend/ServerMonitor.hpp
+++ b/src/backend/ServerMonitor.hpp
@@ -2,6 +2,7 @@
 
 #include "backend/BackendTypes.hpp"
 #include "backend/ControlClient.hpp"
+#include "backend/ServerControl.hpp"
 #include "core/Counters.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -14,25 +15,9 @@
 
 namespace redwing {
 
-/// One answer of GET /redwing/health.
-struct HealthReport
-{
-  bool ready_ = false;
-  bool draining_ = false;
-  bool cold_ = false;
-  std::uint32_t outstanding_ = 0;
-};
-
-struct MonitorHooks
-{
-  std::function<void(const HealthReport&)> onHealth_;
-  /// A poll got no valid answer; aRefused says that nothing listened.
-  std::function<void(bool aRefused)> onHealthFailed_;
-};
-
 /// Talks to the backend server on behalf of the instance: health, grants, cancellation, probes.
 /// Backend thread only.
-class ServerMonitor
+class ServerMonitor final : public ServerControl
 {
 public:
   ServerMonitor(boost::asio::io_context& aContext,
@@ -40,35 +25,15 @@
                 CounterRegistry& aCounters,
                 InstanceRef aSelf,
                 MonitorHooks aHooks);
-  ~ServerMonitor();
-
-  /// Sets the server's address; grants are sent again to a new one.
-  ///
-  /// Preconditions: none. Thread safety: backend thread only.
-  void SetTarget(std::optional<Address> aAddress);
-
-  /// Polls the health unless the last poll is still open.
-  ///
-  /// Preconditions: none. Thread safety: backend thread only.
-  void Poll();
+  ~ServerMonitor() override;
 
-  /// Asks for the health on a new connection.
-  ///
-  /// Preconditions: none. Thread safety: backend thread only.
-  void Probe(std::function<void(std::optional<HealthReport>, bool aRefused)> aCallback);
-
-  /// Replaces the set of grants. While one is being sent only the latest waits; the callbacks of
-  /// those it replaced get false.
-  ///
-  /// Preconditions: none. Thread safety: backend thread only.
+  void SetTarget(std::optional<Address> aAddress) override;
+  void Poll() override;
+  void Probe(std::function<void(std::optional<HealthReport>, bool aRefused)> aCallback) override;
   void SetGrants(const std::vector<ShardGrant>& aGrants,
                  TimePoint aDeadline,
-                 std::function<void(bool)> aAcknowledged);
-
-  /// Asks the server to cancel a running request.
-  ///
-  /// Preconditions: none. Thread safety: backend thread only.
-  void Cancel(const std::string& aRequestId);
+                 std::function<void(bool)> aAcknowledged) override;
+  bool Cancel(const std::string& aRequestId) override;
 
 private:
   struct GrantSet
--- a/src/config/Configuration.hpp
+++ b/src/config/Configuration.hpp
@@ -21,6 +21,8 @@
   double burst_ = 0;
   /// Weight in the fair queues.
   std::uint32_t weight_ = 1;
+  /// Replaces the priority of the route if set; 0 is served first.
+  std::optional<std::uint8_t> priority_;
 
   bool operator==(const Workspace&) const = default;
 };
@@ -43,16 +45,36 @@
   Pooled,
 };
 
+/// Initial concurrency that never limits a backend server.
+constexpr std::uint32_t kUnlimitedConcurrency = 10'000;
+
 struct ColdStart
 {
   /// Concurrency given to a cold backend server at first.
   std::uint32_t initial_ = 1;
   /// Time within which a healthy backend server reaches its full slots.
   std::chrono::milliseconds ramp_{ 5000 };
+  /// Requests per second that a cold backend server bears; 0: no limit.
+  double perSecond_ = 0;
 
   bool operator==(const ColdStart&) const = default;
 };
 
+/// How a routing key becomes a shard.
+enum class KeyMapping : std::uint8_t
+{
+  /// By its hash.
+  Hashed,
+  /// The key is a number from 0 to 65535; each shard is a range of keys of equal length.
+  Numeric,
+};
+
+/// Number of keys under KeyMapping::Numeric.
+constexpr std::uint32_t kNumericKeys = 65536;
+/// Usual number of shards under KeyMapping::Numeric: ranges of 32 keys are small enough to spread
+/// busy neighbouring keys over several servers.
+constexpr std::uint32_t kNumericShards = 2048;
+
 struct Service
 {
   std::string id_;
@@ -60,6 +82,9 @@
   /// Number of shards of a keyed service; fixed for its lifetime.
   std::uint32_t shards_ = 0;
   ColdStart coldStart_;
+  KeyMapping keyMapping_ = KeyMapping::Hashed;
+  /// Connections that each backend server accepts; 0: as it announces.
+  std::uint32_t connections_ = 0;
 
   bool operator==(const Service&) const = default;
 };
@@ -100,6 +125,15 @@
   Header,
 };
 
+/// A service that gets a share of a route's requests.
+struct RouteTarget
+{
+  std::string service_;
+  std::uint32_t weight_ = 1;
+
+  bool operator==(const RouteTarget&) const = default;
+};
+
 struct Route
 {
   std::string id_;
@@ -123,6 +157,14 @@
   std::vector<std::string> workspaces_;
   /// Tried in order of weight; empty: all backend servers of the service.
   std::vector<Selector> selectors_;
+  /// Host header that the route is for; empty: any.
+  std::string host_;
+  /// Services that share the requests by weight; empty: all go to service_.
+  std::vector<RouteTarget> split_;
+  /// Backend servers that may run one request; at least 1.
+  std::uint32_t maxAttempts_ = 2;
+  /// Time within which a response is of full use to the caller; 0: the whole timeout.
+  std::chrono::milliseconds targetLatency_{ 0 };
 
   bool operator==(const Route&) const = default;
 };
--- a/src/config/ConfigurationParser.cpp
+++ b/src/config/ConfigurationParser.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t kMaximumInitial = 10000;
 constexpr std::uint64_t kMaximumShards = 65536;
 constexpr std::uint64_t kMaximumSegment = 31;
+constexpr std::uint64_t kMaximumConnections = 1'000'000;
+constexpr std::uint64_t kMaximumAttempts = 10;
 constexpr std::uint64_t kMaximumPriority = 9;
 constexpr std::uint64_t kMaximumMilliseconds = 600'000;
 
@@ -186,6 +188,11 @@
   aReader.Real("rate", workspace.rate_, kMinimumRate, kMaximumRate);
   aReader.Real("burst", workspace.burst_, 1, kMaximumRate);
   aReader.Integer("weight", workspace.weight_, 1, kMaximumWeight);
+  if (aReader.Member("priority", false) != nullptr) {
+    std::uint8_t priority = 0;
+    aReader.Integer("priority", priority, 0, kMaximumPriority);
+    workspace.priority_ = priority;
+  }
   return workspace;
 }
 
@@ -218,8 +225,18 @@
     ObjectReader reader(*coldStart, aReader.Place("coldStart"), aReader.AllFindings());
     reader.Integer("initial", service.coldStart_.initial_, 1, kMaximumInitial);
     reader.Milliseconds("rampMs", service.coldStart_.ramp_);
+    if (reader.Member("perSecond", false) != nullptr) {
+      reader.Real("perSecond", service.coldStart_.perSecond_, 0, kMaximumRate);
+    }
     reader.Finish();
   }
+  std::string keys = "hashed";
+  aReader.Text("keys", keys, false);
+  if (keys != "hashed" && keys != "numeric") {
+    aReader.Report("keys", "must be \"hashed\" or \"numeric\"");
+  }
+  service.keyMapping_ = keys == "numeric" ? KeyMapping::Numeric : KeyMapping::Hashed;
+  aReader.Integer("connections", service.connections_, 1, kMaximumConnections);
   return service;
 }
 
@@ -267,7 +284,20 @@
   aReader.Text("id", route.id_, true);
   aReader.Text("pathPrefix", route.pathPrefix_, true);
   aReader.TextList("methods", route.methods_);
-  aReader.Text("service", route.service_, true);
+  aReader.Text("host", route.host_, false);
+  aReader.Each("split", [&](const Json& aItem, const std::string& aPlace) {
+    ObjectReader reader(aItem, aPlace, aReader.AllFindings());
+    RouteTarget target;
+    reader.Text("service", target.service_, true);
+    reader.Integer("weight", target.weight_, 0, kMaximumWeight, true);
+    reader.Finish();
+    route.split_.push_back(std::move(target));
+  });
+  aReader.Text("service", route.service_, route.split_.empty());
+  aReader.Integer("maxAttempts", route.maxAttempts_, 1, kMaximumAttempts);
+  if (aReader.Member("targetLatencyMs", false) != nullptr) {
+    aReader.Milliseconds("targetLatencyMs", route.targetLatency_);
+  }
   ReadRoutingKey(aReader, route);
   aReader.Flag("open", route.open_);
   aReader.Text("openWorkspace", route.openWorkspace_, route.open_);
--- a/src/config/ConfigurationWriter.cpp
+++ b/src/config/ConfigurationWriter.cpp
@@ -29,10 +29,14 @@
 Json
 ToJson(const Workspace& aWorkspace)
 {
-  return { { "id", aWorkspace.id_ },
-           { "rate", Number(aWorkspace.rate_) },
-           { "burst", Number(aWorkspace.burst_) },
-           { "weight", aWorkspace.weight_ } };
+  Json json{ { "id", aWorkspace.id_ },
+             { "rate", Number(aWorkspace.rate_) },
+             { "burst", Number(aWorkspace.burst_) },
+             { "weight", aWorkspace.weight_ } };
+  if (aWorkspace.priority_) {
+    json["priority"] = *aWorkspace.priority_;
+  }
+  return json;
 }
 
 Json
@@ -51,6 +55,15 @@
   }
   json["coldStart"] = { { "initial", aService.coldStart_.initial_ },
                         { "rampMs", aService.coldStart_.ramp_.count() } };
+  if (aService.coldStart_.perSecond_ > 0) {
+    json["coldStart"]["perSecond"] = Number(aService.coldStart_.perSecond_);
+  }
+  if (aService.keyMapping_ == KeyMapping::Numeric) {
+    json["keys"] = "numeric";
+  }
+  if (aService.connections_ > 0) {
+    json["connections"] = aService.connections_;
+  }
   return json;
 }
 
@@ -61,7 +74,21 @@
   if (!aRoute.methods_.empty()) {
     json["methods"] = aRoute.methods_;
   }
-  json["service"] = aRoute.service_;
+  if (!aRoute.host_.empty()) {
+    json["host"] = aRoute.host_;
+  }
+  if (!aRoute.service_.empty()) {
+    json["service"] = aRoute.service_;
+  }
+  for (const RouteTarget& target : aRoute.split_) {
+    json["split"].push_back({ { "service", target.service_ }, { "weight", target.weight_ } });
+  }
+  if (aRoute.maxAttempts_ != Route{}.maxAttempts_) {
+    json["maxAttempts"] = aRoute.maxAttempts_;
+  }
+  if (aRoute.targetLatency_.count() > 0) {
+    json["targetLatencyMs"] = aRoute.targetLatency_.count();
+  }
   if (aRoute.keySource_ == KeySource::PathSegment) {
     json["key"] = { { "segment", aRoute.keySegment_ } };
   } else if (aRoute.keySource_ == KeySource::Header) {
--- a/src/config/RouteValidator.cpp
+++ b/src/config/RouteValidator.cpp
@@ -129,16 +129,11 @@
 RouteValidator::CheckRoutingKey(std::size_t aIndex)
 {
   const Route& route = configuration_.routes_[aIndex];
-  const auto service = services_.find(route.service_);
-  if (service == services_.end()) {
-    Report(aIndex, "service", "names no service");
-  } else {
-    const bool keyed = configuration_.services_[service->second].mode_ == ServiceMode::Keyed;
-    if (keyed && route.keySource_ == KeySource::None) {
-      Report(aIndex, "key", "is required, because the service is keyed");
-    } else if (!keyed && route.keySource_ != KeySource::None) {
-      Report(aIndex, "key", "is not used, because the service is pooled");
-    }
+  if (route.split_.empty()) {
+    CheckTarget(aIndex, "service", route.service_);
+  }
+  for (std::size_t i = 0; i < route.split_.size(); ++i) {
+    CheckTarget(aIndex, "split/" + std::to_string(i) + "/service", route.split_[i].service_);
   }
   if (route.keySource_ == KeySource::PathSegment &&
       route.keySegment_ < CountSegments(route.pathPrefix_)) {
@@ -155,6 +150,25 @@
   }
 }
 
+void
+RouteValidator::CheckTarget(std::size_t aIndex,
+                            std::string_view aMember,
+                            const std::string& aService)
+{
+  const Route& route = configuration_.routes_[aIndex];
+  const auto service = services_.find(aService);
+  if (service == services_.end()) {
+    Report(aIndex, aMember, "names no service");
+    return;
+  }
+  const bool keyed = configuration_.services_[service->second].mode_ == ServiceMode::Keyed;
+  if (keyed && route.keySource_ == KeySource::None) {
+    Report(aIndex, "key", "is required, because the service is keyed");
+  } else if (!keyed && route.keySource_ != KeySource::None && route.split_.empty()) {
+    Report(aIndex, "key", "is not used, because the service is pooled");
+  }
+}
+
 void
 RouteValidator::CheckWorkspaces(std::size_t aIndex)
 {
@@ -185,7 +199,8 @@
   const Route& route = configuration_.routes_[aIndex];
   const auto [begin, end] = byPath_.equal_range(route.pathPrefix_);
   for (auto other = begin; other != end; ++other) {
-    if (MethodsOverlap(route, configuration_.routes_[other->second])) {
+    const Route& earlier = configuration_.routes_[other->second];
+    if (route.host_ == earlier.host_ && MethodsOverlap(route, earlier)) {
       Report(aIndex,
              "pathPrefix",
              "conflicts with /routes/" + std::to_string(other->second) +
--- a/src/config/RouteValidator.hpp
+++ b/src/config/RouteValidator.hpp
@@ -32,6 +32,7 @@
   void CheckPath(std::size_t aIndex);
   void CheckMethods(std::size_t aIndex);
   void CheckRoutingKey(std::size_t aIndex);
+  void CheckTarget(std::size_t aIndex, std::string_view aMember, const std::string& aService);
   void CheckWorkspaces(std::size_t aIndex);
   void CheckConflicts(std::size_t aIndex);
   void Report(std::size_t aIndex, std::string_view aMember, std::string aMessage);
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -91,11 +91,13 @@
 }
 
 void
-InitLogging(std::string_view aProgram, LogLevel aLevel)
+InitLogging(std::string_view aProgram, LogLevel aLevel, LogTarget aTarget)
 {
   static const std::string program(aProgram);
   gLevel.store(aLevel, std::memory_order_relaxed);
-  FLAGS_logtostderr = true;
+  FLAGS_logtostderr = aTarget == LogTarget::StandardError;
+  FLAGS_logtostdout = aTarget == LogTarget::StandardOutput;
+  FLAGS_stderrthreshold = google::GLOG_FATAL;
   FLAGS_logbufsecs = 0;
   google::InitGoogleLogging(program.c_str());
 }
--- a/src/core/Log.hpp
+++ b/src/core/Log.hpp
@@ -55,9 +55,17 @@
   std::string text_;
 };
 
-/// Initialises logging to standard error; lines below aLevel are discarded.
+enum class LogTarget
+{
+  StandardError,
+  StandardOutput,
+};
+
+/// Initialises logging; lines below aLevel are discarded.
 ///
 /// Preconditions: called once, before other threads start. Thread safety: not thread-safe.
-void InitLogging(std::string_view aProgram, LogLevel aLevel);
+void InitLogging(std::string_view aProgram,
+                 LogLevel aLevel,
+                 LogTarget aTarget = LogTarget::StandardError);
 
 } // namespace redwing
--- a/src/core/SteadyClock.cpp
+++ b/src/core/SteadyClock.cpp
@@ -1,11 +1,15 @@
 #include "core/SteadyClock.hpp"
 
+#include <ctime>
+
 namespace redwing {
 
 TimePoint
 SteadyClock::Now() const
 {
-  return std::chrono::steady_clock::now();
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 } // namespace redwing
--- a/src/exchange/BackendAnnouncement.hpp
+++ b/src/exchange/BackendAnnouncement.hpp
@@ -3,6 +3,7 @@
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -18,6 +19,15 @@
   /// Connections that it accepts.
   std::uint32_t connections_ = 0;
   Labels labels_;
+  /// Name of this run of the server, sent with each request; empty if the server does not check it.
+  std::string serverId_;
+  /// Differs between any two runs of the server; empty if runs are told apart by address only.
+  std::string life_;
+  /// The announcement itself says that the server is up; it is not asked for its health.
+  bool reportsState_ = false;
+  bool draining_ = false;
+  /// Time for which the server stays cold.
+  std::chrono::milliseconds coldFor_{ 0 };
 
   bool operator==(const BackendAnnouncement&) const = default;
 };
--- a/src/exchange/Events.hpp
+++ b/src/exchange/Events.hpp
@@ -65,6 +65,8 @@
   std::uint32_t running_ = 0;
   std::uint32_t queued_ = 0;
   std::uint32_t slots_ = 0;
+  /// Expected time that the server works on a request, in microseconds; 0: not known.
+  std::uint32_t serviceTimeUs_ = 0;
 };
 
 /// First event of a request; small bodies travel inside it.
@@ -97,6 +99,8 @@
   std::uint64_t configurationRevision_ = 0;
   /// Identifies the caller's key without revealing it, for withdrawal while queued; empty if open.
   std::string keyId_;
+  /// Time after its arrival within which the answer is of full use to the caller.
+  TimePoint targetTime_{};
 };
 
 struct RequestBody
@@ -157,6 +161,8 @@
   std::string ownerHint_;
   std::uint64_t ownerToken_ = 0;
   LoadReport load_;
+  /// The request arrived at a backend server, which turned it away.
+  bool reachedServer_ = false;
 };
 
 /// Lets the caller's side send aBytes more of the request's body.
--- /dev/null
+++ b/src/fleet/FleetLeader.cpp
@@ -0,0 +1,347 @@
+// Part of FleetService: election, placement and allowances.
+
+#include "core/Log.hpp"
+#include "fleet/FleetService.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// Members that find the leader gone do not all reach for its place at once.
+constexpr std::uint64_t kElectionSpreadMs = 150;
+constexpr milliseconds kElectionRetry{ 400 };
+constexpr milliseconds kPlanInterval{ 500 };
+/// The first table of a service is made once the members of a starting fleet have registered.
+constexpr milliseconds kBootstrapDelay{ 1500 };
+constexpr milliseconds kBootstrapQuiet{ 600 };
+constexpr milliseconds kReportTimeout{ 450 };
+/// Time in which the traffic of a shard loses half of its weight.
+constexpr milliseconds kHeatHalfLife{ 2000 };
+/// Fewer recent requests than this say nothing about the spread of load.
+constexpr double kMinHeat = 60;
+constexpr double kRateWeight = 0.1;
+/// Conditions of one transaction of the store, less those of the table itself.
+constexpr std::size_t kMaxLostHolders = 28;
+/// Replies that must show a newer store revision before the entries are read again.
+constexpr unsigned kStaleReplies = 2;
+
+} // namespace
+
+void
+FleetService::Elect()
+{
+  const std::string key = session_.LeaderKey();
+  const auto entry = session_.All().find(key);
+  const std::string& self = settings_.self_.ref_.id_;
+  const bool named = entry != session_.All().end() && entry->second.value_ == self;
+  const TimePoint now = clock_.Now();
+  const bool leads = named && leadsSince_ != TimePoint{} && session_.Confirmed();
+  if (leads != leads_) {
+    leads_ = leads;
+    LogLine(LogLevel::Info, leads ? "leader_begins" : "leader_ends")
+      .With("instance", self)
+      .With("revision", session_.RevisionOf(key));
+  }
+  if (!session_.Confirmed() || leaving_) {
+    leadsSince_ = {};
+    return;
+  }
+  const bool vacant = entry == session_.All().end();
+  if (leads || electing_ || (!vacant && !named)) {
+    electAt_ = {};
+    return;
+  }
+  if (electAt_ == TimePoint{}) {
+    // An instance that led before it restarted goes on at once.
+    electAt_ = now + milliseconds(named ? 0 : random_.Below(kElectionSpreadMs));
+  }
+  if (now < electAt_) {
+    return;
+  }
+  electing_ = true;
+  StoreTransaction transaction;
+  transaction.compares_.push_back({ key, session_.RevisionOf(key) });
+  transaction.writes_.push_back({ key, self, session_.Lease() });
+  session_.Commit(std::move(transaction), [this](const StoreResult<StoreTransactionResult>& aResult) {
+    electing_ = false;
+    if (aResult && aResult->succeeded_) {
+      leadsSince_ = clock_.Now();
+      pools_.clear();
+      session_.Reload();
+    } else {
+      electAt_ = clock_.Now() + kElectionRetry;
+    }
+  });
+}
+
+void
+FleetService::PlanAll()
+{
+  const TimePoint now = clock_.Now();
+  if (!leads_ || now < nextPlan_) {
+    return;
+  }
+  nextPlan_ = now + kPlanInterval;
+  for (const Service& service : configuration_->configuration_.services_) {
+    if (service.mode_ == ServiceMode::Keyed && !writing_.contains(service.id_)) {
+      Plan(service);
+    }
+  }
+}
+
+std::vector<ShardCandidate>
+FleetService::CandidatesOf(const std::string& aService) const
+{
+  std::set<std::string> withdrawn;
+  for (const DataCentre& dataCentre : configuration_->configuration_.dataCentres_) {
+    if (dataCentre.withdrawn_) {
+      withdrawn.insert(dataCentre.id_);
+    }
+  }
+  double known = 0;
+  std::size_t count = 0;
+  std::vector<ShardCandidate> candidates;
+  for (const auto& [key, member] : members_) {
+    const MemberRecord& record = member.record_;
+    if (record.member_.service_ != aService) {
+      continue;
+    }
+    ShardCandidate candidate;
+    candidate.instanceId_ = record.member_.ref_.id_;
+    candidate.life_ = record.life_;
+    candidate.accepts_ = record.Accepts() && !withdrawn.contains(record.member_.dataCentre_);
+    const auto rate = serviceRates_.find(candidate.instanceId_);
+    candidate.capacity_ = rate == serviceRates_.end() ? 0 : rate->second;
+    known += candidate.capacity_;
+    count += candidate.capacity_ > 0 ? 1 : 0;
+    candidates.push_back(std::move(candidate));
+  }
+  const double usual = count > 0 ? known / static_cast<double>(count) : 1;
+  for (ShardCandidate& candidate : candidates) {
+    if (candidate.capacity_ <= 0) {
+      candidate.capacity_ = usual;
+    }
+  }
+  return candidates;
+}
+
+bool
+FleetService::MayCreateTable() const
+{
+  const TimePoint now = clock_.Now();
+  return now - startedAt_ >= kBootstrapDelay && now - membersChangedAt_ >= kBootstrapQuiet;
+}
+
+std::vector<double>
+FleetService::HeatOf(const std::string& aService)
+{
+  Heat& heat = heat_[aService];
+  return heat.total_ >= kMinHeat ? heat.requests_ : std::vector<double>();
+}
+
+void
+FleetService::Plan(const Service& aService)
+{
+  auto known = tables_.find(aService.id_);
+  const bool create = known == tables_.end() || known->second.table_.Shards() != aService.shards_;
+  if (create && !MayCreateTable()) {
+    return;
+  }
+  const KnownTable base =
+    create ? KnownTable{ known == tables_.end() ? 0 : known->second.revision_,
+                         ShardTable(aService.shards_) }
+           : known->second;
+  const auto candidates = CandidatesOf(aService.id_);
+  std::vector<double> heat = HeatOf(aService.id_);
+  if (heat.size() != aService.shards_) {
+    heat.clear();
+  }
+  const ShardTable next = planner_.Plan(base.table_, candidates, heat);
+  if (next == base.table_) {
+    return;
+  }
+  // Shards are taken only from holders that are gone in the version that this plan is based on.
+  std::set<std::string> lost;
+  for (const ShardRun& run : base.table_.Runs()) {
+    const bool taken = !run.holder_.Empty() && next.At(run.first_).holder_ != run.holder_;
+    if (taken) {
+      lost.insert(run.holder_.instanceId_);
+    }
+  }
+  if (lost.size() > kMaxLostHolders) {
+    LogLine(LogLevel::Error, "plan_too_large").With("lost_holders", lost.size());
+    return;
+  }
+  std::vector<StoreCompare> conditions;
+  for (const std::string& id : lost) {
+    const std::string key = session_.MemberKey(id);
+    conditions.push_back({ key, session_.RevisionOf(key) });
+  }
+  WriteTable(aService.id_, base, next, std::move(conditions), lost.empty() ? "plan" : "take_over");
+}
+
+FleetReport
+FleetService::MakeReport()
+{
+  FleetReport report;
+  report.from_ = settings_.self_.ref_;
+  report.configurationRevision_ = configuration_->revision_;
+  report.storeRevision_ = session_.NewestChange();
+  report.service_ = settings_.self_.service_;
+  report.shardLoad_ = holds_.TakeLoad();
+  report.serviceRate_ = hooks_.serviceRate_();
+  const TimePoint now = clock_.Now();
+  for (auto& [workspace, budget] : budgets_) {
+    if (budget.InUse(now)) {
+      report.uses_.push_back({ workspace, budget.Report(now) });
+    }
+  }
+  return report;
+}
+
+void
+FleetService::SendReport()
+{
+  const auto leader = session_.All().find(session_.LeaderKey());
+  if (leader == session_.All().end()) {
+    return;
+  }
+  const TimePoint sentAt = clock_.Now();
+  if (leader->second.value_ == settings_.self_.ref_.id_) {
+    if (leads_) {
+      OnReply(OnReport(MakeReport()), sentAt);
+    }
+    return;
+  }
+  hooks_.call_(leader->second.value_,
+               WriteWire(MakeReport()),
+               kReportTimeout,
+               [this, sentAt](bool aAnswered, const std::string& aReply) {
+                 FleetReply reply;
+                 if (aAnswered && ReadWire(aReply, reply) && reply.leads_) {
+                   OnReply(reply, sentAt);
+                 }
+               });
+}
+
+FleetReply
+FleetService::OnReport(const FleetReport& aReport)
+{
+  FleetReply reply;
+  reply.leads_ = leads_;
+  reply.configurationRevision_ = configuration_->revision_;
+  reply.storeRevision_ = session_.NewestChange();
+  if (aReport.configurationRevision_ > configuration_->revision_) {
+    hooks_.refreshConfiguration_();
+  }
+  if (!leads_) {
+    return reply;
+  }
+  const TimePoint now = clock_.Now();
+  if (aReport.serviceRate_ > 0) {
+    double& rate = serviceRates_.try_emplace(aReport.from_.id_, aReport.serviceRate_).first->second;
+    rate += kRateWeight * (aReport.serviceRate_ - rate);
+  }
+  const auto table = tables_.find(aReport.service_);
+  if (!aReport.shardLoad_.empty() && table != tables_.end()) {
+    Heat& heat = heat_[aReport.service_];
+    heat.requests_.resize(table->second.table_.Shards(), 0);
+    const double elapsed =
+      std::chrono::duration<double, std::milli>(now - heat.updatedAt_).count();
+    const double fade = std::exp2(-elapsed / static_cast<double>(kHeatHalfLife.count()));
+    heat.total_ = 0;
+    for (double& requests : heat.requests_) {
+      requests *= fade;
+      heat.total_ += requests;
+    }
+    heat.updatedAt_ = now;
+    for (const auto& [shard, requests] : aReport.shardLoad_) {
+      if (shard < heat.requests_.size()) {
+        heat.requests_[shard] += requests;
+        heat.total_ += requests;
+      }
+    }
+  }
+  const std::string run =
+    aReport.from_.id_ + "#" + std::to_string(aReport.from_.incarnation_);
+  for (const WorkspaceUse& use : aReport.uses_) {
+    const Workspace* workspace = FindWorkspace(use.workspace_);
+    if (workspace == nullptr) {
+      continue;
+    }
+    BudgetPool& pool =
+      pools_.try_emplace(use.workspace_, settings_.budget_, leadsSince_).first->second;
+    const double extra = pool.OnReport(run,
+                                       use.use_,
+                                       AllowanceOf(*workspace),
+                                       std::max<std::size_t>(1, members_.size()),
+                                       now);
+    reply.grants_.push_back({ use.workspace_, extra });
+  }
+  return reply;
+}
+
+void
+FleetService::OnReply(const FleetReply& aReply, TimePoint aSentAt)
+{
+  for (const WorkspaceGrant& grant : aReply.grants_) {
+    if (const auto budget = budgets_.find(grant.workspace_); budget != budgets_.end()) {
+      budget->second.OnGrant(grant.extra_, aSentAt);
+    }
+  }
+  if (aReply.configurationRevision_ > configuration_->revision_) {
+    hooks_.refreshConfiguration_();
+  }
+  staleReplies_ = aReply.storeRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
+  if (staleReplies_ >= kStaleReplies) {
+    staleReplies_ = 0;
+    session_.Reload();
+  }
+}
+
+double
+FleetService::AllowanceOf(const Workspace& aWorkspace) const
+{
+  const double seconds = std::chrono::duration<double>(settings_.budget_.window_).count();
+  return (aWorkspace.rate_ * seconds + aWorkspace.burst_) * (1 + settings_.allowanceOvershoot_) +
+         settings_.allowanceSlack_;
+}
+
+const Workspace*
+FleetService::FindWorkspace(const std::string& aId) const
+{
+  const auto& workspaces = configuration_->configuration_.workspaces_;
+  const auto found =
+    std::find_if(workspaces.begin(), workspaces.end(), [&](const Workspace& aWorkspace) {
+      return aWorkspace.id_ == aId;
+    });
+  return found == workspaces.end() ? nullptr : &*found;
+}
+
+void
+FleetService::Admit(const Workspace& aWorkspace, const RateDecision& aDecide)
+{
+  if (aWorkspace.rate_ <= 0) {
+    aDecide(true, 0);
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  WindowBudget& budget =
+    budgets_.try_emplace(aWorkspace.id_, settings_.budget_, startedAt_).first->second;
+  budget.SetAllowance(AllowanceOf(aWorkspace), std::max<std::size_t>(1, members_.size()));
+  if (budget.TryTake(now)) {
+    aDecide(true, 0);
+    return;
+  }
+  rateRefusals_.Add();
+  const auto wait = std::chrono::ceil<milliseconds>(budget.RetryAfter(now));
+  aDecide(false, static_cast<std::uint32_t>(wait.count()));
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/FleetLocal.cpp
@@ -0,0 +1,230 @@
+// Part of FleetService: the local server, its heartbeats and the record of this instance.
+
+#include "core/Log.hpp"
+#include "fleet/FleetService.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+std::string
+LifeOf(const ServerHeartbeat& aHeartbeat)
+{
+  return aHeartbeat.serverId_ + "@" + std::to_string(aHeartbeat.startedAt_);
+}
+
+} // namespace
+
+HeartbeatReply
+FleetService::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+{
+  heartbeats_.Add();
+  const std::string life = LifeOf(aHeartbeat);
+  const bool older = life != life_ ? aHeartbeat.startedAt_ < serverStartedAt_
+                                   : aHeartbeat.sequence_ <= lastSequence_;
+  if (aHeartbeat.service_ != settings_.self_.service_ || older) {
+    staleHeartbeats_.Add();
+    LogLine(LogLevel::Warning, "heartbeat_ignored")
+      .With("life", life)
+      .With("sequence", aHeartbeat.sequence_)
+      .With("service", aHeartbeat.service_)
+      .With("present_life", life_)
+      .With("last_sequence", lastSequence_);
+    return {};
+  }
+  if (life != life_) {
+    LogLine(LogLevel::Info, "server_seen").With("life", life).With("previous", life_);
+    life_ = life;
+    serverId_ = aHeartbeat.serverId_;
+    serverStartedAt_ = aHeartbeat.startedAt_;
+    serverLeaves_ = false;
+    serverCrashed_ = false;
+    holds_.SetLife(life_);
+  }
+  lastSequence_ = aHeartbeat.sequence_;
+  slots_ = aHeartbeat.slots_;
+  serverLeaves_ = serverLeaves_ || aHeartbeat.draining_;
+  Announce(aHeartbeat);
+  UpdateSelf();
+  if (serverCrashed_) {
+    // Sent before the crash was noticed.
+    return {};
+  }
+  const HeartbeatReply reply = holds_.OnHeartbeat(aHeartbeat);
+  CommitReleases();
+  return reply;
+}
+
+void
+FleetService::Announce(const ServerHeartbeat& aHeartbeat)
+{
+  BackendAnnouncement announcement;
+  announcement.service_ = aHeartbeat.service_;
+  announcement.address_ = aHeartbeat.address_;
+  announcement.slots_ = aHeartbeat.slots_;
+  announcement.serverId_ = aHeartbeat.serverId_;
+  announcement.life_ = life_;
+  announcement.reportsState_ = true;
+  announcement.draining_ = serverLeaves_;
+  announcement.coldFor_ = aHeartbeat.coldFor_;
+  hooks_.announce_(std::move(announcement));
+}
+
+void
+FleetService::OnServerLeaves(const std::string& aServerId)
+{
+  if (aServerId != serverId_ || serverLeaves_) {
+    return;
+  }
+  LogLine(LogLevel::Info, "server_leaves").With("life", life_);
+  serverLeaves_ = true;
+  hooks_.serverLeaves_();
+  UpdateSelf();
+  viewDirty_ = true;
+}
+
+void
+FleetService::OnBackendStatus(const BackendStatus& aStatus)
+{
+  viewDirty_ = viewDirty_ || backendState_ != aStatus.state_;
+  backendState_ = aStatus.state_;
+  if (aStatus.crashed_ && aStatus.announcement_.life_ == life_ && !serverCrashed_) {
+    LogLine(LogLevel::Warning, "server_gone").With("life", life_);
+    serverCrashed_ = true;
+    holds_.SetLife({});
+    holds_.SetLife(life_);
+  }
+  if (!aStatus.crashed_) {
+    serverCrashed_ = false;
+  }
+  UpdateSelf();
+}
+
+void
+FleetService::UpdateSelf()
+{
+  MemberRecord record;
+  record.member_ = settings_.self_;
+  record.member_.slots_ = slots_;
+  record.member_.leaving_ = leaving_;
+  if (serverLeaves_) {
+    record.member_.state_ = BackendState::Draining;
+  } else if (backendState_ != BackendState::Down) {
+    record.member_.state_ = BackendState::Ready;
+  }
+  const bool silent = backendState_ == BackendState::Down && clock_.Now() >= holds_.HoldsUntil();
+  const bool holdsNothing = serverCrashed_ || silent;
+  record.life_ = holdsNothing ? std::string() : life_;
+  session_.SetSelf(record);
+}
+
+bool
+FleetService::OwnTable(KnownTable*& aTable)
+{
+  const std::string& service = settings_.self_.service_;
+  const auto known = tables_.find(service);
+  if (known == tables_.end() || !session_.Confirmed() || writing_.contains(service)) {
+    return false;
+  }
+  aTable = &known->second;
+  return true;
+}
+
+void
+FleetService::CommitReleases()
+{
+  const std::vector<ReleasedShards> released = holds_.TakeReleased();
+  KnownTable* known = nullptr;
+  if (released.empty() || !OwnTable(known)) {
+    return;
+  }
+  ShardTable next = known->table_;
+  for (const ReleasedShards& shards : released) {
+    const auto member = members_.find(session_.MemberKey(shards.successor_));
+    ShardHolder holder;
+    if (member != members_.end() && member->second.record_.Accepts()) {
+      holder = { shards.successor_, member->second.record_.life_ };
+    }
+    next.Assign(shards.first_, shards.last_, holder, shards.handover_);
+    LogLine(LogLevel::Info, "shards_released")
+      .With("first", shards.first_)
+      .With("last", shards.last_)
+      .With("to", holder.instanceId_)
+      .With("warm", shards.handover_.empty() ? "no" : "yes");
+  }
+  WriteTable(settings_.self_.service_, *known, next, {}, "release");
+}
+
+void
+FleetService::AdoptOwnShards()
+{
+  const std::string& self = settings_.self_.ref_.id_;
+  const auto member = members_.find(session_.MemberKey(self));
+  KnownTable* known = nullptr;
+  // The record must show the present run before shards are given to it.
+  if (life_.empty() || serverLeaves_ || serverCrashed_ || member == members_.end() ||
+      member->second.record_.life_ != life_ || !OwnTable(known)) {
+    return;
+  }
+  ShardTable next = known->table_;
+  bool changed = false;
+  const std::vector<ShardRun> runs(next.Runs().begin(), next.Runs().end());
+  for (const ShardRun& run : runs) {
+    if (run.holder_.instanceId_ == self && run.holder_.life_ != life_) {
+      next.Assign(run.first_, run.last_, { self, life_ });
+      changed = true;
+    }
+  }
+  if (changed) {
+    WriteTable(settings_.self_.service_,
+               *known,
+               next,
+               { { member->first, member->second.revision_ } },
+               "new_run");
+  }
+}
+
+void
+FleetService::WriteTable(const std::string& aService,
+                         const KnownTable& aBase,
+                         const ShardTable& aNext,
+                         std::vector<StoreCompare> aConditions,
+                         const char* aReason)
+{
+  const std::string key = session_.TableKey(aService);
+  StoreTransaction transaction;
+  transaction.compares_ = std::move(aConditions);
+  transaction.compares_.push_back({ key, aBase.revision_ });
+  transaction.writes_.push_back({ key, aNext.ToText(), 0 });
+  writing_.insert(aService);
+  tableWrites_.Add();
+  session_.Commit(
+    std::move(transaction),
+    [this, aService, aNext, aReason](const StoreResult<StoreTransactionResult>& aResult) {
+      writing_.erase(aService);
+      const bool written = aResult && aResult->succeeded_;
+      LogLine(LogLevel::Info, "shard_table_written")
+        .With("service", aService)
+        .With("reason", aReason)
+        .With("runs", aNext.Runs().size())
+        .With("outcome", written ? "written" : aResult ? "conflict" : "unknown")
+        .With("revision", aResult ? aResult->revision_ : 0);
+      if (!written) {
+        return;
+      }
+      auto& known = tables_[aService];
+      if (known.revision_ < aResult->revision_) {
+        known = { aResult->revision_, aNext };
+        if (aService == settings_.self_.service_) {
+          holds_.SetTable(aService, aNext);
+        }
+        viewDirty_ = true;
+        nextPlan_ = {};
+      }
+    });
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/FleetService.cpp
@@ -0,0 +1,307 @@
+#include "fleet/FleetService.hpp"
+
+#include "core/Log.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTickInterval{ 50 };
+constexpr milliseconds kProbeInterval{ 300 };
+constexpr milliseconds kProbeTimeout{ 400 };
+
+} // namespace
+
+FleetService::FleetService(boost::asio::io_context& aContext,
+                           const Clock& aClock,
+                           Store& aStore,
+                           Published<RoutingView>& aView,
+                           CounterRegistry& aCounters,
+                           FleetSettings aSettings,
+                           FleetHooks aHooks)
+  : context_(aContext)
+  , clock_(aClock)
+  , view_(aView)
+  , settings_(std::move(aSettings))
+  , hooks_(std::move(aHooks))
+  , random_(settings_.seed_)
+  , session_(aContext,
+             aClock,
+             aStore,
+             settings_.session_,
+             { [this] { OnSessionChange(); } })
+  , holds_(aClock, settings_.self_.ref_.id_, settings_.holds_)
+  , planner_(settings_.planner_)
+  , timer_(aContext)
+  , startedAt_(aClock.Now())
+  , configuration_(std::make_shared<const ConfigurationRevision>())
+  , heartbeats_(aCounters.GetCounter("redwing_heartbeats_total"))
+  , staleHeartbeats_(aCounters.GetCounter("redwing_heartbeats_stale_total"))
+  , tableWrites_(aCounters.GetCounter("redwing_shard_table_writes_total"))
+  , rateRefusals_(aCounters.GetCounter("redwing_allowance_refusals_total"))
+{
+}
+
+FleetService::~FleetService() = default;
+
+void
+FleetService::Start()
+{
+  MemberRecord record;
+  record.member_ = settings_.self_;
+  session_.Start(record);
+  PublishView();
+  Tick();
+}
+
+void
+FleetService::OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration)
+{
+  if (aConfiguration->revision_ < configuration_->revision_) {
+    return;
+  }
+  LogLine(LogLevel::Info, "configuration_adopted")
+    .With("revision", aConfiguration->revision_)
+    .With("previous", configuration_->revision_)
+    .With("routes", aConfiguration->configuration_.routes_.size());
+  configuration_ = std::move(aConfiguration);
+  // In force at once for requests that arrive from now on.
+  PublishView();
+  nextPlan_ = {};
+}
+
+bool
+FleetService::Ready() const
+{
+  return !leaving_ && configuration_->revision_ != 0 && session_.Loaded();
+}
+
+void
+FleetService::OnSessionChange()
+{
+  ReadMembers();
+  ReadTables();
+  holds_.SetLeaseDeadline(session_.Confirmed() ? session_.LeaseDeadline() : TimePoint{});
+  AdoptOwnShards();
+  CommitReleases();
+  Elect();
+  if (viewDirty_) {
+    PublishView();
+  }
+}
+
+void
+FleetService::ReadMembers()
+{
+  std::set<std::string> present;
+  for (const auto& [key, entry] : session_.All()) {
+    if (!session_.IsMemberKey(key)) {
+      continue;
+    }
+    present.insert(key);
+    auto& known = members_[key];
+    if (known.revision_ == entry.modRevision_) {
+      continue;
+    }
+    const bool isNew = known.revision_ == 0;
+    known.revision_ = entry.modRevision_;
+    if (auto record = MemberRecord::Parse(entry.value_)) {
+      known.record_ = std::move(*record);
+      LogLine(LogLevel::Info, isNew ? "member_seen" : "member_changed")
+        .With("instance", known.record_.member_.ref_.id_)
+        .With("incarnation", known.record_.member_.ref_.incarnation_)
+        .With("life", known.record_.life_)
+        .With("accepts", known.record_.Accepts() ? "yes" : "no")
+        .With("revision", entry.modRevision_);
+    } else {
+      LogLine(LogLevel::Warning, "member_record_invalid")
+        .With("key", key)
+        .With("error", record.error());
+    }
+    viewDirty_ = true;
+    membersChangedAt_ = clock_.Now();
+    nextPlan_ = {};
+  }
+  for (auto member = members_.begin(); member != members_.end();) {
+    if (present.contains(member->first)) {
+      ++member;
+      continue;
+    }
+    LogLine(LogLevel::Warning, "member_gone")
+      .With("instance", member->second.record_.member_.ref_.id_)
+      .With("last_revision", member->second.revision_);
+    unreachable_.erase(member->second.record_.member_.ref_.id_);
+    member = members_.erase(member);
+    viewDirty_ = true;
+    membersChangedAt_ = clock_.Now();
+    nextPlan_ = {};
+  }
+}
+
+void
+FleetService::ReadTables()
+{
+  for (const auto& [key, entry] : session_.All()) {
+    const std::string service = session_.ServiceOfTable(key);
+    if (service.empty()) {
+      continue;
+    }
+    const auto known = tables_.find(service);
+    if (known != tables_.end() && known->second.revision_ >= entry.modRevision_) {
+      continue;
+    }
+    auto table = ShardTable::Parse(entry.value_);
+    if (!table) {
+      LogLine(LogLevel::Error, "shard_table_invalid")
+        .With("service", service)
+        .With("revision", entry.modRevision_)
+        .With("error", table.error());
+      continue;
+    }
+    tables_[service] = { entry.modRevision_, std::move(*table) };
+    if (service == settings_.self_.service_) {
+      holds_.SetTable(service, tables_[service].table_);
+    }
+    viewDirty_ = true;
+    nextPlan_ = {};
+  }
+}
+
+void
+FleetService::PublishView()
+{
+  viewDirty_ = false;
+  auto next = std::make_shared<RoutingView>();
+  next->configuration_ = configuration_;
+  next->configurationCurrent_ = configuration_->revision_ != 0;
+  next->self_ = settings_.self_.ref_;
+  next->selfDataCentre_ = settings_.self_.dataCentre_;
+  std::map<std::string, std::string> lives;
+  for (const auto& [key, known] : members_) {
+    Member member = known.record_.member_;
+    const std::string id = member.ref_.id_;
+    const bool self = id == settings_.self_.ref_.id_;
+    member.reachable_ = self || !unreachable_.contains(id);
+    if (self) {
+      // The own state is known sooner than its record.
+      member.state_ = serverLeaves_ ? BackendState::Draining : backendState_;
+    }
+    lives[id] = known.record_.life_;
+    next->members_[id] = std::move(member);
+  }
+  for (const Service& service : configuration_->configuration_.services_) {
+    if (service.mode_ != ServiceMode::Keyed) {
+      continue;
+    }
+    auto& rows = next->shards_[service.id_].rows_;
+    rows.resize(service.shards_);
+    const auto known = tables_.find(service.id_);
+    if (known == tables_.end() || known->second.table_.Shards() != service.shards_) {
+      continue;
+    }
+    for (const ShardRun& run : known->second.table_.Runs()) {
+      const auto life = lives.find(run.holder_.instanceId_);
+      const bool held = life != lives.end() && life->second == run.holder_.life_;
+      ShardRow row;
+      row.token_ = run.token_;
+      row.owner_.id_ = held ? run.holder_.instanceId_ : std::string();
+      row.successor_.id_ = run.successor_;
+      for (std::uint32_t i = run.first_; i <= run.last_; ++i) {
+        rows[i] = row;
+      }
+    }
+  }
+  view_.Set(std::move(next));
+}
+
+void
+FleetService::Tick()
+{
+  timer_.expires_after(kTickInterval);
+  timer_.async_wait([this](const boost::system::error_code& aError) {
+    if (aError) {
+      return;
+    }
+    const TimePoint now = clock_.Now();
+    UpdateSelf();
+    CommitReleases();
+    AdoptOwnShards();
+    Elect();
+    if (now >= nextProbe_) {
+      nextProbe_ = now + kProbeInterval;
+      ProbeLostPeers();
+    }
+    if (now >= nextReport_) {
+      nextReport_ = now + settings_.reportInterval_;
+      SendReport();
+    }
+    PlanAll();
+    if (viewDirty_) {
+      PublishView();
+    }
+    Tick();
+  });
+}
+
+void
+FleetService::OnPeerDown(const std::string& aInstanceId)
+{
+  if (unreachable_.insert(aInstanceId).second) {
+    LogLine(LogLevel::Warning, "instance_unreachable").With("instance", aInstanceId);
+    viewDirty_ = true;
+    PublishView();
+  }
+}
+
+void
+FleetService::ProbeLostPeers()
+{
+  for (const std::string& id : unreachable_) {
+    if (!probing_.insert(id).second) {
+      continue;
+    }
+    hooks_.call_(id, {}, kProbeTimeout, [this, id](bool aAnswered, const std::string&) {
+      probing_.erase(id);
+      if (aAnswered && unreachable_.erase(id) > 0) {
+        LogLine(LogLevel::Info, "instance_reachable").With("instance", id);
+        viewDirty_ = true;
+      }
+    });
+  }
+}
+
+std::string
+FleetService::OnCall(const std::string& aPayload)
+{
+  // An empty call only asks for a sign of life.
+  if (aPayload.empty()) {
+    return {};
+  }
+  FleetReport report;
+  if (!ReadWire(aPayload, report)) {
+    LogLine(LogLevel::Warning, "fleet_report_invalid").With("bytes", aPayload.size());
+    return {};
+  }
+  return WriteWire(OnReport(report));
+}
+
+void
+FleetService::BeginLeave()
+{
+  leaving_ = true;
+  UpdateSelf();
+}
+
+void
+FleetService::End(std::function<void()> aDone)
+{
+  timer_.cancel();
+  session_.End(std::move(aDone));
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/FleetService.hpp
@@ -0,0 +1,235 @@
+#pragma once
+
+#include "backend/BackendTypes.hpp"
+#include "core/Clock.hpp"
+#include "core/Counters.hpp"
+#include "core/Published.hpp"
+#include "core/Random.hpp"
+#include "exchange/ServerHeartbeat.hpp"
+#include "fleet/FleetMessages.hpp"
+#include "fleet/ShardHolds.hpp"
+#include "fleet/ShardPlanner.hpp"
+#include "fleet/StoreSession.hpp"
+#include "intake/IntakeDependencies.hpp"
+#include "limits/BudgetPool.hpp"
+#include "limits/WindowBudget.hpp"
+#include "routing/RoutingView.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+struct FleetSettings
+{
+  /// Id, incarnation, addresses, data centre and region of this instance, and the service of the
+  /// backend server beside it.
+  Member self_;
+  StoreSessionSettings session_;
+  ShardHoldSettings holds_;
+  ShardPlannerSettings planner_;
+  WindowBudgetSettings budget_;
+  /// Workspaces may exceed their allowance in a window by this share and this number.
+  double allowanceOvershoot_ = 0;
+  double allowanceSlack_ = 0;
+  std::chrono::milliseconds reportInterval_{ 500 };
+  std::uint64_t seed_ = 0;
+
+  /// Lets workspaces use a part of what they may exceed their allowance by; the rest covers what
+  /// instances cannot know of each other.
+  ///
+  /// Preconditions: both are at least 0. Thread safety: not thread-safe.
+  void SetAllowanceBounds(double aOvershoot, double aSlack)
+  {
+    constexpr double kUsedPart = 0.4;
+    allowanceOvershoot_ = aOvershoot * kUsedPart;
+    allowanceSlack_ = aSlack * kUsedPart;
+  }
+};
+
+/// Hooks to the other parts of the instance.
+struct FleetHooks
+{
+  using CallDone = std::function<void(bool aAnswered, std::string aReply)>;
+
+  /// Calls another instance over a peer link.
+  std::function<
+    void(const std::string& aInstanceId, std::string aPayload, Duration aTimeout, CallDone aDone)>
+    call_;
+  std::function<void(BackendAnnouncement)> announce_;
+  std::function<void()> serverLeaves_;
+  /// Returns the requests per second that the local server can take; 0: not known.
+  std::function<double()> serviceRate_;
+  /// Another instance knows a newer configuration.
+  std::function<void()> refreshConfiguration_;
+};
+
+/// Membership, ownership of shards and shares of allowances for a fleet that keeps its state in the
+/// store: members by leases, one table of shards per keyed service, and a leader, elected in the
+/// store, that plans placement and lends allowances. All functions belong to the context's thread.
+class FleetService
+{
+public:
+  FleetService(boost::asio::io_context& aContext,
+               const Clock& aClock,
+               Store& aStore,
+               Published<RoutingView>& aView,
+               CounterRegistry& aCounters,
+               FleetSettings aSettings,
+               FleetHooks aHooks);
+  ~FleetService();
+
+  /// Starts to register and to plan.
+  ///
+  /// Preconditions: called once.
+  void Start();
+
+  /// Returns the gate for requests to the local server.
+  OwnershipGate& Gate() { return holds_; }
+
+  /// Adopts a configuration; older ones than the present one are ignored.
+  void OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration);
+
+  /// Answers a heartbeat of the local server; one that is not from it, or that is older than
+  /// another, changes nothing.
+  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+
+  /// The local server aServerId is about to leave.
+  void OnServerLeaves(const std::string& aServerId);
+
+  void OnBackendStatus(const BackendStatus& aStatus);
+
+  /// The links to an instance were lost; it is avoided until it answers again.
+  void OnPeerDown(const std::string& aInstanceId);
+
+  /// Answers a call of another instance.
+  std::string OnCall(const std::string& aPayload);
+
+  /// Decides whether a request is within its workspace's allowance.
+  void Admit(const Workspace& aWorkspace, const RateDecision& aDecide);
+
+  /// Tells the other instances to send nothing more here.
+  void BeginLeave();
+
+  /// Removes this instance from the store, then calls aDone.
+  void End(std::function<void()> aDone);
+
+  /// Returns whether the instance can serve requests.
+  bool Ready() const;
+
+  bool Leads() const { return leads_; }
+
+private:
+  struct KnownMember
+  {
+    std::uint64_t revision_ = 0;
+    MemberRecord record_;
+  };
+  struct KnownTable
+  {
+    std::uint64_t revision_ = 0;
+    ShardTable table_;
+  };
+  /// Traffic of a service's shards as reported to the leader.
+  struct Heat
+  {
+    std::vector<double> requests_;
+    double total_ = 0;
+    TimePoint updatedAt_{};
+  };
+
+  // Local server and own record (FleetLocal.cpp).
+  void UpdateSelf();
+  void Announce(const ServerHeartbeat& aHeartbeat);
+  void CommitReleases();
+  void AdoptOwnShards();
+  bool OwnTable(KnownTable*& aTable);
+  void WriteTable(const std::string& aService,
+                  const KnownTable& aBase,
+                  const ShardTable& aNext,
+                  std::vector<StoreCompare> aConditions,
+                  const char* aReason);
+
+  // State of the fleet (FleetService.cpp).
+  void OnSessionChange();
+  void ReadMembers();
+  void ReadTables();
+  void PublishView();
+  void Tick();
+  void ProbeLostPeers();
+
+  // Leader's work (FleetLeader.cpp).
+  void Elect();
+  void PlanAll();
+  void Plan(const Service& aService);
+  std::vector<ShardCandidate> CandidatesOf(const std::string& aService) const;
+  bool MayCreateTable() const;
+  std::vector<double> HeatOf(const std::string& aService);
+  void SendReport();
+  FleetReport MakeReport();
+  FleetReply OnReport(const FleetReport& aReport);
+  void OnReply(const FleetReply& aReply, TimePoint aSentAt);
+  double AllowanceOf(const Workspace& aWorkspace) const;
+  const Workspace* FindWorkspace(const std::string& aId) const;
+
+  boost::asio::io_context& context_;
+  const Clock& clock_;
+  Published<RoutingView>& view_;
+  FleetSettings settings_;
+  FleetHooks hooks_;
+  Random random_;
+  StoreSession session_;
+  ShardHolds holds_;
+  ShardPlanner planner_;
+  boost::asio::steady_timer timer_;
+  TimePoint startedAt_;
+
+  std::shared_ptr<const ConfigurationRevision> configuration_;
+  std::map<std::string, KnownMember, std::less<>> members_;
+  std::map<std::string, KnownTable, std::less<>> tables_;
+  std::set<std::string> unreachable_;
+  std::set<std::string> probing_;
+  TimePoint nextProbe_{};
+  bool viewDirty_ = true;
+
+  /// Run of the local server that sent the last heartbeat.
+  std::string life_;
+  std::string serverId_;
+  std::uint64_t serverStartedAt_ = 0;
+  std::uint64_t lastSequence_ = 0;
+  std::uint32_t slots_ = 0;
+  bool serverLeaves_ = false;
+  bool serverCrashed_ = false;
+  BackendState backendState_ = BackendState::Down;
+  bool leaving_ = false;
+  /// Services whose table is being written.
+  std::set<std::string> writing_;
+
+  bool leads_ = false;
+  bool electing_ = false;
+  TimePoint electAt_{};
+  TimePoint leadsSince_{};
+  TimePoint membersChangedAt_{};
+  TimePoint nextPlan_{};
+  TimePoint nextReport_{};
+  std::map<std::string, Heat> heat_;
+  std::map<std::string, double> serviceRates_;
+  std::map<std::string, BudgetPool> pools_;
+  std::map<std::string, WindowBudget> budgets_;
+  unsigned staleReplies_ = 0;
+
+  Counter& heartbeats_;
+  Counter& staleHeartbeats_;
+  Counter& tableWrites_;
+  Counter& rateRefusals_;
+};
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/ShardHolds.cpp
@@ -0,0 +1,274 @@
+#include "fleet/ShardHolds.hpp"
+
+#include "config/Configuration.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+Duration
+Scaled(Duration aDuration, double aFactor)
+{
+  return Duration(
+    static_cast<Duration::rep>(static_cast<double>(aDuration.count()) * aFactor));
+}
+
+} // namespace
+
+ShardHolds::ShardHolds(const Clock& aClock, std::string aInstanceId, ShardHoldSettings aSettings)
+  : clock_(aClock)
+  , instanceId_(std::move(aInstanceId))
+  , settings_(aSettings)
+{
+}
+
+void
+ShardHolds::SetTable(const std::string& aService, const ShardTable& aTable)
+{
+  std::lock_guard lock(mutex_);
+  if (aService != service_ || !table_ || table_->Shards() != aTable.Shards()) {
+    shards_.assign(aTable.Shards(), {});
+    service_ = aService;
+    // An earlier process of this instance may have granted any shard.
+    holdsUntil_ = clock_.Now() + Scaled(settings_.longestHold_, 1 + settings_.clockDrift_);
+    for (Shard& shard : shards_) {
+      shard.held_ = true;
+    }
+  }
+  table_ = aTable;
+}
+
+void
+ShardHolds::SetLeaseDeadline(TimePoint aDeadline)
+{
+  std::lock_guard lock(mutex_);
+  leaseDeadline_ = aDeadline;
+}
+
+void
+ShardHolds::SetLife(const std::string& aLife)
+{
+  std::lock_guard lock(mutex_);
+  if (aLife == life_) {
+    return;
+  }
+  const bool first = life_.empty();
+  life_ = aLife;
+  if (first) {
+    return;
+  }
+  for (Shard& shard : shards_) {
+    shard = {};
+  }
+  grantEnd_ = {};
+  holdsUntil_ = {};
+}
+
+bool
+ShardHolds::Owned(const ShardRun& aRun) const
+{
+  return aRun.holder_.instanceId_ == instanceId_ && !life_.empty() && aRun.holder_.life_ == life_;
+}
+
+std::uint32_t
+ShardHolds::FirstKey(std::uint32_t aShard) const
+{
+  // The first key that ShardOf maps to the shard.
+  return static_cast<std::uint32_t>(
+    (std::uint64_t{ aShard } * kNumericKeys + table_->Shards() - 1) / table_->Shards());
+}
+
+std::uint32_t
+ShardHolds::LastKey(std::uint32_t aShard) const
+{
+  return FirstKey(aShard + 1) - 1;
+}
+
+std::uint32_t
+ShardHolds::ShardOfKey(std::uint32_t aKey) const
+{
+  return static_cast<std::uint32_t>(std::uint64_t{ aKey } * table_->Shards() / kNumericKeys);
+}
+
+std::vector<bool>
+ShardHolds::ShardsIn(const std::vector<HeldKeys>& aHolds) const
+{
+  std::vector<bool> held(shards_.size(), false);
+  for (const HeldKeys& range : aHolds) {
+    const std::uint32_t last = std::min(range.last_, kNumericKeys - 1);
+    for (std::uint32_t shard = range.first_ <= last ? ShardOfKey(range.first_) : kNumericKeys;
+         shard < held.size() && shard <= ShardOfKey(last);
+         ++shard) {
+      held[shard] = true;
+    }
+  }
+  return held;
+}
+
+void
+ShardHolds::Expire(TimePoint aNow)
+{
+  if (aNow >= holdsUntil_) {
+    for (Shard& shard : shards_) {
+      shard.held_ = false;
+      shard.granted_ = false;
+    }
+  }
+}
+
+void
+ShardHolds::TakeReports(const ServerHeartbeat& aHeartbeat)
+{
+  const std::vector<bool> held = ShardsIn(aHeartbeat.holds_);
+  for (std::size_t i = 0; i < shards_.size(); ++i) {
+    Shard& shard = shards_[i];
+    if (shard.held_ && !shard.granted_ && !held[i] && shard.leftOutAt_ > 0 &&
+        aHeartbeat.sequence_ > shard.leftOutAt_) {
+      shard.held_ = false;
+    }
+  }
+  for (const ReleasedKeys& range : aHeartbeat.released_) {
+    const std::uint32_t last = std::min(range.last_, kNumericKeys - 1);
+    for (std::uint32_t i = range.first_ <= last ? ShardOfKey(range.first_) : kNumericKeys;
+         i < shards_.size() && i <= ShardOfKey(last);
+         ++i) {
+      shards_[i].handover_ = range.handover_;
+    }
+  }
+}
+
+HeartbeatReply
+ShardHolds::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+{
+  std::lock_guard lock(mutex_);
+  HeartbeatReply reply;
+  if (!table_ || life_.empty()) {
+    return reply;
+  }
+  const TimePoint now = clock_.Now();
+  Expire(now);
+  TakeReports(aHeartbeat);
+  const Duration left = leaseDeadline_ - now;
+  const Duration hold = std::min<Duration>(
+    settings_.longestHold_, Scaled(left, 1 / (1 + settings_.clockDrift_)) - settings_.margin_);
+  if (hold < settings_.shortestHold_) {
+    return reply;
+  }
+  const std::vector<bool> held = ShardsIn(aHeartbeat.holds_);
+  auto& grants = reply.grants_.emplace();
+  for (const ShardRun& run : table_->Runs()) {
+    const bool grant = Owned(run) && run.successor_.empty();
+    for (std::uint32_t i = run.first_; i <= run.last_; ++i) {
+      Shard& shard = shards_[i];
+      if (!grant) {
+        if (shard.granted_ || shard.leftOutAt_ == 0) {
+          shard.leftOutAt_ = aHeartbeat.sequence_;
+        }
+        shard.granted_ = false;
+        continue;
+      }
+      if (!shard.granted_) {
+        shard.grantedAt_ = now;
+        shard.handover_.clear();
+      }
+      shard.granted_ = true;
+      shard.held_ = true;
+      shard.leftOutAt_ = 0;
+    }
+    if (grant) {
+      // A server that holds the shards already needs no token of their last holder.
+      const std::string handover = held[run.first_] ? std::string() : run.handover_;
+      grants.push_back({ FirstKey(run.first_), LastKey(run.last_), run.token_, handover });
+    }
+  }
+  reply.holdFor_ = std::chrono::floor<milliseconds>(hold);
+  grantEnd_ = now + reply.holdFor_;
+  holdsUntil_ =
+    std::max(holdsUntil_, now + Scaled(reply.holdFor_, 1 + settings_.clockDrift_));
+  return reply;
+}
+
+std::vector<ReleasedShards>
+ShardHolds::TakeReleased()
+{
+  std::lock_guard lock(mutex_);
+  std::vector<ReleasedShards> released;
+  if (!table_) {
+    return released;
+  }
+  Expire(clock_.Now());
+  for (const ShardRun& run : table_->Runs()) {
+    if (!Owned(run) || run.successor_.empty()) {
+      continue;
+    }
+    for (std::uint32_t i = run.first_; i <= run.last_; ++i) {
+      const Shard& shard = shards_[i];
+      if (shard.held_) {
+        continue;
+      }
+      const bool joins = !released.empty() && released.back().last_ + 1 == i &&
+                         released.back().successor_ == run.successor_ &&
+                         released.back().handover_ == shard.handover_ && i != run.first_;
+      if (joins) {
+        released.back().last_ = i;
+      } else {
+        released.push_back({ i, i, run.successor_, shard.handover_ });
+      }
+    }
+  }
+  return released;
+}
+
+TimePoint
+ShardHolds::HoldsUntil() const
+{
+  std::lock_guard lock(mutex_);
+  return holdsUntil_;
+}
+
+GateAnswer
+ShardHolds::Check(const ShardId& aShard, TimePoint aNow) const
+{
+  std::lock_guard lock(mutex_);
+  GateAnswer answer;
+  if (!table_ || aShard.service_ != service_ || aShard.index_ >= shards_.size()) {
+    return answer;
+  }
+  const ShardRun& run = table_->At(aShard.index_);
+  const Shard& shard = shards_[aShard.index_];
+  answer.token_ = run.token_;
+  answer.owner_.id_ = run.successor_.empty() ? run.holder_.instanceId_ : run.successor_;
+  answer.owned_ = shard.granted_ && aNow < grantEnd_ && aNow >= shard.grantedAt_ + settings_.settle_;
+  return answer;
+}
+
+GateAnswer
+ShardHolds::BeginRequest(const ShardId& aShard, TimePoint aNow)
+{
+  GateAnswer answer = Check(aShard, aNow);
+  if (answer.owned_) {
+    std::lock_guard lock(mutex_);
+    ++shards_[aShard.index_].requests_;
+  }
+  return answer;
+}
+
+std::vector<std::pair<std::uint32_t, std::uint32_t>>
+ShardHolds::TakeLoad()
+{
+  std::lock_guard lock(mutex_);
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> load;
+  for (std::uint32_t i = 0; i < shards_.size(); ++i) {
+    if (shards_[i].requests_ > 0) {
+      load.emplace_back(i, std::exchange(shards_[i].requests_, 0));
+    }
+  }
+  return load;
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/ShardPlanner.cpp
@@ -0,0 +1,247 @@
+#include "fleet/ShardPlanner.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::size_t kNobody = static_cast<std::size_t>(-1);
+
+/// One planning round.
+class Round
+{
+public:
+  Round(const ShardPlannerSettings& aSettings,
+        const ShardTable& aTable,
+        std::span<const ShardCandidate> aCandidates,
+        std::span<const double> aLoad)
+    : settings_(aSettings)
+    , table_(aTable)
+    , candidates_(aCandidates)
+    , weights_(WeightsOf(aTable.Shards(), aLoad, aSettings.evenShare_))
+    , load_(aCandidates.size(), 0)
+    , fair_(aCandidates.size(), 0)
+  {
+    double capacity = 0;
+    for (const ShardCandidate& candidate : candidates_) {
+      capacity += candidate.accepts_ ? candidate.capacity_ : 0;
+    }
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      fair_[i] = candidates_[i].accepts_ && capacity > 0 ? candidates_[i].capacity_ / capacity : 0;
+    }
+    for (const ShardRun& run : table_.Runs()) {
+      const std::size_t target = TargetOf(run);
+      if (target != kNobody) {
+        load_[target] += WeightOf(run.first_, run.last_);
+      }
+    }
+  }
+
+  ShardTable Run()
+  {
+    if (std::none_of(fair_.begin(), fair_.end(), [](double aFair) { return aFair > 0; })) {
+      return table_;
+    }
+    const std::vector<ShardRun> runs(table_.Runs().begin(), table_.Runs().end());
+    for (const ShardRun& run : runs) {
+      if (HolderOf(run) == kNobody) {
+        Place(run, true);
+      }
+    }
+    for (const ShardRun& run : runs) {
+      const std::size_t holder = HolderOf(run);
+      if (holder == kNobody) {
+        continue;
+      }
+      const std::size_t target = TargetOf(run);
+      const bool misplaced = target == kNobody || !candidates_[target].accepts_;
+      if (misplaced && candidates_[holder].accepts_) {
+        // The successor is gone; the holder goes on.
+        table_.SetSuccessor(run.first_, run.last_, {});
+      } else if (misplaced) {
+        Place(run, false);
+      }
+    }
+    Relieve();
+    return std::move(table_);
+  }
+
+private:
+  static std::vector<double> WeightsOf(std::uint32_t aShards,
+                                       std::span<const double> aLoad,
+                                       double aEvenShare)
+  {
+    const double total = std::accumulate(aLoad.begin(), aLoad.end(), 0.0);
+    const double even = (total > 0 ? aEvenShare : 1.0) / aShards;
+    std::vector<double> weights(aShards, even);
+    for (std::size_t i = 0; total > 0 && i < aLoad.size(); ++i) {
+      weights[i] += (1 - aEvenShare) * aLoad[i] / total;
+    }
+    return weights;
+  }
+
+  double WeightOf(std::uint32_t aFirst, std::uint32_t aLast) const
+  {
+    return std::accumulate(weights_.begin() + aFirst, weights_.begin() + aLast + 1, 0.0);
+  }
+
+  std::size_t IndexOf(const std::string& aInstanceId) const
+  {
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      if (candidates_[i].instanceId_ == aInstanceId) {
+        return i;
+      }
+    }
+    return kNobody;
+  }
+
+  /// Returns the candidate whose present server holds the shards.
+  std::size_t HolderOf(const ShardRun& aRun) const
+  {
+    const std::size_t index = IndexOf(aRun.holder_.instanceId_);
+    const bool holds = index != kNobody && !aRun.holder_.life_.empty() &&
+                       candidates_[index].life_ == aRun.holder_.life_;
+    return holds ? index : kNobody;
+  }
+
+  /// Returns the candidate that has the shards after pending handovers.
+  std::size_t TargetOf(const ShardRun& aRun) const
+  {
+    const std::size_t holder = HolderOf(aRun);
+    if (holder == kNobody || aRun.successor_.empty()) {
+      return holder;
+    }
+    return IndexOf(aRun.successor_);
+  }
+
+  std::size_t Neediest() const
+  {
+    std::size_t best = kNobody;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      const double need = fair_[i] - load_[i];
+      if (fair_[i] > 0 && (best == kNobody || need > fair_[best] - load_[best])) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  /// Spreads the shards of aRun over the candidates that need them most, in long pieces.
+  void Place(const ShardRun& aRun, bool aOrphaned)
+  {
+    std::uint32_t first = aRun.first_;
+    while (first <= aRun.last_) {
+      const std::size_t target = Neediest();
+      std::uint32_t last = first;
+      double weight = weights_[first];
+      while (last < aRun.last_ && load_[target] + weight + weights_[last + 1] <= fair_[target]) {
+        weight += weights_[++last];
+      }
+      load_[target] += weight;
+      if (aOrphaned) {
+        table_.Assign(
+          first, last, { candidates_[target].instanceId_, candidates_[target].life_ });
+      } else {
+        table_.SetSuccessor(first, last, candidates_[target].instanceId_);
+      }
+      first = last + 1;
+    }
+  }
+
+  /// Moves shards from the most loaded server to the one with most room.
+  void Relieve()
+  {
+    double budget = settings_.moveShare_;
+    while (budget > 0) {
+      std::size_t from = kNobody;
+      double worst = settings_.overload_;
+      for (std::size_t i = 0; i < candidates_.size(); ++i) {
+        const double ratio = fair_[i] > 0 ? load_[i] / fair_[i] : 0;
+        if (ratio > worst) {
+          worst = ratio;
+          from = i;
+        }
+      }
+      const std::size_t to = Neediest();
+      if (from == kNobody || to == from) {
+        return;
+      }
+      const double amount =
+        std::min({ budget, load_[from] - fair_[from], fair_[to] - load_[to] });
+      const double moved = amount > 0 ? Move(from, to, amount) : 0;
+      if (moved <= 0) {
+        return;
+      }
+      budget -= moved;
+    }
+  }
+
+  /// Names aTo as the successor of shards of aFrom that weigh up to about aAmount; returns their
+  /// weight.
+  double Move(std::size_t aFrom, std::size_t aTo, double aAmount)
+  {
+    // The run with the most weight per shard relieves with the fewest shards.
+    std::optional<ShardRun> best;
+    double bestDensity = 0;
+    for (const ShardRun& run : table_.Runs()) {
+      if (HolderOf(run) != aFrom || !run.successor_.empty()) {
+        continue;
+      }
+      const double density =
+        WeightOf(run.first_, run.last_) / static_cast<double>(run.last_ - run.first_ + 1);
+      if (!best || density > bestDensity) {
+        best = run;
+        bestDensity = density;
+      }
+    }
+    if (!best) {
+      return 0;
+    }
+    // From the end of the run; a shard that alone is too heavy to gain anything is left out.
+    double weight = 0;
+    std::uint32_t first = best->last_ + 1;
+    while (first > best->first_ && weight + weights_[first - 1] <= aAmount) {
+      weight += weights_[--first];
+    }
+    std::uint32_t last = best->last_;
+    if (weight <= 0) {
+      weight = 0;
+      first = best->first_;
+      last = first;
+      while (last < best->last_ && weight + weights_[last] <= aAmount) {
+        weight += weights_[last++];
+      }
+      if (weight <= 0) {
+        return 0;
+      }
+      --last;
+    }
+    table_.SetSuccessor(first, last, candidates_[aTo].instanceId_);
+    load_[aFrom] -= weight;
+    load_[aTo] += weight;
+    return weight;
+  }
+
+  const ShardPlannerSettings& settings_;
+  ShardTable table_;
+  std::span<const ShardCandidate> candidates_;
+  std::vector<double> weights_;
+  /// Load of each candidate after pending handovers, and its fair share; both add up to 1.
+  std::vector<double> load_;
+  std::vector<double> fair_;
+};
+
+} // namespace
+
+ShardTable
+ShardPlanner::Plan(const ShardTable& aTable,
+                   std::span<const ShardCandidate> aCandidates,
+                   std::span<const double> aLoad) const
+{
+  return Round(settings_, aTable, aCandidates, aLoad).Run();
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/ShardTable.cpp
@@ -0,0 +1,147 @@
+#include "fleet/ShardTable.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace redwing {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kRunFields = 7;
+
+bool
+IsRun(const Json& aRun)
+{
+  return aRun.is_array() && aRun.size() == kRunFields && aRun[0].is_number_unsigned() &&
+         aRun[1].is_number_unsigned() && aRun[2].is_string() && aRun[3].is_string() &&
+         aRun[4].is_number_unsigned() && aRun[5].is_string() && aRun[6].is_string();
+}
+
+} // namespace
+
+ShardTable::ShardTable(std::uint32_t aShards)
+  : shards_(aShards)
+  , runs_{ ShardRun{ 0, aShards - 1, {}, 0, {}, {} } }
+{
+}
+
+tl::expected<ShardTable, std::string>
+ShardTable::Parse(std::string_view aText)
+{
+  const Json json = Json::parse(aText, nullptr, false);
+  if (!json.is_object() || !json.contains("shards") || !json["shards"].is_number_unsigned() ||
+      !json.contains("token") || !json["token"].is_number_unsigned() || !json.contains("runs") ||
+      !json["runs"].is_array()) {
+    return tl::unexpected(std::string("is not an object with shards, token and runs"));
+  }
+  ShardTable table(std::max(1U, json["shards"].get<std::uint32_t>()));
+  table.lastToken_ = json["token"].get<std::uint64_t>();
+  table.runs_.clear();
+  std::uint32_t next = 0;
+  for (const Json& item : json["runs"]) {
+    const std::string place = "runs/" + std::to_string(table.runs_.size());
+    if (!IsRun(item)) {
+      return tl::unexpected(place + " is not a run of shards");
+    }
+    ShardRun run{ item[0].get<std::uint32_t>(),
+                  item[1].get<std::uint32_t>(),
+                  { item[2].get<std::string>(), item[3].get<std::string>() },
+                  item[4].get<std::uint64_t>(),
+                  item[5].get<std::string>(),
+                  item[6].get<std::string>() };
+    if (run.first_ != next || run.last_ < run.first_ || run.last_ >= table.shards_ ||
+        run.token_ > table.lastToken_) {
+      return tl::unexpected(place + " does not continue the run before it");
+    }
+    next = run.last_ + 1;
+    table.runs_.push_back(std::move(run));
+  }
+  if (next != table.shards_) {
+    return tl::unexpected(std::string("runs do not cover all shards"));
+  }
+  return table;
+}
+
+std::string
+ShardTable::ToText() const
+{
+  Json runs = Json::array();
+  for (const ShardRun& run : runs_) {
+    runs.push_back({ run.first_,
+                     run.last_,
+                     run.holder_.instanceId_,
+                     run.holder_.life_,
+                     run.token_,
+                     run.successor_,
+                     run.handover_ });
+  }
+  return Json{ { "shards", shards_ }, { "token", lastToken_ }, { "runs", std::move(runs) } }.dump();
+}
+
+const ShardRun&
+ShardTable::At(std::uint32_t aShard) const
+{
+  const auto after = std::upper_bound(
+    runs_.begin(), runs_.end(), aShard, [](std::uint32_t aLeft, const ShardRun& aRight) {
+      return aLeft < aRight.first_;
+    });
+  return *std::prev(after);
+}
+
+void
+ShardTable::Assign(std::uint32_t aFirst,
+                   std::uint32_t aLast,
+                   const ShardHolder& aHolder,
+                   std::string aHandover)
+{
+  const std::size_t begin = SplitAt(aFirst);
+  const std::size_t end = SplitAt(aLast + 1);
+  runs_[begin] = { aFirst, aLast, aHolder, ++lastToken_, {}, std::move(aHandover) };
+  runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(begin) + 1,
+              runs_.begin() + static_cast<std::ptrdiff_t>(end));
+}
+
+void
+ShardTable::SetSuccessor(std::uint32_t aFirst, std::uint32_t aLast, const std::string& aInstanceId)
+{
+  const std::size_t begin = SplitAt(aFirst);
+  const std::size_t end = SplitAt(aLast + 1);
+  for (std::size_t i = begin; i < end; ++i) {
+    runs_[i].successor_ = aInstanceId;
+  }
+  Merge();
+}
+
+std::size_t
+ShardTable::SplitAt(std::uint32_t aShard)
+{
+  const auto run = std::find_if(
+    runs_.begin(), runs_.end(), [&](const ShardRun& aRun) { return aRun.last_ >= aShard; });
+  if (run == runs_.end() || run->first_ == aShard) {
+    return static_cast<std::size_t>(run - runs_.begin());
+  }
+  ShardRun tail = *run;
+  tail.first_ = aShard;
+  run->last_ = aShard - 1;
+  const auto inserted = runs_.insert(run + 1, std::move(tail));
+  return static_cast<std::size_t>(inserted - runs_.begin());
+}
+
+void
+ShardTable::Merge()
+{
+  std::vector<ShardRun> merged;
+  for (ShardRun& run : runs_) {
+    if (!merged.empty() && merged.back().SameState(run)) {
+      merged.back().last_ = run.last_;
+    } else {
+      merged.push_back(std::move(run));
+    }
+  }
+  runs_ = std::move(merged);
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/StoreSession.cpp
@@ -0,0 +1,398 @@
+#include "fleet/StoreSession.hpp"
+
+#include "core/Log.hpp"
+
+#include <boost/asio/post.hpp>
+#include <algorithm>
+#include <utility>
+
+namespace redwing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view kMembers = "members/";
+constexpr std::string_view kTables = "shards/";
+
+} // namespace
+
+StoreSession::StoreSession(boost::asio::io_context& aContext,
+                           const Clock& aClock,
+                           Store& aStore,
+                           StoreSessionSettings aSettings,
+                           StoreSessionHooks aHooks)
+  : context_(aContext)
+  , clock_(aClock)
+  , store_(aStore)
+  , settings_(std::move(aSettings))
+  , hooks_(std::move(aHooks))
+  , renewTimer_(aContext)
+{
+}
+
+StoreSession::~StoreSession()
+{
+  *alive_ = false;
+}
+
+std::string
+StoreSession::MemberKey(const std::string& aInstanceId) const
+{
+  return settings_.prefix_ + std::string(kMembers) + aInstanceId;
+}
+
+std::string
+StoreSession::TableKey(const std::string& aService) const
+{
+  return settings_.prefix_ + std::string(kTables) + aService;
+}
+
+std::string
+StoreSession::ServiceOfTable(const std::string& aKey) const
+{
+  const std::string prefix = TableKey({});
+  return aKey.starts_with(prefix) ? aKey.substr(prefix.size()) : std::string();
+}
+
+bool
+StoreSession::IsMemberKey(const std::string& aKey) const
+{
+  return aKey.starts_with(MemberKey({}));
+}
+
+template<typename T>
+StoreCallback<T>
+StoreSession::OnThread(std::function<void(StoreResult<T>)> aHandle)
+{
+  return [this, alive = std::weak_ptr<bool>(alive_), handle = std::move(aHandle)](
+           StoreResult<T> aResult) {
+    boost::asio::post(context_, [alive, handle, result = std::move(aResult)]() mutable {
+      const auto present = alive.lock();
+      if (present && *present) {
+        handle(std::move(result));
+      }
+    });
+  };
+}
+
+void
+StoreSession::Later(milliseconds aDelay, Task aTask)
+{
+  const auto timer = std::make_shared<boost::asio::steady_timer>(context_, aDelay);
+  timer->async_wait([timer, alive = std::weak_ptr<bool>(alive_), task = std::move(aTask)](
+                      const boost::system::error_code&) {
+    const auto present = alive.lock();
+    if (present && *present) {
+      task();
+    }
+  });
+}
+
+void
+StoreSession::Start(const MemberRecord& aSelf)
+{
+  self_ = aSelf;
+  Load();
+}
+
+void
+StoreSession::SetSelf(const MemberRecord& aSelf)
+{
+  self_ = aSelf;
+  if (registered_) {
+    WriteSelf();
+  }
+}
+
+std::uint64_t
+StoreSession::RevisionOf(const std::string& aKey) const
+{
+  const auto found = entries_.find(aKey);
+  return found == entries_.end() ? 0 : found->second.modRevision_;
+}
+
+void
+StoreSession::Register()
+{
+  if (ended_ || registered_ || lease_ != 0) {
+    return;
+  }
+  GrantLease();
+}
+
+void
+StoreSession::GrantLease()
+{
+  grantSentAt_ = clock_.Now();
+  // Any other call of Register must wait for this one.
+  lease_ = -1;
+  store_.GrantLease(settings_.leaseTime_,
+                    OnThread<std::int64_t>([this](const StoreResult<std::int64_t>& aLease) {
+                      if (!aLease) {
+                        lease_ = 0;
+                        Later(settings_.retryInterval_, [this] { Register(); });
+                        return;
+                      }
+                      lease_ = *aLease;
+                      WriteSelf();
+                    }));
+}
+
+void
+StoreSession::WriteSelf()
+{
+  if (writing_ || lease_ <= 0 || ended_) {
+    return;
+  }
+  const std::string key = MemberKey(self_.member_.ref_.id_);
+  const std::string text = self_.ToText();
+  const auto present = entries_.find(key);
+  if (registered_ && present != entries_.end() && present->second.value_ == text) {
+    return;
+  }
+  writing_ = true;
+  // Conditional, so that a write whose reply was lost cannot take effect after a later one.
+  StoreTransaction transaction;
+  transaction.compares_.push_back({ key, RevisionOf(key) });
+  transaction.writes_.push_back({ key, text, lease_ });
+  store_.Commit(std::move(transaction),
+                OnThread<StoreTransactionResult>(
+                  [this, text](const StoreResult<StoreTransactionResult>& aResult) {
+                    writing_ = false;
+                    OnWritten(text, aResult);
+                  }));
+}
+
+void
+StoreSession::OnWritten(const std::string& aText, const StoreResult<StoreTransactionResult>& aResult)
+{
+  if (!aResult) {
+    if (aResult.error().kind_ == StoreErrorKind::Rejected) {
+      OnLapsed("lease_unknown");
+      return;
+    }
+    Later(settings_.retryInterval_, [this] { Reload(); });
+    return;
+  }
+  if (!aResult->succeeded_) {
+    Reload();
+    return;
+  }
+  const std::string key = MemberKey(self_.member_.ref_.id_);
+  entries_[key] = { key, aText, aResult->revision_, lease_ };
+  if (!registered_) {
+    registered_ = true;
+    registeredAt_ = aResult->revision_;
+    leaseDeadline_ = grantSentAt_ + settings_.leaseTime_;
+    confirmed_ = false;
+    LogLine(LogLevel::Info, "member_registered")
+      .With("instance", self_.member_.ref_.id_)
+      .With("lease", lease_)
+      .With("revision", registeredAt_);
+    ScheduleRenew(settings_.renewInterval_);
+    Reload();
+  }
+  // The record may have changed meanwhile.
+  WriteSelf();
+  hooks_.onChange_();
+}
+
+void
+StoreSession::Reload()
+{
+  if (!loading_ && !ended_) {
+    Load();
+  }
+}
+
+void
+StoreSession::Load()
+{
+  loading_ = true;
+  store_.Range(settings_.prefix_,
+               false,
+               OnThread<StoreRange>([this](StoreResult<StoreRange> aRange) {
+                 loading_ = false;
+                 if (ended_) {
+                   return;
+                 }
+                 if (!aRange) {
+                   if (!std::exchange(storeLost_, true)) {
+                     LogLine(LogLevel::Warning, "store_lost")
+                       .With("error", aRange.error().message_)
+                       .With("revision", revision_);
+                   }
+                   Later(settings_.retryInterval_, [this] { Reload(); });
+                   return;
+                 }
+                 if (std::exchange(storeLost_, false)) {
+                   LogLine(LogLevel::Info, "store_regained").With("revision", aRange->revision_);
+                 }
+                 OnLoaded(std::move(*aRange));
+               }));
+}
+
+void
+StoreSession::OnLoaded(StoreRange aRange)
+{
+  if (aRange.revision_ >= revision_) {
+    revision_ = aRange.revision_;
+    loadedAt_ = aRange.revision_;
+    entries_.clear();
+    for (StoreEntry& entry : aRange.entries_) {
+      newestChange_ = std::max(newestChange_, entry.modRevision_);
+      std::string key = entry.key_;
+      entries_.emplace(std::move(key), std::move(entry));
+    }
+  }
+  loaded_ = true;
+  confirmed_ = confirmed_ || (registered_ && revision_ >= registeredAt_);
+  Register();
+  if (registered_ || lease_ > 0) {
+    WriteSelf();
+  }
+  if (!watching_) {
+    Watch();
+  }
+  hooks_.onChange_();
+}
+
+void
+StoreSession::Watch()
+{
+  watching_ = true;
+  using Events = std::vector<StoreWatchEvent>;
+  store_.Watch(settings_.prefix_,
+               revision_ + 1,
+               OnThread<Events>([this](const StoreResult<Events>& aEvents) {
+                 if (ended_) {
+                   return;
+                 }
+                 if (!aEvents) {
+                   watching_ = false;
+                   Later(settings_.retryInterval_, [this] { Reload(); });
+                   return;
+                 }
+                 OnEvents(*aEvents);
+               }));
+}
+
+void
+StoreSession::OnEvents(const std::vector<StoreWatchEvent>& aEvents)
+{
+  for (const StoreWatchEvent& event : aEvents) {
+    revision_ = std::max(revision_, event.modRevision_);
+    newestChange_ = std::max(newestChange_, event.modRevision_);
+    const auto present = entries_.find(event.key_);
+    const bool known =
+      present != entries_.end() && present->second.modRevision_ >= event.modRevision_;
+    if (known || event.modRevision_ <= loadedAt_) {
+      continue;
+    }
+    if (event.value_) {
+      entries_[event.key_] = { event.key_, *event.value_, event.modRevision_, 0 };
+    } else if (present != entries_.end()) {
+      entries_.erase(present);
+    }
+  }
+  confirmed_ = confirmed_ || (registered_ && revision_ >= registeredAt_);
+  const std::string own = MemberKey(self_.member_.ref_.id_);
+  if (registered_ && !writing_ && !entries_.contains(own)) {
+    OnLapsed("record_gone");
+  }
+  hooks_.onChange_();
+}
+
+void
+StoreSession::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
+{
+  store_.Commit(std::move(aTransaction),
+                OnThread<StoreTransactionResult>(
+                  [this, done = std::move(aDone)](StoreResult<StoreTransactionResult> aResult) {
+                    if (!aResult || !aResult->succeeded_) {
+                      Reload();
+                    }
+                    done(std::move(aResult));
+                  }));
+}
+
+void
+StoreSession::ScheduleRenew(milliseconds aDelay)
+{
+  renewTimer_.expires_after(aDelay);
+  renewTimer_.async_wait([this](const boost::system::error_code& aError) {
+    if (!aError && registered_ && !ended_) {
+      Renew();
+    }
+  });
+}
+
+void
+StoreSession::Renew()
+{
+  const TimePoint sentAt = clock_.Now();
+  const std::int64_t lease = lease_;
+  store_.KeepAlive(
+    lease,
+    OnThread<std::chrono::seconds>(
+      [this, sentAt, lease](const StoreResult<std::chrono::seconds>& aLeft) {
+        if (ended_ || !registered_ || lease != lease_) {
+          return;
+        }
+        if (!aLeft) {
+          ScheduleRenew(settings_.retryInterval_);
+          return;
+        }
+        if (aLeft->count() == 0) {
+          OnLapsed("lease_ended");
+          return;
+        }
+        leaseDeadline_ = std::max(leaseDeadline_, sentAt + settings_.leaseTime_);
+        ScheduleRenew(settings_.renewInterval_);
+        hooks_.onChange_();
+      }));
+}
+
+void
+StoreSession::OnLapsed(const char* aReason)
+{
+  LogLine(LogLevel::Warning, "member_lapsed")
+    .With("instance", self_.member_.ref_.id_)
+    .With("lease", lease_)
+    .With("reason", aReason);
+  registered_ = false;
+  confirmed_ = false;
+  lease_ = 0;
+  leaseDeadline_ = {};
+  renewTimer_.cancel();
+  hooks_.onChange_();
+  Reload();
+}
+
+void
+StoreSession::End(std::function<void()> aDone)
+{
+  ended_ = true;
+  renewTimer_.cancel();
+  const std::string own = MemberKey(self_.member_.ref_.id_);
+  StoreTransaction transaction;
+  if (self_.life_.empty() && registered_) {
+    transaction.compares_.push_back({ own, RevisionOf(own) });
+    transaction.writes_.push_back({ own, std::nullopt, 0 });
+  }
+  const auto leader = entries_.find(LeaderKey());
+  if (leader != entries_.end() && leader->second.value_ == self_.member_.ref_.id_) {
+    transaction.compares_.push_back({ leader->first, leader->second.modRevision_ });
+    transaction.writes_.push_back({ leader->first, std::nullopt, 0 });
+  }
+  if (transaction.writes_.empty()) {
+    aDone();
+    return;
+  }
+  store_.Commit(std::move(transaction),
+                OnThread<StoreTransactionResult>(
+                  [done = std::move(aDone)](const StoreResult<StoreTransactionResult>&) { done(); }));
+}
+
+} // namespace redwing
--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <boost/asio/write.hpp>
 #include <cstring>
+#include <optional>
+#include <utility>
 
 namespace redwing::Detail {
 
@@ -59,15 +61,24 @@
   const auto self = shared_from_this();
   const IntakeCore::Scope scope(core_);
   closed_ = true;
-  if (exchange_) {
-    exchange_->OnCallerGone();
-    core_.Retire(std::move(exchange_));
-  }
+  DropSlots();
   boost::system::error_code ignored;
   socket_.close(ignored);
   onClosed_(*this);
 }
 
+void
+CallerConnection::DropSlots()
+{
+  for (auto& slot : slots_) {
+    slot->exchange_->OnCallerGone();
+  }
+  while (!slots_.empty()) {
+    core_.Retire(std::move(slots_.front()));
+    slots_.pop_front();
+  }
+}
+
 void
 CallerConnection::Sweep(TimePoint aNow)
 {
@@ -81,11 +92,13 @@
     return;
   }
   const bool writeStalled = writing_ && sinceWrite > settings.progressTimeout_;
-  const bool bodyStalled =
-    exchange_ && !bodyDone_ && exchange_->WantsBody() && sinceRead > settings.progressTimeout_;
-  const bool headStalled = !exchange_ && begin_ != end_ && sinceRead > settings.progressTimeout_;
+  const bool bodyStalled = !slots_.empty() && !slots_.back()->bodyDone_ &&
+                           slots_.back()->exchange_->WantsBody() &&
+                           sinceRead > settings.progressTimeout_;
+  const bool headStalled =
+    slots_.empty() && begin_ != end_ && sinceRead > settings.progressTimeout_;
   const bool idle =
-    !exchange_ && !writing_ && std::min(sinceRead, sinceWrite) > settings.idleTimeout_;
+    slots_.empty() && !writing_ && std::min(sinceRead, sinceWrite) > settings.idleTimeout_;
   if (writeStalled || bodyStalled || headStalled || idle) {
     Close();
   }
@@ -94,11 +107,23 @@
 void
 CallerConnection::CloseIfIdle()
 {
-  if (!exchange_ && begin_ == end_ && !writing_) {
+  if (slots_.empty() && begin_ == end_ && !writing_) {
     BeginClosing();
   }
 }
 
+bool
+CallerConnection::IsFront(const CallerSlot& aSlot) const
+{
+  return !slots_.empty() && slots_.front().get() == &aSlot;
+}
+
+bool
+CallerConnection::IsLast(const CallerSlot& aSlot) const
+{
+  return !slots_.empty() && slots_.back().get() == &aSlot;
+}
+
 void
 CallerConnection::Flush(std::size_t aBodyBytes)
 {
@@ -107,9 +132,8 @@
 }
 
 void
-CallerConnection::EndResponse()
+CallerConnection::EndFrontResponse()
 {
-  responseDone_ = true;
   outBody_ = 0;
   inFlightBody_ = 0;
   Pump();
@@ -123,18 +147,6 @@
   Close();
 }
 
-void
-CallerConnection::ResumeBody()
-{
-  Pump();
-}
-
-bool
-CallerConnection::KeepsAlive() const
-{
-  return bodyDone_ && parser_ && parser_->keep_alive() && SpeaksHttp11() && !core_.ShuttingDown();
-}
-
 void
 CallerConnection::Pump()
 {
@@ -160,31 +172,59 @@
   if (closed_ || closing_) {
     return false;
   }
-  if (responseDone_) {
+  if (!slots_.empty() && slots_.front()->responseDone_) {
     return NextRequest();
   }
-  if (!exchange_) {
-    return out_.size() <= kMaxBacklogBytes && ParseHead();
+  if (slots_.empty() || slots_.back()->bodyDone_) {
+    return MayParseHead() && ParseHead();
   }
-  return !bodyDone_ && exchange_->WantsBody() && ParseBody();
+  const CallerSlot& last = *slots_.back();
+  return last.begun_ && last.exchange_->WantsBody() && ParseBody();
 }
 
 bool
 CallerConnection::NextRequest()
 {
-  const bool keep = exchange_ && exchange_->KeepsConnection();
-  responseDone_ = false;
-  if (exchange_) {
-    core_.Retire(std::move(exchange_));
-  }
+  const bool keep = slots_.front()->exchange_->KeepsConnection();
+  core_.Retire(std::move(slots_.front()));
+  slots_.pop_front();
   if (!keep) {
+    // The caller sends the requests behind a closing response again.
+    DropSlots();
     BeginClosing();
     return false;
   }
-  parser_.reset();
+  if (slots_.empty()) {
+    return true;
+  }
+  CallerSlot& front = *slots_.front();
+  if (!front.begun_) {
+    Begin(front);
+    return true;
+  }
+  if (front.broken_) {
+    AbortResponse();
+    return false;
+  }
+  out_.append(front.waiting_);
+  front.waiting_.clear();
+  Flush(std::exchange(front.waitingBody_, 0));
   return true;
 }
 
+bool
+CallerConnection::MayParseHead() const
+{
+  if (out_.size() > kMaxBacklogBytes) {
+    return false;
+  }
+  if (slots_.empty()) {
+    return true;
+  }
+  const CallerSlot& last = *slots_.back();
+  return slots_.size() < core_.Settings().maxPipelined_ && last.begun_ && !last.closes_;
+}
+
 bool
 CallerConnection::ParseHead()
 {
@@ -196,67 +236,87 @@
   const std::string_view unread = Unread();
   const std::size_t end = unread.find(kEnd, scanned_);
   const std::size_t limit = core_.Settings().maxHeaderBytes_;
-  if (end == std::string_view::npos) {
+  const bool tooLarge = end == std::string_view::npos ? unread.size() >= limit
+                                                      : end + kEnd.size() > limit;
+  if (end == std::string_view::npos && !tooLarge) {
     scanned_ = unread.size() < kEnd.size() ? 0 : unread.size() - kEnd.size() + 1;
-    if (unread.size() >= limit) {
-      RejectHead("the request head is too large");
-    }
     return false;
   }
-  scanned_ = 0;
-  const std::size_t headBytes = end + kEnd.size();
-  parser_.emplace();
-  if (headBytes > limit) {
-    RejectHead("the request head is too large");
+  core_.RefreshView();
+  slots_.push_back(std::make_unique<CallerSlot>(core_, *this));
+  CallerSlot& slot = *slots_.back();
+  if (tooLarge) {
+    RejectHead(slot, "the request head is too large");
     return false;
   }
+  scanned_ = 0;
+  const std::size_t headBytes = end + kEnd.size();
   if (HasObsFold(unread.substr(0, headBytes))) {
-    RejectHead("a header is folded");
+    RejectHead(slot, "a header is folded");
     return false;
   }
-  parser_->header_limit(static_cast<std::uint32_t>(headBytes + 1));
-  parser_->body_limit(boost::none);
+  RequestParser& parser = slot.parser_;
+  parser.header_limit(static_cast<std::uint32_t>(headBytes + 1));
+  parser.body_limit(boost::none);
   boost::system::error_code error;
-  parser_->put(boost::asio::buffer(unread.data(), headBytes), error);
+  parser.put(boost::asio::buffer(unread.data(), headBytes), error);
   begin_ += headBytes;
   // A head without headers leaves the parser waiting for the line end that put was given already.
-  if (error || !parser_->is_header_done()) {
-    RejectHead("the request head is malformed");
+  if (error || !parser.is_header_done()) {
+    RejectHead(slot, "the request head is malformed");
     return false;
   }
-  if (parser_->ambiguousFraming_ || parser_->hosts_ > 1 ||
-      (parser_->hosts_ == 0 && SpeaksHttp11())) {
-    RejectHead("the Host or framing headers are invalid");
+  if (parser.ambiguousFraming_ || parser.hosts_ > 1 ||
+      (parser.hosts_ == 0 && slot.SpeaksHttp11())) {
+    RejectHead(slot, "the Host or framing headers are invalid");
     return false;
   }
-  BeginExchange();
+  slot.bodyDone_ = parser.is_done();
+  if (IsFront(slot) || MayOverlap(slot)) {
+    Begin(slot);
+  }
   return true;
 }
 
+bool
+CallerConnection::MayOverlap(const CallerSlot& aSlot) const
+{
+  // If an earlier response closes the connection, the caller sends this request again.
+  const RequestParser& parser = aSlot.parser_;
+  std::string_view host;
+  for (const Header& header : parser.headers_) {
+    if (SameName(header.name_, "host")) {
+      host = header.value_;
+    }
+  }
+  const std::string_view target(parser.target_);
+  const RouteEntry* entry =
+    core_.Routes()->Match(parser.method_, target.substr(0, target.find('?')), HostName(host));
+  return aSlot.bodyDone_ && (entry == nullptr || entry->route_->idempotent_);
+}
+
 void
-CallerConnection::BeginExchange()
+CallerConnection::Begin(CallerSlot& aSlot)
 {
-  core_.RefreshView();
-  bodyDone_ = parser_->is_done();
+  RequestParser& parser = aSlot.parser_;
   std::optional<std::uint64_t> length;
-  if (const auto known = parser_->content_length()) {
+  if (const auto known = parser.content_length()) {
     length = *known;
   }
-  exchange_ = std::make_unique<Exchange>(core_, *this);
-  exchange_->Begin(std::move(parser_->method_),
-                   std::move(parser_->target_),
-                   std::move(parser_->headers_),
-                   length,
-                   bodyDone_);
+  aSlot.begun_ = true;
+  aSlot.exchange_->Begin(std::move(parser.method_),
+                         std::move(parser.target_),
+                         std::move(parser.headers_),
+                         length,
+                         aSlot.bodyDone_);
 }
 
 void
-CallerConnection::RejectHead(const char* aFault)
+CallerConnection::RejectHead(CallerSlot& aSlot, const char* aFault)
 {
-  core_.RefreshView();
-  bodyDone_ = false;
-  exchange_ = std::make_unique<Exchange>(core_, *this);
-  exchange_->Reject(aFault);
+  aSlot.begun_ = true;
+  aSlot.bodyDone_ = false;
+  aSlot.exchange_->Reject(aFault);
 }
 
 bool
@@ -265,23 +325,24 @@
   if (begin_ == end_) {
     return false;
   }
+  CallerSlot& slot = *slots_.back();
   boost::system::error_code error;
   const std::size_t used =
-    parser_->put(boost::asio::buffer(Unread().data(), Unread().size()), error);
+    slot.parser_.put(boost::asio::buffer(Unread().data(), Unread().size()), error);
   begin_ += used;
   const bool full = end_ - begin_ >= kMaxBufferBytes;
   if (error == boost::beast::http::error::need_more && !full) {
     error = {};
   }
   if (error) {
-    exchange_->OnMalformedBody();
+    slot.exchange_->OnMalformedBody();
     return false;
   }
-  bodyDone_ = parser_->is_done();
-  if (!parser_->body_.empty() || bodyDone_) {
+  slot.bodyDone_ = slot.parser_.is_done();
+  if (!slot.parser_.body_.empty() || slot.bodyDone_) {
     std::string body;
-    body.swap(parser_->body_);
-    exchange_->OnBody(std::move(body), bodyDone_);
+    body.swap(slot.parser_.body_);
+    slot.exchange_->OnBody(std::move(body), slot.bodyDone_);
   }
   return used > 0;
 }
@@ -376,8 +437,8 @@
         });
       return;
     }
-    if (exchange_ && inFlightBody_ > 0) {
-      exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
+    if (!slots_.empty() && inFlightBody_ > 0) {
+      slots_.front()->exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
     }
   }
 }
@@ -395,8 +456,8 @@
   }
   const IntakeCore::Scope scope(core_);
   lastWrite_ = core_.Now();
-  if (exchange_ && inFlightBody_ > 0) {
-    exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
+  if (!slots_.empty() && inFlightBody_ > 0) {
+    slots_.front()->exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
   }
   Write();
   if (closing_ && !writing_) {
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -1,23 +1,23 @@
 #pragma once
 
 #include "core/Clock.hpp"
-#include "intake/RequestParser.hpp"
+#include "intake/CallerSlot.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace redwing::Detail {
 
-class Exchange;
 class IntakeCore;
 
-/// One connection of a caller. Requests on it are served one after the other; while one is served,
-/// bytes of later ones wait in a bounded buffer.
+/// One connection of a caller. Idempotent requests on it may be served at the same time; any other
+/// request is begun once the earlier responses are complete. Bytes of requests that were not begun
+/// wait in a bounded buffer.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
@@ -40,34 +40,24 @@
   /// Closes the connection unless a request is being served or has begun to arrive.
   void CloseIfIdle();
 
-  /// Buffer for bytes to the caller; Flush sends them. aBodyBytes of them are response body.
-  std::string& Out() { return out_; }
-  void Flush(std::size_t aBodyBytes);
-
-  /// The response is complete in Out(); the connection goes on to the next request or closes.
-  void EndResponse();
-
-  /// Resets the connection, so that the caller cannot take the response for complete.
-  void AbortResponse();
-
-  /// The exchange can take more request body.
-  void ResumeBody();
-
-  /// Returns whether the connection stays open after the current response.
-  bool KeepsAlive() const;
-
-  bool SpeaksHttp11() const { return parser_ && parser_->version_ > kHttp10; }
-
 private:
-  static constexpr int kHttp10 = 10;
+  friend class CallerSlot;
 
   void Pump();
   bool Step();
   bool NextRequest();
+  bool MayParseHead() const;
   bool ParseHead();
   bool ParseBody();
-  void BeginExchange();
-  void RejectHead(const char* aFault);
+  void Begin(CallerSlot& aSlot);
+  bool MayOverlap(const CallerSlot& aSlot) const;
+  void RejectHead(CallerSlot& aSlot, const char* aFault);
+  bool IsFront(const CallerSlot& aSlot) const;
+  bool IsLast(const CallerSlot& aSlot) const;
+  void Flush(std::size_t aBodyBytes);
+  void EndFrontResponse();
+  void AbortResponse();
+  void DropSlots();
   void ReadMore();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool MakeRoom();
@@ -83,10 +73,8 @@
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
   std::size_t scanned_ = 0;
-  std::optional<RequestParser> parser_;
-  std::unique_ptr<Exchange> exchange_;
-  bool bodyDone_ = true;
-  bool responseDone_ = false;
+  /// Requests in the order of their arrival.
+  std::deque<std::unique_ptr<CallerSlot>> slots_;
   bool pumping_ = false;
   bool pumpAgain_ = false;
   bool reading_ = false;
--- /dev/null
+++ b/src/intake/CallerSlot.hpp
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "intake/RequestParser.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace redwing::Detail {
+
+class CallerConnection;
+class Exchange;
+class IntakeCore;
+
+/// One request on a caller's connection, from its head to the end of its response. Responses leave
+/// in the order of the requests; the response of a later one waits here. Intake thread only.
+class CallerSlot
+{
+public:
+  CallerSlot(IntakeCore& aCore, CallerConnection& aConnection);
+  ~CallerSlot();
+  CallerSlot(const CallerSlot&) = delete;
+  CallerSlot& operator=(const CallerSlot&) = delete;
+
+  /// Buffer for bytes to the caller; Flush sends them. aBodyBytes of them are response body.
+  std::string& Out();
+  void Flush(std::size_t aBodyBytes);
+
+  /// The response is complete in Out(); the connection goes on to the next request or closes.
+  void EndResponse();
+
+  /// Resets the connection, so that the caller cannot take the response for complete.
+  void AbortResponse();
+
+  /// The exchange can take more request body.
+  void ResumeBody();
+
+  /// Decides whether the connection stays open after this response.
+  bool KeepsAlive();
+
+  bool SpeaksHttp11() const;
+
+private:
+  friend class CallerConnection;
+
+  CallerConnection& connection_;
+  RequestParser parser_;
+  std::unique_ptr<Exchange> exchange_;
+  /// The request was handed to its exchange.
+  bool begun_ = false;
+  bool bodyDone_ = true;
+  bool responseDone_ = false;
+  /// The response says that it is the last one on the connection.
+  bool closes_ = false;
+  /// The response broke off; the connection is reset once the earlier responses are out.
+  bool broken_ = false;
+  /// Bytes of a response that must wait for earlier ones.
+  std::string waiting_;
+  std::size_t waitingBody_ = 0;
+};
+
+} // namespace redwing::Detail
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -1,7 +1,7 @@
 #include "intake/Exchange.hpp"
 
 #include "core/Hash.hpp"
-#include "intake/CallerConnection.hpp"
+#include "intake/CallerSlot.hpp"
 #include "intake/IntakeCore.hpp"
 #include "routing/ShardMap.hpp"
 
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr unsigned kServiceUnavailable = 503;
-constexpr std::uint32_t kDefaultRetryAfterMs = 1000;
 constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
 
 std::uint64_t
@@ -40,7 +39,7 @@
 
 } // namespace
 
-Exchange::Exchange(IntakeCore& aCore, CallerConnection& aConnection)
+Exchange::Exchange(IntakeCore& aCore, CallerSlot& aConnection)
   : core_(aCore)
   , connection_(aConnection)
   , id_(aCore.NextExchangeId())
@@ -64,20 +63,34 @@
 {
   bodyDone_ = aBodyDone;
   if (const char* fault =
-        CleanHead(std::move(aMethod), std::move(aTarget), std::move(aHeaders), head_)) {
+        CleanHead(core_.Settings().protocol_,
+                  std::move(aMethod),
+                  std::move(aTarget),
+                  std::move(aHeaders),
+                  head_)) {
     Refuse(ErrorCode::BadRequest, fault);
     return;
   }
+  if (!head_.requestId_.empty()) {
+    requestId_ = head_.requestId_;
+  }
+  if (aContentLength && BodyTooLarge(*aContentLength)) {
+    Refuse(ErrorCode::BodyTooLarge, "the request body is too large");
+    return;
+  }
   if (core_.ExchangeCount() > core_.Settings().maxExchanges_) {
     Refuse(ErrorCode::QueueFull, "too many requests in progress");
     return;
   }
   routes_ = core_.Routes();
-  entry_ = routes_->Match(head_.method_, head_.Path());
+  entry_ = routes_->Match(head_.method_, head_.Path(), head_.host_);
   if (entry_ == nullptr) {
-    Refuse(ErrorCode::NoRoute, "no route matches the method and path");
+    const bool known = routes_->Revision().revision_ != 0;
+    Refuse(known ? ErrorCode::NoRoute : ErrorCode::ConfigurationStale,
+           known ? "no route matches the method and path" : "no configuration is known yet");
     return;
   }
+  ChoosePart();
   if (!Authenticate() || !FindShard()) {
     return;
   }
@@ -102,6 +115,21 @@
   Refuse(ErrorCode::BadRequest, aFault);
 }
 
+void
+Exchange::ChoosePart()
+{
+  if (!entry_->parts_.empty()) {
+    entry_ = &entry_->parts_[core_.NextPart(*entry_)];
+  }
+}
+
+bool
+Exchange::BodyTooLarge(std::uint64_t aBytes) const
+{
+  const std::size_t limit = core_.Settings().maxBodyBytes_;
+  return limit > 0 && aBytes > limit;
+}
+
 bool
 Exchange::Authenticate()
 {
@@ -156,7 +184,12 @@
     Refuse(ErrorCode::NoOwner, "the service has no shards");
     return false;
   }
-  start_.shard_ = ShardTarget{ ShardOf(*key, service.shards_), 0 };
+  const auto shard = ShardOf(*key, service);
+  if (!shard) {
+    Refuse(ErrorCode::MissingRoutingKey, "the routing key is not a number in the range of keys");
+    return false;
+  }
+  start_.shard_ = ShardTarget{ *shard, 0 };
   return true;
 }
 
@@ -173,8 +206,17 @@
   start_.method_ = head_.method_;
   start_.target_ = head_.target_;
   start_.headers_ = std::move(head_.headers_);
+  const IntakeSettings& settings = core_.Settings();
+  if (!settings.protocol_.originHeader_.empty()) {
+    start_.headers_.push_back({ settings.protocol_.originHeader_, settings.originService_ });
+  }
   start_.deadline_ = deadline_;
+  start_.targetTime_ =
+    route.targetLatency_.count() > 0 ? std::min(deadline_, begun_ + route.targetLatency_) : deadline_;
   start_.priority_ = route.priority_;
+  if (workspace_ != nullptr && workspace_->priority_) {
+    start_.priority_ = *workspace_->priority_;
+  }
   start_.idempotent_ = route.idempotent_;
   start_.idempotencyKey_ = head_.idempotencyKey_;
   start_.contentLength_ = aContentLength;
@@ -214,6 +256,10 @@
   } else {
     pending_.append(aBytes);
   }
+  if (!started_ && BodyTooLarge(pending_.size())) {
+    Refuse(ErrorCode::BodyTooLarge, "the request body is too large");
+    return;
+  }
   if (!started_) {
     BeginWhenReady();
   } else {
@@ -237,19 +283,19 @@
 bool
 Exchange::WantsBody() const
 {
-  return !finished_ && pending_.size() < kMaxChunkBytes;
+  return !finished_ && pending_.size() < core_.Settings().bufferedBodyBytes_;
 }
 
 void
 Exchange::BeginWhenReady()
 {
-  // Waiting for a whole chunk keeps a slow upload from holding a slot and makes small bodies
-  // replayable.
-  if (finished_ || !admitted_ || started_ || (!bodyDone_ && pending_.size() < kMaxChunkBytes)) {
+  // Waiting for the body keeps a slow upload from holding a slot and makes small bodies replayable.
+  const std::size_t buffered = core_.Settings().bufferedBodyBytes_;
+  if (finished_ || !admitted_ || started_ || (!bodyDone_ && pending_.size() < buffered)) {
     return;
   }
   started_ = true;
-  streamed_ = !bodyDone_ || pending_.size() > kMaxChunkBytes;
+  streamed_ = !bodyDone_ || pending_.size() > buffered;
   if (streamed_) {
     start_.body_ = pending_.substr(0, kMaxChunkBytes);
     pending_.erase(0, kMaxChunkBytes);
@@ -280,7 +326,7 @@
   Finish();
   core_.Outcomes().OnRefusal(WorkspaceId(), aCode, aOutcome);
   if (!aRetryAfterMs && IsTemporary(aCode)) {
-    aRetryAfterMs = kDefaultRetryAfterMs;
+    aRetryAfterMs = static_cast<std::uint32_t>(core_.Settings().defaultRetryAfter_.count());
   }
   Refusal refusal;
   refusal.outcome_ = aOutcome;
@@ -288,7 +334,12 @@
   refusal.detail_ = std::move(aDetail);
   refusal.retryAfterMs_ = aRetryAfterMs;
   keepsConnection_ = connection_.KeepsAlive();
-  AppendRefusal(connection_.Out(), refusal, requestId_, head_.method_ == "HEAD", !keepsConnection_);
+  AppendRefusal(connection_.Out(),
+                core_.Settings().protocol_,
+                refusal,
+                requestId_,
+                head_.method_ == "HEAD",
+                !keepsConnection_);
   connection_.Flush(0);
   connection_.EndResponse();
 }
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -17,7 +17,7 @@
 
 namespace Detail {
 
-class CallerConnection;
+class CallerSlot;
 class IntakeCore;
 
 /// One request of a caller from its head to the end of its response: admission, attempts at
@@ -25,7 +25,7 @@
 class Exchange
 {
 public:
-  Exchange(IntakeCore& aCore, CallerConnection& aConnection);
+  Exchange(IntakeCore& aCore, CallerSlot& aConnection);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -71,6 +71,8 @@
   // Admission, in Exchange.cpp
   bool Authenticate();
   bool FindShard();
+  void ChoosePart();
+  bool BodyTooLarge(std::uint64_t aBytes) const;
   void BuildStart(std::optional<std::uint64_t> aContentLength);
   void BeginWhenReady();
   void Refuse(ErrorCode aCode,
@@ -89,6 +91,7 @@
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
   void OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal);
   bool RetryAfter(const Attempt& aAttempt, const Refusal& aRefusal);
+  bool CountsAsRetry(const Refusal& aRefusal) const;
   bool RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal);
   bool RetryPooled(const Attempt& aAttempt, const Refusal& aRefusal);
   void RetryLater();
@@ -111,7 +114,7 @@
   BodyFraming FramingOf(const ResponseStart& aStart) const;
 
   IntakeCore& core_;
-  CallerConnection& connection_;
+  CallerSlot& connection_;
   std::uint64_t id_;
   std::string requestId_;
   RequestHead head_;
@@ -145,6 +148,7 @@
   std::string ownerHint_;
   TimePoint firstSent_{};
   std::uint32_t attemptCount_ = 0;
+  /// Attempts after which it is not known whether the request ran.
   std::uint32_t unknownCount_ = 0;
   std::uint32_t backoffs_ = 0;
   /// When the shard was first found without a serving owner.
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -1,4 +1,4 @@
-#include "intake/CallerConnection.hpp"
+#include "intake/CallerSlot.hpp"
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
 
@@ -11,8 +11,6 @@
 /// Time after the deadline for the serving instance, which has the same deadline, to say whether
 /// the request ran.
 constexpr Duration kDeadlineGrace = std::chrono::milliseconds(25);
-constexpr Duration kFirstBackoff = std::chrono::milliseconds(2);
-constexpr Duration kMaxBackoff = std::chrono::milliseconds(16);
 constexpr std::uint32_t kMaxBackoffDoublings = 3;
 /// A request that crashes its backend server must not reach a third one.
 constexpr std::uint32_t kMaxPossibleRuns = 2;
@@ -221,8 +219,9 @@
 Exchange::RetryAfter(const Attempt& aAttempt, const Refusal& aRefusal)
 {
   if (aRefusal.outcome_ == Outcome::Unknown) {
+    const std::uint32_t mostRuns = std::min(kMaxPossibleRuns, entry_->route_->maxAttempts_);
     const bool repeatable =
-      start_.idempotent_ && unknownCount_ < kMaxPossibleRuns && ConcernsOwnership(aRefusal.code_);
+      start_.idempotent_ && unknownCount_ < mostRuns && ConcernsOwnership(aRefusal.code_);
     if (!repeatable || !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
       return false;
     }
@@ -230,12 +229,23 @@
   return start_.shard_ ? RetryKeyed(aAttempt, aRefusal) : RetryPooled(aAttempt, aRefusal);
 }
 
+bool
+Exchange::CountsAsRetry(const Refusal& aRefusal) const
+{
+  // With a budget for the whole service only requests that reach its backend servers count.
+  return aRefusal.reachedServer_ || core_.Settings().retryBudget_.perWorkspace_;
+}
+
 bool
 Exchange::RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal)
 {
   if (!ConcernsOwnership(aRefusal.code_)) {
     return false;
   }
+  if (aRefusal.reachedServer_ && !core_.Settings().retryBudget_.perWorkspace_ &&
+      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
+    return false;
+  }
   lastFailed_ = aAttempt.instanceId_;
   core_.RetryCounter().Add();
   const bool hinted = aRefusal.code_ == ErrorCode::NotOwner && !aRefusal.ownerHint_.empty() &&
@@ -265,7 +275,7 @@
   if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
     return false;
   }
-  if (aRefusal.outcome_ == Outcome::NotRun &&
+  if (aRefusal.outcome_ == Outcome::NotRun && CountsAsRetry(aRefusal) &&
       !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
     return false;
   }
@@ -287,8 +297,10 @@
            unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
     return;
   }
+  const IntakeSettings& settings = core_.Settings();
   const Duration backoff =
-    std::min(kMaxBackoff, kFirstBackoff * (1 << std::min(backoffs_, kMaxBackoffDoublings)));
+    std::min(settings.lastOwnerRetry_,
+             settings.firstOwnerRetry_ * (1 << std::min(backoffs_, kMaxBackoffDoublings)));
   ++backoffs_;
   // Jitter keeps the waiting requests of a shard from arriving at its new owner together.
   const auto jitter =
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -1,4 +1,4 @@
-#include "intake/CallerConnection.hpp"
+#include "intake/CallerSlot.hpp"
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
 
@@ -101,6 +101,7 @@
     (framing_ == BodyFraming::ContentLength || aStart.contentLength_.has_value());
   AppendResponseHead(
     connection_.Out(),
+    core_.Settings().protocol_,
     { aStart, requestId_, framing_, responseLength_.value_or(0), showLength, !keepsConnection_ });
   core_.Outcomes().OnResponse(WorkspaceId(), aStart.status_);
   AppendBody(aStart.body_, aStart.last_);
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -1,5 +1,6 @@
 #include "intake/IntakeCore.hpp"
 
+#include "intake/CallerSlot.hpp"
 #include "intake/Exchange.hpp"
 
 #include <array>
@@ -25,6 +26,7 @@
   , reader_(dependencies_.view_)
   , random_(dependencies_.seed_)
   , selector_(dependencies_.clock_, random_.Bits(), dependencies_.settings_.routing_)
+  , retries_(dependencies_.settings_.retryBudget_)
   , outcomes_(dependencies_.counters_)
   , hedgeCounter_(dependencies_.counters_.GetCounter("redwing_hedges_total"))
   , retryCounter_(dependencies_.counters_.GetCounter("redwing_retries_total"))
@@ -52,6 +54,7 @@
     const auto adopted = revision ? revision : std::make_shared<const ConfigurationRevision>();
     routes_ = std::make_shared<const RouteTable>(adopted);
     credentials_ = std::make_unique<CredentialTable>(adopted);
+    partClaims_.clear();
   }
   selector_.SetView(view_);
 }
@@ -71,10 +74,37 @@
   return { text.data(), static_cast<std::size_t>(length) };
 }
 
+std::size_t
+IntakeCore::NextPart(const RouteEntry& aEntry)
+{
+  const auto& split = aEntry.route_->split_;
+  double total = 0;
+  for (const RouteTarget& target : split) {
+    total += target.weight_;
+  }
+  auto& claims = partClaims_[&aEntry];
+  if (claims.empty()) {
+    // A random start keeps instances from serving their first requests by the same part.
+    for (std::size_t i = 0; i < split.size(); ++i) {
+      claims.push_back(random_.Unit() * total);
+    }
+  }
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < split.size(); ++i) {
+    claims[i] += split[i].weight_;
+    const bool usable = split[i].weight_ > 0 || total == 0;
+    if (usable && (split[best].weight_ == 0 || claims[i] > claims[best])) {
+      best = i;
+    }
+  }
+  claims[best] -= total;
+  return best;
+}
+
 void
-IntakeCore::Retire(std::unique_ptr<Exchange> aExchange)
+IntakeCore::Retire(std::unique_ptr<CallerSlot> aSlot)
 {
-  retired_.push_back(std::move(aExchange));
+  retired_.push_back(std::move(aSlot));
 }
 
 void
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -19,6 +19,7 @@
 
 namespace redwing::Detail {
 
+class CallerSlot;
 class Exchange;
 
 /// State of the intake thread that its connections and exchanges share.
@@ -68,6 +69,12 @@
   void SetShuttingDown() { shuttingDown_ = true; }
 
   std::string NextRequestId();
+
+  /// Returns the index of the part that serves the next request of a split route, so that the
+  /// parts get their weights over any number of requests.
+  ///
+  /// Preconditions: aEntry has parts and belongs to Routes().
+  std::size_t NextPart(const RouteEntry& aEntry);
   std::uint64_t NextAttemptId() { return ++lastAttemptId_; }
   std::uint64_t NextExchangeId() { return ++lastExchangeId_; }
 
@@ -76,7 +83,7 @@
   std::size_t ExchangeCount() const { return exchanges_.size(); }
   void AddAttempt(std::uint64_t aId, Exchange& aExchange) { attempts_[aId] = &aExchange; }
   void RemoveAttempt(std::uint64_t aId) { attempts_.erase(aId); }
-  void Retire(std::unique_ptr<Exchange> aExchange);
+  void Retire(std::unique_ptr<CallerSlot> aSlot);
 
   void OnResponseEvent(ResponseEvent&& aEvent);
   void OnPeerDown(const std::string& aInstanceId);
@@ -100,13 +107,15 @@
   Counter& retryCounter_;
   RouteLog log_;
   TimerQueue timers_;
+  /// Claims of the parts of split routes that were not served yet.
+  std::unordered_map<const RouteEntry*, std::vector<double>> partClaims_;
   std::uint64_t requestIdBase_;
   std::uint64_t lastRequestId_ = 0;
   std::uint64_t lastAttemptId_ = 0;
   std::uint64_t lastExchangeId_ = 0;
   std::unordered_map<std::uint64_t, Exchange*> exchanges_;
   std::unordered_map<std::uint64_t, Exchange*> attempts_;
-  std::vector<std::unique_ptr<Exchange>> retired_;
+  std::vector<std::unique_ptr<CallerSlot>> retired_;
   unsigned depth_ = 0;
   bool shuttingDown_ = false;
 };
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -6,6 +6,8 @@
 #include "core/Counters.hpp"
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
+#include "exchange/HttpProtocol.hpp"
+#include "routing/RetryBudget.hpp"
 #include "routing/RoutingSettings.hpp"
 #include "routing/RoutingView.hpp"
 
@@ -38,6 +40,23 @@
   std::chrono::milliseconds ownerWait_{ 2'000 };
   std::uint32_t routeLogLinesPerSecond_ = 200;
   RoutingSettings routing_;
+  HttpProtocol protocol_;
+  RetryBudgetSettings retryBudget_;
+  /// Service of the backend server beside this instance; sent along as the origin of requests.
+  std::string originService_;
+  /// Larger bodies are sent on before they are complete and cannot be sent again.
+  std::size_t bufferedBodyBytes_ = kMaxChunkBytes;
+  /// Larger bodies are refused; 0: no limit.
+  std::size_t maxBodyBytes_ = 0;
+  /// Idempotent requests of one connection that are served at the same time.
+  std::size_t maxPipelined_ = 1;
+  /// Time for which new connections are still accepted during a shutdown.
+  std::chrono::milliseconds acceptGrace_{ 0 };
+  /// Pauses between attempts at a shard without a serving owner: the first, and the longest.
+  std::chrono::milliseconds firstOwnerRetry_{ 2 };
+  std::chrono::milliseconds lastOwnerRetry_{ 16 };
+  /// When a refused caller may come back, unless a better estimate is known.
+  std::chrono::milliseconds defaultRetryAfter_{ 1000 };
 };
 
 /// Called on the intake thread; with aAdmitted false, aRetryAfterMs says when a token is expected.
--- a/src/intake/IntakeService.cpp
+++ b/src/intake/IntakeService.cpp
@@ -52,6 +52,7 @@
 private:
   std::vector<std::shared_ptr<Detail::CallerConnection>> Connections() const;
   void ArmSweep();
+  void StopAccepting();
 
   boost::asio::steady_timer sweepTimer_;
   boost::asio::steady_timer acceptTimer_;
@@ -59,6 +60,7 @@
     connections_;
   Gauge& connectionGauge_;
   std::function<void()> done_;
+  TimePoint acceptUntil_{};
   TimePoint idleCloseAt_{};
 };
 
@@ -160,13 +162,14 @@
 IntakeService::Impl::Sweep()
 {
   const TimePoint now = core_.Now();
+  StopAccepting();
   for (const auto& connection : Connections()) {
     connection->Sweep(now);
     if (core_.ShuttingDown() && now >= idleCloseAt_) {
       connection->CloseIfIdle();
     }
   }
-  if (core_.ShuttingDown() && connections_.empty()) {
+  if (core_.ShuttingDown() && connections_.empty() && !acceptor_.is_open()) {
     if (auto done = std::exchange(done_, nullptr)) {
       done();
     }
@@ -175,15 +178,24 @@
   ArmSweep();
 }
 
+void
+IntakeService::Impl::StopAccepting()
+{
+  if (core_.ShuttingDown() && acceptor_.is_open() && core_.Now() >= acceptUntil_) {
+    error_code ignored;
+    acceptor_.close(ignored);
+    acceptTimer_.cancel();
+  }
+}
+
 void
 IntakeService::Impl::BeginShutdown(std::function<void()> aDone)
 {
   done_ = std::move(aDone);
   core_.SetShuttingDown();
-  error_code ignored;
-  acceptor_.close(ignored);
-  acceptTimer_.cancel();
-  idleCloseAt_ = core_.Now() + core_.Settings().shutdownGrace_;
+  acceptUntil_ = core_.Now() + core_.Settings().acceptGrace_;
+  idleCloseAt_ = acceptUntil_ + core_.Settings().shutdownGrace_;
+  StopAccepting();
   ArmSweep();
 }
 
--- a/src/intake/RequestHead.cpp
+++ b/src/intake/RequestHead.cpp
@@ -13,8 +13,6 @@
 
 /// Owners of shards keep these keys in memory.
 constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
-constexpr std::string_view kBearer = "Bearer ";
-constexpr std::string_view kOwnPrefix = "redwing-";
 constexpr std::array<std::string_view, 10> kHopByHop{
   "connection",
   "keep-alive",
@@ -65,7 +63,7 @@
 }
 
 const char*
-TakeTarget(std::string&& aTarget, RequestHead& aHead)
+TakeTarget(const HttpProtocol& aProtocol, std::string&& aTarget, RequestHead& aHead)
 {
   if (aTarget.empty() || aTarget.front() != '/') {
     return "the request target is not an absolute path";
@@ -76,7 +74,7 @@
   if (HasDotSegment(aHead.Path())) {
     return "the path has a dot segment";
   }
-  if (query != std::string::npos) {
+  if (query != std::string::npos && aProtocol.cleansQuery_) {
     const std::string cleaned =
       WithoutKeyParameters(std::string_view(aHead.target_).substr(query + 1));
     aHead.target_.resize(query);
@@ -88,44 +86,72 @@
 }
 
 const char*
-TakeAuthorization(const std::string& aValue, RequestHead& aHead)
+TakeApiKey(const HttpProtocol& aProtocol, const std::string& aValue, RequestHead& aHead)
 {
   if (aHead.hasAuthorization_) {
-    return "more than one Authorization header";
+    return "more than one header with an API key";
   }
   aHead.hasAuthorization_ = true;
-  if (aValue.size() > kBearer.size() &&
-      SameName(std::string_view(aValue).substr(0, kBearer.size()), kBearer)) {
-    aHead.apiKey_ = Trim(std::string_view(aValue).substr(kBearer.size()));
+  const std::string& scheme = aProtocol.apiKeyScheme_;
+  if (scheme.empty()) {
+    aHead.apiKey_ = Trim(aValue);
+  } else if (aValue.size() > scheme.size() && aValue[scheme.size()] == ' ' &&
+             SameName(std::string_view(aValue).substr(0, scheme.size()), scheme)) {
+    aHead.apiKey_ = Trim(std::string_view(aValue).substr(scheme.size()));
   }
   return nullptr;
 }
 
 const char*
-TakeOwnHeader(const Header& aHeader, RequestHead& aHead)
+TakeTimeout(const Header& aHeader, RequestHead& aHead)
 {
-  if (!SameName(aHeader.name_, "redwing-timeout-ms")) {
-    return nullptr;
-  }
   std::uint32_t milliseconds = 0;
   const char* end = aHeader.value_.data() + aHeader.value_.size();
   const auto parsed = std::from_chars(aHeader.value_.data(), end, milliseconds);
   if (parsed.ec != std::errc{} || parsed.ptr != end || milliseconds == 0) {
-    return "Redwing-Timeout-Ms is not a positive number";
+    return "the timeout is not a positive number of milliseconds";
   }
   aHead.timeout_ = std::chrono::milliseconds(milliseconds);
   return nullptr;
 }
 
+bool
+IsOwn(const HttpProtocol& aProtocol, std::string_view aName)
+{
+  const std::string_view prefix = aProtocol.ownPrefix_;
+  if (!prefix.empty() && aName.size() >= prefix.size() &&
+      SameName(aName.substr(0, prefix.size()), prefix)) {
+    return true;
+  }
+  return std::any_of(aProtocol.ownHeaders_.begin(),
+                     aProtocol.ownHeaders_.end(),
+                     [&](const std::string& aOwn) { return SameName(aOwn, aName); });
+}
+
 const char*
-TakeHeader(Header&& aHeader, const std::vector<std::string>& aOptions, RequestHead& aHead)
+TakeHeader(const HttpProtocol& aProtocol,
+           Header&& aHeader,
+           const std::vector<std::string>& aOptions,
+           RequestHead& aHead)
 {
   const std::string_view name = aHeader.name_;
-  if (SameName(name, "authorization")) {
-    return TakeAuthorization(aHeader.value_, aHead);
+  if (SameName(name, aProtocol.apiKeyHeader_)) {
+    return TakeApiKey(aProtocol, aHeader.value_, aHead);
   }
-  if (name.size() >= kOwnPrefix.size() && SameName(name.substr(0, kOwnPrefix.size()), kOwnPrefix)) {
-    return TakeOwnHeader(aHeader, aHead);
+  if (SameName(name, aProtocol.timeoutHeader_)) {
+    return TakeTimeout(aHeader, aHead);
+  }
+  if (SameName(name, aProtocol.requestIdHeader_)) {
+    if (aProtocol.callerChoosesId_) {
+      aHead.requestId_ = aHeader.value_;
+    }
+    return nullptr;
+  }
+  if (IsOwn(aProtocol, name)) {
+    return nullptr;
+  }
+  if (SameName(name, "host")) {
+    aHead.host_ = HostName(aHeader.value_);
   }
   if (SameName(name, "expect")) {
     aHead.expectsContinue_ = SameName(aHeader.value_, "100-continue");
@@ -162,16 +188,20 @@
 } // namespace
 
 const char*
-CleanHead(std::string&& aMethod, std::string&& aTarget, HeaderList&& aHeaders, RequestHead& aHead)
+CleanHead(const HttpProtocol& aProtocol,
+          std::string&& aMethod,
+          std::string&& aTarget,
+          HeaderList&& aHeaders,
+          RequestHead& aHead)
 {
   aHead.method_ = std::move(aMethod);
-  if (const char* fault = TakeTarget(std::move(aTarget), aHead)) {
+  if (const char* fault = TakeTarget(aProtocol, std::move(aTarget), aHead)) {
     return fault;
   }
   const std::vector<std::string> options = ConnectionOptions(aHeaders);
   aHead.headers_.reserve(aHeaders.size());
   for (Header& header : aHeaders) {
-    if (const char* fault = TakeHeader(std::move(header), options, aHead)) {
+    if (const char* fault = TakeHeader(aProtocol, std::move(header), options, aHead)) {
       return fault;
     }
   }
@@ -187,6 +217,14 @@
   return nullptr;
 }
 
+std::string
+HostName(std::string_view aHost)
+{
+  std::string name(aHost.substr(0, aHost.find(':')));
+  std::transform(name.begin(), name.end(), name.begin(), Lower);
+  return name;
+}
+
 std::string
 WithoutKeyParameters(std::string_view aQuery)
 {
--- a/src/intake/RequestHead.hpp
+++ b/src/intake/RequestHead.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange/Events.hpp"
+#include "exchange/HttpProtocol.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -24,6 +25,10 @@
   std::string idempotencyKey_;
   std::optional<std::chrono::milliseconds> timeout_;
   bool expectsContinue_ = false;
+  /// Host header without port, in lower case.
+  std::string host_;
+  /// The caller's own id of the request; empty if it sent none or ids are assigned here.
+  std::string requestId_;
 
   std::string_view Path() const { return std::string_view(target_).substr(0, pathBytes_); }
 };
@@ -32,11 +37,17 @@
 /// malformed, nullptr otherwise.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-const char* CleanHead(std::string&& aMethod,
+const char* CleanHead(const HttpProtocol& aProtocol,
+                      std::string&& aMethod,
                       std::string&& aTarget,
                       HeaderList&& aHeaders,
                       RequestHead& aHead);
 
+/// Returns aHost without port, in lower case.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::string HostName(std::string_view aHost);
+
 /// Returns aQuery without the parameters `key` and `api_key`, also percent-encoded.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
--- a/src/intake/ResponseText.cpp
+++ b/src/intake/ResponseText.cpp
@@ -11,17 +11,19 @@
 namespace {
 
 constexpr std::uint32_t kMillisecondsPerSecond = 1000;
+constexpr std::size_t kFractionDigits = 3;
 constexpr int kHexBase = 16;
 constexpr std::size_t kHexDigits = 16;
-constexpr std::string_view kRequestId = "Redwing-Request-Id";
-constexpr std::string_view kOutcome = "Redwing-Outcome";
-constexpr std::string_view kError = "Redwing-Error";
+constexpr unsigned kBadGateway = 502;
+constexpr unsigned kUnavailable = 503;
+constexpr unsigned kGatewayTimeout = 504;
 
 /// Headers by which callers recognise our refusals; a backend server may not forge them.
 bool
-IsOwn(std::string_view aName)
+IsOwn(const HttpProtocol& aProtocol, std::string_view aName)
 {
-  return SameName(aName, kRequestId) || SameName(aName, kOutcome) || SameName(aName, kError);
+  return SameName(aName, aProtocol.requestIdHeader_) || SameName(aName, aProtocol.outcomeHeader_) ||
+         SameName(aName, aProtocol.errorHeader_);
 }
 
 std::string_view
@@ -42,6 +44,9 @@
 void
 AppendHeader(std::string& aOut, std::string_view aName, std::string_view aValue)
 {
+  if (aName.empty()) {
+    return;
+  }
   aOut.append(aName).append(": ").append(aValue).append("\r\n");
 }
 
@@ -59,11 +64,10 @@
 }
 
 std::string
-ProblemBody(const Refusal& aRefusal, std::string_view aRequestId)
+ProblemBody(const Refusal& aRefusal, unsigned aStatus, std::string_view aRequestId)
 {
-  const unsigned status = HttpStatus(aRefusal.code_);
   std::string body = "{\"type\":\"about:blank\",\"title\":\"";
-  body.append(Reason(status)).append("\",\"status\":").append(std::to_string(status));
+  body.append(Reason(aStatus)).append("\",\"status\":").append(std::to_string(aStatus));
   body.append(",\"code\":\"").append(ToText(aRefusal.code_));
   body.append("\",\"outcome\":\"").append(ToText(aRefusal.outcome_)).append("\",\"detail\":\"");
   AppendJsonText(body, aRefusal.detail_);
@@ -73,18 +77,32 @@
   return body;
 }
 
+std::string
+RetryAfterText(const HttpProtocol& aProtocol, std::uint32_t aMilliseconds)
+{
+  if (aProtocol.fractionalRetryAfter_) {
+    std::string fraction = std::to_string(aMilliseconds % kMillisecondsPerSecond);
+    fraction.insert(0, kFractionDigits - fraction.size(), '0');
+    return std::to_string(aMilliseconds / kMillisecondsPerSecond) + "." + fraction;
+  }
+  // Rounded up: a caller that comes back earlier is refused again.
+  return std::to_string((aMilliseconds + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond);
+}
+
 } // namespace
 
 void
-AppendResponseHead(std::string& aOut, const ResponseHeadText& aHead)
+AppendResponseHead(std::string& aOut,
+                   const HttpProtocol& aProtocol,
+                   const ResponseHeadText& aHead)
 {
   AppendStatusLine(aOut, aHead.start_.status_);
   for (const Header& header : aHead.start_.headers_) {
-    if (!IsHopByHop(header.name_) && !IsOwn(header.name_)) {
+    if (!IsHopByHop(header.name_) && !IsOwn(aProtocol, header.name_)) {
       AppendHeader(aOut, header.name_, header.value_);
     }
   }
-  AppendHeader(aOut, kRequestId, aHead.requestId_);
+  AppendHeader(aOut, aProtocol.requestIdHeader_, aHead.requestId_);
   if (aHead.framing_ == BodyFraming::Chunked) {
     AppendHeader(aOut, "Transfer-Encoding", "chunked");
   } else if (aHead.showLength_) {
@@ -108,29 +126,42 @@
   aOut.append(digits.data(), end.ptr).append("\r\n").append(aBytes).append("\r\n");
 }
 
+unsigned
+StatusOf(const HttpProtocol& aProtocol, const Refusal& aRefusal)
+{
+  const unsigned status = HttpStatus(aRefusal.code_);
+  if (!aProtocol.statusTellsOutcome_) {
+    return status;
+  }
+  if (aRefusal.outcome_ == Outcome::Unknown) {
+    return status == kUnavailable ? kBadGateway : status;
+  }
+  return status == kGatewayTimeout ? kUnavailable : status;
+}
+
 void
 AppendRefusal(std::string& aOut,
+              const HttpProtocol& aProtocol,
               const Refusal& aRefusal,
               std::string_view aRequestId,
               bool aHeadOnly,
               bool aClose)
 {
-  const std::string body = ProblemBody(aRefusal, aRequestId);
-  const unsigned status = HttpStatus(aRefusal.code_);
+  const unsigned status = StatusOf(aProtocol, aRefusal);
+  const std::string body = ProblemBody(aRefusal, status, aRequestId);
   AppendStatusLine(aOut, status);
   AppendHeader(aOut, "Content-Type", "application/problem+json");
   AppendHeader(aOut, "Content-Length", std::to_string(body.size()));
-  AppendHeader(aOut, kRequestId, aRequestId);
-  AppendHeader(aOut, kOutcome, ToText(aRefusal.outcome_));
-  AppendHeader(aOut, kError, ToText(aRefusal.code_));
-  if (aRefusal.code_ == ErrorCode::MissingKey || aRefusal.code_ == ErrorCode::InvalidKey) {
-    AppendHeader(aOut, "WWW-Authenticate", "Bearer");
+  AppendHeader(aOut, aProtocol.requestIdHeader_, aRequestId);
+  AppendHeader(aOut, aProtocol.outcomeHeader_, ToText(aRefusal.outcome_));
+  AppendHeader(aOut, aProtocol.errorHeader_, ToText(aRefusal.code_));
+  const bool unauthorized =
+    aRefusal.code_ == ErrorCode::MissingKey || aRefusal.code_ == ErrorCode::InvalidKey;
+  if (unauthorized && !aProtocol.apiKeyScheme_.empty()) {
+    AppendHeader(aOut, "WWW-Authenticate", aProtocol.apiKeyScheme_);
   }
   if (aRefusal.retryAfterMs_) {
-    // Rounded up: a caller that comes back earlier is refused again.
-    const std::uint32_t seconds =
-      (*aRefusal.retryAfterMs_ + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
-    AppendHeader(aOut, "Retry-After", std::to_string(seconds));
+    AppendHeader(aOut, "Retry-After", RetryAfterText(aProtocol, *aRefusal.retryAfterMs_));
   }
   if (aClose) {
     AppendHeader(aOut, "Connection", "close");
--- a/src/intake/ResponseText.hpp
+++ b/src/intake/ResponseText.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange/Events.hpp"
+#include "exchange/HttpProtocol.hpp"
 
 #include <cstdint>
 #include <string>
@@ -32,17 +33,25 @@
 /// Appends the status line and headers of a response to aOut.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-void AppendResponseHead(std::string& aOut, const ResponseHeadText& aHead);
+void AppendResponseHead(std::string& aOut,
+                        const HttpProtocol& aProtocol,
+                        const ResponseHeadText& aHead);
 
 /// Appends a chunk of a chunked body to aOut; an empty one is left out, as it would end the body.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
 void AppendChunk(std::string& aOut, std::string_view aBytes);
 
+/// Returns the HTTP status of aRefusal.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+unsigned StatusOf(const HttpProtocol& aProtocol, const Refusal& aRefusal);
+
 /// Appends a whole response for a refusal, with an RFC 9457 body, to aOut.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
 void AppendRefusal(std::string& aOut,
+                   const HttpProtocol& aProtocol,
                    const Refusal& aRefusal,
                    std::string_view aRequestId,
                    bool aHeadOnly,
--- /dev/null
+++ b/src/limits/WindowBudget.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "core/Clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace redwing {
+
+/// How the allowance of a workspace is divided among instances.
+struct WindowBudgetSettings
+{
+  /// Span in which the allowance is counted.
+  std::chrono::milliseconds window_{ 5000 };
+  /// Time after a grant within which the next one must arrive.
+  std::chrono::milliseconds grantLife_{ 1500 };
+  /// Share of an equal division that an instance always keeps.
+  double floorShare_ = 0.5;
+  /// Share of an equal division that an instance may use while the pool can't be reached. It is
+  /// less than 1, because others may still use what this instance gave away before.
+  double aloneShare_ = 0.7;
+};
+
+/// What an instance used and wants of a workspace's allowance.
+struct BudgetUse
+{
+  /// Requests of the window plus those that the instance keeps in reserve.
+  double committed_ = 0;
+  /// Further requests that it could use before its next report.
+  double wanted_ = 0;
+};
+
+/// The part of one workspace's allowance that one instance may use: requests in any span of the
+/// window. Without a pool it is a fixed share; the pool lends what others leave unused.
+class WindowBudget
+{
+public:
+  WindowBudget(WindowBudgetSettings aSettings, TimePoint aStart);
+
+  /// Sets the allowance of the whole fleet for one window and the number of instances.
+  ///
+  /// Preconditions: aAllowance >= 0, aInstances > 0. Thread safety: not thread-safe.
+  void SetAllowance(double aAllowance, std::size_t aInstances);
+
+  /// Counts a request; returns whether it may go on.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool TryTake(TimePoint aNow);
+
+  /// Returns the time until a request that was refused now might be admitted.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  Duration RetryAfter(TimePoint aNow) const;
+
+  /// Returns what to report to the pool, and gives up the rest until the reply.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  BudgetUse Report(TimePoint aNow);
+
+  /// Adds what the pool lent in reply to the report sent at aReportedAt.
+  ///
+  /// Preconditions: Report was called. Thread safety: not thread-safe.
+  void OnGrant(double aExtra, TimePoint aReportedAt);
+
+  /// Returns whether any request arrived lately.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool InUse(TimePoint aNow);
+
+private:
+  double Budget(TimePoint aNow) const;
+  void Expire(TimePoint aNow);
+
+  WindowBudgetSettings settings_;
+  TimePoint start_;
+  double allowance_ = 0;
+  std::size_t instances_ = 1;
+  double granted_ = 0;
+  TimePoint grantedUntil_{};
+  bool everGranted_ = false;
+  std::deque<TimePoint> used_;
+  /// Requests since the last report, refused ones included.
+  std::uint64_t arrivals_ = 0;
+  double arrivalRate_ = 0;
+  TimePoint lastReport_;
+};
+
+} // namespace redwing
--- a/src/operator/LocalListener.cpp
+++ b/src/operator/LocalListener.cpp
@@ -9,11 +9,10 @@
 
 LocalListener::LocalListener(boost::asio::io_context& aContext,
                              LocalServerSettings aSettings,
-                             LocalHandlers aHandlers,
-                             LocalRouter::Audit aAudit)
+                             LocalServer::Handler aHandler)
   : context_(aContext)
   , settings_(std::move(aSettings))
-  , router_(settings_.operatorToken_, std::move(aHandlers), std::move(aAudit))
+  , handler_(std::move(aHandler))
   , acceptor_(aContext)
 {
 }
--- a/src/operator/LocalListener.hpp
+++ b/src/operator/LocalListener.hpp
@@ -17,8 +17,7 @@
 public:
   LocalListener(boost::asio::io_context& aContext,
                 LocalServerSettings aSettings,
-                LocalHandlers aHandlers,
-                LocalRouter::Audit aAudit);
+                LocalServer::Handler aHandler);
   ~LocalListener();
   LocalListener(const LocalListener&) = delete;
   LocalListener& operator=(const LocalListener&) = delete;
@@ -29,7 +28,7 @@
   /// Thread safety: callable from any thread.
   boost::asio::io_context& Context() { return context_; }
   const LocalServerSettings& Settings() const { return settings_; }
-  LocalRouter& Router() { return router_; }
+  const LocalServer::Handler& Handler() const { return handler_; }
 
 private:
   void Accept();
@@ -37,7 +36,7 @@
 
   boost::asio::io_context& context_;
   LocalServerSettings settings_;
-  LocalRouter router_;
+  LocalServer::Handler handler_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<std::weak_ptr<LocalSession>> sessions_;
 };
--- a/src/operator/LocalServer.cpp
+++ b/src/operator/LocalServer.cpp
@@ -7,14 +7,35 @@
 
 namespace redwing {
 
+namespace {
+
+LocalServer::Handler
+RouterHandler(const std::string& aToken, LocalHandlers aHandlers, LocalRouter::Audit aAudit)
+{
+  return [router = std::make_shared<LocalRouter>(aToken, std::move(aHandlers), std::move(aAudit))](
+           const LocalRequest& aRequest, LocalReplyCallback aReply) {
+    router->Handle(aRequest, std::move(aReply));
+  };
+}
+
+} // namespace
+
 LocalServer::LocalServer(boost::asio::io_context& aContext,
                          LocalServerSettings aSettings,
-                         LocalHandlers aHandlers,
-                         LocalRouter::Audit aAudit)
+                         Handler aHandler)
   : listener_(std::make_shared<Detail::LocalListener>(aContext,
                                                       std::move(aSettings),
-                                                      std::move(aHandlers),
-                                                      std::move(aAudit)))
+                                                      std::move(aHandler)))
+{
+}
+
+LocalServer::LocalServer(boost::asio::io_context& aContext,
+                         LocalServerSettings aSettings,
+                         LocalHandlers aHandlers,
+                         LocalRouter::Audit aAudit)
+  : LocalServer(aContext,
+                aSettings,
+                RouterHandler(aSettings.operatorToken_, std::move(aHandlers), std::move(aAudit)))
 {
 }
 
--- a/src/operator/LocalServer.hpp
+++ b/src/operator/LocalServer.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -35,6 +36,14 @@
 class LocalServer
 {
 public:
+  /// Answers one request, at once or later.
+  using Handler = std::function<void(const LocalRequest&, LocalReplyCallback)>;
+
+  /// Serves requests with aHandler instead of the product's own paths.
+  ///
+  /// Preconditions: aContext is run by one thread and outlives this object.
+  LocalServer(boost::asio::io_context& aContext, LocalServerSettings aSettings, Handler aHandler);
+
   /// Preconditions: aContext is run by one thread and outlives this object.
   LocalServer(boost::asio::io_context& aContext,
               LocalServerSettings aSettings,
--- a/src/operator/LocalSession.cpp
+++ b/src/operator/LocalSession.cpp
@@ -131,7 +131,7 @@
   state_->stream_.expires_never();
   StartHandlerTimer(sequence);
   boost::asio::io_context& context = state_->listener_->Context();
-  state_->listener_->Router().Handle(
+  state_->listener_->Handler()(
     request, [weak = weak_from_this(), sequence, &context](LocalReply aReply) {
       boost::asio::post(context, [weak, sequence, reply = std::move(aReply)]() mutable {
         if (const auto self = weak.lock()) {
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -111,7 +111,7 @@
 void
 serialize(Archive& aArchive, LoadReport& aValue)
 {
-  aArchive(aValue.running_, aValue.queued_, aValue.slots_);
+  aArchive(aValue.running_, aValue.queued_, aValue.slots_, aValue.serviceTimeUs_);
 }
 
 // The link id is a matter of the receiver and is not sent.
@@ -139,6 +139,7 @@
   Optional(aArchive, aValue.shard_);
   Optional(aArchive, aValue.contentLength_);
   aArchive(aValue.body_, aValue.last_, aValue.configurationRevision_, aValue.keyId_);
+  Deadline(aArchive, aValue.targetTime_);
 }
 
 template<typename Archive>
@@ -195,7 +196,7 @@
   Enumerator(aArchive, aValue.code_, ErrorCode::Cancelled);
   aArchive(aValue.detail_);
   Optional(aArchive, aValue.retryAfterMs_);
-  aArchive(aValue.ownerHint_, aValue.ownerToken_, aValue.load_);
+  aArchive(aValue.ownerHint_, aValue.ownerToken_, aValue.load_, aValue.reachedServer_);
 }
 
 template<typename Archive>
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -84,7 +84,7 @@
   void ResetProgress(TimePoint aNow) { lastReceived_ = aNow; }
 
 private:
-  static constexpr std::size_t kReadBufferBytes = 128 * 1024;
+  static constexpr std::size_t kReadBufferBytes = 32 * 1024;
 
   /// Binds the socket to an address before it connects; without effect when that is not possible.
   void BindSource(const std::string& aSourceIp, const boost::asio::ip::address& aTo);
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -16,9 +16,6 @@
 namespace {
 
 constexpr milliseconds kTickInterval{ 50 };
-constexpr milliseconds kPingInterval{ 200 };
-/// A link with open exchanges that delivers nothing for this long, pongs included, is stalled.
-constexpr milliseconds kProgressTimeout{ 600 };
 constexpr milliseconds kConnectTimeout{ 600 };
 /// A tick this late means that this process was paused, which says nothing about its links.
 constexpr milliseconds kOwnPause{ 300 };
@@ -191,10 +188,11 @@
         failed.emplace_back(entry.link_, "connect_timeout");
       }
     } else if (entry.outboundOpen_ > 0) {
-      if (aNow - link.LastReceived() > kProgressTimeout) {
+      if (aNow - link.LastReceived() > settings_.progressTimeout_) {
         linksStalled_.Add();
         failed.emplace_back(entry.link_, "stalled");
-      } else if (aNow - entry.lastPing_ >= kPingInterval) {
+      } else if (aNow - std::max(entry.lastPing_, link.LastReceived()) >=
+                 settings_.pingInterval_) {
         entry.lastPing_ = aNow;
         link.Send(Ping{});
       }
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -42,6 +43,10 @@
   std::string fleetKey_;
   /// New requests that may wait for the peer thread.
   std::size_t queueCapacity_ = 8192;
+  /// A link with open exchanges that delivers nothing for this long, pongs included, is stalled.
+  std::chrono::milliseconds progressTimeout_{ 600 };
+  /// Silence of a link with open exchanges after which it is asked for a sign of life.
+  std::chrono::milliseconds pingInterval_{ 200 };
 };
 
 using CallReplyHook = std::function<void(std::string)>;
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -8,10 +8,6 @@
 
 namespace {
 
-/// Retries earned per request.
-constexpr double kShare = 0.2;
-/// Largest number of saved retries; lets a workspace with little traffic ride out a lost server.
-constexpr double kReserve = 20.0;
 constexpr std::uint64_t kMultiplier = 0x9E3779B97F4A7C15ULL;
 
 } // namespace
@@ -20,7 +16,7 @@
 RetryBudget::OnRequest(std::string_view aWorkspace, std::string_view aService)
 {
   double& tokens = Tokens(aWorkspace, aService);
-  tokens = std::min(kReserve, tokens + kShare);
+  tokens = std::min(settings_.reserve_, tokens + settings_.share_);
 }
 
 bool
@@ -37,8 +33,8 @@
 double&
 RetryBudget::Tokens(std::string_view aWorkspace, std::string_view aService)
 {
-  const std::uint64_t key = HashBytes(aWorkspace) * kMultiplier ^ HashBytes(aService);
-  return tokens_.try_emplace(key, kReserve).first->second;
+  const std::uint64_t key = (settings_.perWorkspace_ ? HashBytes(aWorkspace) * kMultiplier : 0) ^ HashBytes(aService);
+  return tokens_.try_emplace(key, settings_.reserve_).first->second;
 }
 
 } // namespace redwing
--- a/src/routing/RetryBudget.hpp
+++ b/src/routing/RetryBudget.hpp
@@ -7,11 +7,26 @@
 
 namespace redwing {
 
+struct RetryBudgetSettings
+{
+  /// Retries earned per request.
+  double share_ = 0.2;
+  /// Largest number of saved retries; lets a workspace with little traffic ride out a lost server.
+  double reserve_ = 20.0;
+  /// Budgets are kept per workspace and service; otherwise per service only.
+  bool perWorkspace_ = true;
+};
+
 /// Limits retries of each workspace and service to a share of its requests, so that retries cannot
 /// multiply an overload.
 class RetryBudget
 {
 public:
+  explicit RetryBudget(RetryBudgetSettings aSettings = {})
+    : settings_(aSettings)
+  {
+  }
+
   /// Counts a first attempt, which earns a share of a retry.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
@@ -25,6 +40,7 @@
 private:
   double& Tokens(std::string_view aWorkspace, std::string_view aService);
 
+  RetryBudgetSettings settings_;
   std::unordered_map<std::uint64_t, double> tokens_;
 };
 
--- a/src/routing/RouteTable.cpp
+++ b/src/routing/RouteTable.cpp
@@ -75,26 +75,72 @@
     workspaces_.emplace(workspace.id_, &workspace);
   }
   for (const Route& route : configuration.routes_) {
-    const auto service =
-      std::find_if(configuration.services_.begin(),
-                   configuration.services_.end(),
-                   [&](const Service& aService) { return aService.id_ == route.service_; });
-    if (service == configuration.services_.end()) {
-      continue;
+    Add(route);
+  }
+}
+
+void
+RouteTable::Add(const Route& aRoute)
+{
+  RouteEntry entry;
+  if (aRoute.split_.empty()) {
+    entry = MakeEntry(aRoute);
+  } else {
+    for (const RouteTarget& target : aRoute.split_) {
+      Route& part = parts_.emplace_back(aRoute);
+      part.service_ = target.service_;
+      entry.parts_.push_back(MakeEntry(part));
+      if (entry.parts_.back().service_ == nullptr) {
+        return;
+      }
+    }
+    entry.route_ = &aRoute;
+    entry.service_ = entry.parts_.front().service_;
+    entry.openWorkspace_ = entry.parts_.front().openWorkspace_;
+  }
+  if (entry.service_ != nullptr) {
+    auto& routes = byHost_[aRoute.host_].byPrefix_[WithoutTrailingSlash(aRoute.pathPrefix_)];
+    routes.push_back(std::move(entry));
+  }
+}
+
+RouteEntry
+RouteTable::MakeEntry(const Route& aRoute) const
+{
+  const auto& services = revision_->configuration_.services_;
+  const auto service = std::find_if(services.begin(), services.end(), [&](const Service& aService) {
+    return aService.id_ == aRoute.service_;
+  });
+  return { &aRoute,
+           service == services.end() ? nullptr : &*service,
+           aRoute.open_ ? FindWorkspace(aRoute.openWorkspace_) : nullptr,
+           {} };
+}
+
+const RouteEntry*
+RouteTable::Match(std::string_view aMethod, std::string_view aPath, std::string_view aHost) const
+{
+  if (!aHost.empty()) {
+    if (const auto routes = byHost_.find(aHost); routes != byHost_.end()) {
+      if (const RouteEntry* entry = Match(routes->second, aMethod, aPath)) {
+        return entry;
+      }
     }
-    byPrefix_[WithoutTrailingSlash(route.pathPrefix_)].push_back(
-      { &route, &*service, route.open_ ? FindWorkspace(route.openWorkspace_) : nullptr });
   }
+  const auto routes = byHost_.find(std::string_view());
+  return routes == byHost_.end() ? nullptr : Match(routes->second, aMethod, aPath);
 }
 
 const RouteEntry*
-RouteTable::Match(std::string_view aMethod, std::string_view aPath) const
+RouteTable::Match(const HostRoutes& aRoutes, std::string_view aMethod, std::string_view aPath)
 {
   std::string_view prefix = WithoutTrailingSlash(aPath);
   while (true) {
-    if (const auto found = byPrefix_.find(prefix); found != byPrefix_.end()) {
+    if (const auto found = aRoutes.byPrefix_.find(prefix); found != aRoutes.byPrefix_.end()) {
       for (const RouteEntry& entry : found->second) {
-        if (AllowsMethod(*entry.route_, aMethod)) {
+        // A prefix that ends with a slash does not match the path without it.
+        if (aPath.starts_with(entry.route_->pathPrefix_) &&
+            AllowsMethod(*entry.route_, aMethod)) {
           return &entry;
         }
       }
--- a/src/routing/RouteTable.hpp
+++ b/src/routing/RouteTable.hpp
@@ -2,6 +2,7 @@
 
 #include "config/Configuration.hpp"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,6 +19,8 @@
   const Service* service_ = nullptr;
   /// Workspace charged on an open route; null otherwise.
   const Workspace* openWorkspace_ = nullptr;
+  /// Entries of a split route, one for each of its services; empty otherwise.
+  std::vector<RouteEntry> parts_;
 };
 
 /// Routes of one configuration revision, compiled for lookup by path.
@@ -28,10 +31,13 @@
   explicit RouteTable(std::shared_ptr<const ConfigurationRevision> aRevision);
 
   /// Returns the route with the longest prefix of aPath, on segment boundaries, that allows
-  /// aMethod; null if there is none.
+  /// aMethod; null if there is none. Routes of aHost go before routes of any host.
   ///
-  /// Preconditions: aPath is without query. Thread safety: callable from any thread.
-  const RouteEntry* Match(std::string_view aMethod, std::string_view aPath) const;
+  /// Preconditions: aPath is without query; aHost is without port and in lower case. Thread safety:
+  /// callable from any thread.
+  const RouteEntry* Match(std::string_view aMethod,
+                          std::string_view aPath,
+                          std::string_view aHost = {}) const;
 
   /// Returns whether aWorkspace may use aEntry.
   ///
@@ -49,8 +55,21 @@
   const ConfigurationRevision& Revision() const { return *revision_; }
 
 private:
+  struct HostRoutes
+  {
+    std::unordered_map<std::string_view, std::vector<RouteEntry>> byPrefix_;
+  };
+
+  void Add(const Route& aRoute);
+  RouteEntry MakeEntry(const Route& aRoute) const;
+  static const RouteEntry* Match(const HostRoutes& aRoutes,
+                                 std::string_view aMethod,
+                                 std::string_view aPath);
+
   std::shared_ptr<const ConfigurationRevision> revision_;
-  std::unordered_map<std::string_view, std::vector<RouteEntry>> byPrefix_;
+  std::unordered_map<std::string_view, HostRoutes> byHost_;
+  /// Copies of split routes with the service of one part.
+  std::deque<Route> parts_;
   std::unordered_map<std::string_view, const Workspace*> workspaces_;
 };
 
--- a/src/store/EtcdCodec.hpp
+++ b/src/store/EtcdCodec.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Base64.hpp"
 #include "store/Store.hpp"
 
 #include <cstdint>
@@ -27,9 +28,6 @@
 /// Returns the first key after all keys that start with aPrefix.
 std::string PrefixEnd(std::string aPrefix);
 
-std::string EncodeBase64(std::string_view aData);
-std::optional<std::string> DecodeBase64(std::string_view aText);
-
 std::string EncodeRange(std::string_view aPrefix, bool aExact);
 std::string EncodeTransaction(const StoreTransaction& aTransaction);
 std::string EncodeLeaseGrant(std::chrono::seconds aTimeToLive);
--- a/src/store/EtcdStore.cpp
+++ b/src/store/EtcdStore.cpp
@@ -2,6 +2,7 @@
 
 #include "store/EtcdClient.hpp"
 #include "store/EtcdCodec.hpp"
+#include "store/StoreHttp.hpp"
 
 #include <boost/asio/post.hpp>
 #include <utility>
@@ -18,17 +19,22 @@
 
 /// Returns a reply handler that decodes the body with aDecode and passes the result to aDone.
 template<typename T>
-StoreCallback<std::string>
+StoreCallback<HttpStoreReply>
 DecodeWith(Detail::Decoded<T> (*aDecode)(std::string_view),
            StoreErrorKind aMalformedKind,
            StoreCallback<T> aDone)
 {
-  return [aDecode, aMalformedKind, done = std::move(aDone)](StoreResult<std::string> aReply) {
+  return [aDecode, aMalformedKind, done = std::move(aDone)](StoreResult<HttpStoreReply> aReply) {
     if (!aReply) {
       done(tl::unexpected(std::move(aReply.error())));
       return;
     }
-    auto decoded = aDecode(*aReply);
+    const bool writes = aMalformedKind == StoreErrorKind::OutcomeUnknown;
+    if (const auto kind = Detail::ClassifyStatus(aReply->status_, writes)) {
+      done(tl::unexpected(StoreError{ *kind, "status " + std::to_string(aReply->status_) }));
+      return;
+    }
+    auto decoded = aDecode(aReply->body_);
     if (!decoded) {
       done(tl::unexpected(StoreError{ aMalformedKind, "malformed reply: " + decoded.error() }));
       return;
@@ -56,14 +62,14 @@
 EtcdStore::Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone)
 {
   client_->Post(
-    { kRangePath, Detail::EncodeRange(aPrefix, aExact), false },
+    { kRangePath, Detail::EncodeRange(aPrefix, aExact), false, "POST", {} },
     DecodeWith<StoreRange>(Detail::DecodeRange, StoreErrorKind::Unavailable, std::move(aDone)));
 }
 
 void
 EtcdStore::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
 {
-  client_->Post({ kTransactionPath, Detail::EncodeTransaction(aTransaction), true },
+  client_->Post({ kTransactionPath, Detail::EncodeTransaction(aTransaction), true, "POST", {} },
                 DecodeWith<StoreTransactionResult>(
                   Detail::DecodeTransaction, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
 }
@@ -71,7 +77,7 @@
 void
 EtcdStore::GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone)
 {
-  client_->Post({ kGrantPath, Detail::EncodeLeaseGrant(aTimeToLive), true },
+  client_->Post({ kGrantPath, Detail::EncodeLeaseGrant(aTimeToLive), true, "POST", {} },
                 DecodeWith<std::int64_t>(
                   Detail::DecodeLeaseGrant, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
 }
@@ -79,7 +85,7 @@
 void
 EtcdStore::KeepAlive(std::int64_t aLease, StoreCallback<std::chrono::seconds> aDone)
 {
-  client_->Post({ kKeepAlivePath, Detail::EncodeKeepAlive(aLease), true },
+  client_->Post({ kKeepAlivePath, Detail::EncodeKeepAlive(aLease), true, "POST", {} },
                 DecodeWith<std::chrono::seconds>(
                   Detail::DecodeKeepAlive, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
 }
@@ -87,7 +93,7 @@
 void
 EtcdStore::Watch(std::string aPrefix, std::uint64_t aFromRevision, WatchCallback aEvents)
 {
-  client_->PostWatch({ kWatchPath, Detail::EncodeWatch(aPrefix, aFromRevision), false },
+  client_->PostWatch({ kWatchPath, Detail::EncodeWatch(aPrefix, aFromRevision), false, "POST", {} },
                      std::move(aEvents));
 }
 
--- a/src/store/EtcdStore.hpp
+++ b/src/store/EtcdStore.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "core/Address.hpp"
-#include "core/Clock.hpp"
-#include "store/CallBudget.hpp"
+#include "store/HttpClient.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -17,15 +15,7 @@
 class EtcdClient;
 }
 
-struct EtcdStoreSettings
-{
-  Address address_;
-  /// Time for one call from its start to the end of its reply.
-  std::chrono::milliseconds timeout_{ 1000 };
-  /// Idle connections kept for later calls.
-  std::size_t idleConnections_ = 4;
-  CallBudgetSettings budget_;
-};
+using EtcdStoreSettings = HttpClientSettings;
 
 /// Store over the v3 JSON gateway of etcd.
 ///
--- a/src/store/EtcdWatch.cpp
+++ b/src/store/EtcdWatch.cpp
@@ -1,11 +1,10 @@
 #include "store/EtcdWatch.hpp"
 
 #include "store/EtcdCodec.hpp"
-#include "store/EtcdHttp.hpp"
+#include "store/StoreHttp.hpp"
 
 #include <array>
 #include <limits>
-#include <netinet/tcp.h>
 #include <utility>
 
 namespace redwing::Detail {
@@ -15,34 +14,12 @@
 constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024;
 /// One line holds the events of one revision or a replay of many; values are up to 1 MB each.
 constexpr std::size_t kLineLimitBytes = std::size_t{ 64 } * 1024 * 1024;
-/// A silent watch is normal, so only TCP keep-alive tells a lost store from a quiet one. The
-/// connection is given up after about 3 s, the time in which configuration must be confirmed.
-constexpr int kKeepAliveIdleSeconds = 1;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
-
-void
-SetOptions(boost::asio::ip::tcp::socket& aSocket)
-{
-  const int handle = aSocket.native_handle();
-  const int enabled = 1;
-  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
-  setsockopt(
-    handle, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleSeconds, sizeof kKeepAliveIdleSeconds);
-  setsockopt(handle,
-             IPPROTO_TCP,
-             TCP_KEEPINTVL,
-             &kKeepAliveIntervalSeconds,
-             sizeof kKeepAliveIntervalSeconds);
-  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveProbes, sizeof kKeepAliveProbes);
-  setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-}
 
 } // namespace
 
 struct EtcdWatch::State
 {
-  State(std::shared_ptr<EtcdClient> aClient, EtcdRequest aRequest, Store::WatchCallback aEvents)
+  State(std::shared_ptr<EtcdClient> aClient, HttpStoreRequest aRequest, Store::WatchCallback aEvents)
     : client_(std::move(aClient))
     , request_(MakeHttpRequest(std::move(aRequest), client_->Settings().address_))
     , events_(std::move(aEvents))
@@ -52,7 +29,7 @@
   }
 
   std::shared_ptr<EtcdClient> client_;
-  HttpRequest request_;
+  StoreHttpRequest request_;
   Store::WatchCallback events_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
@@ -63,7 +40,7 @@
 };
 
 EtcdWatch::EtcdWatch(std::shared_ptr<EtcdClient> aClient,
-                     EtcdRequest aRequest,
+                     HttpStoreRequest aRequest,
                      Store::WatchCallback aEvents)
   : state_(std::make_unique<State>(std::move(aClient), std::move(aRequest), std::move(aEvents)))
 {
@@ -82,7 +59,7 @@
                                                "connect: " + aError.message());
                                     return;
                                   }
-                                  SetOptions(self->state_->stream_.socket());
+                                  SetSocketOptions(self->state_->stream_.socket());
                                   self->Send();
                                 });
 }
--- a/src/store/EtcdWatch.hpp
+++ b/src/store/EtcdWatch.hpp
@@ -12,7 +12,7 @@
 {
 public:
   EtcdWatch(std::shared_ptr<EtcdClient> aClient,
-            EtcdRequest aRequest,
+            HttpStoreRequest aRequest,
             Store::WatchCallback aEvents);
   ~EtcdWatch();
   EtcdWatch(const EtcdWatch&) = delete;
