--- a/src/store/EtcdCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -1,6 +1,6 @@
-#include "store/EtcdCall.hpp"
+#include "store/HttpCall.hpp"
 
-#include "store/EtcdHttp.hpp"
+#include "store/StoreHttp.hpp"
 
 #include <utility>
 
@@ -13,11 +13,12 @@
 
 } // namespace
 
-struct EtcdCall::State
+struct HttpCall::State
 {
-  State(std::shared_ptr<EtcdClient> aClient, EtcdRequest aRequest, StoreCallback<std::string> aDone)
+  State(std::shared_ptr<HttpClient> aClient, HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone)
     : client_(std::move(aClient))
     , writes_(aRequest.writes_)
+    , timeout_(aRequest.timeout_.value_or(client_->Settings().timeout_))
     , request_(MakeHttpRequest(std::move(aRequest), client_->Settings().address_))
     , done_(std::move(aDone))
     , stream_(client_->TakeConnection())
@@ -25,28 +26,29 @@
     parser_.body_limit(kReplyLimitBytes);
   }
 
-  std::shared_ptr<EtcdClient> client_;
+  std::shared_ptr<HttpClient> client_;
   bool writes_;
-  HttpRequest request_;
-  StoreCallback<std::string> done_;
+  std::chrono::milliseconds timeout_;
+  StoreHttpRequest request_;
+  StoreCallback<HttpStoreReply> done_;
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
 };
 
-EtcdCall::EtcdCall(std::shared_ptr<EtcdClient> aClient,
-                   EtcdRequest aRequest,
-                   StoreCallback<std::string> aDone)
+HttpCall::HttpCall(std::shared_ptr<HttpClient> aClient,
+                   HttpStoreRequest aRequest,
+                   StoreCallback<HttpStoreReply> aDone)
   : state_(std::make_unique<State>(std::move(aClient), std::move(aRequest), std::move(aDone)))
 {
 }
 
-EtcdCall::~EtcdCall() = default;
+HttpCall::~HttpCall() = default;
 
 void
-EtcdCall::Start()
+HttpCall::Start()
 {
-  state_->stream_.expires_after(state_->client_->Settings().timeout_);
+  state_->stream_.expires_after(state_->timeout_);
   if (state_->stream_.socket().is_open()) {
     Send();
   } else {
@@ -55,14 +57,14 @@
 }
 
 void
-EtcdCall::Cancel()
+HttpCall::Cancel()
 {
   state_->done_ = nullptr;
   state_->stream_.close();
 }
 
 void
-EtcdCall::Connect()
+HttpCall::Connect()
 {
   state_->stream_.async_connect(ToEndpoint(state_->client_->Settings().address_),
                                 [self = shared_from_this()](boost::system::error_code aError) {
@@ -70,15 +72,13 @@
                                     self->Fail(false, "connect: " + aError.message());
                                     return;
                                   }
-                                  boost::system::error_code ignored;
-                                  self->state_->stream_.socket().set_option(
-                                    boost::asio::ip::tcp::no_delay(true), ignored);
+                                  SetSocketOptions(self->state_->stream_.socket());
                                   self->Send();
                                 });
 }
 
 void
-EtcdCall::Send()
+HttpCall::Send()
 {
   boost::beast::http::async_write(
     state_->stream_,
@@ -93,7 +93,7 @@
 }
 
 void
-EtcdCall::Read()
+HttpCall::Read()
 {
   boost::beast::http::async_read(
     state_->stream_,
@@ -109,7 +109,7 @@
 }
 
 void
-EtcdCall::Finish()
+HttpCall::Finish()
 {
   if (!state_->done_) {
     return;
@@ -125,20 +125,17 @@
   const auto kind = ClassifyStatus(status, state_->writes_);
   state_->client_->ReportCall(!kind || *kind == StoreErrorKind::Rejected);
   const auto done = std::exchange(state_->done_, nullptr);
-  if (kind) {
-    done(tl::unexpected(StoreError{ *kind, "status " + std::to_string(status) }));
-    return;
-  }
-  done(std::move(reply.body()));
+  done(HttpStoreReply{ status, std::move(reply.body()) });
 }
 
 void
-EtcdCall::Fail(bool aSent, const std::string& aMessage)
+HttpCall::Fail(bool aSent, const std::string& aMessage)
 {
   if (!state_->done_) {
     return;
   }
   state_->stream_.close();
+  state_->client_->DropConnections();
   state_->client_->ReportCall(false);
   const bool unknown = aSent && state_->writes_;
   const auto done = std::exchange(state_->done_, nullptr);
--- a/src/store/EtcdCall.hpp
+++ b/src/store/HttpCall.hpp
@@ -1,21 +1,21 @@
 #pragma once
 
-#include "store/EtcdClient.hpp"
+#include "store/HttpClient.hpp"
 
 #include <memory>
 
 namespace redwing::Detail {
 
 /// One request and its reply. Keeps itself alive until the callback has run. Store thread only.
-class EtcdCall : public std::enable_shared_from_this<EtcdCall>
+class HttpCall : public std::enable_shared_from_this<HttpCall>
 {
 public:
-  EtcdCall(std::shared_ptr<EtcdClient> aClient,
-           EtcdRequest aRequest,
-           StoreCallback<std::string> aDone);
-  ~EtcdCall();
-  EtcdCall(const EtcdCall&) = delete;
-  EtcdCall& operator=(const EtcdCall&) = delete;
+  HttpCall(std::shared_ptr<HttpClient> aClient,
+           HttpStoreRequest aRequest,
+           StoreCallback<HttpStoreReply> aDone);
+  ~HttpCall();
+  HttpCall(const HttpCall&) = delete;
+  HttpCall& operator=(const HttpCall&) = delete;
 
   /// Connects, or takes an idle connection, and sends the request.
   void Start();
--- /dev/null
+++ b/src/store/HttpClient.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "core/Address.hpp"
+#include "store/CallBudget.hpp"
+#include "store/Store.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace redwing {
+
+struct HttpClientSettings
+{
+  Address address_;
+  /// Time for one call from its start to the end of its reply.
+  std::chrono::milliseconds timeout_{ 1000 };
+  /// Idle connections kept for later calls.
+  std::size_t idleConnections_ = 4;
+  CallBudgetSettings budget_;
+};
+
+/// One HTTP request to a store.
+struct HttpStoreRequest
+{
+  std::string path_;
+  std::string body_;
+  /// The request may change the store, so that a lost reply leaves its outcome unknown.
+  bool writes_ = false;
+  std::string method_ = "POST";
+  /// Replaces the time-out of the settings.
+  std::optional<std::chrono::milliseconds> timeout_;
+};
+
+/// Reply of a store, whatever its status.
+struct HttpStoreReply
+{
+  unsigned status_ = 0;
+  std::string body_;
+};
+
+namespace Detail {
+
+class HttpCall;
+
+/// Shares connections and the call budget among the calls to one store.
+class HttpClient : public std::enable_shared_from_this<HttpClient>
+{
+public:
+  HttpClient(boost::asio::io_context& aContext,
+             const Clock& aClock,
+             std::uint64_t aSeed,
+             HttpClientSettings aSettings);
+  virtual ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /// Sends aRequest and passes the reply to aDone; an error means that no reply was received.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  void Post(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone);
+
+  /// Returns the io_context of the store thread.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  boost::asio::io_context& Context() { return context_; }
+
+  const HttpClientSettings& Settings() const { return settings_; }
+
+  // The methods below run on the store thread.
+
+  /// Drops all connections and callbacks.
+  virtual void Close();
+  bool Closed() const { return closed_; }
+
+  /// Takes one call from the budget.
+  [[nodiscard]] bool TryAcquire() { return budget_.TryAcquire(); }
+
+  /// Returns an idle connection that the store has not closed, or a closed socket.
+  boost::asio::ip::tcp::socket TakeConnection();
+
+  /// Keeps a connection whose last reply was read completely.
+  void KeepConnection(boost::asio::ip::tcp::socket aSocket);
+
+  /// Drops the idle connections: after a call without a reply they may be dead as well.
+  void DropConnections() { idle_.clear(); }
+
+  /// Reports whether the store answered a call, for the back-off.
+  void ReportCall(bool aAnswered);
+
+private:
+  void Start(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone);
+
+  boost::asio::io_context& context_;
+  HttpClientSettings settings_;
+  CallBudget budget_;
+  bool closed_ = false;
+  std::vector<boost::asio::ip::tcp::socket> idle_;
+  std::vector<std::weak_ptr<HttpCall>> calls_;
+};
+
+} // namespace Detail
+} // namespace redwing
--- a/src/store/EtcdHttp.hpp
+++ b/src/store/StoreHttp.hpp
@@ -1,19 +1,20 @@
 #pragma once
 
 #include "core/Address.hpp"
-#include "store/EtcdClient.hpp"
+#include "store/HttpClient.hpp"
 
 #include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/tcp.h>
 #include <optional>
 #include <utility>
 
 /// HTTP helpers shared by calls and watches; included by .cpp files only.
 namespace redwing::Detail {
 
-using HttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
+using StoreHttpRequest = boost::beast::http::request<boost::beast::http::string_body>;
 
 /// Preconditions: aAddress is valid. Thread safety: callable from any thread.
 inline boost::asio::ip::tcp::endpoint
@@ -23,18 +24,48 @@
 }
 
 /// Preconditions: none. Thread safety: callable from any thread.
-inline HttpRequest
-MakeHttpRequest(EtcdRequest aRequest, const Address& aAddress)
+inline StoreHttpRequest
+MakeHttpRequest(HttpStoreRequest aRequest, const Address& aAddress)
 {
   constexpr unsigned kHttp11 = 11;
-  HttpRequest request(
-    boost::beast::http::verb::post, aRequest.path_, kHttp11, std::move(aRequest.body_));
+  StoreHttpRequest request(boost::beast::http::string_to_verb(aRequest.method_),
+                           aRequest.path_,
+                           kHttp11,
+                           std::move(aRequest.body_));
   request.set(boost::beast::http::field::host, aAddress.ToString());
-  request.set(boost::beast::http::field::content_type, "application/json");
+  if (!request.body().empty()) {
+    request.set(boost::beast::http::field::content_type, "application/json");
+  }
   request.prepare_payload();
   return request;
 }
 
+inline StoreError
+BudgetError()
+{
+  return { StoreErrorKind::BudgetExceeded, "call budget used up or back-off running" };
+}
+
+/// Sets keep-alive probes. A call that waits for news is silent by nature, so only the probes tell a
+/// lost store from a quiet one. The connection is given up after about 3 s, the time in which
+/// configuration must be confirmed.
+///
+/// Preconditions: aSocket is open. Thread safety: not thread-safe.
+inline void
+SetSocketOptions(boost::asio::ip::tcp::socket& aSocket)
+{
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  const int handle = aSocket.native_handle();
+  const int enabled = 1;
+  setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof enabled);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof kIdleSeconds);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds, sizeof kIntervalSeconds);
+  setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+}
+
 /// Returns the error that a status stands for, nothing for 200. The store may have applied a write
 /// that it answers with 5xx, for example after a time-out between its own members.
 ///
--- a/tests/fuzz/RequestFuzz.cpp
+++ b/tests/fuzz/RequestFuzz.cpp
@@ -89,9 +89,11 @@
     return 0;
   }
   RequestHead head;
-  if (CleanHead(
-        std::move(parser.method_), std::move(parser.target_), std::move(parser.headers_), head) ==
-      nullptr) {
+  if (CleanHead({},
+                std::move(parser.method_),
+                std::move(parser.target_),
+                std::move(parser.headers_),
+                head) == nullptr) {
     CheckHead(head);
   }
   if (!parser.ambiguousFraming_ && headBytes.size() < 4096) {
