--- a/tests/unit/intake/RequestHeadTest.cpp
+++ b/tests/unit/intake/RequestHeadTest.cpp
@@ -10,7 +10,8 @@
 BOOST_AUTO_TEST_CASE(ReservedHeadersOfCallersAreRemoved)
 {
   RequestHead head;
-  const char* fault = CleanHead("GET",
+  const char* fault = CleanHead({},
+                                "GET",
                                 "/a",
                                 { { "Redwing-", "x" },
                                   { "redwing-Shard", "a/1" },
