Plan relief at intervals; refuse requests that cannot meet their target time; log exhausted allowances

Change: capacity from the plain average of 40 samples or more, clamped to a factor of 2; relief every 1.5 s and not while shards move; requests that must wait beyond their target time are refused at once.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -12,11 +12,11 @@
 QueueVerdict
 FairQueue::Push(QueueItem aItem, const ServiceRate& aRate, TimePoint aNow)
 {
-  const auto limit = std::max(1U, aRate.limit_);
+  const auto slots = std::max(1U, aRate.limit_);
   // An idle server takes any request, so that a wrong estimate is corrected by a new sample.
   if (aRate.running_ > 0 || size_ > 0) {
-    const bool mustWait = aRate.running_ >= limit || size_ > 0;
-    const double rounds = mustWait ? (ExpectedAhead(aItem) + 1) / limit : 0;
+    const bool mustWait = aRate.running_ >= slots || size_ > 0;
+    const double rounds = mustWait ? (ExpectedAhead(aItem) + 1) / slots : 0;
     auto wait = Duration(
       static_cast<Duration::rep>(rounds * static_cast<double>(aRate.serviceTime_.count())));
     if (aRate.perSecond_ > 0) {
@@ -24,7 +24,9 @@
       const double seconds = ExpectedAhead(aItem) / aRate.perSecond_;
       wait = std::max(wait, Duration(static_cast<Duration::rep>(seconds * kSecond.count())));
     }
-    if (aNow + wait + aRate.serviceTime_ > aItem.deadline_) {
+    const TimePoint limit =
+      mustWait ? std::min(aItem.deadline_, aItem.targetTime_) : aItem.deadline_;
+    if (aNow + wait + aRate.serviceTime_ > limit) {
       return QueueVerdict::TooLate;
     }
   }
--- a/src/admission/FairQueue.hpp
+++ b/src/admission/FairQueue.hpp
@@ -23,6 +23,8 @@
   std::uint32_t weight_ = 1;
   std::uint8_t priority_ = 0;
   TimePoint deadline_;
+  /// A request that must wait beyond this to be finished is refused instead.
+  TimePoint targetTime_ = TimePoint::max();
 };
 
 /// What the queue needs to know to foresee a missed deadline.
--- a/src/admission/LoadEstimator.cpp
+++ b/src/admission/LoadEstimator.cpp
@@ -8,7 +8,8 @@
 namespace {
 
 constexpr double kRecentWeight = 0.2;
-constexpr double kUsualWeight = 0.01;
+constexpr unsigned kUsualSamples = 100;
+constexpr unsigned kMinUsualSamples = 40;
 constexpr double kJumpFactor = 4;
 /// Without samples the estimate halves in each of these.
 constexpr std::chrono::milliseconds kHalfLife{ 250 };
@@ -26,7 +27,9 @@
 {
   const auto sample = static_cast<double>(aServiceTime.count());
   Blend(recent_, sample, kRecentWeight);
-  Blend(usual_, sample, kUsualWeight);
+  // A plain average at first, so that the first sample does not weigh more than the others.
+  samples_ = std::min(samples_ + 1, kUsualSamples);
+  Blend(usual_, sample, 1.0 / samples_);
   lastSample_ = aNow;
 }
 
@@ -44,7 +47,7 @@
 Duration
 LoadEstimator::UsualServiceTime() const
 {
-  return Duration(static_cast<Duration::rep>(usual_.value_or(0)));
+  return Duration(static_cast<Duration::rep>(samples_ < kMinUsualSamples ? 0 : *usual_));
 }
 
 bool
@@ -58,6 +61,7 @@
 {
   recent_.reset();
   usual_.reset();
+  samples_ = 0;
 }
 
 } // namespace redwing
--- a/src/admission/LoadEstimator.hpp
+++ b/src/admission/LoadEstimator.hpp
@@ -23,7 +23,7 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   Duration ServiceTime(TimePoint aNow) const;
 
-  /// Returns the average over many requests, which does not fade; zero while nothing is known.
+  /// Returns the average over many requests, which does not fade; zero while too few are known.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   Duration UsualServiceTime() const;
@@ -41,6 +41,7 @@
 private:
   std::optional<double> recent_;
   std::optional<double> usual_;
+  unsigned samples_ = 0;
   TimePoint lastSample_{};
 };
 
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -39,7 +39,11 @@
   if (PeekTable(exchange, now)) {
     return;
   }
-  QueueItem item{ start.key_, start.workspace_, start.weight_, start.priority_, start.deadline_ };
+  QueueItem item{ start.key_,      start.workspace_, start.weight_,
+                  start.priority_, start.deadline_,  TimePoint::max() };
+  if (settings_.meetsTargets_ && start.targetTime_ != TimePoint{}) {
+    item.targetTime_ = start.targetTime_;
+  }
   switch (queue_.Push(std::move(item), Rate(now), now)) {
     case QueueVerdict::Queued:
       break;
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -78,7 +78,9 @@
 void
 BackendService::ExpireRequests(TimePoint aNow)
 {
-  for (const auto& item : queue_.TakeExpired(Duration::zero(), aNow)) {
+  const Duration needed =
+    settings_.meetsTargets_ ? estimator_.ServiceTime(aNow) / 2 : Duration::zero();
+  for (const auto& item : queue_.TakeExpired(needed, aNow)) {
     RefuseNotRun(ExchangePtr(exchanges_[item.key_]), ErrorCode::DeadlineExceeded);
   }
   std::vector<ExchangePtr> late;
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -51,6 +51,9 @@
   /// Time in which the shards of a withdrawn data centre move away and are still served. New work
   /// must have stopped 3 s after the withdrawal.
   std::chrono::milliseconds withdrawalGrace_{ 1500 };
+  /// Requests that would wait beyond their target time are refused at once, so that others are
+  /// served within theirs: for callers to whom a late response is worth little.
+  bool meetsTargets_ = false;
   /// Time in which the shards of a leaving backend server move away and are still served.
   std::chrono::milliseconds leaveGrace_{ 0 };
 };
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds kFirstOwnerRetry{ 10 };
 constexpr milliseconds kLastOwnerRetry{ 40 };
 constexpr milliseconds kRetryAfter{ 200 };
+/// A refusal reaches the caller this long before the caller gives up.
+constexpr milliseconds kReplyMargin{ 15 };
 constexpr std::uint32_t kRouteLogLines = 20;
 /// Part of the fleet's retry budget that a service uses; the rest covers uneven traffic.
 constexpr double kRetryShare = 0.7;
@@ -52,12 +54,14 @@
   intake_.firstOwnerRetry_ = kFirstOwnerRetry;
   intake_.lastOwnerRetry_ = kLastOwnerRetry;
   intake_.defaultRetryAfter_ = kRetryAfter;
+  intake_.replyMargin_ = kReplyMargin;
   intake_.routeLogLinesPerSecond_ = kRouteLogLines;
   intake_.routing_.hedging_ = false;
   intake_.retryBudget_ = { aRetryRatio * kRetryShare, kRetryReserve, false };
   backend_.announcedState_ = true;
   backend_.announcementExpiry_ = aHeartbeatInterval * kMissedHeartbeats;
   backend_.warmConnections_ = 1;
+  backend_.meetsTargets_ = true;
   backend_.withdrawalGrace_ = aEvacuationTimeout * 7 / 10;
   backend_.leaveGrace_ = aDrainTimeout * 3 / 4;
   peer_.progressTimeout_ = kPeerTimeout;
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -17,6 +17,11 @@
 constexpr std::uint64_t kElectionSpreadMs = 150;
 constexpr milliseconds kElectionRetry{ 400 };
 constexpr milliseconds kPlanInterval{ 500 };
+/// Loads that a move changed are seen again after about this time.
+constexpr milliseconds kReliefInterval{ 1500 };
+/// Servers of one service differ in speed by this factor from the average at the most; beyond it a
+/// measured rate is taken for a disturbance.
+constexpr double kSpeedSpread = 2;
 /// The first table of a service is made once the members of a starting fleet have registered.
 constexpr milliseconds kBootstrapDelay{ 1500 };
 constexpr milliseconds kBootstrapQuiet{ 600 };
@@ -28,6 +33,8 @@
 constexpr double kRateWeight = 0.1;
 /// Conditions of one transaction of the store, less those of the table itself.
 constexpr std::size_t kMaxLostHolders = 28;
+/// At most one line in this time tells of an exhausted allowance.
+constexpr milliseconds kRefusalLogInterval{ 200 };
 /// Replies that must show a newer store revision before the entries are read again.
 constexpr unsigned kStaleReplies = 2;
 
@@ -124,9 +131,10 @@
   }
   const double usual = count > 0 ? known / static_cast<double>(count) : 1;
   for (ShardCandidate& candidate : candidates) {
-    if (candidate.capacity_ <= 0) {
-      candidate.capacity_ = usual;
-    }
+    candidate.capacity_ =
+      candidate.capacity_ <= 0
+        ? usual
+        : std::clamp(candidate.capacity_, usual / kSpeedSpread, usual * kSpeedSpread);
   }
   return candidates;
 }
@@ -162,10 +170,17 @@
   if (heat.size() != aService.shards_) {
     heat.clear();
   }
-  const ShardTable next = planner_.Plan(base.table_, candidates, heat);
+  const TimePoint now = clock_.Now();
+  const auto runs = base.table_.Runs();
+  const bool moving = std::any_of(
+    runs.begin(), runs.end(), [](const ShardRun& aRun) { return !aRun.successor_.empty(); });
+  TimePoint& nextRelief = nextRelief_[aService.id_];
+  const bool relieve = !moving && now >= nextRelief;
+  const ShardTable next = planner_.Plan(base.table_, candidates, heat, relieve);
   if (next == base.table_) {
     return;
   }
+  nextRelief = now + kReliefInterval;
   // Shards are taken only from holders that are gone in the version that this plan is based on.
   std::set<std::string> lost;
   for (const ShardRun& run : base.table_.Runs()) {
@@ -340,6 +355,15 @@
     return;
   }
   rateRefusals_.Add();
+  if (now >= nextRefusalLog_) {
+    nextRefusalLog_ = now + kRefusalLogInterval;
+    LogLine(LogLevel::Info, "allowance_exhausted")
+      .With("workspace", aWorkspace.id_)
+      .With("used", budget.Used())
+      .With("budget", budget.Budget(now))
+      .With("allowance", AllowanceOf(aWorkspace))
+      .With("instances", members_.size());
+  }
   const auto wait = std::chrono::ceil<milliseconds>(budget.RetryAfter(now));
   aDecide(false, static_cast<std::uint32_t>(wait.count()));
 }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -220,6 +220,8 @@
   TimePoint membersChangedAt_{};
   TimePoint nextPlan_{};
   TimePoint nextReport_{};
+  TimePoint nextRefusalLog_{};
+  std::map<std::string, TimePoint> nextRelief_;
   std::map<std::string, Heat> heat_;
   std::map<std::string, double> serviceRates_;
   std::map<std::string, BudgetPool> pools_;
--- a/src/fleet/ShardPlanner.cpp
+++ b/src/fleet/ShardPlanner.cpp
@@ -40,7 +40,7 @@
     }
   }
 
-  ShardTable Run()
+  ShardTable Run(bool aRelieve)
   {
     if (std::none_of(fair_.begin(), fair_.end(), [](double aFair) { return aFair > 0; })) {
       return table_;
@@ -65,7 +65,9 @@
         Place(run, false);
       }
     }
-    Relieve();
+    if (aRelieve) {
+      Relieve();
+    }
     return std::move(table_);
   }
 
@@ -239,9 +241,10 @@
 ShardTable
 ShardPlanner::Plan(const ShardTable& aTable,
                    std::span<const ShardCandidate> aCandidates,
-                   std::span<const double> aLoad) const
+                   std::span<const double> aLoad,
+                   bool aRelieve) const
 {
-  return Round(settings_, aTable, aCandidates, aLoad).Run();
+  return Round(settings_, aTable, aCandidates, aLoad).Run(aRelieve);
 }
 
 } // namespace redwing
--- a/src/fleet/ShardPlanner.hpp
+++ b/src/fleet/ShardPlanner.hpp
@@ -44,13 +44,15 @@
   }
 
   /// Returns the table that aTable should become; equal to it if nothing is to be changed. aLoad has
-  /// the recent traffic of each shard, or is empty.
+  /// the recent traffic of each shard, or is empty. Without aRelieve shards move only if their
+  /// server is lost or leaves.
   ///
   /// Preconditions: aLoad is empty or has as many entries as aTable has shards. Thread safety:
   /// callable from any thread.
   ShardTable Plan(const ShardTable& aTable,
                   std::span<const ShardCandidate> aCandidates,
-                  std::span<const double> aLoad) const;
+                  std::span<const double> aLoad,
+                  bool aRelieve = true) const;
 
 private:
   ShardPlannerSettings settings_;
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -95,7 +95,11 @@
     return;
   }
   const Route& route = *entry_->route_;
-  deadline_ = begun_ + std::min(route.timeout_, head_.timeout_.value_or(route.timeout_));
+  auto wait = route.timeout_;
+  if (head_.timeout_) {
+    wait = std::min(wait, *head_.timeout_ - core_.Settings().replyMargin_);
+  }
+  deadline_ = begun_ + wait;
   BuildStart(aContentLength);
   deadlineTimer_ = core_.Timers().Add(deadline_, id_, TimerKind::Deadline);
   if (workspace_ == nullptr) {
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -55,6 +55,8 @@
   /// Pauses between attempts at a shard without a serving owner: the first, and the longest.
   std::chrono::milliseconds firstOwnerRetry_{ 2 };
   std::chrono::milliseconds lastOwnerRetry_{ 16 };
+  /// Part of a caller's time that is kept for the way of the response.
+  std::chrono::milliseconds replyMargin_{ 0 };
   /// When a refused caller may come back, unless a better estimate is known.
   std::chrono::milliseconds defaultRetryAfter_{ 1000 };
 };
--- a/src/limits/WindowBudget.hpp
+++ b/src/limits/WindowBudget.hpp
@@ -68,8 +68,17 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   bool InUse(TimePoint aNow);
 
-private:
+  /// Returns the requests that the instance may count in a window at present.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
   double Budget(TimePoint aNow) const;
+
+  /// Returns the requests counted in the window that ended with the last call of TryTake.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::size_t Used() const { return used_.size(); }
+
+private:
   void Expire(TimePoint aNow);
 
   WindowBudgetSettings settings_;
