Spread shard tables by peers, watch members only, return allowances of requests that did not run

Change: tables are sent to the other instances by whoever writes them, the leader repairs gaps in reply to reports; only members are watched; a member registers with its server's first heartbeat; allowances use 3/4 of the permitted excess.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -223,7 +223,8 @@
     [this](const Workspace& aWorkspace, TimePoint aDeadline, RateDecision aDecide) {
       limiter_->Admit(aWorkspace.id_, aDeadline, std::move(aDecide));
       WakeLimiter();
-    } });
+    },
+    {} });
   intakeMailbox_.SetWake([this] {
     intakeThread_.Context().post([this] {
       intakeMailbox_.Drain(
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -183,7 +183,8 @@
     [this](const std::string& aId, RequestEvent&& aEvent) { peer_->Send(aId, std::move(aEvent)); },
     [this](const Workspace& aWorkspace, TimePoint /*aDeadline*/, const RateDecision& aDecide) {
       fleet_->Admit(aWorkspace, aDecide);
-    } });
+    },
+    [this](const Workspace& aWorkspace) { fleet_->ReturnToken(aWorkspace); } });
 }
 
 void
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds kBootstrapDelay{ 1500 };
 constexpr milliseconds kBootstrapQuiet{ 600 };
 constexpr milliseconds kReportTimeout{ 450 };
+constexpr milliseconds kLeaderSilence{ 3000 };
 /// Time in which the traffic of a shard loses half of its weight.
 constexpr milliseconds kHeatHalfLife{ 2000 };
 /// Fewer recent requests than this say nothing about the spread of load.
@@ -207,7 +208,10 @@
   FleetReport report;
   report.from_ = settings_.self_.ref_;
   report.configurationRevision_ = configuration_->revision_;
-  report.storeRevision_ = session_.NewestChange();
+  report.memberRevision_ = session_.NewestChange();
+  for (const auto& [service, table] : tables_) {
+    report.tables_.emplace_back(service, table.revision_);
+  }
   report.service_ = settings_.self_.service_;
   report.shardLoad_ = holds_.TakeLoad();
   report.serviceRate_ = hooks_.serviceRate_();
@@ -223,6 +227,11 @@
 void
 FleetService::SendReport()
 {
+  if (clock_.Now() - leaderHeardAt_ > kLeaderSilence) {
+    // Without a leader only the store tells of changed tables.
+    leaderHeardAt_ = clock_.Now();
+    session_.Reload();
+  }
   const auto leader = session_.All().find(session_.LeaderKey());
   if (leader == session_.All().end()) {
     return;
@@ -235,7 +244,7 @@
     return;
   }
   hooks_.call_(leader->second.value_,
-               WriteWire(MakeReport()),
+               WriteWire(FleetRequest(MakeReport())),
                kReportTimeout,
                [this, sentAt](bool aAnswered, const std::string& aReply) {
                  FleetReply reply;
@@ -251,13 +260,23 @@
   FleetReply reply;
   reply.leads_ = leads_;
   reply.configurationRevision_ = configuration_->revision_;
-  reply.storeRevision_ = session_.NewestChange();
+  reply.memberRevision_ = session_.NewestChange();
   if (aReport.configurationRevision_ > configuration_->revision_) {
     hooks_.refreshConfiguration_();
   }
   if (!leads_) {
     return reply;
   }
+  for (const auto& [service, table] : tables_) {
+    const auto known = std::find_if(aReport.tables_.begin(),
+                                    aReport.tables_.end(),
+                                    [&](const auto& aKnown) { return aKnown.first == service; });
+    if (known == aReport.tables_.end() || known->second < table.revision_) {
+      reply.tables_.push_back({ service, table.revision_, table.table_.ToText() });
+    } else if (known->second > table.revision_) {
+      session_.Reload();
+    }
+  }
   const TimePoint now = clock_.Now();
   if (aReport.serviceRate_ > 0) {
     double& rate = serviceRates_.try_emplace(aReport.from_.id_, aReport.serviceRate_).first->second;
@@ -305,6 +324,10 @@
 void
 FleetService::OnReply(const FleetReply& aReply, TimePoint aSentAt)
 {
+  leaderHeardAt_ = clock_.Now();
+  for (const TableNotice& notice : aReply.tables_) {
+    OnTable(notice);
+  }
   for (const WorkspaceGrant& grant : aReply.grants_) {
     if (const auto budget = budgets_.find(grant.workspace_); budget != budgets_.end()) {
       budget->second.OnGrant(grant.extra_, aSentAt);
@@ -313,7 +336,7 @@
   if (aReply.configurationRevision_ > configuration_->revision_) {
     hooks_.refreshConfiguration_();
   }
-  staleReplies_ = aReply.storeRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
+  staleReplies_ = aReply.memberRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
   if (staleReplies_ >= kStaleReplies) {
     staleReplies_ = 0;
     session_.Reload();
@@ -368,4 +391,12 @@
   aDecide(false, static_cast<std::uint32_t>(wait.count()));
 }
 
+void
+FleetService::ReturnToken(const Workspace& aWorkspace)
+{
+  if (const auto budget = budgets_.find(aWorkspace.id_); budget != budgets_.end()) {
+    budget->second.Return();
+  }
+}
+
 } // namespace redwing
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// The server's first heartbeat usually arrives within this time.
+constexpr std::chrono::milliseconds kFirstHeartbeatWait{ 2500 };
+
 std::string
 LifeOf(const ServerHeartbeat& aHeartbeat)
 {
@@ -106,6 +109,10 @@
 void
 FleetService::UpdateSelf()
 {
+  // A first record without the server would soon be followed by a second one.
+  if (life_.empty() && clock_.Now() - startedAt_ < kFirstHeartbeatWait) {
+    return;
+  }
   MemberRecord record;
   record.member_ = settings_.self_;
   record.member_.slots_ = slots_;
@@ -223,6 +230,7 @@
         }
         viewDirty_ = true;
         nextPlan_ = {};
+        SpreadTable(aService);
       }
     });
 }
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -5,10 +5,12 @@
 #include "ownership/ShardRow.hpp"
 
 #include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 /// Messages that instances exchange with the leader over peer links.
@@ -30,9 +32,11 @@
 struct FleetReport
 {
   InstanceRef from_;
-  /// Newest configuration and store revision that the sender knows.
+  /// Newest configuration and change of members that the sender knows.
   std::uint64_t configurationRevision_ = 0;
-  std::uint64_t storeRevision_ = 0;
+  std::uint64_t memberRevision_ = 0;
+  /// Revisions of the shard tables that the sender knows, by service.
+  std::vector<std::pair<std::string, std::uint64_t>> tables_;
   std::vector<WorkspaceUse> uses_;
   /// Requests begun for shards of the local server since the last report.
   std::string service_;
@@ -45,7 +49,8 @@
   {
     aArchive(from_,
              configurationRevision_,
-             storeRevision_,
+             memberRevision_,
+             tables_,
              uses_,
              service_,
              shardLoad_,
@@ -65,18 +70,37 @@
   }
 };
 
+/// A shard table as stored at a revision. Tables are not watched in the store: whoever changes one
+/// tells the others, and the leader sends it to those that report an older one.
+struct TableNotice
+{
+  std::string service_;
+  std::uint64_t revision_ = 0;
+  std::string text_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service_, revision_, text_);
+  }
+};
+
+/// What one instance may ask of another.
+using FleetRequest = std::variant<FleetReport, TableNotice>;
+
 struct FleetReply
 {
   /// False if the receiver is not the leader.
   bool leads_ = false;
   std::uint64_t configurationRevision_ = 0;
-  std::uint64_t storeRevision_ = 0;
+  std::uint64_t memberRevision_ = 0;
   std::vector<WorkspaceGrant> grants_;
+  std::vector<TableNotice> tables_;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(leads_, configurationRevision_, storeRevision_, grants_);
+    aArchive(leads_, configurationRevision_, memberRevision_, grants_, tables_);
   }
 };
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -14,6 +14,7 @@
 constexpr milliseconds kTickInterval{ 50 };
 constexpr milliseconds kProbeInterval{ 300 };
 constexpr milliseconds kProbeTimeout{ 400 };
+constexpr milliseconds kNoticeTimeout{ 400 };
 
 } // namespace
 
@@ -52,9 +53,7 @@
 void
 FleetService::Start()
 {
-  MemberRecord record;
-  record.member_ = settings_.self_;
-  session_.Start(record);
+  session_.Start();
   PublishView();
   Tick();
 }
@@ -148,27 +147,56 @@
 {
   for (const auto& [key, entry] : session_.All()) {
     const std::string service = session_.ServiceOfTable(key);
-    if (service.empty()) {
-      continue;
-    }
-    const auto known = tables_.find(service);
-    if (known != tables_.end() && known->second.revision_ >= entry.modRevision_) {
-      continue;
-    }
-    auto table = ShardTable::Parse(entry.value_);
-    if (!table) {
-      LogLine(LogLevel::Error, "shard_table_invalid")
-        .With("service", service)
-        .With("revision", entry.modRevision_)
-        .With("error", table.error());
-      continue;
+    if (!service.empty()) {
+      AdoptTable(service, entry.modRevision_, entry.value_);
     }
-    tables_[service] = { entry.modRevision_, std::move(*table) };
-    if (service == settings_.self_.service_) {
-      holds_.SetTable(service, tables_[service].table_);
+  }
+}
+
+void
+FleetService::AdoptTable(const std::string& aService,
+                         std::uint64_t aRevision,
+                         const std::string& aText)
+{
+  const auto known = tables_.find(aService);
+  if (known != tables_.end() && known->second.revision_ >= aRevision) {
+    return;
+  }
+  auto table = ShardTable::Parse(aText);
+  if (!table) {
+    LogLine(LogLevel::Error, "shard_table_invalid")
+      .With("service", aService)
+      .With("revision", aRevision)
+      .With("error", table.error());
+    return;
+  }
+  tables_[aService] = { aRevision, std::move(*table) };
+  if (aService == settings_.self_.service_) {
+    holds_.SetTable(aService, tables_[aService].table_);
+  }
+  viewDirty_ = true;
+  nextPlan_ = {};
+}
+
+void
+FleetService::OnTable(const TableNotice& aNotice)
+{
+  AdoptTable(aNotice.service_, aNotice.revision_, aNotice.text_);
+  AdoptOwnShards();
+  CommitReleases();
+}
+
+void
+FleetService::SpreadTable(const std::string& aService)
+{
+  const KnownTable& known = tables_[aService];
+  const std::string payload =
+    WriteWire(FleetRequest(TableNotice{ aService, known.revision_, known.table_.ToText() }));
+  for (const auto& [key, member] : members_) {
+    const std::string& id = member.record_.member_.ref_.id_;
+    if (id != settings_.self_.ref_.id_ && !unreachable_.contains(id)) {
+      hooks_.call_(id, payload, kNoticeTimeout, [](bool, const std::string&) {});
     }
-    viewDirty_ = true;
-    nextPlan_ = {};
   }
 }
 
@@ -282,12 +310,16 @@
   if (aPayload.empty()) {
     return {};
   }
-  FleetReport report;
-  if (!ReadWire(aPayload, report)) {
-    LogLine(LogLevel::Warning, "fleet_report_invalid").With("bytes", aPayload.size());
+  FleetRequest request;
+  if (!ReadWire(aPayload, request)) {
+    LogLine(LogLevel::Warning, "fleet_request_invalid").With("bytes", aPayload.size());
+    return {};
+  }
+  if (const auto* notice = std::get_if<TableNotice>(&request)) {
+    OnTable(*notice);
     return {};
   }
-  return WriteWire(OnReport(report));
+  return WriteWire(OnReport(std::get<FleetReport>(request)));
 }
 
 void
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -49,7 +49,7 @@
   /// Preconditions: both are at least 0. Thread safety: not thread-safe.
   void SetAllowanceBounds(double aOvershoot, double aSlack)
   {
-    constexpr double kUsedPart = 0.4;
+    constexpr double kUsedPart = 0.75;
     allowanceOvershoot_ = aOvershoot * kUsedPart;
     allowanceSlack_ = aSlack * kUsedPart;
   }
@@ -116,6 +116,9 @@
   /// Decides whether a request is within its workspace's allowance.
   void Admit(const Workspace& aWorkspace, const RateDecision& aDecide);
 
+  /// Takes back a request that was admitted and did not run.
+  void ReturnToken(const Workspace& aWorkspace);
+
   /// Tells the other instances to send nothing more here.
   void BeginLeave();
 
@@ -162,6 +165,7 @@
   void OnSessionChange();
   void ReadMembers();
   void ReadTables();
+  void AdoptTable(const std::string& aService, std::uint64_t aRevision, const std::string& aText);
   void PublishView();
   void Tick();
   void ProbeLostPeers();
@@ -176,6 +180,8 @@
   void SendReport();
   FleetReport MakeReport();
   FleetReply OnReport(const FleetReport& aReport);
+  void OnTable(const TableNotice& aNotice);
+  void SpreadTable(const std::string& aService);
   void OnReply(const FleetReply& aReply, TimePoint aSentAt);
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
@@ -220,6 +226,7 @@
   TimePoint membersChangedAt_{};
   TimePoint nextPlan_{};
   TimePoint nextReport_{};
+  TimePoint leaderHeardAt_{};
   TimePoint nextRefusalLog_{};
   std::map<std::string, TimePoint> nextRelief_;
   std::map<std::string, Heat> heat_;
--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::string_view kMembers = "members/";
+constexpr std::string_view kRecords = "record/";
 constexpr std::string_view kTables = "shards/";
 
 } // namespace
@@ -39,7 +39,7 @@
 std::string
 StoreSession::MemberKey(const std::string& aInstanceId) const
 {
-  return settings_.prefix_ + std::string(kMembers) + aInstanceId;
+  return MembersPrefix() + std::string(kRecords) + aInstanceId;
 }
 
 std::string
@@ -90,9 +90,8 @@
 }
 
 void
-StoreSession::Start(const MemberRecord& aSelf)
+StoreSession::Start()
 {
-  self_ = aSelf;
   Load();
 }
 
@@ -102,6 +101,8 @@
   self_ = aSelf;
   if (registered_) {
     WriteSelf();
+  } else if (loaded_) {
+    Register();
   }
 }
 
@@ -115,7 +116,7 @@
 void
 StoreSession::Register()
 {
-  if (ended_ || registered_ || lease_ != 0) {
+  if (ended_ || registered_ || lease_ != 0 || !self_) {
     return;
   }
   GrantLease();
@@ -145,8 +146,8 @@
   if (writing_ || lease_ <= 0 || ended_) {
     return;
   }
-  const std::string key = MemberKey(self_.member_.ref_.id_);
-  const std::string text = self_.ToText();
+  const std::string key = MemberKey(self_->member_.ref_.id_);
+  const std::string text = self_->ToText();
   const auto present = entries_.find(key);
   if (registered_ && present != entries_.end() && present->second.value_ == text) {
     return;
@@ -179,7 +180,7 @@
     Reload();
     return;
   }
-  const std::string key = MemberKey(self_.member_.ref_.id_);
+  const std::string key = MemberKey(self_->member_.ref_.id_);
   entries_[key] = { key, aText, aResult->revision_, lease_ };
   if (!registered_) {
     registered_ = true;
@@ -187,7 +188,7 @@
     leaseDeadline_ = grantSentAt_ + settings_.leaseTime_;
     confirmed_ = false;
     LogLine(LogLevel::Info, "member_registered")
-      .With("instance", self_.member_.ref_.id_)
+      .With("instance", self_->member_.ref_.id_)
       .With("lease", lease_)
       .With("revision", registeredAt_);
     ScheduleRenew(settings_.renewInterval_);
@@ -241,13 +242,19 @@
     loadedAt_ = aRange.revision_;
     entries_.clear();
     for (StoreEntry& entry : aRange.entries_) {
-      newestChange_ = std::max(newestChange_, entry.modRevision_);
+      if (entry.key_.starts_with(MembersPrefix())) {
+        newestChange_ = std::max(newestChange_, entry.modRevision_);
+      }
       std::string key = entry.key_;
       entries_.emplace(std::move(key), std::move(entry));
     }
   }
   loaded_ = true;
-  confirmed_ = confirmed_ || (registered_ && revision_ >= registeredAt_);
+  confirmed_ = confirmed_ || (registered_ && aRange.revision_ >= registeredAt_);
+  if (registered_ && !confirmed_) {
+    // Read before the registration took effect.
+    Later(milliseconds::zero(), [this] { Reload(); });
+  }
   Register();
   if (registered_ || lease_ > 0) {
     WriteSelf();
@@ -263,7 +270,7 @@
 {
   watching_ = true;
   using Events = std::vector<StoreWatchEvent>;
-  store_.Watch(settings_.prefix_,
+  store_.Watch(MembersPrefix(),
                revision_ + 1,
                OnThread<Events>([this](const StoreResult<Events>& aEvents) {
                  if (ended_) {
@@ -296,9 +303,7 @@
       entries_.erase(present);
     }
   }
-  confirmed_ = confirmed_ || (registered_ && revision_ >= registeredAt_);
-  const std::string own = MemberKey(self_.member_.ref_.id_);
-  if (registered_ && !writing_ && !entries_.contains(own)) {
+  if (registered_ && !writing_ && !entries_.contains(MemberKey(self_->member_.ref_.id_))) {
     OnLapsed("record_gone");
   }
   hooks_.onChange_();
@@ -358,7 +363,7 @@
 StoreSession::OnLapsed(const char* aReason)
 {
   LogLine(LogLevel::Warning, "member_lapsed")
-    .With("instance", self_.member_.ref_.id_)
+    .With("instance", self_->member_.ref_.id_)
     .With("lease", lease_)
     .With("reason", aReason);
   registered_ = false;
@@ -375,14 +380,18 @@
 {
   ended_ = true;
   renewTimer_.cancel();
-  const std::string own = MemberKey(self_.member_.ref_.id_);
+  if (!self_) {
+    aDone();
+    return;
+  }
+  const std::string own = MemberKey(self_->member_.ref_.id_);
   StoreTransaction transaction;
-  if (self_.life_.empty() && registered_) {
+  if (self_->life_.empty() && registered_) {
     transaction.compares_.push_back({ own, RevisionOf(own) });
     transaction.writes_.push_back({ own, std::nullopt, 0 });
   }
   const auto leader = entries_.find(LeaderKey());
-  if (leader != entries_.end() && leader->second.value_ == self_.member_.ref_.id_) {
+  if (leader != entries_.end() && leader->second.value_ == self_->member_.ref_.id_) {
     transaction.compares_.push_back({ leader->first, leader->second.modRevision_ });
     transaction.writes_.push_back({ leader->first, std::nullopt, 0 });
   }
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace redwing {
@@ -33,7 +34,7 @@
 };
 
 /// Membership of this instance in the store: its record, bound to a lease that it renews, and a
-/// copy of all entries of the fleet that is kept up to date by a watch. Runs on one thread.
+/// copy of all entries of the fleet. A watch keeps the members up to date, not the shard tables. Runs on one thread.
 class StoreSession
 {
 public:
@@ -46,12 +47,12 @@
                StoreSessionHooks aHooks);
   ~StoreSession();
 
-  /// Starts to register.
+  /// Starts to read the entries.
   ///
   /// Preconditions: called once. Thread safety: the context's thread only, like all functions here.
-  void Start(const MemberRecord& aSelf);
+  void Start();
 
-  /// Replaces the record of this instance.
+  /// Sets the record of this instance; the first one registers it.
   void SetSelf(const MemberRecord& aSelf);
 
   /// Reads all entries again; used when another instance knows newer ones.
@@ -76,11 +77,11 @@
   bool Loaded() const { return loaded_; }
 
   const Entries& All() const { return entries_; }
-  /// Returns the revision of the newest change that is known.
+  /// Returns the revision of the newest change of a member that is known.
   std::uint64_t NewestChange() const { return newestChange_; }
   std::int64_t Lease() const { return lease_; }
   std::string MemberKey(const std::string& aInstanceId) const;
-  std::string LeaderKey() const { return settings_.prefix_ + "leader"; }
+  std::string LeaderKey() const { return MembersPrefix() + "leader"; }
   std::string TableKey(const std::string& aService) const;
 
   /// Returns the revision of the last change of aKey, 0 if it is absent.
@@ -117,7 +118,10 @@
   boost::asio::steady_timer renewTimer_;
   /// Guards callbacks that arrive after the destruction.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  MemberRecord self_;
+  /// Members and the leader; only these are watched.
+  std::string MembersPrefix() const { return settings_.prefix_ + "members/"; }
+
+  std::optional<MemberRecord> self_;
   Entries entries_;
   std::uint64_t revision_ = 0;
   /// Revision of the last read of all entries; events up to it are old.
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -328,6 +328,10 @@
   }
   CancelAttempts(0);
   Finish();
+  if (admitted_ && workspace_ != nullptr && aOutcome == Outcome::NotRun &&
+      core_.Dependencies().returnToken_) {
+    core_.Dependencies().returnToken_(*workspace_);
+  }
   core_.Outcomes().OnRefusal(WorkspaceId(), aCode, aOutcome);
   if (!aRetryAfterMs && IsTemporary(aCode)) {
     aRetryAfterMs = static_cast<std::uint32_t>(core_.Settings().defaultRetryAfter_.count());
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -83,6 +83,8 @@
   TryStartRemote tryStartRemote_;
   SendRemoteEvent sendRemote_;
   RateLimiter rateLimiter_;
+  /// Takes back a token of a request that was admitted and did not run; may be empty.
+  std::function<void(const Workspace&)> returnToken_;
 };
 
 } // namespace redwing
--- a/src/limits/WindowBudget.cpp
+++ b/src/limits/WindowBudget.cpp
@@ -71,6 +71,14 @@
   return true;
 }
 
+void
+WindowBudget::Return()
+{
+  if (!used_.empty()) {
+    used_.pop_back();
+  }
+}
+
 Duration
 WindowBudget::RetryAfter(TimePoint aNow) const
 {
--- a/src/limits/WindowBudget.hpp
+++ b/src/limits/WindowBudget.hpp
@@ -48,6 +48,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   bool TryTake(TimePoint aNow);
 
+  /// Takes back the last request: it was admitted and did not run after all.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Return();
+
   /// Returns the time until a request that was refused now might be admitted.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
