--- /dev/null
+++ b/standins/platform/PlatformStore.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "common/HttpServer.hpp"
+#include "store/KeyValueStore.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <list>
+#include <string>
+
+namespace redwing::standins {
+
+/// What the store does to calls, to imitate its troubles.
+enum class StoreTrouble
+{
+  None,
+  /// Answers 503; nothing is done.
+  Busy,
+  /// Closes the connection without an answer; nothing is done.
+  Reset,
+  /// Does what is asked and closes the connection without an answer.
+  LosesAnswers,
+};
+
+/// Serves the key-value calls of the users' platform. Not thread-safe.
+class PlatformStore
+{
+public:
+  PlatformStore(boost::asio::io_context& aIo, Address aAddress);
+
+  /// Sets what happens to calls from now on.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void SetTrouble(StoreTrouble aTrouble) { trouble_ = aTrouble; }
+
+  /// Writes a key as the operator does.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void Put(const std::string& aKey, const std::string& aValue);
+
+  /// Forgets the changes so far: a watch from before them is answered 410.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void Compact() { compacted_ = store_.Revision(); }
+
+  /// Ends all leases at once.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void EndLeases();
+
+  KeyValueStore& Data() { return store_; }
+
+private:
+  struct Watch
+  {
+    HttpExchangePtr exchange_;
+    std::string prefix_;
+    std::int64_t after_ = 0;
+    std::int64_t endNs_ = 0;
+  };
+
+  void Handle(const HttpExchangePtr& aExchange);
+  HttpResponse Dispatch(const HttpRequest& aRequest);
+  HttpResponse Transaction(const std::string& aBody);
+  HttpResponse Range(const HttpRequest& aRequest);
+  bool StartWatch(const HttpExchangePtr& aExchange);
+  void AnswerWatches();
+  void ScheduleExpiry();
+
+  KeyValueStore store_;
+  HttpServer server_;
+  boost::asio::steady_timer timer_;
+  std::list<Watch> watches_;
+  StoreTrouble trouble_ = StoreTrouble::None;
+  std::int64_t compacted_ = 0;
+};
+
+} // namespace redwing::standins
--- /dev/null
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -0,0 +1,175 @@
+#include "fleet/ShardHolds.hpp"
+
+#include "support/ManualClock.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+using redwing::test::ManualClock;
+
+namespace {
+
+/// 16 shards of 4096 keys, held by instance "a" with server run "s1".
+struct Fixture
+{
+  Fixture()
+  {
+    clock_.Set(TimePoint(1h));
+    table_.Assign(0, 15, { "a", "s1" });
+    holds_.SetTable("desk", table_);
+    holds_.SetLife("s1");
+    holds_.SetLeaseDeadline(clock_.Now() + 6s);
+  }
+
+  HeartbeatReply Beat(std::vector<HeldKeys> aHolds = {}, std::vector<ReleasedKeys> aReleased = {})
+  {
+    ServerHeartbeat heartbeat;
+    heartbeat.sequence_ = ++sequence_;
+    heartbeat.holds_ = std::move(aHolds);
+    heartbeat.released_ = std::move(aReleased);
+    return holds_.OnHeartbeat(heartbeat);
+  }
+
+  bool Owned(std::uint32_t aShard) const
+  {
+    return holds_.Check({ "desk", aShard }, clock_.Now()).owned_;
+  }
+
+  ManualClock clock_;
+  ShardTable table_{ 16 };
+  ShardHolds holds_{ clock_, "a", {} };
+  std::uint64_t sequence_ = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ShardHolding, Fixture)
+
+// Guards against a hold that outlasts the lease when the server's clock is 2 % slow.
+BOOST_AUTO_TEST_CASE(HoldsEndBeforeTheLease)
+{
+  const HeartbeatReply reply = Beat();
+  BOOST_REQUIRE(reply.grants_.has_value());
+  BOOST_REQUIRE(reply.grants_->size() == 1);
+  BOOST_TEST(reply.grants_->front().first_ == 0U);
+  BOOST_TEST(reply.grants_->front().last_ == 65535U);
+  BOOST_TEST(reply.holdFor_.count() * 1.02 < 6000);
+  BOOST_TEST(reply.holdFor_.count() > 5500);
+  // The latest end on a slow clock still lies within the lease, after the first hold of the process.
+  clock_.Advance(20s);
+  holds_.SetLeaseDeadline(clock_.Now() + 6s);
+  (void)Beat();
+  BOOST_TEST((holds_.HoldsUntil() <= clock_.Now() + 6s));
+}
+
+// Guards against a renewal without a lease, as after an outage of the store or a suspension.
+BOOST_AUTO_TEST_CASE(GrantsNothingWithoutLease)
+{
+  (void)Beat();
+  clock_.Advance(5900ms);
+  BOOST_TEST(!Beat().grants_.has_value());
+  BOOST_TEST(!Owned(3));
+}
+
+// Guards against requests that reach the server before it has read its grant.
+BOOST_AUTO_TEST_CASE(OwnsAShardOnceTheGrantHasSettled)
+{
+  BOOST_TEST(!Owned(0));
+  (void)Beat();
+  BOOST_TEST(!Owned(0));
+  clock_.Advance(5ms);
+  BOOST_TEST(Owned(0));
+  BOOST_TEST(holds_.Check({ "other", 0 }, clock_.Now()).owned_ == false);
+}
+
+// Guards against a shard that is given away while the server still works on it.
+BOOST_AUTO_TEST_CASE(ReleasesOnceTheServerReportsIt)
+{
+  (void)Beat();
+  table_.SetSuccessor(4, 7, "b");
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(holds_.TakeReleased().empty());
+  const std::vector<HeldKeys> all{ { 0, 65535, 1 } };
+  const HeartbeatReply reply = Beat(all);
+  BOOST_REQUIRE(reply.grants_.has_value());
+  BOOST_TEST(reply.grants_->size() == 2U);
+  BOOST_TEST(!Owned(5));
+  // Still at work on one of the shards.
+  (void)Beat({ { 0, 16383, 1 }, { 20000, 20000, 1 }, { 32768, 65535, 1 } }, { { 16384, 32767, "h1" } });
+  auto released = holds_.TakeReleased();
+  BOOST_REQUIRE(!released.empty());
+  for (const ReleasedShards& shards : released) {
+    BOOST_TEST((shards.first_ > 4U || shards.last_ < 4U));
+    BOOST_TEST(shards.successor_ == "b");
+  }
+  (void)Beat({ { 0, 16383, 1 }, { 32768, 65535, 1 } });
+  released = holds_.TakeReleased();
+  BOOST_REQUIRE(released.size() == 1);
+  BOOST_TEST(released.front().first_ == 4U);
+  BOOST_TEST(released.front().last_ == 7U);
+  BOOST_TEST(released.front().handover_ == "h1");
+}
+
+// Guards against a heartbeat, sent before the reply that left the shards out, that is taken for
+// their release.
+BOOST_AUTO_TEST_CASE(AHeartbeatWithoutHoldsIsNoReleaseBeforeTheReply)
+{
+  (void)Beat();
+  table_.SetSuccessor(0, 15, "b");
+  holds_.SetTable("desk", table_);
+  // The server had not read its grant when it sent this.
+  (void)Beat({});
+  BOOST_TEST(holds_.TakeReleased().empty());
+}
+
+// Guards against shards of a silent server that stay unserved, and against shards that are taken
+// before a slow clock has run out.
+BOOST_AUTO_TEST_CASE(SilentServerLosesItsShardsWithTheHold)
+{
+  const HeartbeatReply reply = Beat();
+  table_.SetSuccessor(0, 15, "b");
+  holds_.SetTable("desk", table_);
+  clock_.Advance(reply.holdFor_ + 20ms);
+  BOOST_TEST(holds_.TakeReleased().empty());
+  clock_.Advance(10s);
+  const auto released = holds_.TakeReleased();
+  BOOST_REQUIRE(released.size() == 1);
+  BOOST_TEST(released.front().handover_.empty());
+}
+
+// Guards against an instance that, after its own restart, takes shards for unheld that its earlier
+// process granted.
+BOOST_AUTO_TEST_CASE(ARestartedInstanceAssumesThatShardsAreHeld)
+{
+  ShardHolds restarted(clock_, "a", {});
+  table_.SetSuccessor(0, 15, "b");
+  restarted.SetTable("desk", table_);
+  restarted.SetLife("s1");
+  restarted.SetLeaseDeadline(clock_.Now() + 6s);
+  BOOST_TEST(restarted.TakeReleased().empty());
+  ServerHeartbeat heartbeat;
+  heartbeat.sequence_ = 8;
+  heartbeat.holds_ = { { 0, 65535, 1 } };
+  (void)restarted.OnHeartbeat(heartbeat);
+  BOOST_TEST(restarted.TakeReleased().empty());
+  heartbeat.sequence_ = 9;
+  heartbeat.holds_.clear();
+  (void)restarted.OnHeartbeat(heartbeat);
+  BOOST_TEST(restarted.TakeReleased().size() == 1U);
+}
+
+// Guards against a new run of the server that is granted what only the run before it held.
+BOOST_AUTO_TEST_CASE(ANewRunIsGrantedNothingOfTheEarlierOne)
+{
+  (void)Beat();
+  holds_.SetLife("s2");
+  const HeartbeatReply reply = Beat();
+  BOOST_REQUIRE(reply.grants_.has_value());
+  BOOST_TEST(reply.grants_->empty());
+  table_.Assign(0, 15, { "a", "s2" });
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(Beat().grants_->size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/fleet/ShardPlannerTest.cpp
@@ -0,0 +1,168 @@
+#include "fleet/ShardPlanner.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace redwing;
+
+namespace {
+
+constexpr std::uint32_t kShards = 2048;
+
+std::vector<ShardCandidate>
+Servers(std::initializer_list<double> aCapacities)
+{
+  std::vector<ShardCandidate> servers;
+  for (const double capacity : aCapacities) {
+    const std::string id(1, static_cast<char>('a' + servers.size()));
+    servers.push_back({ id, "life-" + id, capacity, true });
+  }
+  return servers;
+}
+
+/// Shards by the instance that has them after pending handovers.
+std::map<std::string, std::uint32_t>
+Targets(const ShardTable& aTable)
+{
+  std::map<std::string, std::uint32_t> counts;
+  for (const ShardRun& run : aTable.Runs()) {
+    counts[run.successor_.empty() ? run.holder_.instanceId_ : run.successor_] +=
+      run.last_ - run.first_ + 1;
+  }
+  return counts;
+}
+
+std::uint32_t
+Pending(const ShardTable& aTable)
+{
+  std::uint32_t count = 0;
+  for (const ShardRun& run : aTable.Runs()) {
+    count += run.successor_.empty() ? 0 : run.last_ - run.first_ + 1;
+  }
+  return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ShardPlanning)
+
+// Guards against a first table that leaves shards unserved or ignores the speed of servers.
+BOOST_AUTO_TEST_CASE(SpreadsANewTableByCapacity)
+{
+  const auto servers = Servers({ 1, 1, 2 });
+  const ShardTable table = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  auto counts = Targets(table);
+  BOOST_TEST(counts["c"] > 1000U);
+  BOOST_TEST(counts["c"] < 1050U);
+  BOOST_TEST(counts["a"] > 490U);
+  BOOST_TEST(counts["b"] > 490U);
+  BOOST_CHECK(ShardPlanner().Plan(table, servers, {}) == table);
+}
+
+// Guards against shards of a lost server that wait for a handover nobody makes, and against shards
+// of the others that move without need.
+BOOST_AUTO_TEST_CASE(TakesOverFromALostServerOnly)
+{
+  auto servers = Servers({ 1, 1, 1, 1 });
+  const ShardTable before = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  servers[1].life_ = "";
+  servers[1].accepts_ = false;
+  const ShardTable after = ShardPlanner().Plan(before, servers, {}, false);
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    const ShardRun& run = after.At(shard);
+    BOOST_REQUIRE(run.holder_.instanceId_ != "b");
+    BOOST_REQUIRE(run.successor_.empty());
+    if (before.At(shard).holder_.instanceId_ != "b") {
+      BOOST_REQUIRE(run.holder_ == before.At(shard).holder_);
+    }
+  }
+  auto counts = Targets(after);
+  BOOST_TEST(counts["a"] > 600U);
+  BOOST_TEST(counts["c"] > 600U);
+  BOOST_TEST(counts["d"] > 600U);
+}
+
+// Guards against shards that are taken from a leaving server before it has released them.
+BOOST_AUTO_TEST_CASE(NamesSuccessorsForALeavingServer)
+{
+  auto servers = Servers({ 1, 1, 1 });
+  const ShardTable before = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  servers[0].accepts_ = false;
+  const ShardTable after = ShardPlanner().Plan(before, servers, {}, false);
+  for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+    BOOST_REQUIRE(after.At(shard).holder_ == before.At(shard).holder_);
+  }
+  BOOST_TEST(Targets(after)["a"] == 0U);
+  // The plan is stable while the handover is under way.
+  BOOST_CHECK(ShardPlanner().Plan(after, servers, {}, false) == after);
+}
+
+// Guards against a handover to a server that is gone by now.
+BOOST_AUTO_TEST_CASE(DropsASuccessorThatIsGone)
+{
+  auto servers = Servers({ 1, 1, 1 });
+  ShardTable table = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  const std::uint32_t first = table.Runs()[0].first_;
+  table.SetSuccessor(first, first + 10, "c");
+  servers[2].accepts_ = false;
+  servers[2].life_ = "";
+  const ShardTable after = ShardPlanner().Plan(table, servers, {}, false);
+  BOOST_TEST(after.At(first).successor_ != "c");
+}
+
+// Guards against a server that is left with a hot range of keys although others have room. Load: a
+// range of 6 shards gets 40 % of the traffic.
+BOOST_AUTO_TEST_CASE(RelievesAServerOfAHotRange)
+{
+  const auto servers = Servers({ 1, 1, 1, 1, 1 });
+  ShardTable table = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  std::vector<double> load(kShards, 0.6 / kShards);
+  const std::uint32_t hot = table.Runs()[0].first_ + 100;
+  for (std::uint32_t i = hot; i < hot + 6; ++i) {
+    load[i] += 0.4 / 6;
+  }
+  const std::string owner = table.At(hot).holder_.instanceId_;
+  std::uint32_t moved = 0;
+  for (int round = 0; round < 6; ++round) {
+    ShardTable next = ShardPlanner().Plan(table, servers, load);
+    moved += Pending(next);
+    // The handovers complete.
+    const std::vector<ShardRun> runs(next.Runs().begin(), next.Runs().end());
+    for (const ShardRun& run : runs) {
+      if (!run.successor_.empty()) {
+        next.Assign(run.first_, run.last_, { run.successor_, "life-" + run.successor_ }, "h");
+      }
+    }
+    table = next;
+  }
+  std::map<std::string, double> shares;
+  for (std::uint32_t i = 0; i < kShards; ++i) {
+    shares[table.At(i).holder_.instanceId_] += load[i];
+  }
+  // Before, the owner had more than half of the traffic.
+  for (const auto& [id, share] : shares) {
+    BOOST_TEST(share < 0.36, id << " has " << share);
+  }
+  BOOST_TEST(moved < kShards / 2);
+}
+
+// Guards against shards that move back and forth under an even load.
+BOOST_AUTO_TEST_CASE(LeavesABalancedTableAlone)
+{
+  const auto servers = Servers({ 1, 1.1, 0.9, 1 });
+  const ShardTable table = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  std::vector<double> load(kShards, 1);
+  for (std::uint32_t i = 0; i < kShards; ++i) {
+    load[i] += (i * 7919) % 3;
+  }
+  BOOST_CHECK(ShardPlanner().Plan(table, servers, load) == table);
+}
+
+// Guards against a plan without any server to place shards on.
+BOOST_AUTO_TEST_CASE(ChangesNothingWithoutServers)
+{
+  const ShardTable empty(kShards);
+  BOOST_CHECK(ShardPlanner().Plan(empty, {}, {}) == empty);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform/HeartbeatCodecTest.cpp
@@ -0,0 +1,67 @@
+#include "platform/HeartbeatCodec.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace redwing;
+using namespace redwing::platform;
+
+BOOST_AUTO_TEST_SUITE(Heartbeats)
+
+// Guards against a heartbeat whose holds or handovers are lost in translation.
+BOOST_AUTO_TEST_CASE(IsDecoded)
+{
+  const auto heartbeat = DecodeHeartbeat(
+    "i-1",
+    R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,
+        "state":"draining","coldRemainingMs":250,"seq":4,"born":1789395282487,
+        "holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})");
+  BOOST_REQUIRE(heartbeat.has_value());
+  BOOST_TEST(heartbeat->serverId_ == "i-1");
+  BOOST_TEST(heartbeat->startedAt_ == 1789395282487U);
+  BOOST_TEST(heartbeat->sequence_ == 4U);
+  BOOST_TEST(heartbeat->slots_ == 12U);
+  BOOST_TEST(heartbeat->draining_);
+  BOOST_TEST(heartbeat->coldFor_.count() == 250);
+  BOOST_REQUIRE(heartbeat->holds_.size() == 1);
+  BOOST_CHECK((heartbeat->holds_[0] == HeldKeys{ 0, 4095, 7 }));
+  BOOST_REQUIRE(heartbeat->released_.size() == 1);
+  BOOST_CHECK((heartbeat->released_[0] == ReleasedKeys{ 4096, 8191, "5c0e" }));
+}
+
+// Guards against a heartbeat of another writer that is taken for the local server's.
+BOOST_AUTO_TEST_CASE(RejectsOtherWriters)
+{
+  for (const char* body :
+       { "",
+         "[]",
+         "null",
+         "{\"service\":",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":"12","state":"ready","seq":1})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"asleep","seq":1})",
+         R"({"service":"desk","address":"nowhere","slots":12,"state":"ready","seq":1})",
+         R"({"service":7,"address":"10.0.0.9:8080","slots":12,"state":"ready","seq":1})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"ready"})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"ready","seq":-1})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
+             "holds":[[5,4,1]]})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
+             "holds":[[0,65536,1]]})",
+         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
+             "freed":[[0,5,1]]})" }) {
+    const auto heartbeat = DecodeHeartbeat("i-1", body);
+    BOOST_TEST(!heartbeat.has_value(), body);
+  }
+}
+
+// Guards against a reply that would make a server release everything.
+BOOST_AUTO_TEST_CASE(AReplyWithoutGrantsHasNoHolds)
+{
+  BOOST_TEST(EncodeHeartbeatReply({}) == "{}");
+  HeartbeatReply reply;
+  reply.grants_ = { { 0, 31, 9, "" }, { 64, 95, 10, "h" } };
+  reply.holdFor_ = std::chrono::milliseconds(4000);
+  BOOST_TEST(EncodeHeartbeatReply(reply) ==
+             R"({"holdDurationMs":4000,"holds":[[0,31,9,""],[64,95,10,"h"]]})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform/KvStoreTest.cpp
@@ -0,0 +1,190 @@
+#include "platform/KvStore.hpp"
+
+#include "core/SteadyClock.hpp"
+#include "platform/PlatformStore.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+using namespace redwing;
+using namespace redwing::platform;
+using redwing::standins::PlatformStore;
+using redwing::standins::StoreTrouble;
+
+namespace {
+
+constexpr std::uint16_t kPort = 23977;
+
+/// A KvStore and a stand-in for the platform's store on one thread.
+struct Fixture
+{
+  Fixture()
+    : standin_(context_, { "127.0.0.1", kPort })
+    , store_(context_, clock_, 1, Settings())
+  {
+  }
+
+  static KvStoreSettings Settings()
+  {
+    KvStoreSettings settings;
+    settings.client_.address_ = { "127.0.0.1", kPort };
+    settings.client_.timeout_ = std::chrono::milliseconds(2000);
+    settings.client_.budget_.callsPerSecond_ = 10000;
+    settings.client_.budget_.burst_ = 10000;
+    settings.client_.budget_.maximumBackOff_ = std::chrono::milliseconds(1);
+    settings.client_.budget_.minimumBackOff_ = std::chrono::milliseconds(1);
+    settings.watchPause_ = std::chrono::milliseconds(1);
+    return settings;
+  }
+
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!aCondition()) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
+      context_.restart();
+      context_.run_for(std::chrono::milliseconds(1));
+    }
+  }
+
+  template<typename T, typename Call>
+  StoreResult<T> Await(Call aCall)
+  {
+    std::optional<StoreResult<T>> result;
+    aCall([&](StoreResult<T> aResult) { result = std::move(aResult); });
+    RunUntil([&] { return result.has_value(); });
+    return std::move(*result);
+  }
+
+  StoreResult<StoreTransactionResult> Write(const std::string& aKey,
+                                            const std::string& aValue,
+                                            std::uint64_t aRevision,
+                                            std::int64_t aLease = 0)
+  {
+    StoreTransaction transaction;
+    transaction.compares_ = { { aKey, aRevision } };
+    transaction.writes_ = { { aKey, aValue, aLease } };
+    return Await<StoreTransactionResult>(
+      [&](auto aDone) { store_.Commit(transaction, std::move(aDone)); });
+  }
+
+  StoreResult<StoreRange> Read(const std::string& aPrefix, bool aExact = false)
+  {
+    return Await<StoreRange>(
+      [&](auto aDone) { store_.Range(aPrefix, aExact, std::move(aDone)); });
+  }
+
+  boost::asio::io_context context_;
+  SteadyClock clock_;
+  PlatformStore standin_;
+  KvStore store_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PlatformKvStore, Fixture)
+
+// Guards against a write whose condition is not checked, and against values that are not bytes.
+BOOST_AUTO_TEST_CASE(WritesUnderAConditionAndReadsBack)
+{
+  const std::string value("\x00\xff\"{}", 5);
+  const auto first = Write("t/a", value, 0);
+  BOOST_REQUIRE(first.has_value());
+  BOOST_TEST(first->succeeded_);
+  const auto again = Write("t/a", "x", 0);
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(!again->succeeded_);
+  const auto read = Read("t/a", true);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_REQUIRE(read->entries_.size() == 1);
+  BOOST_TEST(read->entries_[0].value_ == value);
+  BOOST_TEST(read->entries_[0].modRevision_ == first->revision_);
+  BOOST_TEST(Read("t/none", true)->entries_.empty());
+}
+
+// Guards against a range of several pages of which the later ones are lost.
+BOOST_AUTO_TEST_CASE(ReadsAllPages)
+{
+  for (int i = 0; i < 10; ++i) {
+    BOOST_REQUIRE(Write("t/" + std::to_string(i), "v", 0).has_value());
+  }
+  BOOST_TEST(Read("t/")->entries_.size() == 10U);
+}
+
+// Guards against a lease that is taken for alive after its end.
+BOOST_AUTO_TEST_CASE(LeasesEnd)
+{
+  const auto lease = Await<std::int64_t>(
+    [&](auto aDone) { store_.GrantLease(std::chrono::seconds(5), std::move(aDone)); });
+  BOOST_REQUIRE(lease.has_value());
+  BOOST_REQUIRE(Write("t/m", "v", 0, *lease).has_value());
+  const auto keep = [&] {
+    return Await<std::chrono::seconds>(
+      [&](auto aDone) { store_.KeepAlive(*lease, std::move(aDone)); });
+  };
+  BOOST_TEST(keep()->count() == 5);
+  standin_.EndLeases();
+  BOOST_TEST(keep()->count() == 0);
+  BOOST_TEST(Read("t/")->entries_.empty());
+  const auto write = Write("t/m", "v", 0, *lease);
+  BOOST_REQUIRE(!write.has_value());
+  BOOST_CHECK(write.error().kind_ == StoreErrorKind::Rejected);
+}
+
+// Guards against a lost answer that is taken for a write that was not done, and the other way round.
+BOOST_AUTO_TEST_CASE(TellsLostAnswersFromRefusals)
+{
+  standin_.SetTrouble(StoreTrouble::LosesAnswers);
+  const auto lost = Write("t/a", "v", 0);
+  BOOST_REQUIRE(!lost.has_value());
+  BOOST_CHECK(lost.error().kind_ == StoreErrorKind::OutcomeUnknown);
+  standin_.SetTrouble(StoreTrouble::Busy);
+  const auto busy = Write("t/b", "v", 0);
+  BOOST_REQUIRE(!busy.has_value());
+  BOOST_CHECK(busy.error().kind_ == StoreErrorKind::Unavailable);
+  standin_.SetTrouble(StoreTrouble::None);
+  const auto read = Read("t/");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->entries_.size() == 1U);
+}
+
+// Guards against changes that a watch misses or reports twice.
+BOOST_AUTO_TEST_CASE(WatchesChangesInOrder)
+{
+  const std::uint64_t start = Read("t/")->revision_;
+  std::vector<StoreWatchEvent> seen;
+  store_.Watch("t/", start + 1, [&](const StoreResult<std::vector<StoreWatchEvent>>& aEvents) {
+    if (aEvents) {
+      seen.insert(seen.end(), aEvents->begin(), aEvents->end());
+    }
+  });
+  for (int i = 0; i < 5; ++i) {
+    standin_.Put("t/k", std::to_string(i));
+    standin_.Put("other/k", "x");
+    if (i == 2) {
+      RunUntil([&] { return seen.size() >= 3; });
+    }
+  }
+  RunUntil([&] { return seen.size() >= 5; });
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(*seen[static_cast<std::size_t>(i)].value_ == std::to_string(i));
+  }
+  BOOST_TEST(seen.size() == 5U);
+}
+
+// Guards against a watch that goes on as if nothing had been forgotten.
+BOOST_AUTO_TEST_CASE(AWatchOfForgottenHistoryEnds)
+{
+  standin_.Put("t/k", "1");
+  standin_.Put("t/k", "2");
+  standin_.Compact();
+  bool ended = false;
+  store_.Watch("t/", 2, [&](const StoreResult<std::vector<StoreWatchEvent>>& aEvents) {
+    ended = !aEvents.has_value();
+  });
+  RunUntil([&] { return ended; });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/unit/platform/ManifestDecoderTest.cpp
@@ -0,0 +1,114 @@
+#include "platform/ManifestDecoder.hpp"
+
+#include "core/Hash.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace redwing;
+using namespace redwing::platform;
+using Json = nlohmann::json;
+
+namespace {
+
+Json
+Manifest()
+{
+  return Json::parse(R"({
+    "version": "r7",
+    "routes": [
+      {"name":"book","host":"Desk.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":800,
+       "targetLatencyMs":400,"priority":1,"service":"desk","maxAttempts":1,"allowAnonymous":false},
+      {"name":"look","host":"desk.example","pathPrefix":"/look/","kind":"safe","timeoutMs":1000,
+       "targetLatencyMs":300,"priority":2,"maxAttempts":3,"allowAnonymous":true,"unknown":[1],
+       "trafficSplit":[{"service":"desk","weight":90},{"service":"records","weight":10}]}],
+    "services": [
+      {"name":"desk","healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tls":false,
+       "coldStartS":3.0,"coldPerS":14.0,"sharded":true,"warmupS":2.0,"grants":"heartbeat"},
+      {"name":"records","healthCheckPath":"/health","maxConnections":80}],
+    "limits": {"maxHeaderBytes":16384},
+    "tenants": [{"name":"w","apiKeys":["key-1","key-2"],"priority":0,"ratePerS":94,"burstSize":90}]
+  })");
+}
+
+Findings
+Decode(const Json& aManifest)
+{
+  const auto decoded = DecodeManifest(aManifest.dump());
+  return decoded ? Findings{} : decoded.error();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Manifests)
+
+// Guards against a manifest whose meaning changes on its way into the product's configuration.
+BOOST_AUTO_TEST_CASE(BecomesAConfiguration)
+{
+  const auto decoded = DecodeManifest(Manifest().dump());
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->revision_ == 7U);
+  const Configuration& configuration = decoded->configuration_;
+  BOOST_REQUIRE(configuration.routes_.size() == 2);
+  const Route& book = configuration.routes_[0];
+  BOOST_TEST(book.host_ == "desk.example");
+  BOOST_TEST(!book.idempotent_);
+  BOOST_TEST(book.maxAttempts_ == 1U);
+  BOOST_TEST(book.timeout_.count() == 800);
+  BOOST_TEST(book.targetLatency_.count() == 400);
+  BOOST_CHECK(book.keySource_ == KeySource::Header);
+  const Route& look = configuration.routes_[1];
+  BOOST_TEST(look.open_);
+  BOOST_TEST(look.idempotent_);
+  BOOST_REQUIRE(look.split_.size() == 2);
+  BOOST_TEST(look.split_[0].weight_ == 90U);
+  BOOST_REQUIRE(configuration.services_.size() == 2);
+  BOOST_CHECK(configuration.services_[0].mode_ == ServiceMode::Keyed);
+  BOOST_CHECK(configuration.services_[0].keyMapping_ == KeyMapping::Numeric);
+  BOOST_TEST(configuration.services_[0].coldStart_.perSecond_ == 14.0);
+  BOOST_TEST(configuration.services_[0].connections_ == 130U);
+  BOOST_CHECK(configuration.services_[1].mode_ == ServiceMode::Pooled);
+  BOOST_REQUIRE(configuration.keys_.size() == 2);
+  BOOST_TEST(configuration.keys_[0].hash_ == ToHex(Sha256("key-1")));
+  BOOST_TEST(configuration.workspaces_[0].rate_ == 94.0);
+  BOOST_TEST(int{ *configuration.workspaces_[0].priority_ } == 0);
+}
+
+// Guards against a damaged manifest that is taken for a valid one, and against findings without
+// their place.
+BOOST_AUTO_TEST_CASE(ReportsWhatIsInvalid)
+{
+  const std::vector<std::pair<std::string, std::string>> cases{
+    { R"({"op":"replace","path":"/version","value":"7"})", "/version" },
+    { R"({"op":"replace","path":"/routes/0/kind","value":"odd"})", "/routes/0/kind" },
+    { R"({"op":"remove","path":"/routes/0/timeoutMs"})", "/routes/0/timeoutMs" },
+    { R"({"op":"replace","path":"/routes/0/timeoutMs","value":-1})", "/routes/0/timeoutMs" },
+    { R"({"op":"remove","path":"/routes/0/host"})", "/routes/0/host" },
+    { R"({"op":"replace","path":"/routes/0/service","value":"none"})", "/routes/0/service" },
+    { R"({"op":"replace","path":"/routes/0/pathPrefix","value":"/book"})",
+      "/routes/0/pathPrefix" },
+    { R"({"op":"replace","path":"/routes/1/trafficSplit/1/weight","value":"x"})",
+      "/routes/1/trafficSplit/1/weight" },
+    { R"({"op":"replace","path":"/tenants/0/apiKeys","value":["key-1","key-1"]})",
+      "/tenants/0/apiKeys" },
+    { R"({"op":"replace","path":"/services","value":{}})", "/services" },
+  };
+  for (const auto& [patch, place] : cases) {
+    Json manifest = Manifest();
+    manifest = manifest.patch(Json::array({ Json::parse(patch) }));
+    const Findings findings = Decode(manifest);
+    BOOST_REQUIRE_MESSAGE(!findings.empty(), patch);
+    BOOST_TEST(findings.front().place_ == place, patch << " gave " << findings.front().place_);
+  }
+}
+
+// Guards against a manifest that is cut short.
+BOOST_AUTO_TEST_CASE(RejectsEveryPrefix)
+{
+  const std::string text = Manifest().dump();
+  for (std::size_t length = 0; length < text.size(); ++length) {
+    BOOST_REQUIRE(!DecodeManifest(std::string_view(text).substr(0, length)).has_value());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
