Estimate service times by class; send large bodies on demand; ignore sheds of free servers

Bodies went along with every attempt, also refused ones (0.364 GB between data centres). Servers that shed while they had free slots were given fewer requests still. Change: expected time by route; calls without workspace are refused by their deadline only; bodies above 12 KiB are sent when the serving instance dispatches; the limit falls only if three quarters of it are in use.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -26,7 +26,9 @@
     }
     const TimePoint limit =
       mustWait ? std::min(aItem.deadline_, aItem.targetTime_) : aItem.deadline_;
-    if (aNow + wait + aRate.serviceTime_ > limit) {
+    const Duration own =
+      aItem.serviceTime_ > Duration::zero() ? aItem.serviceTime_ : aRate.serviceTime_;
+    if (aNow + wait + own > limit) {
       return QueueVerdict::TooLate;
     }
   }
@@ -85,9 +87,13 @@
 }
 
 std::vector<QueueItem>
-FairQueue::TakeExpired(Duration aServiceTime, TimePoint aNow)
+FairQueue::TakeExpired(Duration aServiceTime, TimePoint aNow, int aDivisor)
 {
-  return Extract([&](const QueueItem& aItem) { return aNow + aServiceTime > aItem.deadline_; });
+  return Extract([&](const QueueItem& aItem) {
+    const Duration needed =
+      aItem.serviceTime_ > Duration::zero() ? aItem.serviceTime_ / aDivisor : aServiceTime;
+    return aNow + needed > aItem.deadline_;
+  });
 }
 
 double
--- a/src/admission/FairQueue.hpp
+++ b/src/admission/FairQueue.hpp
@@ -25,6 +25,8 @@
   TimePoint deadline_;
   /// A request that must wait beyond this to be finished is refused instead.
   TimePoint targetTime_ = TimePoint::max();
+  /// Expected time at the server; zero if only that of all requests is known.
+  Duration serviceTime_{};
 };
 
 /// What the queue needs to know to foresee a missed deadline.
@@ -67,10 +69,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   bool Remove(const ExchangeKey& aKey);
 
-  /// Removes and returns requests that would not finish by their deadline if started at aNow.
+  /// Removes and returns requests that would not finish by their deadline if started at aNow and
+  /// finished in this share of their expected time, or in aServiceTime if that is not known.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
-  std::vector<QueueItem> TakeExpired(Duration aServiceTime, TimePoint aNow);
+  std::vector<QueueItem> TakeExpired(Duration aServiceTime, TimePoint aNow, int aDivisor = 1);
 
   std::size_t Size() const { return size_; }
   bool Empty() const { return size_ == 0; }
--- /dev/null
+++ b/src/admission/ServiceTimes.cpp
@@ -0,0 +1,36 @@
+#include "admission/ServiceTimes.hpp"
+
+namespace redwing {
+
+namespace {
+
+/// Bounds memory if routes come and go; the estimates of all classes start anew then.
+constexpr std::size_t kMaxClasses = 1024;
+
+} // namespace
+
+void
+ServiceTimes::Add(const std::string& aClass, Duration aServiceTime, TimePoint aNow)
+{
+  all_.Add(aServiceTime, aNow);
+  if (classes_.size() >= kMaxClasses && !classes_.contains(aClass)) {
+    classes_.clear();
+  }
+  classes_[aClass].Add(aServiceTime, aNow);
+}
+
+Duration
+ServiceTimes::Of(const std::string& aClass, TimePoint aNow) const
+{
+  const auto found = classes_.find(aClass);
+  return found == classes_.end() ? Duration::zero() : found->second.ServiceTime(aNow);
+}
+
+void
+ServiceTimes::Reset()
+{
+  all_.Reset();
+  classes_.clear();
+}
+
+} // namespace redwing
--- a/src/admission/SlotLimiter.cpp
+++ b/src/admission/SlotLimiter.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr double kDecrease = 0.7;
+constexpr double kFullShare = 0.75;
 /// Sheds of one overload arrive together; they count once.
 constexpr std::chrono::milliseconds kDecreaseInterval{ 50 };
 
@@ -49,7 +50,9 @@
 void
 SlotLimiter::OnShed(TimePoint aNow)
 {
-  if (aNow - lastDecrease_ >= kDecreaseInterval) {
+  // A server that sheds while most of its slots are free is not overloaded.
+  const bool full = running_ >= kFullShare * Limit();
+  if (full && aNow - lastDecrease_ >= kDecreaseInterval) {
     lastDecrease_ = aNow;
     limit_ = std::max(1.0, std::min<double>(limit_, running_) * kDecrease);
   }
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -39,9 +39,11 @@
   if (PeekTable(exchange, now)) {
     return;
   }
-  QueueItem item{ start.key_,      start.workspace_, start.weight_,
-                  start.priority_, start.deadline_,  TimePoint::max() };
-  if (settings_.meetsTargets_ && start.targetTime_ != TimePoint{}) {
+  QueueItem item{ start.key_,      start.workspace_,  start.weight_,
+                  start.priority_, start.deadline_,   TimePoint::max(),
+                  estimator_.Of(start.class_, now) };
+  // Requests without workspace are calls of other servers, which fail if the call is refused.
+  if (settings_.meetsTargets_ && !start.workspace_.empty() && start.targetTime_ != TimePoint{}) {
     item.targetTime_ = start.targetTime_;
   }
   switch (queue_.Push(std::move(item), Rate(now), now)) {
@@ -164,7 +166,8 @@
     RefuseNotRun(aExchange, ErrorCode::Draining);
     return;
   }
-  if (limiter_.Running() > 1 && now + estimator_.ServiceTime(now) > aExchange->start_.deadline_) {
+  const Duration own = estimator_.Of(aExchange->start_.class_, now);
+  if (limiter_.Running() > 1 && now + own > aExchange->start_.deadline_) {
     RefuseNotRun(aExchange, ErrorCode::DeadlineExceeded, "deadline_cannot_be_met");
     return;
   }
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -107,6 +107,11 @@
   aExchange->dispatchedAt_ = now;
   aExchange->connection_ = connection;
   coldRate_.OnSent(now);
+  if (settings_.asksForBodies_ && !aExchange->bodyComplete_ && !aExchange->askedForBody_) {
+    aExchange->askedForBody_ = true;
+    hooks_.sendResponse_(
+      RequestCredit{ start.key_, static_cast<std::uint32_t>(kBodyWindowBytes) });
+  }
   connection->Start(std::move(*request), std::make_shared<Observer>(*this, aExchange));
 }
 
@@ -216,7 +221,10 @@
     const auto now = clock_.Now();
     sheds_.Add();
     limiter_.OnShed(now);
-    ramp_.OnShed(now);
+    // A server that reports its state says itself whether it is cold.
+    if (!settings_.announcedState_) {
+      ramp_.OnShed(now);
+    }
   }
   const auto connection = std::exchange(aExchange->connection_, nullptr);
   if (aLast) {
@@ -304,10 +312,10 @@
 {
   const auto now = clock_.Now();
   answered_.Add();
-  estimator_.Add(now - aExchange->dispatchedAt_, now);
+  estimator_.Add(aExchange->start_.class_, now - aExchange->dispatchedAt_, now);
   limiter_.OnSuccess();
   ramp_.OnSuccess(now);
-  if (estimator_.LatencyJumped()) {
+  if (!settings_.announcedState_ && estimator_.All().LatencyJumped()) {
     ramp_.OnLatencyJump(now);
   }
   pool_->Release(std::exchange(aExchange->connection_, nullptr));
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace redwing {
@@ -78,9 +79,9 @@
 void
 BackendService::ExpireRequests(TimePoint aNow)
 {
-  const Duration needed =
-    settings_.meetsTargets_ ? estimator_.ServiceTime(aNow) / 2 : Duration::zero();
-  for (const auto& item : queue_.TakeExpired(needed, aNow)) {
+  // With half of the usual time left a request may still succeed.
+  const int divisor = settings_.meetsTargets_ ? 2 : std::numeric_limits<int>::max();
+  for (const auto& item : queue_.TakeExpired(Duration::zero(), aNow, divisor)) {
     RefuseNotRun(ExchangePtr(exchanges_[item.key_]), ErrorCode::DeadlineExceeded);
   }
   std::vector<ExchangePtr> late;
@@ -135,7 +136,7 @@
     return;
   }
   const Duration overdue =
-    std::max<Duration>(kProgressTimeout, estimator_.ServiceTime(aNow) * kOverdueFactor);
+    std::max<Duration>(kProgressTimeout, estimator_.Any(aNow) * kOverdueFactor);
   const bool stalled = std::any_of(exchanges_.begin(), exchanges_.end(), [&](const auto& aEntry) {
     const auto& connection = aEntry.second->connection_;
     return connection && connection->AwaitsServer() && aNow - connection->LastProgress() > overdue;
@@ -158,7 +159,7 @@
 {
   const auto now = clock_.Now();
   const Duration overdue =
-    std::max<Duration>(kProgressTimeout, estimator_.ServiceTime(now) * kOverdueFactor);
+    std::max<Duration>(kProgressTimeout, estimator_.Any(now) * kOverdueFactor);
   std::vector<ExchangePtr> stalled;
   std::uint32_t sent = 0;
   for (const auto& [key, exchange] : exchanges_) {
@@ -409,7 +410,7 @@
   }
   next.limit_ = limiter_.Limit();
   next.running_ = limiter_.Running();
-  next.serviceTime_ = estimator_.UsualServiceTime();
+  next.serviceTime_ = estimator_.All().UsualServiceTime();
   next.crashed_ = down_ && announcement_ && !crashedLife_.empty() &&
                   announcement_->life_ == crashedLife_;
   next.queued_ = static_cast<std::uint32_t>(queue_.Size());
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -200,7 +200,7 @@
 {
   using std::chrono::microseconds;
   const auto serviceTime =
-    std::chrono::duration_cast<microseconds>(estimator_.ServiceTime(clock_.Now()));
+    std::chrono::duration_cast<microseconds>(estimator_.Any(clock_.Now()));
   return { limiter_.Running(),
            static_cast<std::uint32_t>(queue_.Size()),
            limiter_.Limit(),
@@ -210,7 +210,7 @@
 ServiceRate
 BackendService::Rate(TimePoint aNow) const
 {
-  return { estimator_.ServiceTime(aNow),
+  return { estimator_.Any(aNow),
            limiter_.Running(),
            limiter_.Limit(),
            coldRate_.Rate(aNow) };
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -3,7 +3,7 @@
 #include "admission/ColdRateLimit.hpp"
 #include "admission/ColdStartRamp.hpp"
 #include "admission/FairQueue.hpp"
-#include "admission/LoadEstimator.hpp"
+#include "admission/ServiceTimes.hpp"
 #include "admission/SlotLimiter.hpp"
 #include "backend/BackendTypes.hpp"
 #include "backend/ConnectionPool.hpp"
@@ -193,7 +193,7 @@
   FairQueue queue_;
   ColdStartRamp ramp_;
   ColdRateLimit coldRate_;
-  LoadEstimator estimator_;
+  ServiceTimes estimator_;
   IdempotencyTable entries_;
   PoisonRegistry poison_;
   std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -51,6 +51,8 @@
   /// Time in which the shards of a withdrawn data centre move away and are still served. New work
   /// must have stopped 3 s after the withdrawal.
   std::chrono::milliseconds withdrawalGrace_{ 1500 };
+  /// Callers' instances keep back bodies until they are asked for.
+  bool asksForBodies_ = false;
   /// Requests that would wait beyond their target time are refused at once, so that others are
   /// served within theirs: for callers to whom a late response is worth little.
   bool meetsTargets_ = false;
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -30,6 +30,7 @@
   /// Body parts that arrived before the dispatch.
   std::string pendingBody_;
   bool bodyComplete_ = false;
+  bool askedForBody_ = false;
   std::shared_ptr<HttpConnection> connection_;
   TimePoint dispatchedAt_{};
   std::uint64_t token_ = 0;
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kEndTimeout{ 300 };
 /// Bodies up to this size are complete before a server is chosen, so that they can be sent again.
 constexpr std::size_t kBufferedBodyBytes = 640 * 1024;
+/// A body of this size costs less than the extra round trip.
+constexpr std::size_t kEagerBodyBytes = 12 * 1024;
 constexpr std::size_t kMaxPipelined = 8;
 /// Callers are told of a shutdown by two failed readiness checks, one second apart.
 constexpr milliseconds kAcceptGrace{ 2600 };
@@ -47,6 +49,7 @@
                                double aRetryRatio)
 {
   intake_.bufferedBodyBytes_ = kBufferedBodyBytes;
+  intake_.eagerBodyBytes_ = kEagerBodyBytes;
   intake_.maxPipelined_ = kMaxPipelined;
   intake_.acceptGrace_ = kAcceptGrace;
   intake_.shutdownGrace_ = kIdleGrace;
@@ -62,6 +65,7 @@
   backend_.announcementExpiry_ = aHeartbeatInterval * kMissedHeartbeats;
   backend_.warmConnections_ = 1;
   backend_.meetsTargets_ = true;
+  backend_.asksForBodies_ = true;
   backend_.withdrawalGrace_ = aEvacuationTimeout * 7 / 10;
   backend_.leaveGrace_ = aDrainTimeout * 3 / 4;
   peer_.progressTimeout_ = kPeerTimeout;
--- a/src/exchange/Events.hpp
+++ b/src/exchange/Events.hpp
@@ -99,8 +99,10 @@
   std::uint64_t configurationRevision_ = 0;
   /// Identifies the caller's key without revealing it, for withdrawal while queued; empty if open.
   std::string keyId_;
-  /// Time after its arrival within which the answer is of full use to the caller.
+  /// Moment until which the answer is of full use to the caller.
   TimePoint targetTime_{};
+  /// Requests of one class take about the same time at a server: the id of the route.
+  std::string class_;
 };
 
 struct RequestBody
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -203,6 +203,7 @@
   const Route& route = *entry_->route_;
   start_.requestId_ = requestId_;
   start_.service_ = route.service_;
+  start_.class_ = route.id_;
   if (workspace_ != nullptr) {
     start_.workspace_ = workspace_->id_;
     start_.weight_ = workspace_->weight_;
@@ -300,19 +301,24 @@
   }
   started_ = true;
   streamed_ = !bodyDone_ || pending_.size() > buffered;
+  const std::size_t eager = core_.Settings().eagerBodyBytes_;
+  deferred_ = !streamed_ && eager > 0 && pending_.size() > eager;
   if (streamed_) {
     start_.body_ = pending_.substr(0, kMaxChunkBytes);
     pending_.erase(0, kMaxChunkBytes);
+  } else if (deferred_) {
+    start_.contentLength_ = pending_.size();
   } else {
     start_.body_ = std::move(pending_);
     pending_.clear();
     start_.contentLength_ = start_.body_.size();
   }
-  start_.last_ = !streamed_;
-  bodySent_ = !streamed_;
+  start_.last_ = !streamed_ && !deferred_;
+  bodySent_ = start_.last_;
   requestOutstanding_ = start_.body_.size();
-  start_.fingerprint_ = Combine(
-    Combine(Combine(HashBytes(start_.workspace_), start_.method_), start_.target_), start_.body_);
+  start_.fingerprint_ =
+    Combine(Combine(Combine(HashBytes(start_.workspace_), start_.method_), start_.target_),
+            deferred_ ? pending_ : start_.body_);
   core_.Retries().OnRequest(start_.workspace_, start_.service_);
   SendAttempt("first");
 }
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -106,6 +106,7 @@
 
   // Bodies, in ExchangeBodies.cpp
   void SendBody();
+  void SendDeferredBody();
   void OnResponseStart(std::uint64_t aAttemptId, ResponseStart&& aStart);
   void OnResponseBody(ResponseBody&& aBody);
   void AppendBody(std::string_view aBytes, bool aLast);
@@ -137,6 +138,10 @@
   bool keepsConnection_ = false;
 
   std::string pending_;
+  /// Bytes at the start of pending_ that were sent to the present attempt.
+  std::size_t sentBytes_ = 0;
+  /// The whole body is kept in pending_ and sent to each attempt that asks for it.
+  bool deferred_ = false;
   bool bodyDone_ = true;
   bool bodySent_ = false;
   bool streamed_ = false;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -73,6 +73,12 @@
     firstSent_ = now;
     ArmHedge();
   }
+  if (deferred_) {
+    // Nothing is sent before the server is about to take it.
+    sentBytes_ = 0;
+    bodySent_ = false;
+    requestOutstanding_ = kBodyWindowBytes;
+  }
   RequestStart start = CanReplay() ? start_ : std::move(start_);
   const IntakeDependencies& dependencies = core_.Dependencies();
   const bool taken = local ? dependencies.tryStartLocal_(std::move(start))
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -23,6 +23,10 @@
   if (finished_ || bodySent_ || attempts_.size() != 1) {
     return;
   }
+  if (deferred_) {
+    SendDeferredBody();
+    return;
+  }
   while (!bodySent_ && (!pending_.empty() || bodyDone_)) {
     const std::size_t bytes = std::min(pending_.size(), kMaxChunkBytes);
     if (requestOutstanding_ + bytes > kBodyWindowBytes) {
@@ -47,6 +51,24 @@
   }
 }
 
+void
+Exchange::SendDeferredBody()
+{
+  while (!bodySent_ && requestOutstanding_ < kBodyWindowBytes) {
+    const std::size_t bytes = std::min({ pending_.size() - sentBytes_,
+                                         kMaxChunkBytes,
+                                         kBodyWindowBytes - requestOutstanding_ });
+    RequestBody body;
+    body.key_ = { kLocalLink, attempts_.front().id_ };
+    body.bytes_ = pending_.substr(sentBytes_, bytes);
+    sentBytes_ += bytes;
+    body.last_ = sentBytes_ == pending_.size();
+    bodySent_ = body.last_;
+    requestOutstanding_ += bytes;
+    SendToAttempt(attempts_.front(), std::move(body));
+  }
+}
+
 BodyFraming
 Exchange::FramingOf(const ResponseStart& aStart) const
 {
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -46,6 +46,9 @@
   std::string originService_;
   /// Larger bodies are sent on before they are complete and cannot be sent again.
   std::size_t bufferedBodyBytes_ = kMaxChunkBytes;
+  /// Larger buffered bodies are sent once the serving instance asks for them, so that a refused
+  /// attempt costs no transfer; 0: all are sent at once.
+  std::size_t eagerBodyBytes_ = 0;
   /// Larger bodies are refused; 0: no limit.
   std::size_t maxBodyBytes_ = 0;
   /// Idempotent requests of one connection that are served at the same time.
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -140,6 +140,7 @@
   Optional(aArchive, aValue.contentLength_);
   aArchive(aValue.body_, aValue.last_, aValue.configurationRevision_, aValue.keyId_);
   Deadline(aArchive, aValue.targetTime_);
+  aArchive(aValue.class_);
 }
 
 template<typename Archive>
