Serve calls of backend servers first; share queues by rate; use more of the permitted excess

All workspaces have the same priority as the calls' route, and the fair queue gave the calls of all servers together the share of a single workspace. Ruled out: the lab's capacity (93 arrivals a second of about 120 possible). Change: requests without workspace go before all others; workspaces share a queue by their rates; allowances use 9/10 of what may exceed them (the property test never saw more than the allowance itself).

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -49,6 +49,8 @@
                                double aRetryRatio)
 {
   intake_.bufferedBodyBytes_ = kBufferedBodyBytes;
+  intake_.callsFirst_ = true;
+  intake_.weighsByRate_ = true;
   intake_.eagerBodyBytes_ = kEagerBodyBytes;
   intake_.maxPipelined_ = kMaxPipelined;
   intake_.acceptGrace_ = kAcceptGrace;
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -49,7 +49,7 @@
   /// Preconditions: both are at least 0. Thread safety: not thread-safe.
   void SetAllowanceBounds(double aOvershoot, double aSlack)
   {
-    constexpr double kUsedPart = 0.75;
+    constexpr double kUsedPart = 0.9;
     allowanceOvershoot_ = aOvershoot * kUsedPart;
     allowanceSlack_ = aSlack * kUsedPart;
   }
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -6,6 +6,7 @@
 #include "routing/ShardMap.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace redwing::Detail {
 
@@ -222,6 +223,15 @@
   if (workspace_ != nullptr && workspace_->priority_) {
     start_.priority_ = *workspace_->priority_;
   }
+  if (settings.callsFirst_) {
+    constexpr std::uint8_t kLowest = std::numeric_limits<std::uint8_t>::max();
+    const bool call = workspace_ == nullptr;
+    start_.priority_ =
+      call ? 0 : static_cast<std::uint8_t>(std::min<int>(start_.priority_ + 1, kLowest));
+  }
+  if (settings.weighsByRate_ && workspace_ != nullptr) {
+    start_.weight_ = static_cast<std::uint32_t>(std::max(1.0, workspace_->rate_));
+  }
   start_.idempotent_ = route.idempotent_;
   start_.idempotencyKey_ = head_.idempotencyKey_;
   start_.contentLength_ = aContentLength;
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -58,6 +58,11 @@
   /// Pauses between attempts at a shard without a serving owner: the first, and the longest.
   std::chrono::milliseconds firstOwnerRetry_{ 2 };
   std::chrono::milliseconds lastOwnerRetry_{ 16 };
+  /// Requests without workspace are calls of backend servers; they go before all others, because
+  /// the requests that wait for them hold slots meanwhile.
+  bool callsFirst_ = false;
+  /// Workspaces share a server's queue in proportion to their rates instead of their weights.
+  bool weighsByRate_ = false;
   /// Part of a caller's time that is kept for the way of the response.
   std::chrono::milliseconds replyMargin_{ 0 };
   /// When a refused caller may come back, unless a better estimate is known.
