Hold heartbeat replies while shards arrive; choose pool members by expected time; prefer fast servers at low load

Change: a server that is about to get shards gets its reply when they arrive, after 550 ms at the latest; pools choose by reported service time, slowness and load; below 80 % load shards follow more than the speed of servers; large bodies leave the data centre only for a clear gain.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -4,6 +4,7 @@
 #include "backend/RequestText.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
 #include <utility>
 
 namespace redwing {
@@ -209,6 +210,34 @@
   return (isSigned || !success) && FindHeader(aHead, "content-encoding") == nullptr;
 }
 
+void
+BackendService::TakeLoad(const HttpHead& aHead)
+{
+  const std::string* load = settings_.protocol_.loadHeader_.empty()
+                              ? nullptr
+                              : FindHeader(aHead, settings_.protocol_.loadHeader_);
+  if (load == nullptr) {
+    return;
+  }
+  // The fourth figure, in per cent; servers that do not share their machine leave it out.
+  std::size_t at = 0;
+  for (int comma = 0; comma < 3; ++comma) {
+    at = load->find(',', at);
+    if (at == std::string::npos) {
+      return;
+    }
+    ++at;
+  }
+  double percent = 0;
+  const auto parsed = std::from_chars(load->data() + at, load->data() + load->size(), percent);
+  constexpr double kUsualPercent = 100;
+  constexpr double kMostPercent = 10'000;
+  if (parsed.ec == std::errc{} && percent > 0 && percent < kMostPercent) {
+    slowness_ = percent / kUsualPercent;
+    slownessAt_ = clock_.Now();
+  }
+}
+
 bool
 BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
 {
@@ -252,6 +281,7 @@
   if (aExchange->phase_ == ServedPhase::Ended || OnShed(aExchange, aHead, aLast)) {
     return;
   }
+  TakeLoad(aHead);
   if (!IsAnswer(aHead)) {
     std::exchange(aExchange->connection_, nullptr)->Close();
     if (aExchange->phase_ != ServedPhase::Ended) {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -10,6 +10,13 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// What a server says of its slowness holds for about this long.
+constexpr std::chrono::milliseconds kSlownessLife{ 400 };
+
+} // namespace
+
 BackendService::BackendService(asio::io_context& aContext,
                                const Clock& aClock,
                                const Published<RoutingView>& aView,
@@ -199,8 +206,14 @@
 BackendService::Load() const
 {
   using std::chrono::microseconds;
-  const auto serviceTime =
-    std::chrono::duration_cast<microseconds>(estimator_.Any(clock_.Now()));
+  const TimePoint now = clock_.Now();
+  Duration time = estimator_.All().UsualServiceTime();
+  if (time == Duration::zero()) {
+    time = estimator_.Any(now);
+  } else if (now - slownessAt_ < kSlownessLife) {
+    time = Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * slowness_));
+  }
+  const auto serviceTime = std::chrono::duration_cast<microseconds>(time);
   return { limiter_.Running(),
            static_cast<std::uint32_t>(queue_.Size()),
            limiter_.Limit(),
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -148,6 +148,7 @@
   void OnFailed(const ExchangePtr& aExchange, const HttpFailure& aFailure);
   bool OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast);
   bool IsAnswer(const HttpHead& aHead) const;
+  void TakeLoad(const HttpHead& aHead);
   void FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail);
   void Complete(const ExchangePtr& aExchange);
   void Detach(const ExchangePtr& aExchange, ErrorCode aCode);
@@ -204,6 +205,9 @@
   TimePoint nextSweep_{};
   TimePoint nextProbe_{};
   HealthReport health_;
+  /// How long work takes at the server compared with usual, as it last said, and when.
+  double slowness_ = 1;
+  TimePoint slownessAt_{};
   bool down_ = true;
   bool leaving_ = false;
   TimePoint leavingSince_{};
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -62,6 +62,7 @@
   intake_.replyMargin_ = kReplyMargin;
   intake_.routeLogLinesPerSecond_ = kRouteLogLines;
   intake_.routing_.hedging_ = false;
+  intake_.routing_.balancing_ = Balancing::ExpectedTime;
   intake_.retryBudget_ = { aRetryRatio * kRetryShare, kRetryReserve, false };
   backend_.announcedState_ = true;
   backend_.announcementExpiry_ = aHeartbeatInterval * kMissedHeartbeats;
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace redwing {
@@ -19,6 +20,11 @@
 constexpr milliseconds kPlanInterval{ 500 };
 /// Loads that a move changed are seen again after about this time.
 constexpr milliseconds kReliefInterval{ 1500 };
+/// With little load shards go to fast servers beyond their share of the capacity, because requests
+/// are then slow by the server and not by its queue: at no load by the square of the speed and more,
+/// from kBusy of the capacity on in proportion to it.
+constexpr double kMostPreference = 1.2;
+constexpr double kBusy = 0.8;
 /// Servers of one service differ in speed by this factor from the average at the most; beyond it a
 /// measured rate is taken for a disturbance.
 constexpr double kSpeedSpread = 2;
@@ -103,6 +109,19 @@
   }
 }
 
+double
+FleetService::SpeedPreference(const std::string& aService, double aCapacity) const
+{
+  const auto heat = heat_.find(aService);
+  if (heat == heat_.end() || aCapacity <= 0) {
+    return 0;
+  }
+  // Requests of a steady rate r with half-life h add up to r * h / ln 2.
+  const double halfLife = std::chrono::duration<double>(kHeatHalfLife).count();
+  const double rate = heat->second.total_ * std::log(2.0) / halfLife;
+  return kMostPreference * std::clamp(1 - rate / aCapacity / kBusy, 0.0, 1.0);
+}
+
 std::vector<ShardCandidate>
 FleetService::CandidatesOf(const std::string& aService) const
 {
@@ -137,6 +156,14 @@
         ? usual
         : std::clamp(candidate.capacity_, usual / kSpeedSpread, usual * kSpeedSpread);
   }
+  const double capacity = std::accumulate(
+    candidates.begin(), candidates.end(), 0.0, [](double aSum, const ShardCandidate& aCandidate) {
+      return aSum + (aCandidate.accepts_ ? aCandidate.capacity_ : 0);
+    });
+  const double preference = count > 0 ? SpeedPreference(aService, capacity) : 0;
+  for (ShardCandidate& candidate : candidates) {
+    candidate.capacity_ *= std::pow(candidate.capacity_ / usual, preference);
+  }
   return candidates;
 }
 
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -21,9 +21,11 @@
 
 } // namespace
 
-HeartbeatReply
-FleetService::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+void
+FleetService::OnHeartbeat(const ServerHeartbeat& aHeartbeat, const HeartbeatDone& aDone)
 {
+  // The server has given up on an earlier reply, or sent both at once.
+  AnswerHeldHeartbeat();
   heartbeats_.Add();
   const std::string life = LifeOf(aHeartbeat);
   const bool older = life != life_ ? aHeartbeat.startedAt_ < serverStartedAt_
@@ -36,7 +38,8 @@
       .With("service", aHeartbeat.service_)
       .With("present_life", life_)
       .With("last_sequence", lastSequence_);
-    return {};
+    aDone({});
+    return;
   }
   if (life != life_) {
     LogLine(LogLevel::Info, "server_seen").With("life", life).With("previous", life_);
@@ -54,11 +57,29 @@
   UpdateSelf();
   if (serverCrashed_) {
     // Sent before the crash was noticed.
-    return {};
+    aDone({});
+    return;
+  }
+  held_ = aHeartbeat;
+  heldDone_ = aDone;
+  heldSince_ = clock_.Now();
+  // What the server reports of its holds is taken at once; a second look at it changes nothing.
+  if (serverLeaves_ || !holds_.AwaitsShards() || holds_.HasNewShards()) {
+    AnswerHeldHeartbeat();
+  }
+}
+
+void
+FleetService::AnswerHeldHeartbeat()
+{
+  if (!held_) {
+    return;
   }
-  const HeartbeatReply reply = holds_.OnHeartbeat(aHeartbeat);
+  const ServerHeartbeat heartbeat = std::move(*held_);
+  held_.reset();
+  const HeartbeatDone done = std::exchange(heldDone_, nullptr);
+  done(holds_.OnHeartbeat(heartbeat, heldSince_));
   CommitReleases();
-  return reply;
 }
 
 void
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr milliseconds kTickInterval{ 50 };
+/// A server expects the reply to a heartbeat within a second.
+constexpr milliseconds kLongestHeldReply{ 550 };
 constexpr milliseconds kProbeInterval{ 300 };
 constexpr milliseconds kProbeTimeout{ 400 };
 constexpr milliseconds kNoticeTimeout{ 400 };
@@ -173,6 +175,9 @@
   tables_[aService] = { aRevision, std::move(*table) };
   if (aService == settings_.self_.service_) {
     holds_.SetTable(aService, tables_[aService].table_);
+    if (holds_.HasNewShards()) {
+      AnswerHeldHeartbeat();
+    }
   }
   viewDirty_ = true;
   nextPlan_ = {};
@@ -257,6 +262,9 @@
     }
     const TimePoint now = clock_.Now();
     UpdateSelf();
+    if (now - heldSince_ >= kLongestHeldReply) {
+      AnswerHeldHeartbeat();
+    }
     CommitReleases();
     AdoptOwnShards();
     Elect();
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -22,6 +22,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -98,9 +99,12 @@
   /// Adopts a configuration; older ones than the present one are ignored.
   void OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration);
 
+  using HeartbeatDone = std::function<void(const HeartbeatReply&)>;
+
   /// Answers a heartbeat of the local server; one that is not from it, or that is older than
-  /// another, changes nothing.
-  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+  /// another, changes nothing. While shards are on their way to the server the reply is held back
+  /// for a part of the time in which the server expects it, so that it can grant them at once.
+  void OnHeartbeat(const ServerHeartbeat& aHeartbeat, const HeartbeatDone& aDone);
 
   /// The local server aServerId is about to leave.
   void OnServerLeaves(const std::string& aServerId);
@@ -152,6 +156,7 @@
   // Local server and own record (FleetLocal.cpp).
   void UpdateSelf();
   void Announce(const ServerHeartbeat& aHeartbeat);
+  void AnswerHeldHeartbeat();
   void CommitReleases();
   void AdoptOwnShards();
   bool OwnTable(KnownTable*& aTable);
@@ -175,6 +180,7 @@
   void PlanAll();
   void Plan(const Service& aService);
   std::vector<ShardCandidate> CandidatesOf(const std::string& aService) const;
+  double SpeedPreference(const std::string& aService, double aCapacity) const;
   bool MayCreateTable() const;
   std::vector<double> HeatOf(const std::string& aService);
   void SendReport();
@@ -212,6 +218,10 @@
   std::uint64_t serverStartedAt_ = 0;
   std::uint64_t lastSequence_ = 0;
   std::uint32_t slots_ = 0;
+  /// Heartbeat whose reply is held back.
+  std::optional<ServerHeartbeat> held_;
+  HeartbeatDone heldDone_;
+  TimePoint heldSince_{};
   bool serverLeaves_ = false;
   bool serverCrashed_ = false;
   BackendState backendState_ = BackendState::Down;
--- a/src/fleet/ShardHolds.cpp
+++ b/src/fleet/ShardHolds.cpp
@@ -143,7 +143,7 @@
 }
 
 HeartbeatReply
-ShardHolds::OnHeartbeat(const ServerHeartbeat& aHeartbeat)
+ShardHolds::OnHeartbeat(const ServerHeartbeat& aHeartbeat, TimePoint aArrivedAt)
 {
   std::lock_guard lock(mutex_);
   HeartbeatReply reply;
@@ -153,7 +153,8 @@
   const TimePoint now = clock_.Now();
   Expire(now);
   TakeReports(aHeartbeat);
-  const Duration left = leaseDeadline_ - now;
+  // The server counts from the sending of its heartbeat.
+  const Duration left = leaseDeadline_ - aArrivedAt;
   const Duration hold = std::min<Duration>(
     settings_.longestHold_, Scaled(left, 1 / (1 + settings_.clockDrift_)) - settings_.margin_);
   if (hold < settings_.shortestHold_) {
@@ -187,12 +188,42 @@
     }
   }
   reply.holdFor_ = std::chrono::floor<milliseconds>(hold);
-  grantEnd_ = now + reply.holdFor_;
+  grantEnd_ = aArrivedAt + reply.holdFor_;
   holdsUntil_ =
     std::max(holdsUntil_, now + Scaled(reply.holdFor_, 1 + settings_.clockDrift_));
   return reply;
 }
 
+bool
+ShardHolds::AwaitsShards() const
+{
+  std::lock_guard lock(mutex_);
+  if (!table_ || life_.empty()) {
+    return false;
+  }
+  bool awaits = false;
+  for (const ShardRun& run : table_->Runs()) {
+    if (Owned(run) && !run.successor_.empty()) {
+      return false;
+    }
+    awaits = awaits || run.successor_ == instanceId_;
+  }
+  return awaits;
+}
+
+bool
+ShardHolds::HasNewShards() const
+{
+  std::lock_guard lock(mutex_);
+  if (!table_ || life_.empty()) {
+    return false;
+  }
+  const auto runs = table_->Runs();
+  return std::any_of(runs.begin(), runs.end(), [&](const ShardRun& aRun) {
+    return Owned(aRun) && aRun.successor_.empty() && !shards_[aRun.first_].granted_;
+  });
+}
+
 std::vector<ReleasedShards>
 ShardHolds::TakeReleased()
 {
--- a/src/fleet/ShardHolds.hpp
+++ b/src/fleet/ShardHolds.hpp
@@ -64,10 +64,21 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   void SetLife(const std::string& aLife);
 
-  /// Answers a heartbeat of the present run.
+  /// Answers a heartbeat of the present run that arrived at aArrivedAt.
   ///
   /// Preconditions: heartbeats come in order. Thread safety: callable from any thread.
-  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat);
+  HeartbeatReply OnHeartbeat(const ServerHeartbeat& aHeartbeat, TimePoint aArrivedAt);
+
+  /// Returns whether other instances are about to release shards to this one, which itself has
+  /// none to release.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool AwaitsShards() const;
+
+  /// Returns whether the table gives the present run shards that it was not granted yet.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool HasNewShards() const;
 
   /// Returns the shards that were released and whose successor may have them now.
   ///
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -129,7 +129,8 @@
   }
   const bool hedgeable =
     attemptCount_ == 0 && MayHedge() && core_.HedgesOf(ServiceId()).HasBudget();
-  const ChoiceBy balanced = hedgeable ? ChoiceBy::Load : ChoiceBy::LoadUnhedged;
+  const ChoiceBy unhedged = deferred_ ? ChoiceBy::LoadNear : ChoiceBy::LoadUnhedged;
+  const ChoiceBy balanced = hedgeable ? ChoiceBy::Load : unhedged;
   const Member* member = core_.Selector().Choose(
     *entry_->route_, excluded_, attempts_.empty() ? balanced : ChoiceBy::Speed);
   if (member == nullptr) {
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -71,6 +71,23 @@
   return load / aSlots;
 }
 
+double
+MemberLoad::ExpectedTime(double aSlots, double aUsual, TimePoint aNow) const
+{
+  const double service = report_.serviceTimeUs_ > 0 ? report_.serviceTimeUs_ : aUsual;
+  // Own outstanding requests are part of a fresh report; the larger number is nearer the truth.
+  double load = outstanding_;
+  if (const Duration age = aNow - reportAt_; age < kReportLife) {
+    load = std::max(load, static_cast<double>(report_.running_ + report_.queued_));
+  }
+  // With a slot free a request runs at once; otherwise it waits for its turn. Servers that are
+  // nearly full tend to slow down.
+  const double rounds = std::max(0.0, (load + 1) / aSlots - 1);
+  const double fill = std::min(1.0, load / aSlots);
+  constexpr double kFullPenalty = 0.3;
+  return service * (1 + rounds + kFullPenalty * fill);
+}
+
 Duration
 MemberLoad::WaitingAge(std::size_t aSkip, TimePoint aNow) const
 {
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -61,6 +61,17 @@
   /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
   double Score(double aSlots, TimePoint aNow) const;
 
+  /// Returns the time in which a further request would probably be answered, in microseconds;
+  /// aUsual is assumed for a member that has not reported its service time.
+  ///
+  /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
+  double ExpectedTime(double aSlots, double aUsual, TimePoint aNow) const;
+
+  /// Returns the reported service time in microseconds, 0 if it is not known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  double ServiceTime() const { return report_.serviceTimeUs_; }
+
   /// Returns the age of the oldest attempt without a response, apart from the aSkip oldest; zero if
   /// there is none.
   ///
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -12,6 +12,11 @@
 constexpr double kNearLoad = 0.75;
 /// Above kNearLoad a far member is chosen when its load is lower by this much.
 constexpr double kFarPenalty = 0.25;
+/// A far member must be expected to answer sooner by this factor.
+constexpr double kFarFactor = 1.3;
+constexpr double kFarFactorOfLarge = 2.2;
+/// Expected times are spread at random by this part.
+constexpr double kSpread = 0.2;
 /// Slots assumed for a member that does not announce them.
 constexpr double kDefaultSlots = 4.0;
 /// A cold member counts with this share of its slots; its own instance limits it further.
@@ -219,6 +224,9 @@
   if (settings_.balancing_ == Balancing::TwoChoices) {
     return TwoChoices();
   }
+  if (settings_.balancing_ == Balancing::ExpectedTime) {
+    return Soonest();
+  }
   near_.insert(near_.end(), far_.begin(), far_.end());
   if (settings_.balancing_ == Balancing::RoundRobin) {
     return near_[aPool.turn_++ % near_.size()];
@@ -243,6 +251,37 @@
   return Score(*far) + kFarPenalty < Score(*near) ? far : near;
 }
 
+const PoolSelector::Candidate*
+PoolSelector::Soonest()
+{
+  double known = 0;
+  unsigned count = 0;
+  for (const auto* list : { &near_, &far_ }) {
+    for (const Candidate* candidate : *list) {
+      const double time = candidate->tracked_->load_.ServiceTime();
+      known += time;
+      count += time > 0 ? 1 : 0;
+    }
+  }
+  const double usual = count > 0 ? known / count : 1;
+  const double farFactor = choice_ == ChoiceBy::LoadNear ? kFarFactorOfLarge : kFarFactor;
+  const Candidate* best = nullptr;
+  double bestTime = 0;
+  for (const auto* list : { &near_, &far_ }) {
+    for (const Candidate* candidate : *list) {
+      double time = candidate->tracked_->load_.ExpectedTime(candidate->slots_, usual, now_);
+      time *= candidate->near_ ? 1 : farFactor;
+      // Small differences are left to chance, so that instances do not all choose the same member.
+      time *= 1 + kSpread * random_.Unit();
+      if (best == nullptr || time < bestTime) {
+        best = candidate;
+        bestTime = time;
+      }
+    }
+  }
+  return best;
+}
+
 const PoolSelector::Candidate*
 PoolSelector::Fastest()
 {
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -21,6 +21,9 @@
   Load,
   /// As Load, for a request that cannot be hedged: it is rarely the trial of an ejected member.
   LoadUnhedged,
+  /// As LoadUnhedged, for a request with a large body, whose transfer to another data centre costs
+  /// more than a short wait.
+  LoadNear,
   /// The signs of a straggler; for hedges, because a hedge that meets another straggler gains
   /// nothing and cannot be hedged again.
   Speed,
@@ -93,6 +96,7 @@
   void Collect(const Group& aGroup, std::span<const std::string> aExcluded, bool aAdmittedOnly);
   const Candidate* Balance(Pool& aPool);
   const Candidate* TwoChoices();
+  const Candidate* Soonest();
   const Candidate* Fastest();
   const Candidate* BetterOfTwo(const std::vector<const Candidate*>& aFrom);
   double Score(const Candidate& aCandidate) const;
--- a/src/routing/RoutingSettings.hpp
+++ b/src/routing/RoutingSettings.hpp
@@ -9,6 +9,8 @@
   TwoChoices,
   RoundRobin,
   LeastOutstanding,
+  /// By the time to answer that the members' reports let expect; needs reports with service times.
+  ExpectedTime,
 };
 
 /// Variants of the routing decisions; the plain ones serve as baselines in measurements.
--- a/tests/unit/fleet/ShardHoldsTest.cpp
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -28,7 +28,7 @@
     heartbeat.sequence_ = ++sequence_;
     heartbeat.holds_ = std::move(aHolds);
     heartbeat.released_ = std::move(aReleased);
-    return holds_.OnHeartbeat(heartbeat);
+    return holds_.OnHeartbeat(heartbeat, clock_.Now());
   }
 
   bool Owned(std::uint32_t aShard) const
@@ -151,14 +151,48 @@
   ServerHeartbeat heartbeat;
   heartbeat.sequence_ = 8;
   heartbeat.holds_ = { { 0, 65535, 1 } };
-  (void)restarted.OnHeartbeat(heartbeat);
+  (void)restarted.OnHeartbeat(heartbeat, clock_.Now());
   BOOST_TEST(restarted.TakeReleased().empty());
   heartbeat.sequence_ = 9;
   heartbeat.holds_.clear();
-  (void)restarted.OnHeartbeat(heartbeat);
+  (void)restarted.OnHeartbeat(heartbeat, clock_.Now());
   BOOST_TEST(restarted.TakeReleased().size() == 1U);
 }
 
+// Guards against a hold that is counted from the reply though the server counts from its heartbeat.
+BOOST_AUTO_TEST_CASE(AHeldReplyShortensTheHold)
+{
+  ServerHeartbeat heartbeat;
+  heartbeat.sequence_ = 1;
+  const TimePoint arrived = clock_.Now();
+  clock_.Advance(500ms);
+  holds_.SetLeaseDeadline(arrived + 3s);
+  const HeartbeatReply reply = holds_.OnHeartbeat(heartbeat, arrived);
+  BOOST_REQUIRE(reply.grants_.has_value());
+  clock_.Set(arrived + reply.holdFor_ - 1ms);
+  BOOST_TEST(Owned(0));
+  clock_.Advance(2ms);
+  BOOST_TEST(!Owned(0));
+}
+
+// Guards against replies that are held back for nothing, or not given when the shards have come.
+BOOST_AUTO_TEST_CASE(KnowsOfShardsOnTheirWay)
+{
+  (void)Beat();
+  BOOST_TEST(!holds_.AwaitsShards());
+  BOOST_TEST(!holds_.HasNewShards());
+  table_.Assign(3, 5, { "b", "s9" });
+  table_.SetSuccessor(3, 5, "a");
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(holds_.AwaitsShards());
+  BOOST_TEST(!holds_.HasNewShards());
+  (void)Beat({ { 0, 65535, 1 } });
+  table_.Assign(3, 5, { "a", "s1" }, "h");
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(!holds_.AwaitsShards());
+  BOOST_TEST(holds_.HasNewShards());
+}
+
 // Guards against a new run of the server that is granted what only the run before it held.
 BOOST_AUTO_TEST_CASE(ANewRunIsGrantedNothingOfTheEarlierOne)
 {
