Keep the shards of a leaving server that refuses connections; log refused requests at the ingress

A server that was leaving stopped accepting connections; its instance took the refused connection for a crash, which ends all holds, and gave its shards away while the server still held them. Ruled out: the lease (renewed 0.4 s before), the reply to the heartbeat (the ranges were left out as planned). Change: a refused connection ends the holds of a server only if it is not leaving; a leaving one keeps its shards until its heartbeats or the end of its hold release them. Each refused request gets a log line with route, code, outcome, attempts, age and configuration, within a budget of its own.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -115,7 +115,9 @@
 {
   viewDirty_ = viewDirty_ || backendState_ != aStatus.state_;
   backendState_ = aStatus.state_;
-  if (aStatus.crashed_ && aStatus.announcement_.life_ == life_ && !serverCrashed_) {
+  // A leaving server may refuse connections before it releases its shards.
+  const bool gone = aStatus.crashed_ && aStatus.announcement_.life_ == life_ && !serverLeaves_;
+  if (gone && !serverCrashed_) {
     LogLine(LogLevel::Warning, "server_gone").With("life", life_);
     serverCrashed_ = true;
     holds_.SetLife({});
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -349,6 +349,16 @@
     core_.Dependencies().returnToken_(*workspace_);
   }
   core_.Outcomes().OnRefusal(WorkspaceId(), aCode, aOutcome);
+  core_.Log().Write(
+    { requestId_,
+      WorkspaceId(),
+      entry_ == nullptr ? std::string_view() : std::string_view(entry_->route_->id_),
+      ToText(aCode),
+      ToText(aOutcome),
+      aDetail,
+      attemptCount_,
+      core_.Now() - begun_,
+      core_.Routes()->Revision().revision_ });
   if (!aRetryAfterMs && IsTemporary(aCode)) {
     aRetryAfterMs = static_cast<std::uint32_t>(core_.Settings().defaultRetryAfter_.count());
   }
--- a/src/intake/RouteLog.cpp
+++ b/src/intake/RouteLog.cpp
@@ -2,30 +2,64 @@
 
 #include "core/Log.hpp"
 
+#include <utility>
+
 namespace redwing::Detail {
 
 RouteLog::RouteLog(const Clock& aClock, std::uint32_t aLinesPerSecond)
   : clock_(aClock)
   , linesPerSecond_(aLinesPerSecond)
-  , left_(aLinesPerSecond)
+  , decisions_{ aLinesPerSecond }
+  , refusals_{ aLinesPerSecond }
 {
 }
 
-void
-RouteLog::Write(const RouteDecision& aDecision)
+bool
+RouteLog::Take(Budget& aBudget)
 {
-  if (left_ == 0) {
+  if (aBudget.left_ == 0) {
     const TimePoint now = clock_.Now();
-    if (now < windowEnd_ || linesPerSecond_ == 0) {
-      ++suppressed_;
-      return;
+    if (now < aBudget.windowEnd_ || linesPerSecond_ == 0) {
+      ++aBudget.suppressed_;
+      return false;
     }
-    left_ = linesPerSecond_;
+    aBudget.left_ = linesPerSecond_;
+  }
+  if (aBudget.left_ == linesPerSecond_) {
+    aBudget.windowEnd_ = clock_.Now() + std::chrono::seconds(1);
   }
-  if (left_ == linesPerSecond_) {
-    windowEnd_ = clock_.Now() + std::chrono::seconds(1);
+  --aBudget.left_;
+  return true;
+}
+
+void
+RouteLog::Write(const RefusedRequest& aRefused)
+{
+  if (!Take(refusals_)) {
+    return;
+  }
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aRefused.age_);
+  LogLine line(LogLevel::Info, "refused");
+  line.With("request_id", aRefused.requestId_)
+    .With("workspace", aRefused.workspace_)
+    .With("route", aRefused.route_)
+    .With("code", aRefused.code_)
+    .With("outcome", aRefused.outcome_)
+    .With("detail", aRefused.detail_)
+    .With("attempts", aRefused.attempts_)
+    .With("age_ms", age.count())
+    .With("configuration", aRefused.configurationRevision_);
+  if (refusals_.suppressed_ > 0) {
+    line.With("suppressed", std::exchange(refusals_.suppressed_, 0));
+  }
+}
+
+void
+RouteLog::Write(const RouteDecision& aDecision)
+{
+  if (!Take(decisions_)) {
+    return;
   }
-  --left_;
   LogLine line(LogLevel::Info, "route");
   line.With("request_id", aDecision.requestId_)
     .With("workspace", aDecision.workspace_)
@@ -37,9 +71,8 @@
   line.With("target", aDecision.target_)
     .With("attempt", aDecision.attempt_)
     .With("reason", aDecision.reason_);
-  if (suppressed_ > 0) {
-    line.With("suppressed", suppressed_);
-    suppressed_ = 0;
+  if (decisions_.suppressed_ > 0) {
+    line.With("suppressed", std::exchange(decisions_.suppressed_, 0));
   }
 }
 
--- a/src/intake/RouteLog.hpp
+++ b/src/intake/RouteLog.hpp
@@ -21,7 +21,23 @@
   std::string_view reason_;
 };
 
-/// Writes a log line per routing decision, up to a rate.
+/// Fields of the log line of a request that got no answer from a backend server.
+struct RefusedRequest
+{
+  std::string_view requestId_;
+  std::string_view workspace_;
+  /// Empty if no route was found.
+  std::string_view route_;
+  std::string_view code_;
+  std::string_view outcome_;
+  std::string_view detail_;
+  std::uint32_t attempts_ = 0;
+  /// From the arrival of the request.
+  Duration age_{};
+  std::uint64_t configurationRevision_ = 0;
+};
+
+/// Writes log lines of routing decisions and refusals, each up to a rate.
 class RouteLog
 {
 public:
@@ -32,12 +48,27 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Write(const RouteDecision& aDecision);
 
+  /// Writes the line, or counts it as suppressed. Refusals have a budget of their own, so that
+  /// routine lines do not crowd them out.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Write(const RefusedRequest& aRefused);
+
 private:
+  /// Lines of one kind in a second.
+  struct Budget
+  {
+    std::uint32_t left_ = 0;
+    TimePoint windowEnd_{};
+    std::uint64_t suppressed_ = 0;
+  };
+
+  bool Take(Budget& aBudget);
+
   const Clock& clock_;
   std::uint32_t linesPerSecond_;
-  std::uint32_t left_;
-  TimePoint windowEnd_{};
-  std::uint64_t suppressed_ = 0;
+  Budget decisions_;
+  Budget refusals_;
 };
 
 } // namespace redwing::Detail
--- /dev/null
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -0,0 +1,238 @@
+#include "fleet/FleetService.hpp"
+
+#include "core/SteadyClock.hpp"
+#include "support/MemoryStore.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace redwing;
+using namespace std::chrono_literals;
+using redwing::test::MemoryStore;
+
+namespace {
+
+constexpr std::uint32_t kShards = 64;
+constexpr const char* kTableKey = "redwing/shards/desk";
+
+/// Instances of one keyed service that share a store and reach each other at once.
+struct Fleet
+{
+  struct Node
+  {
+    Node(Fleet& aFleet, const std::string& aId)
+      : fleet_(aFleet)
+      , id_(aId)
+      , service_(aFleet.context_,
+                 aFleet.clock_,
+                 aFleet.store_,
+                 view_,
+                 counters_,
+                 Settings(aId),
+                 Hooks())
+    {
+      service_.Start();
+      service_.OnConfiguration(Configured());
+    }
+
+    static FleetSettings Settings(const std::string& aId)
+    {
+      FleetSettings settings;
+      settings.self_.ref_ = { aId, 1 };
+      settings.self_.peersAddress_ = { "127.0.0.1", 1 };
+      settings.self_.dataCentre_ = "here";
+      settings.self_.service_ = "desk";
+      return settings;
+    }
+
+    static std::shared_ptr<const ConfigurationRevision> Configured()
+    {
+      auto revision = std::make_shared<ConfigurationRevision>();
+      revision->revision_ = 1;
+      Service desk;
+      desk.id_ = "desk";
+      desk.mode_ = ServiceMode::Keyed;
+      desk.keyMapping_ = KeyMapping::Numeric;
+      desk.shards_ = kShards;
+      revision->configuration_.services_ = { desk };
+      return revision;
+    }
+
+    FleetHooks Hooks()
+    {
+      FleetHooks hooks;
+      hooks.call_ = [this](const std::string& aTo,
+                           const std::string& aPayload,
+                           Duration,
+                           const FleetHooks::CallDone& aDone) {
+        boost::asio::post(fleet_.context_, [this, aTo, aPayload, aDone] {
+          const auto node = fleet_.nodes_.find(aTo);
+          const bool found = node != fleet_.nodes_.end();
+          aDone(found, found ? node->second->service_.OnCall(aPayload) : std::string());
+        });
+      };
+      hooks.announce_ = [](const BackendAnnouncement&) {};
+      hooks.serverLeaves_ = [] {};
+      hooks.serviceRate_ = [] { return 0.0; };
+      hooks.refreshConfiguration_ = [] {};
+      return hooks;
+    }
+
+    std::string Life() const { return "server-" + id_ + "@1"; }
+
+    void Status(BackendState aState, bool aCrashed)
+    {
+      BackendStatus status;
+      status.state_ = aState;
+      status.announcement_.life_ = Life();
+      status.crashed_ = aCrashed;
+      service_.OnBackendStatus(status);
+    }
+
+    /// Sends a heartbeat of the server, which holds what the last reply granted.
+    void Beat(bool aDraining = false, bool aKeeps = true)
+    {
+      ServerHeartbeat heartbeat;
+      heartbeat.serverId_ = "server-" + id_;
+      heartbeat.startedAt_ = 1;
+      heartbeat.sequence_ = ++sequence_;
+      heartbeat.service_ = "desk";
+      heartbeat.slots_ = 4;
+      heartbeat.draining_ = aDraining;
+      if (aKeeps) {
+        heartbeat.holds_ = holds_;
+      }
+      service_.OnHeartbeat(heartbeat, [this](const HeartbeatReply& aReply) {
+        if (!aReply.grants_) {
+          return;
+        }
+        granted_.clear();
+        for (const GrantedKeys& keys : *aReply.grants_) {
+          granted_.push_back({ keys.first_, keys.last_, keys.token_ });
+        }
+      });
+    }
+
+    Fleet& fleet_;
+    std::string id_;
+    CounterRegistry counters_;
+    Published<RoutingView> view_{ std::make_shared<RoutingView>() };
+    std::uint64_t sequence_ = 0;
+    std::vector<HeldKeys> holds_;
+    std::vector<HeldKeys> granted_;
+    FleetService service_;
+  };
+
+  Node& Add(const std::string& aId)
+  {
+    return *nodes_.emplace(aId, std::make_unique<Node>(*this, aId)).first->second;
+  }
+
+  template<typename Condition>
+  bool RunUntil(Condition aCondition, std::chrono::milliseconds aLimit = 10s)
+  {
+    const TimePoint end = clock_.Now() + aLimit;
+    while (!aCondition()) {
+      if (clock_.Now() >= end) {
+        return false;
+      }
+      context_.restart();
+      context_.run_for(1ms);
+    }
+    return true;
+  }
+
+  /// Holders of the stored table.
+  std::set<std::string> Holders() const
+  {
+    std::set<std::string> holders;
+    const auto entry = store_.Entries().find(kTableKey);
+    if (entry != store_.Entries().end()) {
+      const auto table = ShardTable::Parse(entry->second.value_);
+      for (const ShardRun& run : table->Runs()) {
+        holders.insert(run.holder_.instanceId_);
+      }
+    }
+    return holders;
+  }
+
+  /// Lets both servers report until each holds its part of the shards.
+  void Settle(Node& aOne, Node& aOther)
+  {
+    for (Node* node : { &aOne, &aOther }) {
+      node->Beat();
+      node->Status(BackendState::Ready, false);
+    }
+    BOOST_REQUIRE(RunUntil([&] { return Holders() == std::set<std::string>{ "a", "b" }; }));
+    BOOST_REQUIRE(RunUntil([&] {
+      for (Node* node : { &aOne, &aOther }) {
+        if (node->granted_.empty()) {
+          node->Beat();
+          node->holds_ = node->granted_;
+        }
+      }
+      return !aOne.granted_.empty() && !aOther.granted_.empty();
+    }));
+  }
+
+  boost::asio::io_context context_;
+  SteadyClock clock_;
+  MemoryStore store_{ context_ };
+  std::map<std::string, std::unique_ptr<Node>> nodes_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(FleetServices, Fleet)
+
+// Guards against keys that two servers hold: a leaving server refuses connections while it still
+// holds its keys (hunted day, halvorsen-ducts mix --seed 123167769665).
+BOOST_AUTO_TEST_CASE(ALeavingServerThatRefusesConnectionsStillHoldsItsShards)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  one.Beat(true);
+  one.Status(BackendState::Down, true);
+  const bool taken = RunUntil([&] { return !Holders().contains("a"); }, 800ms);
+  BOOST_TEST(!taken);
+  // Its next heartbeats show that it has released them.
+  one.holds_.clear();
+  one.Beat(true, false);
+  one.Beat(true, false);
+  BOOST_TEST(RunUntil([&] { return Holders() == std::set<std::string>{ "b" }; }));
+}
+
+// Guards against shards of a crashed server that stay unserved until its hold has run out.
+BOOST_AUTO_TEST_CASE(ACrashedServerLosesItsShardsAtOnce)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  one.Status(BackendState::Down, true);
+  BOOST_TEST(RunUntil([&] { return Holders() == std::set<std::string>{ "b" }; }, 2s));
+}
+
+// Guards against a heartbeat of an earlier run that revives it.
+BOOST_AUTO_TEST_CASE(LateHeartbeatsOfAnEarlierRunAreIgnored)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  ServerHeartbeat late;
+  late.serverId_ = "server-old";
+  late.startedAt_ = 0;
+  late.sequence_ = 900;
+  late.service_ = "desk";
+  late.slots_ = 4;
+  bool answered = false;
+  one.service_.OnHeartbeat(late, [&](const HeartbeatReply& aReply) {
+    answered = true;
+    BOOST_TEST(!aReply.grants_.has_value());
+  });
+  BOOST_TEST(answered);
+  one.Beat();
+  BOOST_TEST(!one.granted_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
