--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -87,7 +87,7 @@
   , settings_(std::move(aSettings))
   , view_(std::make_shared<const RoutingView>(
       RoutingView{ std::make_shared<const ConfigurationRevision>(), false, {}, {}, {}, {} }))
-  , signals_(aContext, SIGTERM, SIGINT)
+  , signals_(aContext, SIGTERM, SIGINT, SIGHUP)
   , drainTimer_(aContext)
   , stopTimer_(aContext)
 {
@@ -246,7 +246,11 @@
       return;
     }
     LogLine(LogLevel::Info, "signal").With("number", aSignal);
-    BeginShutdown();
+    if (aSignal != SIGHUP) {
+      BeginShutdown();
+    } else if (reload_) {
+      reload_();
+    }
     WaitForSignal();
   });
 }
--- a/src/daemon/FleetDaemon.hpp
+++ b/src/daemon/FleetDaemon.hpp
@@ -67,6 +67,11 @@
 
   FleetService& Fleet() { return *fleet_; }
 
+  /// Sets what a SIGHUP does besides a log line.
+  ///
+  /// Preconditions: before Run. Thread safety: not thread-safe.
+  void SetReload(std::function<void()> aReload) { reload_ = std::move(aReload); }
+
 private:
   void BuildFleet(Store& aStore, std::function<void()> aRefreshConfiguration);
   void BuildPeer();
@@ -91,6 +96,7 @@
   std::unique_ptr<BackendService> backend_;
   std::unique_ptr<IntakeService> intake_;
   std::unique_ptr<LocalServer> metrics_;
+  std::function<void()> reload_;
   bool shuttingDown_ = false;
   bool stopped_ = false;
   int openParts_ = 0;
--- a/tests/support/MemoryStore.hpp
+++ b/tests/support/MemoryStore.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Clock.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -11,15 +12,42 @@
 
 namespace redwing::test {
 
-/// Store in memory on the test's event loop; answers come with the next turn of the loop.
+/// Store in memory on the test's event loop; answers come with the next turn of the loop. Leases
+/// end when Expire is called after their time.
 class MemoryStore final : public Store
 {
 public:
-  explicit MemoryStore(boost::asio::io_context& aContext)
+  MemoryStore(boost::asio::io_context& aContext, const Clock& aClock)
     : context_(aContext)
+    , clock_(aClock)
   {
   }
 
+  /// Ends the leases whose time has passed.
+  void Expire()
+  {
+    std::vector<StoreWatchEvent> events;
+    for (auto lease = leases_.begin(); lease != leases_.end();) {
+      if (clock_.Now() < lease->second.second) {
+        ++lease;
+        continue;
+      }
+      for (auto entry = entries_.begin(); entry != entries_.end();) {
+        if (entry->second.lease_ != lease->first) {
+          ++entry;
+          continue;
+        }
+        events.push_back({ entry->first, std::nullopt, revision_ + 1 });
+        entry = entries_.erase(entry);
+      }
+      lease = leases_.erase(lease);
+    }
+    if (!events.empty()) {
+      ++revision_;
+      Notify(events);
+    }
+  }
+
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override
   {
     StoreRange range{ {}, revision_ };
@@ -33,6 +61,14 @@
 
   void Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone) override
   {
+    for (const StoreWrite& write : aTransaction.writes_) {
+      if (write.lease_ != 0 && !leases_.contains(write.lease_)) {
+        boost::asio::post(context_, [aDone] {
+          aDone(tl::unexpected(StoreError{ StoreErrorKind::Rejected, "no such lease" }));
+        });
+        return;
+      }
+    }
     bool holds = true;
     for (const StoreCompare& compare : aTransaction.compares_) {
       const auto found = entries_.find(compare.key_);
@@ -56,14 +92,21 @@
     boost::asio::post(context_, [aDone, result] { aDone(result); });
   }
 
-  void GrantLease(std::chrono::seconds, StoreCallback<std::int64_t> aDone) override
+  void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone) override
   {
-    boost::asio::post(context_, [aDone, lease = ++lastLease_] { aDone(lease); });
+    leases_[++lastLease_] = { aTimeToLive, clock_.Now() + aTimeToLive };
+    boost::asio::post(context_, [aDone, lease = lastLease_] { aDone(lease); });
   }
 
-  void KeepAlive(std::int64_t, StoreCallback<std::chrono::seconds> aDone) override
+  void KeepAlive(std::int64_t aLease, StoreCallback<std::chrono::seconds> aDone) override
   {
-    boost::asio::post(context_, [aDone] { aDone(std::chrono::seconds(6)); });
+    const auto lease = leases_.find(aLease);
+    std::chrono::seconds left{ 0 };
+    if (lease != leases_.end()) {
+      left = lease->second.first;
+      lease->second.second = clock_.Now() + left;
+    }
+    boost::asio::post(context_, [aDone, left] { aDone(left); });
   }
 
   void Watch(std::string aPrefix, std::uint64_t, WatchCallback aEvents) override
@@ -90,8 +133,10 @@
   }
 
   boost::asio::io_context& context_;
+  const Clock& clock_;
   std::uint64_t revision_ = 1;
   std::int64_t lastLease_ = 0;
+  std::map<std::int64_t, std::pair<std::chrono::seconds, TimePoint>> leases_;
   std::map<std::string, StoreEntry> entries_;
   std::vector<std::pair<std::string, WatchCallback>> watches_;
 };
--- a/tests/unit/fleet/FleetServiceTest.cpp
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -177,7 +177,7 @@
 
   boost::asio::io_context context_;
   SteadyClock clock_;
-  MemoryStore store_{ context_ };
+  MemoryStore store_{ context_, clock_ };
   std::map<std::string, std::unique_ptr<Node>> nodes_;
 };
 
