Grant shards only while the record in the store names the server's run

Change: no grants unless the last record written names the run and no write of the record is open; after a write with unknown outcome the record is written again, so that the earlier one cannot take effect any more. Test: GrantsNothingWhileTheRecordDeniesHolds failed before, passes after.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -78,6 +78,7 @@
   const ServerHeartbeat heartbeat = std::move(*held_);
   held_.reset();
   const HeartbeatDone done = std::exchange(heldDone_, nullptr);
+  UpdateLease();
   done(holds_.OnHeartbeat(heartbeat, heldSince_));
   CommitReleases();
 }
@@ -151,6 +152,14 @@
   session_.SetSelf(record);
 }
 
+void
+FleetService::UpdateLease()
+{
+  // While the store may say that the server holds nothing, its shards may be given to others.
+  const bool certain = session_.Confirmed() && !life_.empty() && session_.Publishes(life_);
+  holds_.SetLeaseDeadline(certain ? session_.LeaseDeadline() : TimePoint{});
+}
+
 bool
 FleetService::OwnTable(KnownTable*& aTable)
 {
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -83,7 +83,7 @@
 {
   ReadMembers();
   ReadTables();
-  holds_.SetLeaseDeadline(session_.Confirmed() ? session_.LeaseDeadline() : TimePoint{});
+  UpdateLease();
   AdoptOwnShards();
   CommitReleases();
   Elect();
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -157,6 +157,7 @@
   void UpdateSelf();
   void Announce(const ServerHeartbeat& aHeartbeat);
   void AnswerHeldHeartbeat();
+  void UpdateLease();
   void CommitReleases();
   void AdoptOwnShards();
   bool OwnTable(KnownTable*& aTable);
--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -149,7 +149,8 @@
   const std::string key = MemberKey(self_->member_.ref_.id_);
   const std::string text = self_->ToText();
   const auto present = entries_.find(key);
-  if (registered_ && present != entries_.end() && present->second.value_ == text) {
+  const bool same = present != entries_.end() && present->second.value_ == text;
+  if (registered_ && same && !mustRewrite_) {
     return;
   }
   writing_ = true;
@@ -159,17 +160,18 @@
   transaction.writes_.push_back({ key, text, lease_ });
   store_.Commit(std::move(transaction),
                 OnThread<StoreTransactionResult>(
-                  [this, text](const StoreResult<StoreTransactionResult>& aResult) {
+                  [this, record = *self_](const StoreResult<StoreTransactionResult>& aResult) {
                     writing_ = false;
-                    OnWritten(text, aResult);
+                    OnWritten(record, aResult);
                   }));
 }
 
 void
-StoreSession::OnWritten(const std::string& aText,
+StoreSession::OnWritten(const MemberRecord& aRecord,
                         const StoreResult<StoreTransactionResult>& aResult)
 {
   if (!aResult) {
+    mustRewrite_ = mustRewrite_ || aResult.error().kind_ == StoreErrorKind::OutcomeUnknown;
     if (aResult.error().kind_ == StoreErrorKind::Rejected) {
       OnLapsed("lease_unknown");
       return;
@@ -182,7 +184,9 @@
     return;
   }
   const std::string key = MemberKey(self_->member_.ref_.id_);
-  entries_[key] = { key, aText, aResult->revision_, lease_ };
+  entries_[key] = { key, aRecord.ToText(), aResult->revision_, lease_ };
+  mustRewrite_ = false;
+  writtenLife_ = aRecord.life_;
   if (!registered_) {
     registered_ = true;
     registeredAt_ = aResult->revision_;
@@ -200,6 +204,12 @@
   hooks_.onChange_();
 }
 
+bool
+StoreSession::Publishes(const std::string& aLife) const
+{
+  return registered_ && !writing_ && !mustRewrite_ && writtenLife_ == aLife;
+}
+
 void
 StoreSession::Reload()
 {
@@ -368,6 +378,7 @@
   confirmed_ = false;
   lease_ = 0;
   leaseDeadline_ = {};
+  writtenLife_.clear();
   renewTimer_.cancel();
   hooks_.onChange_();
   Reload();
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -74,6 +74,10 @@
   /// changed what belongs to this instance since.
   bool Confirmed() const { return registered_ && confirmed_; }
 
+  /// Returns whether the record in the store names aLife as the run that may hold shards, and no
+  /// write that could change this is under way or may take effect late.
+  bool Publishes(const std::string& aLife) const;
+
   /// Returns whether the entries were read at all.
   bool Loaded() const { return loaded_; }
 
@@ -102,7 +106,7 @@
   void Register();
   void GrantLease();
   void WriteSelf();
-  void OnWritten(const std::string& aText, const StoreResult<StoreTransactionResult>& aResult);
+  void OnWritten(const MemberRecord& aRecord, const StoreResult<StoreTransactionResult>& aResult);
   void Load();
   void OnLoaded(StoreRange aRange);
   void Watch();
@@ -137,6 +141,9 @@
   bool registered_ = false;
   bool confirmed_ = false;
   bool writing_ = false;
+  /// The outcome of a write of the record is not known; only a later write rules it out.
+  bool mustRewrite_ = false;
+  std::string writtenLife_;
   bool loading_ = false;
   bool ended_ = false;
   bool storeLost_ = false;
--- a/tests/unit/fleet/FleetServiceTest.cpp
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -213,6 +213,27 @@
   BOOST_TEST(RunUntil([&] { return Holders() == std::set<std::string>{ "b" }; }, 2s));
 }
 
+// Guards against a grant while the record in the store says, or may come to say, that the server
+// holds nothing: the leader may then give its shards away (hunted day, tacocerto-mesh mix --seed
+// 864715605942).
+BOOST_AUTO_TEST_CASE(GrantsNothingWhileTheRecordDeniesHolds)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  one.Status(BackendState::Down, true);
+  one.granted_.clear();
+  // The write of the record is under way when the server turns out to be up.
+  one.Status(BackendState::Ready, false);
+  one.Beat();
+  BOOST_TEST(one.granted_.empty());
+  // Once the record names the run again, what is still its own is granted.
+  BOOST_TEST(RunUntil([&] {
+    one.Beat();
+    return !one.granted_.empty() || !Holders().contains("a");
+  }));
+}
+
 // Guards against a heartbeat of an earlier run that revives it.
 BOOST_AUTO_TEST_CASE(LateHeartbeatsOfAnEarlierRunAreIgnored)
 {
