--- a/src/operator/LocalServer.cpp
+++ b/src/operator/LocalServer.cpp
@@ -29,7 +29,7 @@
 }
 
 LocalServer::LocalServer(boost::asio::io_context& aContext,
-                         LocalServerSettings aSettings,
+                         const LocalServerSettings& aSettings,
                          LocalHandlers aHandlers,
                          LocalRouter::Audit aAudit)
   : LocalServer(aContext,
--- a/src/operator/LocalServer.hpp
+++ b/src/operator/LocalServer.hpp
@@ -46,7 +46,7 @@
 
   /// Preconditions: aContext is run by one thread and outlives this object.
   LocalServer(boost::asio::io_context& aContext,
-              LocalServerSettings aSettings,
+              const LocalServerSettings& aSettings,
               LocalHandlers aHandlers,
               LocalRouter::Audit aAudit = {});
 
