Interpret store replies in one place for both stores

KvStore repeated EtcdStore's handling of a reply: error, status, malformed body, and the rule that a malformed reply to a write leaves its outcome unknown. DecodeReply in store/HttpReply.hpp now serves both; the stores differ in the rule for statuses and in the decoders only. The alias Decoded existed twice and is declared there.

--- a/src/store/EtcdCodec.cpp
+++ b/src/store/EtcdCodec.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
 
 namespace redwing::Detail {
 
--- a/src/store/EtcdCodec.hpp
+++ b/src/store/EtcdCodec.hpp
@@ -1,22 +1,19 @@
 #pragma once
 
 #include "core/Base64.hpp"
+#include "store/HttpReply.hpp"
 #include "store/Store.hpp"
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tl/expected.hpp>
 #include <vector>
 
 /// Requests and replies of etcd's v3 JSON gateway as text. All functions are callable from any
 /// thread and have no preconditions; decoders return a description of what is malformed.
 namespace redwing::Detail {
 
-template<typename T>
-using Decoded = tl::expected<T, std::string>;
-
 /// One message of a watch stream.
 struct WatchMessage
 {
--- a/src/store/EtcdStore.cpp
+++ b/src/store/EtcdStore.cpp
@@ -2,6 +2,7 @@
 
 #include "store/EtcdClient.hpp"
 #include "store/EtcdCodec.hpp"
+#include "store/HttpReply.hpp"
 #include "store/StoreHttp.hpp"
 
 #include <boost/asio/post.hpp>
@@ -20,26 +21,10 @@
 /// Returns a reply handler that decodes the body with aDecode and passes the result to aDone.
 template<typename T>
 StoreCallback<HttpStoreReply>
-DecodeWith(Detail::Decoded<T> (*aDecode)(std::string_view),
-           StoreErrorKind aMalformedKind,
-           StoreCallback<T> aDone)
+DecodeWith(Decoded<T> (*aDecode)(std::string_view), bool aWrites, StoreCallback<T> aDone)
 {
-  return [aDecode, aMalformedKind, done = std::move(aDone)](StoreResult<HttpStoreReply> aReply) {
-    if (!aReply) {
-      done(tl::unexpected(std::move(aReply.error())));
-      return;
-    }
-    const bool writes = aMalformedKind == StoreErrorKind::OutcomeUnknown;
-    if (const auto kind = Detail::ClassifyStatus(aReply->status_, writes)) {
-      done(tl::unexpected(StoreError{ *kind, "status " + std::to_string(aReply->status_) }));
-      return;
-    }
-    auto decoded = aDecode(aReply->body_);
-    if (!decoded) {
-      done(tl::unexpected(StoreError{ aMalformedKind, "malformed reply: " + decoded.error() }));
-      return;
-    }
-    done(std::move(*decoded));
+  return [aDecode, aWrites, done = std::move(aDone)](StoreResult<HttpStoreReply> aReply) {
+    done(DecodeReply<T>(std::move(aReply), aWrites, Detail::ClassifyStatus, aDecode));
   };
 }
 
@@ -61,33 +46,30 @@
 void
 EtcdStore::Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone)
 {
-  client_->Post(
-    { kRangePath, Detail::EncodeRange(aPrefix, aExact), false, "POST", {} },
-    DecodeWith<StoreRange>(Detail::DecodeRange, StoreErrorKind::Unavailable, std::move(aDone)));
+  client_->Post({ kRangePath, Detail::EncodeRange(aPrefix, aExact), false, "POST", {} },
+                DecodeWith<StoreRange>(Detail::DecodeRange, false, std::move(aDone)));
 }
 
 void
 EtcdStore::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
 {
-  client_->Post({ kTransactionPath, Detail::EncodeTransaction(aTransaction), true, "POST", {} },
-                DecodeWith<StoreTransactionResult>(
-                  Detail::DecodeTransaction, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+  client_->Post(
+    { kTransactionPath, Detail::EncodeTransaction(aTransaction), true, "POST", {} },
+    DecodeWith<StoreTransactionResult>(Detail::DecodeTransaction, true, std::move(aDone)));
 }
 
 void
 EtcdStore::GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone)
 {
   client_->Post({ kGrantPath, Detail::EncodeLeaseGrant(aTimeToLive), true, "POST", {} },
-                DecodeWith<std::int64_t>(
-                  Detail::DecodeLeaseGrant, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+                DecodeWith<std::int64_t>(Detail::DecodeLeaseGrant, true, std::move(aDone)));
 }
 
 void
 EtcdStore::KeepAlive(std::int64_t aLease, StoreCallback<std::chrono::seconds> aDone)
 {
   client_->Post({ kKeepAlivePath, Detail::EncodeKeepAlive(aLease), true, "POST", {} },
-                DecodeWith<std::chrono::seconds>(
-                  Detail::DecodeKeepAlive, StoreErrorKind::OutcomeUnknown, std::move(aDone)));
+                DecodeWith<std::chrono::seconds>(Detail::DecodeKeepAlive, true, std::move(aDone)));
 }
 
 void
