Remove unused state of the fleet and the keys built for each entry

FleetService::context_, FleetService::Leads and BudgetPool::LastReport had no users. Each change of the session built two prefixes for every entry of the store and a set of all members' keys; the prefixes are members now, and a member is gone if the session does not hold its key. Behaviour is unchanged; test_fleet and test_limits pass.

--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -27,8 +27,7 @@
                            CounterRegistry& aCounters,
                            FleetSettings aSettings,
                            FleetHooks aHooks)
-  : context_(aContext)
-  , clock_(aClock)
+  : clock_(aClock)
   , view_(aView)
   , settings_(std::move(aSettings))
   , hooks_(std::move(aHooks))
@@ -95,12 +94,10 @@
 void
 FleetService::ReadMembers()
 {
-  std::set<std::string> present;
   for (const auto& [key, entry] : session_.All()) {
     if (!session_.IsMemberKey(key)) {
       continue;
     }
-    present.insert(key);
     auto& known = members_[key];
     if (known.revision_ == entry.modRevision_) {
       continue;
@@ -125,7 +122,7 @@
     nextPlan_ = {};
   }
   for (auto member = members_.begin(); member != members_.end();) {
-    if (present.contains(member->first)) {
+    if (session_.All().contains(member->first)) {
       ++member;
       continue;
     }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -132,8 +132,6 @@
   /// Returns whether the instance can serve requests.
   bool Ready() const;
 
-  bool Leads() const { return leads_; }
-
 private:
   struct KnownMember
   {
@@ -193,7 +191,6 @@
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
 
-  boost::asio::io_context& context_;
   const Clock& clock_;
   Published<RoutingView>& view_;
   FleetSettings settings_;
--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr std::string_view kRecords = "record/";
-constexpr std::string_view kTables = "shards/";
+constexpr const char* kMembers = "members/";
+constexpr const char* kRecords = "record/";
+constexpr const char* kTables = "shards/";
 
 } // namespace
 
@@ -28,6 +29,9 @@
   , settings_(std::move(aSettings))
   , hooks_(std::move(aHooks))
   , renewTimer_(aContext)
+  , membersPrefix_(settings_.prefix_ + kMembers)
+  , recordsPrefix_(membersPrefix_ + kRecords)
+  , tablesPrefix_(settings_.prefix_ + kTables)
 {
 }
 
@@ -39,26 +43,25 @@
 std::string
 StoreSession::MemberKey(const std::string& aInstanceId) const
 {
-  return MembersPrefix() + std::string(kRecords) + aInstanceId;
+  return recordsPrefix_ + aInstanceId;
 }
 
 std::string
 StoreSession::TableKey(const std::string& aService) const
 {
-  return settings_.prefix_ + std::string(kTables) + aService;
+  return tablesPrefix_ + aService;
 }
 
 std::string
 StoreSession::ServiceOfTable(const std::string& aKey) const
 {
-  const std::string prefix = TableKey({});
-  return aKey.starts_with(prefix) ? aKey.substr(prefix.size()) : std::string();
+  return aKey.starts_with(tablesPrefix_) ? aKey.substr(tablesPrefix_.size()) : std::string();
 }
 
 bool
 StoreSession::IsMemberKey(const std::string& aKey) const
 {
-  return aKey.starts_with(MemberKey({}));
+  return aKey.starts_with(recordsPrefix_);
 }
 
 template<typename T>
@@ -252,7 +255,7 @@
     loadedAt_ = aRange.revision_;
     entries_.clear();
     for (StoreEntry& entry : aRange.entries_) {
-      if (entry.key_.starts_with(MembersPrefix())) {
+      if (entry.key_.starts_with(membersPrefix_)) {
         newestChange_ = std::max(newestChange_, entry.modRevision_);
       }
       std::string key = entry.key_;
@@ -281,7 +284,7 @@
   watching_ = true;
   using Events = std::vector<StoreWatchEvent>;
   store_.Watch(
-    MembersPrefix(), revision_ + 1, OnThread<Events>([this](const StoreResult<Events>& aEvents) {
+    membersPrefix_, revision_ + 1, OnThread<Events>([this](const StoreResult<Events>& aEvents) {
       if (ended_) {
         return;
       }
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -86,7 +86,7 @@
   std::uint64_t NewestChange() const { return newestChange_; }
   std::int64_t Lease() const { return lease_; }
   std::string MemberKey(const std::string& aInstanceId) const;
-  std::string LeaderKey() const { return MembersPrefix() + "leader"; }
+  std::string LeaderKey() const { return membersPrefix_ + "leader"; }
   std::string TableKey(const std::string& aService) const;
 
   /// Returns the revision of the last change of aKey, 0 if it is absent.
@@ -123,9 +123,10 @@
   boost::asio::steady_timer renewTimer_;
   /// Guards callbacks that arrive after the destruction.
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  /// Members and the leader; only these are watched.
-  std::string MembersPrefix() const { return settings_.prefix_ + "members/"; }
-
+  /// Keys of the members' records and of the leader; only these are watched.
+  const std::string membersPrefix_;
+  const std::string recordsPrefix_;
+  const std::string tablesPrefix_;
   std::optional<MemberRecord> self_;
   Entries entries_;
   std::uint64_t revision_ = 0;
--- a/src/limits/BudgetPool.cpp
+++ b/src/limits/BudgetPool.cpp
@@ -7,7 +7,6 @@
 BudgetPool::BudgetPool(WindowBudgetSettings aSettings, TimePoint aStart)
   : settings_(aSettings)
   , start_(aStart)
-  , lastReport_(aStart)
 {
 }
 
@@ -18,7 +17,6 @@
                      std::size_t aInstances,
                      TimePoint aNow)
 {
-  lastReport_ = aNow;
   std::erase_if(entries_, [&](const auto& aEntry) {
     return aNow - aEntry.second.reportedAt_ > settings_.window_ + settings_.grantLife_;
   });
--- a/src/limits/BudgetPool.hpp
+++ b/src/limits/BudgetPool.hpp
@@ -29,11 +29,6 @@
                   std::size_t aInstances,
                   TimePoint aNow);
 
-  /// Returns when a report was last received.
-  ///
-  /// Preconditions: none. Thread safety: not thread-safe.
-  TimePoint LastReport() const { return lastReport_; }
-
 private:
   struct Entry
   {
@@ -44,7 +39,6 @@
 
   WindowBudgetSettings settings_;
   TimePoint start_;
-  TimePoint lastReport_;
   std::map<std::string, Entry> entries_;
 };
 
