Adopt shard tables by one function; expire the cold rate's window by one function

A table that this instance wrote was adopted by a copy of AdoptTable that did not answer a heartbeat held back for the new shards; such a heartbeat waited for the end of its holding time (550 ms). SetTable serves both ways. The loop that forgets requests older than the window stood twice in ColdRateLimit.

--- a/src/admission/ColdRateLimit.cpp
+++ b/src/admission/ColdRateLimit.cpp
@@ -15,9 +15,7 @@
   if (!IsCold(aNow)) {
     return true;
   }
-  while (!sent_.empty() && aNow - sent_.front() >= kWindow) {
-    sent_.pop_front();
-  }
+  Expire(aNow);
   const double unknown = aNow - start_ < kWindow ? perSecond_ * kUnknownShare : 0;
   return static_cast<double>(sent_.size()) + 1 + unknown <= perSecond_;
 }
@@ -28,10 +26,16 @@
   if (perSecond_ <= 0) {
     return;
   }
+  Expire(aNow);
+  sent_.push_back(aNow);
+}
+
+void
+ColdRateLimit::Expire(TimePoint aNow)
+{
   while (!sent_.empty() && aNow - sent_.front() >= kWindow) {
     sent_.pop_front();
   }
-  sent_.push_back(aNow);
 }
 
 } // namespace redwing
--- a/src/admission/ColdRateLimit.hpp
+++ b/src/admission/ColdRateLimit.hpp
@@ -47,6 +47,8 @@
   void OnSent(TimePoint aNow);
 
 private:
+  void Expire(TimePoint aNow);
+
   TimePoint start_;
   double perSecond_ = 0;
   TimePoint coldUntil_{};
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -257,14 +257,8 @@
       if (!written) {
         return;
       }
-      auto& known = tables_[aService];
-      if (known.revision_ < aResult->revision_) {
-        known = { aResult->revision_, aNext };
-        if (aService == settings_.self_.service_) {
-          holds_.SetTable(aService, aNext);
-        }
-        viewDirty_ = true;
-        nextPlan_ = {};
+      if (tables_[aService].revision_ < aResult->revision_) {
+        SetTable(aService, { aResult->revision_, aNext });
         SpreadTable(aService);
       }
     });
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -165,15 +165,21 @@
       .With("error", table.error());
     return;
   }
-  tables_[aService] = { aRevision, std::move(*table) };
-  if (aService == settings_.self_.service_) {
-    holds_.SetTable(aService, tables_[aService].table_);
-    if (holds_.HasNewShards()) {
-      AnswerHeldHeartbeat();
-    }
-  }
+  SetTable(aService, { aRevision, std::move(*table) });
+}
+
+void
+FleetService::SetTable(const std::string& aService, KnownTable aTable)
+{
   viewDirty_ = true;
   nextPlan_ = {};
+  if (aService == settings_.self_.service_) {
+    holds_.SetTable(aService, aTable.table_);
+  }
+  tables_[aService] = std::move(aTable);
+  if (aService == settings_.self_.service_ && holds_.HasNewShards()) {
+    AnswerHeldHeartbeat();
+  }
 }
 
 void
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -170,6 +170,7 @@
   void ReadMembers();
   void ReadTables();
   void AdoptTable(const std::string& aService, std::uint64_t aRevision, const std::string& aText);
+  void SetTable(const std::string& aService, KnownTable aTable);
   void PublishView();
   void Tick();
   void ProbeLostPeers();
