Silence all open probes when the control of an announced server ends

Cause: AnnouncedServer kept only its latest probe. A probe of a suspected crash and one of a stalled connection may be open together, and a probe without an address was not kept at all; those called back into a destroyed service. Change: all open probes are kept, as ServerMonitor does. Test: NoProbeAnswersAfterTheEnd failed before the change (2 answers), and passes; TellsAcceptedFromRefused covers the probe itself. test_backend passes.

--- a/src/backend/AnnouncedServer.cpp
+++ b/src/backend/AnnouncedServer.cpp
@@ -46,8 +46,10 @@
 
 AnnouncedServer::~AnnouncedServer()
 {
-  if (const auto open = open_.lock()) {
-    open->callback_ = nullptr;
+  for (const auto& item : open_) {
+    if (const auto attempt = item.lock()) {
+      attempt->callback_ = nullptr;
+    }
   }
 }
 
@@ -60,16 +62,16 @@
 void
 AnnouncedServer::Probe(std::function<void(std::optional<HealthReport>, bool)> aCallback)
 {
+  const auto attempt = std::make_shared<Attempt>(context_);
+  std::erase_if(open_, [](const auto& aItem) { return aItem.expired(); });
+  open_.push_back(attempt);
+  attempt->callback_ = std::move(aCallback);
   boost::system::error_code error;
   const auto ip = boost::asio::ip::make_address(address_ ? address_->ip_ : std::string(), error);
   if (error) {
-    boost::asio::post(context_,
-                      [callback = std::move(aCallback)] { callback(std::nullopt, false); });
+    boost::asio::post(context_, [attempt] { attempt->Finish(std::nullopt, false); });
     return;
   }
-  const auto attempt = std::make_shared<Attempt>(context_);
-  open_ = attempt;
-  attempt->callback_ = std::move(aCallback);
   attempt->timer_.expires_after(kConnectTimeout);
   attempt->timer_.async_wait([attempt](const boost::system::error_code& aError) {
     if (!aError) {
--- a/src/backend/AnnouncedServer.hpp
+++ b/src/backend/AnnouncedServer.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <vector>
 
 namespace redwing {
 
@@ -32,7 +33,7 @@
 
   boost::asio::io_context& context_;
   std::optional<Address> address_;
-  std::weak_ptr<Attempt> open_;
+  std::vector<std::weak_ptr<Attempt>> open_;
 };
 
 } // namespace redwing
