Follow the configuration in the fleet library instead of the adapter

The adapter decided when to read again after a failure, that an invalid or an older configuration leaves the last one in force, and how withdrawals of data centres combine with it. ConfigurationFeed in src/fleet does that now; the adapter passes the names of the keys and the decoder. The class had no test; ConfigurationFeedTest covers invalid, older and removed configurations, withdrawals, missed events and the end of the feed. Behaviour is unchanged otherwise; test_fleet and test_platform pass.

--- a/platform/ManifestSource.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -1,8 +1,6 @@
-#include "platform/ManifestSource.hpp"
+#include "fleet/ConfigurationFeed.hpp"
 
 #include "core/Log.hpp"
-#include "platform/ManifestDecoder.hpp"
-#include "platform/PlatformNames.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -11,7 +9,7 @@
 #include <set>
 #include <utility>
 
-namespace redwing::platform {
+namespace redwing {
 
 namespace {
 
@@ -19,30 +17,32 @@
 
 } // namespace
 
-ManifestSource::ManifestSource(boost::asio::io_context& aContext,
-                               Store& aStore,
-                               std::vector<DataCentre> aDataCentres,
-                               Adopt aAdopt)
+ConfigurationFeed::ConfigurationFeed(boost::asio::io_context& aContext,
+                                     Store& aStore,
+                                     ConfigurationFormat aFormat,
+                                     std::vector<DataCentre> aDataCentres,
+                                     Adopt aAdopt)
   : context_(aContext)
   , store_(aStore)
+  , format_(std::move(aFormat))
   , dataCentres_(std::move(aDataCentres))
   , adopt_(std::move(aAdopt))
 {
 }
 
-ManifestSource::~ManifestSource()
+ConfigurationFeed::~ConfigurationFeed()
 {
   *alive_ = false;
 }
 
 void
-ManifestSource::Start()
+ConfigurationFeed::Start()
 {
   Load();
 }
 
 void
-ManifestSource::Refresh()
+ConfigurationFeed::Refresh()
 {
   if (!loading_) {
     Load();
@@ -50,7 +50,7 @@
 }
 
 void
-ManifestSource::LoadLater()
+ConfigurationFeed::LoadLater()
 {
   const auto timer = std::make_shared<boost::asio::steady_timer>(context_, kRetryInterval);
   timer->async_wait(
@@ -63,10 +63,10 @@
 }
 
 void
-ManifestSource::Load()
+ConfigurationFeed::Load()
 {
   loading_ = true;
-  store_.Range(std::string(kOperatorPrefix),
+  store_.Range(format_.prefix_,
                false,
                [this, alive = std::weak_ptr<bool>(alive_)](StoreResult<StoreRange> aRange) {
                  const auto present = alive.lock();
@@ -83,7 +83,7 @@
 }
 
 void
-ManifestSource::OnLoaded(const StoreRange& aRange)
+ConfigurationFeed::OnLoaded(const StoreRange& aRange)
 {
   if (aRange.revision_ >= revision_) {
     revision_ = aRange.revision_;
@@ -93,7 +93,7 @@
       OnEntry(entry.key_, entry.value_);
     }
     for (const DataCentre& dataCentre : dataCentres_) {
-      const std::string key = std::string(kEvacuatePrefix) + dataCentre.id_;
+      const std::string key = format_.withdrawalPrefix_ + dataCentre.id_;
       if (!keys.contains(key)) {
         OnEntry(key, std::nullopt);
       }
@@ -106,10 +106,10 @@
 }
 
 void
-ManifestSource::Watch()
+ConfigurationFeed::Watch()
 {
   watching_ = true;
-  store_.Watch(std::string(kOperatorPrefix),
+  store_.Watch(format_.prefix_,
                revision_ + 1,
                [this, alive = std::weak_ptr<bool>(alive_)](
                  const StoreResult<std::vector<StoreWatchEvent>>& aEvents) {
@@ -127,7 +127,7 @@
 }
 
 void
-ManifestSource::OnEvents(const std::vector<StoreWatchEvent>& aEvents)
+ConfigurationFeed::OnEvents(const std::vector<StoreWatchEvent>& aEvents)
 {
   for (const StoreWatchEvent& event : aEvents) {
     if (event.modRevision_ > revision_) {
@@ -139,32 +139,32 @@
 }
 
 void
-ManifestSource::OnEntry(const std::string& aKey, const std::optional<std::string>& aValue)
+ConfigurationFeed::OnEntry(const std::string& aKey, const std::optional<std::string>& aValue)
 {
-  if (aKey == kManifestKey) {
+  if (aKey == format_.configurationKey_) {
     if (!aValue) {
-      LogLine(LogLevel::Warning, "manifest_removed").With("key", aKey);
+      LogLine(LogLevel::Warning, "configuration_removed").With("key", aKey);
       return;
     }
-    auto decoded = DecodeManifest(*aValue);
+    auto decoded = format_.decode_(*aValue);
     if (!decoded) {
       for (const Finding& finding : decoded.error()) {
-        LogLine(LogLevel::Warning, "manifest_rejected")
+        LogLine(LogLevel::Warning, "configuration_rejected")
           .With("place", finding.place_)
           .With("error", finding.message_);
       }
       return;
     }
-    if (!manifest_ || decoded->revision_ > manifest_->revision_) {
-      manifest_ = std::move(*decoded);
+    if (!document_ || decoded->revision_ > document_->revision_) {
+      document_ = std::move(*decoded);
       changed_ = true;
     }
     return;
   }
-  if (!aKey.starts_with(kEvacuatePrefix)) {
+  if (!aKey.starts_with(format_.withdrawalPrefix_)) {
     return;
   }
-  const std::string id = aKey.substr(kEvacuatePrefix.size());
+  const std::string id = aKey.substr(format_.withdrawalPrefix_.size());
   for (DataCentre& dataCentre : dataCentres_) {
     if (dataCentre.id_ == id && dataCentre.withdrawn_ != aValue.has_value()) {
       dataCentre.withdrawn_ = aValue.has_value();
@@ -178,14 +178,14 @@
 }
 
 void
-ManifestSource::Publish()
+ConfigurationFeed::Publish()
 {
-  if (!manifest_ || !std::exchange(changed_, false)) {
+  if (!document_ || !std::exchange(changed_, false)) {
     return;
   }
-  auto revision = std::make_shared<ConfigurationRevision>(*manifest_);
+  auto revision = std::make_shared<ConfigurationRevision>(*document_);
   revision->configuration_.dataCentres_ = dataCentres_;
   adopt_(std::move(revision));
 }
 
-} // namespace redwing::platform
+} // namespace redwing
--- a/platform/ManifestSource.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -1,40 +1,54 @@
 #pragma once
 
 #include "config/Configuration.hpp"
+#include "core/Finding.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <tl/expected.hpp>
 #include <vector>
 
-namespace redwing::platform {
+namespace redwing {
 
-/// Follows the manifest and the evacuations that the operator writes to the store, and passes them
-/// on as the product's configuration. An invalid manifest is logged and leaves the last one in
-/// force. Runs on the context's thread.
-class ManifestSource
+/// Where the operator's configuration is in the store, and how it is decoded.
+struct ConfigurationFormat
+{
+  /// All keys of the operator start with this.
+  std::string prefix_;
+  std::string configurationKey_;
+  /// Followed by the id of a data centre, which is withdrawn while the key exists.
+  std::string withdrawalPrefix_;
+  std::function<tl::expected<ConfigurationRevision, Findings>(std::string_view)> decode_;
+};
+
+/// Follows the configuration and the withdrawals of data centres that the operator writes to the
+/// store, and passes them on together. An invalid configuration is logged and leaves the last one
+/// in force; an older one is ignored. Runs on the context's thread.
+class ConfigurationFeed
 {
 public:
   using Adopt = std::function<void(std::shared_ptr<const ConfigurationRevision>)>;
 
   /// aDataCentres are all data centres with their regions.
-  ManifestSource(boost::asio::io_context& aContext,
-                 Store& aStore,
-                 std::vector<DataCentre> aDataCentres,
-                 Adopt aAdopt);
-  ~ManifestSource();
+  ConfigurationFeed(boost::asio::io_context& aContext,
+                    Store& aStore,
+                    ConfigurationFormat aFormat,
+                    std::vector<DataCentre> aDataCentres,
+                    Adopt aAdopt);
+  ~ConfigurationFeed();
 
   /// Starts to read and to watch.
   ///
   /// Preconditions: called once. Thread safety: the context's thread only.
   void Start();
 
-  /// Reads everything again, because another instance knows a newer manifest.
+  /// Reads everything again, because another instance knows a newer configuration.
   ///
   /// Preconditions: none. Thread safety: the context's thread only.
   void Refresh();
@@ -50,14 +64,15 @@
 
   boost::asio::io_context& context_;
   Store& store_;
+  ConfigurationFormat format_;
   std::vector<DataCentre> dataCentres_;
   Adopt adopt_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
-  std::optional<ConfigurationRevision> manifest_;
+  std::optional<ConfigurationRevision> document_;
   std::uint64_t revision_ = 0;
   bool loading_ = false;
   bool watching_ = false;
   bool changed_ = false;
 };
 
-} // namespace redwing::platform
+} // namespace redwing
--- a/tests/support/MemoryStore.hpp
+++ b/tests/support/MemoryStore.hpp
@@ -114,6 +114,9 @@
     watches_.emplace_back(std::move(aPrefix), std::move(aEvents));
   }
 
+  /// Loses all events from now on.
+  void MuteWatches() { watches_.clear(); }
+
   const std::map<std::string, StoreEntry>& Entries() const { return entries_; }
 
 private:
--- /dev/null
+++ b/tests/unit/fleet/ConfigurationFeedTest.cpp
@@ -0,0 +1,139 @@
+#include "fleet/ConfigurationFeed.hpp"
+
+#include "core/SteadyClock.hpp"
+#include "support/MemoryStore.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+#include <charconv>
+#include <optional>
+
+using namespace redwing;
+using redwing::test::MemoryStore;
+
+namespace {
+
+/// A number is a valid configuration with that revision.
+tl::expected<ConfigurationRevision, Findings>
+Decode(std::string_view aText)
+{
+  ConfigurationRevision revision;
+  const auto parsed =
+    std::from_chars(aText.data(), aText.data() + aText.size(), revision.revision_);
+  if (parsed.ec != std::errc{}) {
+    return tl::unexpected(Findings{ { "", "is no number" } });
+  }
+  return revision;
+}
+
+struct Fixture
+{
+  std::unique_ptr<ConfigurationFeed> MakeFeed()
+  {
+    return std::make_unique<ConfigurationFeed>(
+      context_,
+      store_,
+      ConfigurationFormat{ "op/", "op/config", "op/withdrawn/", Decode },
+      std::vector<DataCentre>{ { "braga", "norte", false, {} }, { "porto", "norte", false, {} } },
+      [this](std::shared_ptr<const ConfigurationRevision> aRevision) {
+        adopted_.push_back(std::move(aRevision));
+      });
+  }
+
+  void Write(const std::string& aKey, std::optional<std::string> aValue)
+  {
+    StoreTransaction transaction;
+    transaction.writes_.push_back({ aKey, std::move(aValue), 0 });
+    store_.Commit(transaction, [](const StoreResult<StoreTransactionResult>&) {});
+    Run();
+  }
+
+  void Run()
+  {
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(5));
+  }
+
+  /// Returns whether the last adopted configuration withdraws the data centre "porto".
+  bool Withdrawn() const { return adopted_.back()->configuration_.dataCentres_[1].withdrawn_; }
+
+  boost::asio::io_context context_;
+  SteadyClock clock_;
+  MemoryStore store_{ context_, clock_ };
+  std::vector<std::shared_ptr<const ConfigurationRevision>> adopted_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ConfigurationFeeds, Fixture)
+
+// Guards against an instance that serves by an invalid or an older configuration, or stops serving
+// because the configuration was removed.
+BOOST_AUTO_TEST_CASE(AdoptsOnlyNewerValidConfigurations)
+{
+  const auto feed = MakeFeed();
+  feed->Start();
+  Run();
+  BOOST_TEST(adopted_.empty());
+  Write("op/config", "7");
+  BOOST_REQUIRE(adopted_.size() == 1U);
+  BOOST_TEST(adopted_.back()->revision_ == 7U);
+  Write("op/config", "broken");
+  Write("op/config", "6");
+  Write("op/config", std::nullopt);
+  BOOST_TEST(adopted_.size() == 1U);
+  Write("op/config", "8");
+  BOOST_REQUIRE(adopted_.size() == 2U);
+  BOOST_TEST(adopted_.back()->revision_ == 8U);
+}
+
+// Guards against a withdrawal that is lost, or that outlives its entry.
+BOOST_AUTO_TEST_CASE(WithdrawsDataCentresWhileTheirEntryExists)
+{
+  Write("op/withdrawn/porto", "");
+  Write("op/config", "7");
+  const auto feed = MakeFeed();
+  feed->Start();
+  Run();
+  BOOST_REQUIRE(adopted_.size() == 1U);
+  BOOST_TEST(Withdrawn());
+  Write("op/withdrawn/porto", std::nullopt);
+  BOOST_REQUIRE(adopted_.size() == 2U);
+  BOOST_TEST(!Withdrawn());
+  BOOST_TEST(adopted_.back()->revision_ == 7U);
+  Write("op/withdrawn/porto", "");
+  BOOST_REQUIRE(adopted_.size() == 3U);
+  BOOST_TEST(Withdrawn());
+}
+
+// Guards against a withdrawal that goes on although its entry was removed while the feed missed
+// the event: a later read of all entries must end it.
+BOOST_AUTO_TEST_CASE(AReadEndsWithdrawalsWithoutEntry)
+{
+  Write("op/withdrawn/porto", "");
+  Write("op/config", "7");
+  const auto feed = MakeFeed();
+  feed->Start();
+  Run();
+  BOOST_REQUIRE(adopted_.size() == 1U);
+  store_.MuteWatches();
+  Write("op/withdrawn/porto", std::nullopt);
+  BOOST_TEST(adopted_.size() == 1U);
+  feed->Refresh();
+  Run();
+  BOOST_REQUIRE(adopted_.size() == 2U);
+  BOOST_TEST(!Withdrawn());
+}
+
+// Guards against a read that answers after the feed has ended.
+BOOST_AUTO_TEST_CASE(NothingIsAdoptedAfterTheEnd)
+{
+  Write("op/config", "7");
+  auto feed = MakeFeed();
+  feed->Start();
+  feed.reset();
+  Run();
+  BOOST_TEST(adopted_.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
