--- a/tests/unit/platform/HeartbeatCodecTest.cpp
+++ b/tests/unit/platform/HeartbeatCodecTest.cpp
@@ -64,4 +64,21 @@
              R"({"holdDurationMs":4000,"holds":[[0,31,9,""],[64,95,10,"h"]]})");
 }
 
+// Guards against times that overflow the clock's range: a cold time of 10^300 ms was accepted.
+BOOST_AUTO_TEST_CASE(RejectsTimesBeyondADay)
+{
+  const auto decode = [](const std::string& aColdTime) {
+    return DecodeHeartbeat("i-1",
+                           R"({"service":"desk","address":"10.0.0.1:80","slots":4,"state":"ready",)"
+                           R"("seq":1,"coldRemainingMs":)" +
+                             aColdTime + "}");
+  };
+  BOOST_TEST(decode("86400000").has_value());
+  for (const char* time : { "86400001", "1e300" }) {
+    const auto decoded = decode(time);
+    BOOST_REQUIRE(!decoded.has_value());
+    BOOST_TEST(decoded.error().front().place_ == "/coldRemainingMs");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
