Raise the cold start ramp when the configuration arrives after its begin

After the loss of power of all machines 9 of 10 servers ran one request at a time and doubled that every 3 s, 12 s until all slots were used. A server's first heartbeat arrives before the configuration, the ramp began with the default initial concurrency of 1, and a configuration without such a limit changed only the shape of the ramp. Ruled out: the cold rate (22 a second each), holds and tokens (all shards were granted 0.2 s after the restart), the service times (load lines of a scratch copy show running = limit = 1, 2, 4, 8 with 10 to 40 requests queued). Change: a ramp that has not fallen back since it began rises to a higher initial concurrency. Test: RampFollowsAConfigurationThatArrivesAfterItsBegin failed before, passes after.

--- a/src/admission/ColdStartRamp.cpp
+++ b/src/admission/ColdStartRamp.cpp
@@ -23,12 +23,18 @@
   slots_ = std::max(1U, aSlots);
   const auto doublings = std::bit_width((slots_ + initial_ - 1) / initial_);
   step_ = aRamp / std::max(1, static_cast<int>(doublings));
+  // The ramp may have begun before the configuration was known, with too little.
+  const std::uint32_t initial = std::min(initial_, slots_);
+  if (ramping_ && untouched_ && allowed_ < initial) {
+    allowed_ = initial;
+  }
 }
 
 void
 ColdStartRamp::Begin(TimePoint aNow)
 {
   ramping_ = true;
+  untouched_ = true;
   allowed_ = std::min(initial_, slots_);
   successes_ = 0;
   stepStart_ = aNow;
@@ -90,6 +96,7 @@
   } else if (aNow - stepStart_ < kFallInterval) {
     return;
   }
+  untouched_ = false;
   allowed_ = std::max(1U, allowed_ / 2);
   successes_ = 0;
   stepStart_ = aNow;
--- a/src/admission/ColdStartRamp.hpp
+++ b/src/admission/ColdStartRamp.hpp
@@ -12,7 +12,8 @@
 class ColdStartRamp
 {
 public:
-  /// Sets the shape of the ramp; does not begin one.
+  /// Sets the shape of the ramp; does not begin one. A ramp that has begun with a lower initial
+  /// concurrency, and has not fallen back since, rises to the new one.
   ///
   /// Preconditions: aInitial > 0. Thread safety: not thread-safe.
   void Configure(std::uint32_t aInitial, Duration aRamp, std::uint32_t aSlots);
@@ -53,6 +54,8 @@
   Duration step_{};
   bool ramping_ = false;
   bool cold_ = false;
+  /// The ramp has not fallen back since it began.
+  bool untouched_ = false;
   std::uint32_t allowed_ = 1;
   std::uint32_t successes_ = 0;
   std::uint32_t recentSheds_ = 0;
--- a/tests/unit/admission/DecisionsTest.cpp
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -80,6 +80,24 @@
   BOOST_TEST(ramp.Allowed() == 6U);
 }
 
+// Guards against a server held to one request at a time because its first heartbeat arrived before
+// the configuration: after a loss of power of all instances 9 of 10 servers took 12 s to get all of
+// their slots (halvorsen-ducts scale-2).
+BOOST_AUTO_TEST_CASE(RampFollowsAConfigurationThatArrivesAfterItsBegin)
+{
+  ColdStartRamp ramp;
+  ramp.Configure(1, 5s, 12);
+  ramp.Begin(kNow);
+  BOOST_TEST(ramp.Allowed() == 1U);
+  ramp.Configure(6, 3s, 12);
+  BOOST_TEST(ramp.Allowed() == 6U);
+  ramp.OnShed(kNow + 1s);
+  BOOST_TEST(ramp.Allowed() == 3U);
+  // What was learned from a shed outlives a change of the configuration.
+  ramp.Configure(12, 3s, 12);
+  BOOST_TEST(ramp.Allowed() == 3U);
+}
+
 // Guards against refusing work for ever because of the last slow samples.
 BOOST_AUTO_TEST_CASE(EstimateFadesWithoutSamples)
 {
