--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -50,6 +50,7 @@
 {
   intake_.bufferedBodyBytes_ = kBufferedBodyBytes;
   intake_.callsFirst_ = true;
+  intake_.returningLast_ = true;
   intake_.weighsByRate_ = true;
   intake_.eagerBodyBytes_ = kEagerBodyBytes;
   intake_.maxPipelined_ = kMaxPipelined;
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -223,11 +223,17 @@
   if (workspace_ != nullptr && workspace_->priority_) {
     start_.priority_ = *workspace_->priority_;
   }
+  const bool call = workspace_ == nullptr;
+  constexpr int kLowest = std::numeric_limits<std::uint8_t>::max();
   if (settings.callsFirst_) {
-    constexpr std::uint8_t kLowest = std::numeric_limits<std::uint8_t>::max();
-    const bool call = workspace_ == nullptr;
     start_.priority_ =
-      call ? 0 : static_cast<std::uint8_t>(std::min<int>(start_.priority_ + 1, kLowest));
+      call ? 0 : static_cast<std::uint8_t>(std::min(start_.priority_ + 1, kLowest));
+  }
+  if (settings.returningLast_ && !call && head_.timeout_ &&
+      core_.Returning().Returns(route.id_, *head_.timeout_, begun_)) {
+    constexpr int kBehindAllOthers = 128;
+    start_.priority_ =
+      static_cast<std::uint8_t>(std::min(start_.priority_ + kBehindAllOthers, kLowest));
   }
   if (settings.weighsByRate_ && workspace_ != nullptr) {
     start_.weight_ = static_cast<std::uint32_t>(std::max(1.0, workspace_->rate_));
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -4,6 +4,7 @@
 #include "intake/CredentialTable.hpp"
 #include "intake/IntakeDependencies.hpp"
 #include "intake/OutcomeCounters.hpp"
+#include "intake/ReturningCallers.hpp"
 #include "intake/RouteLog.hpp"
 #include "intake/TimerQueue.hpp"
 #include "routing/HedgePolicy.hpp"
@@ -60,6 +61,7 @@
   RetryBudget& Retries() { return retries_; }
   HedgePolicy& HedgesOf(const std::string& aService) { return hedges_[aService]; }
   OutcomeCounters& Outcomes() { return outcomes_; }
+  ReturningCallers& Returning() { return returning_; }
   RouteLog& Log() { return log_; }
   TimerQueue& Timers() { return timers_; }
   Counter& HedgeCounter() { return hedgeCounter_; }
@@ -103,6 +105,7 @@
   RetryBudget retries_;
   std::unordered_map<std::string, HedgePolicy> hedges_;
   OutcomeCounters outcomes_;
+  ReturningCallers returning_;
   Counter& hedgeCounter_;
   Counter& retryCounter_;
   RouteLog log_;
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -61,6 +61,8 @@
   /// Requests without workspace are calls of backend servers; they go before all others, because
   /// the requests that wait for them hold slots meanwhile.
   bool callsFirst_ = false;
+  /// Requests whose callers were probably refused before come after all others.
+  bool returningLast_ = false;
   /// Workspaces share a server's queue in proportion to their rates instead of their weights.
   bool weighsByRate_ = false;
   /// Part of a caller's time that is kept for the way of the response.
