Place shards by the requests that arrive, refused ones included

The planner saw only requests that had begun, and so an even load. Ruled out: relief intervals (runs without pending moves), stale service rates (part of it, still open). Change: the gate counts each request of an owned shard that arrives. Test: LoadCountsRequestsThatAreRefused.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -30,11 +30,13 @@
     return;
   }
   if (start.shard_) {
-    const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
+    const ShardId shard{ start.service_, start.shard_->shard_ };
+    const auto answer = gate_.Check(shard, now);
     if (!answer.owned_ || answer.releasing_) {
       RefuseNotRun(exchange, ErrorCode::NotOwner);
       return;
     }
+    gate_.OnArrival(shard);
   }
   if (PeekTable(exchange, now)) {
     return;
--- a/src/fleet/ShardHolds.cpp
+++ b/src/fleet/ShardHolds.cpp
@@ -277,15 +277,13 @@
   return answer;
 }
 
-GateAnswer
-ShardHolds::BeginRequest(const ShardId& aShard, TimePoint aNow)
+void
+ShardHolds::OnArrival(const ShardId& aShard)
 {
-  GateAnswer answer = Check(aShard, aNow);
-  if (answer.owned_) {
-    std::lock_guard lock(mutex_);
+  std::lock_guard lock(mutex_);
+  if (aShard.service_ == service_ && aShard.index_ < shards_.size()) {
     ++shards_[aShard.index_].requests_;
   }
-  return answer;
 }
 
 std::vector<std::pair<std::uint32_t, std::uint32_t>>
--- a/src/fleet/ShardHolds.hpp
+++ b/src/fleet/ShardHolds.hpp
@@ -91,10 +91,15 @@
   TimePoint HoldsUntil() const;
 
   GateAnswer Check(const ShardId& aShard, TimePoint aNow) const override;
-  GateAnswer BeginRequest(const ShardId& aShard, TimePoint aNow) override;
+  void OnArrival(const ShardId& aShard) override;
+  GateAnswer BeginRequest(const ShardId& aShard, TimePoint aNow) override
+  {
+    return Check(aShard, aNow);
+  }
   void EndRequest(const ShardId& /*aShard*/) override {}
 
-  /// Returns the requests begun for each shard since the last call.
+  /// Returns the requests that arrived for each shard since the last call. Refused ones count: the
+  /// load of a server that refuses requests is what it is asked for.
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
   std::vector<std::pair<std::uint32_t, std::uint32_t>> TakeLoad();
--- a/src/ownership/OwnershipGate.hpp
+++ b/src/ownership/OwnershipGate.hpp
@@ -31,6 +31,11 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   virtual GateAnswer Check(const ShardId& aShard, TimePoint aNow) const = 0;
 
+  /// Records that a request of an owned shard has arrived, whether it will run or be refused.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  virtual void OnArrival(const ShardId& /*aShard*/) {}
+
   /// Counts a request of aShard as handed over; returns the same answer as Check, and the request
   /// counts as running only if owned_ is true. EndRequest must follow.
   ///
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -35,7 +35,9 @@
     return answer;
   }
   void EndRequest(const ShardId&) override { --running_; }
+  void OnArrival(const ShardId&) override { ++arrived_; }
 
+  std::atomic<int> arrived_{ 0 };
   std::atomic<bool> owned_{ true };
   std::atomic<int> running_{ 0 };
 };
--- a/tests/unit/fleet/ShardHoldsTest.cpp
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -84,6 +84,25 @@
   BOOST_TEST(holds_.Check({ "other", 0 }, clock_.Now()).owned_ == false);
 }
 
+// Guards against an overloaded server that looks idle to the planner because the requests it
+// refuses do not count (halvorsen-ducts scale-2: one server refused half of its requests for 12 s
+// beside one with free slots).
+BOOST_AUTO_TEST_CASE(LoadCountsRequestsThatAreRefused)
+{
+  (void)Beat();
+  clock_.Advance(5ms);
+  holds_.OnArrival({ "desk", 3 });
+  holds_.OnArrival({ "desk", 3 });
+  BOOST_TEST(holds_.BeginRequest({ "desk", 3 }, clock_.Now()).owned_);
+  holds_.OnArrival({ "other", 3 });
+  holds_.OnArrival({ "desk", 16 });
+  const auto load = holds_.TakeLoad();
+  BOOST_REQUIRE(load.size() == 1U);
+  BOOST_TEST(load.front().first == 3U);
+  BOOST_TEST(load.front().second == 2U);
+  BOOST_TEST(holds_.TakeLoad().empty());
+}
+
 // Guards against a shard that is given away while the server still works on it.
 BOOST_AUTO_TEST_CASE(ReleasesOnceTheServerReportsIt)
 {
