Queue requests only if three quarters of their time to the target suffice

Change: a request that must wait is refused unless it is expected within 0.75 of the time to its target. The server is as busy with a shorter queue. Test: unit.admission OverloadTest plays the load.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -4,6 +4,26 @@
 
 namespace redwing {
 
+namespace {
+
+/// Expected times are averages: a request that is expected within this part of its time to the
+/// target usually meets it, although others take longer than expected. An overloaded server is as
+/// busy with a shorter queue.
+constexpr double kTargetShare = 0.75;
+
+/// Returns the latest time at which a request that must wait may be expected to finish.
+TimePoint
+WaitLimit(const QueueItem& aItem, TimePoint aNow)
+{
+  if (aItem.targetTime_ >= aItem.deadline_) {
+    return aItem.deadline_;
+  }
+  const auto left = static_cast<double>((aItem.targetTime_ - aNow).count());
+  return aNow + Duration(static_cast<Duration::rep>(left * kTargetShare));
+}
+
+} // namespace
+
 FairQueue::FairQueue(std::size_t aCapacity)
   : capacity_(aCapacity)
 {
@@ -24,8 +44,7 @@
       const double seconds = ExpectedAhead(aItem) / aRate.perSecond_;
       wait = std::max(wait, Duration(static_cast<Duration::rep>(seconds * kSecond.count())));
     }
-    const TimePoint limit =
-      mustWait ? std::min(aItem.deadline_, aItem.targetTime_) : aItem.deadline_;
+    const TimePoint limit = mustWait ? WaitLimit(aItem, aNow) : aItem.deadline_;
     const Duration own =
       aItem.serviceTime_ > Duration::zero() ? aItem.serviceTime_ : aRate.serviceTime_;
     if (aNow + wait + own > limit) {
