--- a/tests/unit/ownership/ExplorerTest.cpp
+++ b/tests/unit/ownership/ExplorerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <initializer_list>
 
 using redwing::OwnershipSettings;
 using redwing::test::FaultRates;
@@ -58,32 +59,57 @@
 constexpr std::size_t kMinGroupNodes = 4;
 constexpr std::size_t kGroupNodeCounts = 7;
 
+/// What the explored seeds have reached together.
+struct Tally
+{
+  /// Ends all faults of an explored seed; each shard must be owned again.
+  void Recover(Simulation& aSimulation, std::uint64_t aSeed)
+  {
+    BOOST_REQUIRE_MESSAGE(aSimulation.Violation().empty(),
+                          "seed " << aSeed << ": " << aSimulation.Violation());
+    aSimulation.HealAll();
+    aSimulation.SetPlannerMoves(false);
+    const auto recovered =
+      aSimulation.RunUntil([&] { return aSimulation.AllOwned(); }, std::chrono::seconds(30));
+    BOOST_REQUIRE_MESSAGE(recovered.has_value(),
+                          "seed " << aSeed << " does not recover: " << aSimulation.Violation()
+                                  << '\n'
+                                  << aSimulation.Describe());
+    steps_ += aSimulation.Steps();
+    slowest_ = std::max(slowest_, *recovered);
+    for (const auto& [name, count] : aSimulation.Counts()) {
+      counts_[name] += count;
+    }
+  }
+
+  /// Requires that the explorer reached each of aNames.
+  void Check(std::initializer_list<const char*> aNames)
+  {
+    for (const auto& [name, count] : counts_) {
+      BOOST_TEST_MESSAGE(name << "=" << count);
+    }
+    BOOST_TEST_MESSAGE(
+      "steps=" << steps_ << " slowest recovery="
+               << std::chrono::duration_cast<std::chrono::milliseconds>(slowest_).count() << " ms");
+    for (const char* name : aNames) {
+      BOOST_TEST(counts_[name] > 0U, "the explorer never reached: " << name);
+    }
+  }
+
+  std::uint64_t steps_ = 0;
+  redwing::Duration slowest_{};
+  std::map<std::string, std::uint64_t> counts_;
+};
+
 /// Explores one seed with faults of several instances at once, in rings of 4 to 10.
 void
-ExploreGroups(std::uint64_t aSeed,
-              std::uint64_t aSteps,
-              std::map<std::string, std::uint64_t>& aCounts,
-              std::uint64_t& aDone,
-              redwing::Duration& aSlowest)
+ExploreGroups(std::uint64_t aSeed, std::uint64_t aSteps, Tally& aTally)
 {
   Simulation simulation(
     aSeed, kMinGroupNodes + aSeed % kGroupNodeCounts, kShards, OwnershipSettings{});
   simulation.SetGroupFaults(true);
   Explore(simulation, aSeed, aSteps, aSeed % 2 == 0);
-  BOOST_REQUIRE_MESSAGE(simulation.Violation().empty(),
-                        "seed " << aSeed << ": " << simulation.Violation());
-  simulation.HealAll();
-  simulation.SetPlannerMoves(false);
-  const auto recovered =
-    simulation.RunUntil([&] { return simulation.AllOwned(); }, std::chrono::seconds(30));
-  BOOST_REQUIRE_MESSAGE(recovered.has_value(),
-                        "seed " << aSeed << " does not recover: " << simulation.Violation() << '\n'
-                                << simulation.Describe());
-  aDone += simulation.Steps();
-  aSlowest = std::max(aSlowest, *recovered);
-  for (const auto& [name, count] : simulation.Counts()) {
-    aCounts[name] += count;
-  }
+  aTally.Recover(simulation, aSeed);
 }
 
 } // namespace
@@ -95,36 +121,13 @@
 {
   const std::uint64_t steps = FromEnvironment("REDWING_EXPLORER_STEPS", kDefaultSteps);
   const std::uint64_t first = FromEnvironment("REDWING_EXPLORER_SEED", 1);
-  std::uint64_t done = 0;
-  redwing::Duration slowest{};
-  std::map<std::string, std::uint64_t> counts;
-  for (std::uint64_t seed = first; done < steps; ++seed) {
+  Tally tally;
+  for (std::uint64_t seed = first; tally.steps_ < steps; ++seed) {
     Simulation simulation(seed, kMinNodes + seed % kNodeCounts, kShards, OwnershipSettings{});
     Explore(simulation, seed, kStepsPerSeed);
-    BOOST_REQUIRE_MESSAGE(simulation.Violation().empty(),
-                          "seed " << seed << ": " << simulation.Violation());
-    simulation.HealAll();
-    simulation.SetPlannerMoves(false);
-    const auto recovered =
-      simulation.RunUntil([&] { return simulation.AllOwned(); }, std::chrono::seconds(30));
-    BOOST_REQUIRE_MESSAGE(recovered.has_value(),
-                          "seed " << seed << " does not recover: " << simulation.Violation() << '\n'
-                                  << simulation.Describe());
-    done += simulation.Steps();
-    slowest = std::max(slowest, *recovered);
-    for (const auto& [name, count] : simulation.Counts()) {
-      counts[name] += count;
-    }
-  }
-  for (const auto& [name, count] : counts) {
-    BOOST_TEST_MESSAGE(name << "=" << count);
-  }
-  BOOST_TEST_MESSAGE(
-    "steps=" << done << " slowest recovery="
-             << std::chrono::duration_cast<std::chrono::milliseconds>(slowest).count() << " ms");
-  for (const char* name : { "gained", "dead", "expired", "kill", "reply lost" }) {
-    BOOST_TEST(counts[name] > 0U, "the explorer never reached: " << name);
+    tally.Recover(simulation, seed);
   }
+  tally.Check({ "gained", "dead", "expired", "kill", "reply lost" });
 }
 
 // Guards against two owners when neighbours are lost or paused together and when the ring is cut in
@@ -133,21 +136,11 @@
 {
   const std::uint64_t steps = FromEnvironment("REDWING_EXPLORER_STEPS", kDefaultSteps);
   const std::uint64_t first = FromEnvironment("REDWING_EXPLORER_SEED", 1);
-  std::uint64_t done = 0;
-  redwing::Duration slowest{};
-  std::map<std::string, std::uint64_t> counts;
-  for (std::uint64_t seed = first; done < steps; ++seed) {
-    ExploreGroups(seed, kStepsPerSeed, counts, done, slowest);
-  }
-  for (const auto& [name, count] : counts) {
-    BOOST_TEST_MESSAGE(name << "=" << count);
-  }
-  BOOST_TEST_MESSAGE(
-    "steps=" << done << " slowest recovery="
-             << std::chrono::duration_cast<std::chrono::milliseconds>(slowest).count() << " ms");
-  for (const char* name : { "partition", "pair loss", "pair pause" }) {
-    BOOST_TEST(counts[name] > 0U, "the explorer never reached: " << name);
+  Tally tally;
+  for (std::uint64_t seed = first; tally.steps_ < steps; ++seed) {
+    ExploreGroups(seed, kStepsPerSeed, tally);
   }
+  tally.Check({ "partition", "pair loss", "pair pause" });
 }
 
 // Guards against faults that the explorer found once, with the seeds that showed them: two owners
@@ -172,11 +165,9 @@
 // two owners when the dependants of an orphan keep theirs (68). Trials of these rules showed both.
 BOOST_AUTO_TEST_CASE(SeedsWithGroupFaultsPass)
 {
-  std::uint64_t done = 0;
-  redwing::Duration slowest{};
-  std::map<std::string, std::uint64_t> counts;
+  Tally tally;
   for (const std::uint64_t seed : { 11, 68 }) {
-    ExploreGroups(seed, kStepsPerSeed, counts, done, slowest);
+    ExploreGroups(seed, kStepsPerSeed, tally);
   }
 }
 
