Tell other instances what changed of a shard table, not the whole table

Each change of a table was sent whole, 68 to 146 runs or about 10 KB, to up to 96 instances over links of 10 Mbit/s, and again by the leader to each instance that reported an older revision. Change: a change is sent as the runs that differ, on top of the revision that they are based on; changes that arrive early wait for earlier ones; the leader sends the whole table only to an instance that reports the same older revision twice. Tests: ChangesTurnOneTableIntoTheNext (2000 random changes, same tokens after them), RejectsChangesOutsideTheTable.

--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -252,9 +252,6 @@
   report.hearsLeader_ = HearsLeader(clock_.Now());
   report.configurationRevision_ = configuration_->revision_;
   report.memberRevision_ = session_.NewestChange();
-  for (const auto& [service, table] : tables_) {
-    report.tables_.emplace_back(service, table.revision_);
-  }
   return report;
 }
 
@@ -262,6 +259,9 @@
 FleetService::MakeReport()
 {
   FleetReport report = StartReport();
+  for (const auto& [service, table] : tables_) {
+    report.tables_.emplace_back(service, table.revision_);
+  }
   report.service_ = settings_.self_.service_;
   report.shardLoad_ = holds_.TakeLoad();
   report.serviceRate_ = hooks_.serviceRate_();
@@ -344,6 +344,30 @@
     }));
 }
 
+void
+FleetService::RepairTables(const FleetReport& aReport, FleetReply& aReply)
+{
+  if (aReport.service_.empty()) {
+    // Asks for an allowance only.
+    return;
+  }
+  std::map<std::string, std::uint64_t> reported(aReport.tables_.begin(), aReport.tables_.end());
+  std::map<std::string, std::uint64_t>& before = contacts_[aReport.from_.id_].tables_;
+  for (const auto& entry : tables_) {
+    const std::uint64_t known = reported[entry.first];
+    const auto last = before.find(entry.first);
+    // Changes may be under way to an instance that reports an older table for the first time.
+    const bool stuck = known == 0 || (last != before.end() && last->second == known);
+    if (known < entry.second.revision_ && stuck) {
+      aReply.tables_.push_back(
+        { entry.first, entry.second.revision_, entry.second.table_.ToText(), 0, {} });
+    } else if (known > entry.second.revision_) {
+      session_.Reload();
+    }
+  }
+  before = std::move(reported);
+}
+
 FleetReply
 FleetService::OnReport(const FleetReport& aReport)
 {
@@ -358,18 +382,7 @@
     reply.leads_ = false;
     return reply;
   }
-  for (const auto& entry : tables_) {
-    const std::string& service = entry.first;
-    const KnownTable& table = entry.second;
-    const auto known = std::find_if(aReport.tables_.begin(),
-                                    aReport.tables_.end(),
-                                    [&](const auto& aKnown) { return aKnown.first == service; });
-    if (known == aReport.tables_.end() || known->second < table.revision_) {
-      reply.tables_.push_back({ service, table.revision_, table.table_.ToText() });
-    } else if (known->second > table.revision_) {
-      session_.Reload();
-    }
-  }
+  RepairTables(aReport, reply);
   const TimePoint now = clock_.Now();
   if (aReport.serviceRate_ > 0) {
     double& rate = serviceRates_.try_emplace(aReport.from_.id_, aReport.serviceRate_).first->second;
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -242,7 +242,7 @@
   tableWrites_.Add();
   session_.Commit(
     std::move(transaction),
-    [this, aService, aNext, aReason](const StoreResult<StoreTransactionResult>& aResult) {
+    [this, aService, aBase, aNext, aReason](const StoreResult<StoreTransactionResult>& aResult) {
       writing_.erase(aService);
       const bool written = aResult && aResult->succeeded_;
       LogLine(LogLevel::Info, "shard_table_written")
@@ -257,10 +257,17 @@
       if (!written) {
         return;
       }
-      if (tables_[aService].revision_ < aResult->revision_) {
-        SetTable(aService, { aResult->revision_, aNext });
-        SpreadTable(aService);
+      if (tables_[aService].revision_ >= aResult->revision_) {
+        return;
+      }
+      TableNotice notice{ aService, aResult->revision_, {}, aBase.revision_, {} };
+      if (aBase.revision_ > 0 && aBase.table_.Shards() == aNext.Shards()) {
+        notice.changes_ = aBase.table_.ChangesTo(aNext);
+      } else {
+        notice.text_ = aNext.ToText();
       }
+      SetTable(aService, { aResult->revision_, aNext });
+      Spread(notice);
     });
 }
 
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/WireArchive.hpp"
+#include "fleet/ShardTable.hpp"
 #include "limits/WindowBudget.hpp"
 #include "ownership/ShardRow.hpp"
 
@@ -76,18 +77,35 @@
   }
 };
 
+template<typename Archive>
+void
+serialize(Archive& aArchive, ShardRun& aRun)
+{
+  aArchive(aRun.first_,
+           aRun.last_,
+           aRun.holder_.instanceId_,
+           aRun.holder_.life_,
+           aRun.token_,
+           aRun.successor_,
+           aRun.handover_);
+}
+
 /// A shard table as stored at a revision. Tables are not watched in the store: whoever changes one
-/// tells the others, and the leader sends it to those that report an older one.
+/// tells the others what changed, and the leader sends the whole table to those that keep reporting
+/// an older one. A whole table for each change would fill the links of a large fleet.
 struct TableNotice
 {
   std::string service_;
   std::uint64_t revision_ = 0;
+  /// The whole table, or empty if changes_ turn the table of revision base_ into this one.
   std::string text_;
+  std::uint64_t base_ = 0;
+  std::vector<ShardRun> changes_;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(service_, revision_, text_);
+    aArchive(service_, revision_, text_, base_, changes_);
   }
 };
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -17,6 +17,8 @@
 constexpr milliseconds kProbeInterval{ 300 };
 constexpr milliseconds kProbeTimeout{ 400 };
 constexpr milliseconds kNoticeTimeout{ 400 };
+/// Changes of one table that may wait for earlier ones.
+constexpr std::size_t kMostEarlyChanges = 16;
 
 } // namespace
 
@@ -185,17 +187,49 @@
 void
 FleetService::OnTable(const TableNotice& aNotice)
 {
-  AdoptTable(aNotice.service_, aNotice.revision_, aNotice.text_);
+  if (aNotice.text_.empty()) {
+    ApplyChanges(aNotice);
+  } else {
+    AdoptTable(aNotice.service_, aNotice.revision_, aNotice.text_);
+  }
   AdoptOwnShards();
   CommitReleases();
 }
 
 void
-FleetService::SpreadTable(const std::string& aService)
+FleetService::ApplyChanges(const TableNotice& aNotice)
+{
+  const auto known = tables_.find(aNotice.service_);
+  if (known == tables_.end() || aNotice.revision_ <= known->second.revision_) {
+    return;
+  }
+  auto& early = earlyChanges_[aNotice.service_];
+  early.insert_or_assign(aNotice.base_, aNotice);
+  early.erase(early.begin(), early.lower_bound(known->second.revision_));
+  while (early.size() > kMostEarlyChanges) {
+    early.erase(std::prev(early.end()));
+  }
+  KnownTable next = known->second;
+  while (!early.empty() && early.begin()->first == next.revision_) {
+    const TableNotice notice = early.extract(early.begin()).mapped();
+    if (!next.table_.Apply(notice.changes_)) {
+      LogLine(LogLevel::Warning, "table_changes_invalid")
+        .With("service", notice.service_)
+        .With("base", notice.base_)
+        .With("revision", notice.revision_);
+      return;
+    }
+    next.revision_ = notice.revision_;
+  }
+  if (next.revision_ > known->second.revision_) {
+    SetTable(aNotice.service_, std::move(next));
+  }
+}
+
+void
+FleetService::Spread(const TableNotice& aNotice)
 {
-  const KnownTable& known = tables_[aService];
-  const std::string payload =
-    WriteWire(FleetRequest(TableNotice{ aService, known.revision_, known.table_.ToText() }));
+  const std::string payload = WriteWire(FleetRequest(aNotice));
   for (const auto& [key, member] : members_) {
     const std::string& id = member.record_.member_.ref_.id_;
     if (id != settings_.self_.ref_.id_ && !unreachable_.contains(id)) {
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -150,6 +150,8 @@
     std::uint64_t sequence_ = 0;
     TimePoint reportedAt_{};
     bool hearsLeader_ = false;
+    /// Revisions of the tables in the last report.
+    std::map<std::string, std::uint64_t> tables_;
   };
   /// Requests that wait for the leader to lend more of a workspace's allowance.
   struct Asked
@@ -216,7 +218,9 @@
   void RefuseRate(const std::string& aWorkspace, const RateDecision& aDecide);
   FleetReply OnReport(const FleetReport& aReport);
   void OnTable(const TableNotice& aNotice);
-  void SpreadTable(const std::string& aService);
+  void ApplyChanges(const TableNotice& aNotice);
+  void Spread(const TableNotice& aNotice);
+  void RepairTables(const FleetReport& aReport, FleetReply& aReply);
   void OnReply(const FleetReply& aReply, TimePoint aSentAt);
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
@@ -235,6 +239,8 @@
   std::shared_ptr<const ConfigurationRevision> configuration_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
+  /// Changes that arrived before those that they are based on, by service and base.
+  std::map<std::string, std::map<std::uint64_t, TableNotice>> earlyChanges_;
   std::set<std::string> unreachable_;
   std::set<std::string> probing_;
   TimePoint nextProbe_{};
--- a/src/fleet/ShardTable.cpp
+++ b/src/fleet/ShardTable.cpp
@@ -115,6 +115,50 @@
   Merge();
 }
 
+std::vector<ShardRun>
+ShardTable::ChangesTo(const ShardTable& aNext) const
+{
+  std::vector<ShardRun> changes;
+  for (const ShardRun& run : aNext.runs_) {
+    for (std::uint32_t first = run.first_; first <= run.last_;) {
+      const ShardRun& present = At(first);
+      const std::uint32_t last = std::min(run.last_, present.last_);
+      if (!present.SameState(run)) {
+        const bool joins =
+          !changes.empty() && changes.back().last_ + 1 == first && changes.back().SameState(run);
+        if (!joins) {
+          changes.push_back(run);
+          changes.back().first_ = first;
+        }
+        changes.back().last_ = last;
+      }
+      first = last + 1;
+    }
+  }
+  return changes;
+}
+
+bool
+ShardTable::Apply(std::span<const ShardRun> aChanges)
+{
+  const bool valid = std::all_of(aChanges.begin(), aChanges.end(), [&](const ShardRun& aRun) {
+    return aRun.first_ <= aRun.last_ && aRun.last_ < shards_;
+  });
+  if (!valid) {
+    return false;
+  }
+  for (const ShardRun& change : aChanges) {
+    const std::size_t begin = SplitAt(change.first_);
+    const std::size_t end = SplitAt(change.last_ + 1);
+    runs_[begin] = change;
+    runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(begin) + 1,
+                runs_.begin() + static_cast<std::ptrdiff_t>(end));
+    lastToken_ = std::max(lastToken_, change.token_);
+  }
+  Merge();
+  return true;
+}
+
 std::size_t
 ShardTable::SplitAt(std::uint32_t aShard)
 {
--- a/src/fleet/ShardTable.hpp
+++ b/src/fleet/ShardTable.hpp
@@ -80,6 +80,17 @@
   /// Preconditions: as Assign. Thread safety: not thread-safe.
   void SetSuccessor(std::uint32_t aFirst, std::uint32_t aLast, const std::string& aInstanceId);
 
+  /// Returns the runs of aNext whose state differs from the one here.
+  ///
+  /// Preconditions: both have the same number of shards. Thread safety: callable from any thread.
+  std::vector<ShardRun> ChangesTo(const ShardTable& aNext) const;
+
+  /// Sets the state of the shards of aChanges; returns whether they are runs of shards of this
+  /// table, which is unchanged otherwise.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool Apply(std::span<const ShardRun> aChanges);
+
   bool operator==(const ShardTable&) const = default;
 
 private:
--- a/tests/unit/fleet/ShardTableTest.cpp
+++ b/tests/unit/fleet/ShardTableTest.cpp
@@ -1,5 +1,7 @@
 #include "fleet/ShardTable.hpp"
 
+#include "core/Random.hpp"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace redwing;
@@ -35,6 +37,55 @@
   BOOST_TEST(next.At(0).token_ > table.At(32).token_);
 }
 
+// Guards against instances that see another table than the store holds after they were told only
+// what changed, and so could give out a token twice.
+BOOST_AUTO_TEST_CASE(ChangesTurnOneTableIntoTheNext)
+{
+  constexpr std::uint32_t kShards = 64;
+  Random random(3);
+  ShardTable stored(kShards);
+  ShardTable told(kShards);
+  for (int step = 0; step < 2000; ++step) {
+    ShardTable next = stored;
+    const std::size_t edits = 1 + random.Below(4);
+    for (std::size_t edit = 0; edit < edits; ++edit) {
+      const auto first = static_cast<std::uint32_t>(random.Below(kShards));
+      const auto last = first + static_cast<std::uint32_t>(random.Below(kShards - first));
+      const std::string name(1, static_cast<char>('a' + random.Below(5)));
+      if (random.Below(2) == 0) {
+        next.Assign(first, last, { name, "s" }, random.Below(2) == 0 ? "h" : "");
+      } else {
+        next.SetSuccessor(first, last, random.Below(3) == 0 ? std::string() : name);
+      }
+    }
+    BOOST_REQUIRE(told.Apply(stored.ChangesTo(next)));
+    stored = next;
+    for (std::uint32_t shard = 0; shard < kShards; ++shard) {
+      BOOST_REQUIRE(told.At(shard).SameState(stored.At(shard)));
+    }
+    // The next token is the same as well.
+    ShardTable left = told;
+    ShardTable right = stored;
+    left.Assign(0, 0, { "z", "s" });
+    right.Assign(0, 0, { "z", "s" });
+    BOOST_REQUIRE(left.At(0).token_ == right.At(0).token_);
+  }
+}
+
+// Guards against changes of another instance that lie outside the table.
+BOOST_AUTO_TEST_CASE(RejectsChangesOutsideTheTable)
+{
+  ShardTable table(8);
+  table.Assign(0, 7, { "a", "s1" });
+  const ShardTable before = table;
+  const std::vector<ShardRun> beyond{ { 0, 1, { "b", "s2" }, 2, {}, {} },
+                                      { 4, 8, { "b", "s2" }, 3, {}, {} } };
+  BOOST_TEST(!table.Apply(beyond));
+  BOOST_CHECK(table == before);
+  const std::vector<ShardRun> reversed{ { 5, 4, { "b", "s2" }, 2, {}, {} } };
+  BOOST_TEST(!table.Apply(reversed));
+}
+
 // Guards against a damaged document that leaves shards without a row or in two rows.
 BOOST_AUTO_TEST_CASE(RejectsDamagedDocuments)
 {
