--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -548,6 +548,7 @@
       .With("workspace", aWorkspace)
       .With("used", budget.Used())
       .With("budget", budget.Budget(now))
+      .With("allowance", budget.Allowance())
       .With("leader", Leader())
       .With("instances", members_.size());
   }
--- a/src/limits/WindowBudget.hpp
+++ b/src/limits/WindowBudget.hpp
@@ -114,6 +114,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   std::size_t Used() const { return used_.size(); }
 
+  /// Returns the allowance of the whole fleet for one window.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  double Allowance() const { return allowance_; }
+
 private:
   void Expire(TimePoint aNow);
 
