Do not lend the shares of instances that lost their membership

Change: a member that is gone counts for 15 s as an instance that does not hear the leader, also for a new leader; an instance that has heard no leader for 15 s uses nothing any more. Test: unit.fleet Contacts/InstancesThatLostTheirMembershipCount.

--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -94,7 +94,8 @@
                     if (aResult && aResult->succeeded_) {
                       leadsSince_ = clock_.Now();
                       pools_.clear();
-                      contacts_.clear();
+                      contacts_.Reset();
+                      reportedTables_.clear();
                       session_.Reload();
                     } else {
                       electAt_ = clock_.Now() + kElectionRetry;
@@ -321,27 +322,14 @@
                });
 }
 
-bool
-FleetService::NoteContact(const FleetReport& aReport)
+std::set<std::string>
+FleetService::MemberIds() const
 {
-  Contact& contact = contacts_[aReport.from_.id_];
-  const bool newer =
-    contact.incarnation_ != aReport.from_.incarnation_ || aReport.sequence_ > contact.sequence_;
-  if (newer) {
-    contact = { aReport.from_.incarnation_, aReport.sequence_, clock_.Now(), aReport.hearsLeader_ };
+  std::set<std::string> ids;
+  for (const auto& [key, member] : members_) {
+    ids.insert(member.record_.member_.ref_.id_);
   }
-  return newer;
-}
-
-std::size_t
-FleetService::UnheardMembers(TimePoint aNow) const
-{
-  return static_cast<std::size_t>(
-    std::count_if(members_.begin(), members_.end(), [&](const auto& aMember) {
-      const auto contact = contacts_.find(aMember.second.record_.member_.ref_.id_);
-      return contact == contacts_.end() || !contact->second.hearsLeader_ ||
-             aNow - contact->second.reportedAt_ >= settings_.budget_.unheardAfter_;
-    }));
+  return ids;
 }
 
 void
@@ -352,7 +340,7 @@
     return;
   }
   std::map<std::string, std::uint64_t> reported(aReport.tables_.begin(), aReport.tables_.end());
-  std::map<std::string, std::uint64_t>& before = contacts_[aReport.from_.id_].tables_;
+  std::map<std::string, std::uint64_t>& before = reportedTables_[aReport.from_.id_];
   for (const auto& entry : tables_) {
     const std::uint64_t known = reported[entry.first];
     const auto last = before.find(entry.first);
@@ -378,7 +366,10 @@
   if (aReport.configurationRevision_ > configuration_->revision_) {
     hooks_.refreshConfiguration_();
   }
-  if (!leads_ || !NoteContact(aReport)) {
+  const InstanceRef& from = aReport.from_;
+  if (!leads_ ||
+      !contacts_.OnReport(
+        from.id_, from.incarnation_, aReport.sequence_, aReport.hearsLeader_, clock_.Now())) {
     reply.leads_ = false;
     return reply;
   }
@@ -407,7 +398,7 @@
       }
     }
   }
-  const std::size_t unheard = UnheardMembers(now);
+  const std::size_t unheard = aReport.uses_.empty() ? 0 : contacts_.Unheard(MemberIds(), now);
   const std::string run = aReport.from_.id_ + "#" + std::to_string(aReport.from_.incarnation_);
   for (const WorkspaceUse& use : aReport.uses_) {
     const Workspace* workspace = FindWorkspace(use.workspace_);
@@ -489,8 +480,9 @@
   WindowBudget& budget =
     budgets_.try_emplace(aWorkspace.id_, settings_.budget_, startedAt_).first->second;
   budget.SetAllowance(AllowanceOf(aWorkspace), std::max<std::size_t>(1, members_.size()));
-  budget.SetAlone(clock_.Now() - std::max(startedAt_, answeredReportAt_) >=
-                  settings_.budget_.aloneAfter_);
+  const Duration unheard = clock_.Now() - std::max(startedAt_, answeredReportAt_);
+  budget.SetAlone(unheard >= settings_.budget_.aloneAfter_ &&
+                  unheard < settings_.budget_.aloneFor_);
   return budget;
 }
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -40,6 +40,7 @@
   , timer_(aContext)
   , startedAt_(aClock.Now())
   , configuration_(std::make_shared<const ConfigurationRevision>())
+  , contacts_(settings_.budget_)
   , heartbeats_(aCounters.GetCounter("redwing_heartbeats_total"))
   , staleHeartbeats_(aCounters.GetCounter("redwing_heartbeats_stale_total"))
   , tableWrites_(aCounters.GetCounter("redwing_shard_table_writes_total"))
@@ -132,6 +133,7 @@
       .With("instance", member->second.record_.member_.ref_.id_)
       .With("last_revision", member->second.revision_);
     unreachable_.erase(member->second.record_.member_.ref_.id_);
+    contacts_.OnGone(member->second.record_.member_.ref_.id_, clock_.Now());
     member = members_.erase(member);
     viewDirty_ = true;
     membersChangedAt_ = clock_.Now();
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -7,6 +7,7 @@
 #include "core/Random.hpp"
 #include "exchange/ServerHeartbeat.hpp"
 #include "fleet/FleetMessages.hpp"
+#include "fleet/LeaderContacts.hpp"
 #include "fleet/ShardHolds.hpp"
 #include "fleet/ShardPlanner.hpp"
 #include "fleet/StoreSession.hpp"
@@ -143,16 +144,6 @@
     std::uint64_t revision_ = 0;
     ShardTable table_;
   };
-  /// Last report of an instance that reached the leader.
-  struct Contact
-  {
-    std::uint64_t incarnation_ = 0;
-    std::uint64_t sequence_ = 0;
-    TimePoint reportedAt_{};
-    bool hearsLeader_ = false;
-    /// Revisions of the tables in the last report.
-    std::map<std::string, std::uint64_t> tables_;
-  };
   /// Requests that wait for the leader to lend more of a workspace's allowance.
   struct Asked
   {
@@ -210,8 +201,7 @@
             std::function<void()> aDone);
   std::string Leader() const;
   bool HearsLeader(TimePoint aNow) const;
-  std::size_t UnheardMembers(TimePoint aNow) const;
-  bool NoteContact(const FleetReport& aReport);
+  std::set<std::string> MemberIds() const;
   WindowBudget& BudgetOf(const Workspace& aWorkspace);
   bool AskForMore(const Workspace& aWorkspace, const RateDecision& aDecide);
   void SettleAsked(const std::string& aWorkspace);
@@ -274,7 +264,9 @@
   /// Sending of the last report that the leader replied to.
   TimePoint answeredReportAt_{};
   std::uint64_t reportSequence_ = 0;
-  std::map<std::string, Contact> contacts_;
+  LeaderContacts contacts_;
+  /// Revisions of the tables in the last report of each instance.
+  std::map<std::string, std::map<std::string, std::uint64_t>> reportedTables_;
   std::map<std::string, Asked> asked_;
   TimePoint nextRefusalLog_{};
   std::map<std::string, TimePoint> nextRelief_;
--- a/src/limits/WindowBudget.hpp
+++ b/src/limits/WindowBudget.hpp
@@ -29,6 +29,9 @@
   /// report is sent in between, so that the pool knows.
   std::chrono::milliseconds unheardAfter_{ 1000 };
   std::chrono::milliseconds aloneAfter_{ 2000 };
+  /// Time without a reply after which an instance uses nothing any more. A pool must know for as
+  /// long that an instance is lost.
+  std::chrono::milliseconds aloneFor_{ 15000 };
 
   /// Returns the requests that each of aInstances always keeps of aAllowance.
   ///
