Take the delay of a frame on its way off the deadlines it carries

Deadlines travel as remaining time, counted from the arrival of the frame, so a frame that is late moves them by as much. Ruled out: the queue at the server (its deadline is checked before a request is sent on).

--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -16,6 +16,9 @@
 
 namespace {
 
+/// Times of other clocks beyond this are taken as this, so that differences stay in range.
+constexpr std::int64_t kMaxClock = Duration(std::chrono::hours(24 * 365 * 100)).count();
+
 template<typename T>
 void
 Optional(WireOutput& aArchive, std::optional<T>& aValue)
@@ -336,6 +339,8 @@
   for (std::size_t next = 0; next < aMessages.size();) {
     const std::size_t begin = aTarget.size();
     AppendLength(aTarget, 0);
+    const std::int64_t sentAt = aNow.time_since_epoch().count();
+    aTarget.append(reinterpret_cast<const char*>(&sentAt), sizeof(sentAt));
     do {
       EncodeMessage(aMessages[next++], aNow, aTarget);
     } while (next < aMessages.size() && aTarget.size() - begin < kFrameTargetBytes);
@@ -371,7 +376,14 @@
     if (!EqualConstantTime(authenticator_.Next(payload), mac)) {
       return tl::unexpected(FrameError::BadMac);
     }
-    auto decoded = DecodeMessages(payload, aNow);
+    if (payload.size() < kFrameTimeBytes) {
+      return tl::unexpected(FrameError::BadMessage);
+    }
+    std::int64_t sentAt = 0;
+    std::memcpy(&sentAt, payload.data(), sizeof(sentAt));
+    sentAt = std::clamp(sentAt, -kMaxClock, kMaxClock);
+    const Duration delay = delay_.OnFrame(TimePoint(Duration(sentAt)), aNow);
+    auto decoded = DecodeMessages(payload.substr(kFrameTimeBytes), aNow - delay);
     if (!decoded) {
       return tl::unexpected(decoded.error());
     }
--- a/src/peer/FrameCodec.hpp
+++ b/src/peer/FrameCodec.hpp
@@ -2,6 +2,7 @@
 
 #include "core/Clock.hpp"
 #include "peer/LinkMessage.hpp"
+#include "peer/TransitDelay.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -21,6 +22,7 @@
 constexpr std::size_t kFrameLengthBytes = 4;
 /// Truncated HMAC-SHA-256 at the end of each frame.
 constexpr std::size_t kFrameMacBytes = 16;
+constexpr std::size_t kFrameTimeBytes = 8;
 
 enum class FrameError : std::uint8_t
 {
@@ -55,8 +57,9 @@
   std::uint64_t sequence_ = 0;
 };
 
-/// Encodes messages into frames: length (4 bytes, little-endian), messages (type byte and cereal
-/// body each), MAC over sequence number and messages. One MAC covers all messages of a frame.
+/// Encodes messages into frames: length (4 bytes, little-endian), time of sending (8 bytes),
+/// messages (type byte and cereal body each), MAC over sequence number, time and messages. One MAC
+/// covers all messages of a frame.
 class FrameEncoder
 {
 public:
@@ -71,7 +74,8 @@
   FrameAuthenticator authenticator_;
 };
 
-/// Splits received bytes into frames and decodes their messages.
+/// Splits received bytes into frames and decodes their messages. Deadlines travel as remaining
+/// time, from which the delay of the frame on its way is taken off.
 class FrameDecoder
 {
 public:
@@ -85,6 +89,7 @@
 
 private:
   FrameAuthenticator authenticator_;
+  TransitDelay delay_;
   std::string buffer_;
 };
 
--- a/tests/fuzz/FrameFuzz.cpp
+++ b/tests/fuzz/FrameFuzz.cpp
@@ -23,13 +23,14 @@
   return bytes;
 }
 
-/// Returns aPayload as the first frame of a sender that has the key.
+/// Returns aMessages as the first frame of a sender that has the key.
 std::string
-AuthenticFrame(std::string_view aPayload)
+AuthenticFrame(std::string_view aMessages)
 {
-  const auto length = static_cast<std::uint32_t>(aPayload.size() + kFrameMacBytes);
+  const std::string payload = std::string(kFrameTimeBytes, '\0').append(aMessages);
+  const auto length = static_cast<std::uint32_t>(payload.size() + kFrameMacBytes);
   std::string frame(reinterpret_cast<const char*>(&length), sizeof(length));
-  frame.append(aPayload).append(FrameAuthenticator(kKey).Next(aPayload));
+  frame.append(payload).append(FrameAuthenticator(kKey).Next(payload));
   return frame;
 }
 
@@ -46,7 +47,7 @@
 
   // A faulty sender with the key, in one piece and split.
   const auto decoded = DecodeMessages(bytes, kNow);
-  if (bytes.size() + kFrameMacBytes <= kMaxFrameBytes) {
+  if (kFrameTimeBytes + bytes.size() + kFrameMacBytes <= kMaxFrameBytes) {
     const std::string frame = AuthenticFrame(bytes);
     FrameDecoder decoder(kKey);
     const std::size_t half = frame.size() / 2;
--- a/tests/unit/peer/FrameCodecTest.cpp
+++ b/tests/unit/peer/FrameCodecTest.cpp
@@ -53,6 +53,30 @@
   BOOST_TEST((start.deadline_ - otherClock == std::chrono::milliseconds(250)));
 }
 
+// Guards against requests that run after their callers were told otherwise: on the grown sites,
+// whose links carry 10 Mbit/s, frames were up to a second on their way, and the deadline moved by
+// as much.
+BOOST_AUTO_TEST_CASE(TheDelayOfAFrameIsTakenOffTheDeadline)
+{
+  using std::chrono::milliseconds;
+  FrameEncoder encoder(kKey);
+  FrameDecoder decoder(kKey);
+  const auto deadlineOf = [&](milliseconds aSentAfter, milliseconds aReceivedAfter) {
+    RequestStart start = MakeStart();
+    start.deadline_ = kNow + aSentAfter + milliseconds(1000);
+    const LinkMessage message(std::move(start));
+    std::string bytes;
+    encoder.Encode({ &message, 1 }, kNow + aSentAfter, bytes);
+    const TimePoint otherClock{ std::chrono::hours(9) };
+    const auto messages = decoder.Feed(bytes, otherClock + aReceivedAfter);
+    BOOST_REQUIRE(messages.has_value());
+    return std::get<RequestStart>(messages->front()).deadline_ - otherClock;
+  };
+  BOOST_TEST((deadlineOf(milliseconds(0), milliseconds(2)) == milliseconds(1002)));
+  BOOST_TEST((deadlineOf(milliseconds(100), milliseconds(802)) == milliseconds(1102)));
+  BOOST_TEST((deadlineOf(milliseconds(900), milliseconds(902)) == milliseconds(1902)));
+}
+
 // Guards against a decoder that needs a frame in one piece, and against messages lost or reordered
 // at frame limits.
 BOOST_AUTO_TEST_CASE(MessagesArriveInOrderHoweverTheBytesAreSplit)
