--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -169,7 +169,8 @@
 FairQueue::Extract(Predicate aPredicate)
 {
   std::vector<QueueItem> taken;
-  for (auto& [priority, priorityClass] : classes_) {
+  for (auto& entry : classes_) {
+    PriorityClass& priorityClass = entry.second;
     const auto before = taken.size();
     for (auto& [workspace, flow] : priorityClass.flows_) {
       std::erase_if(flow.waiting_, [&](Waiting& aWaiting) {
