--- a/src/limits/WindowBudget.cpp
+++ b/src/limits/WindowBudget.cpp
@@ -41,11 +41,12 @@
 WindowBudget::Budget(TimePoint aNow) const
 {
   const double lent = aNow < grantedUntil_ ? granted_ : 0;
-  if (aNow - start_ < settings_.grantLife_) {
-    // What an earlier process of this instance used is known to the pool only.
+  // What an earlier process of this instance used is known to the pool only, and a pool forgets an
+  // instance that has been lost for long.
+  if (aNow - start_ < settings_.grantLife_ || unheard_ >= settings_.aloneFor_) {
     return lent;
   }
-  if (!alone_) {
+  if (unheard_ < settings_.aloneAfter_) {
     return std::max(lent, settings_.Floor(allowance_, instances_));
   }
   const double equal = allowance_ / static_cast<double>(instances_);
--- a/src/limits/WindowBudget.hpp
+++ b/src/limits/WindowBudget.hpp
@@ -64,11 +64,10 @@
   /// Preconditions: aAllowance >= 0, aInstances > 0. Thread safety: not thread-safe.
   void SetAllowance(double aAllowance, std::size_t aInstances);
 
-  /// Sets whether the pool has been out of reach for so long that it counts this instance's fixed
-  /// share as used.
+  /// Sets for how long the pool has not replied to this instance.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
-  void SetAlone(bool aAlone) { alone_ = aAlone; }
+  void SetUnheard(Duration aUnheard) { unheard_ = aUnheard; }
 
   /// Counts a request; returns whether it may go on.
   ///
@@ -129,7 +128,7 @@
   TimePoint start_;
   double allowance_ = 0;
   std::size_t instances_ = 1;
-  bool alone_ = false;
+  Duration unheard_{};
   double granted_ = 0;
   TimePoint grantedUntil_{};
   bool everGranted_ = false;
--- a/tests/unit/limits/WindowBudgetTest.cpp
+++ b/tests/unit/limits/WindowBudgetTest.cpp
@@ -54,8 +54,7 @@
   {
     ++asked_;
     Node& node = nodes_[aIndex];
-    node.budget_->SetAlone(now_ - std::max(node.startedAt_, node.answeredAt_) >=
-                           kSettings.aloneAfter_);
+    node.budget_->SetUnheard(now_ - std::max(node.startedAt_, node.answeredAt_));
     bool admitted = node.budget_->TryTake(now_);
     if (!admitted && now_ >= node.askAt_) {
       ReportOf(aIndex, aLoss, 1);
@@ -219,12 +218,26 @@
   }
 }
 
+// Guards against an instance that goes on using an allowance after the pool has forgotten it.
+BOOST_AUTO_TEST_CASE(AnInstanceThatIsLostForLongUsesNothing)
+{
+  WindowBudget budget(kSettings, TimePoint(1h));
+  budget.SetAllowance(100, 10);
+  const TimePoint now = TimePoint(1h) + 60s;
+  BOOST_TEST(budget.Budget(now) == 4.0);
+  budget.SetUnheard(kSettings.aloneAfter_);
+  BOOST_TEST(budget.Budget(now) > 4.0);
+  budget.SetUnheard(kSettings.aloneFor_);
+  BOOST_TEST(budget.Budget(now) == 0.0);
+  BOOST_TEST(!budget.TryTake(now));
+}
+
 // Guards against requests that count although they did not run.
 BOOST_AUTO_TEST_CASE(ReturnedRequestsDoNotCount)
 {
   WindowBudget budget({}, TimePoint(1h));
   budget.SetAllowance(10, 1);
-  budget.SetAlone(true);
+  budget.SetUnheard(kSettings.aloneAfter_);
   const TimePoint now = TimePoint(1h) + 20s;
   for (int i = 0; i < 100; ++i) {
     BOOST_REQUIRE(budget.TryTake(now));
