--- a/src/limits/BudgetPool.hpp
+++ b/src/limits/BudgetPool.hpp
@@ -21,8 +21,7 @@
 
   /// Takes the report of one run of an instance; returns how many requests it may use beyond what
   /// it committed. aUnheard of the aInstances may be using their fixed shares, because they do not
-  /// hear the pool; the others use no more than the part that they keep, or
-  /// what they reported.
+  /// hear the pool; the others use no more than the part that they keep, or what they reported.
   ///
   /// Preconditions: aInstances > 0. Thread safety: not thread-safe.
   double OnReport(const std::string& aRun,
