Log delays of the event loop and of frames, and requests whose callers left

Cause: the logs could not tell where a request that reached its server after its caller had left spent its time: before it was read, in a turn of the event loop, or on a link. Change: event=route has age_ms, the time since the request was read. A request whose caller leaves has a line of its own, event=abandoned, which says whether it was the first of its connection, and is counted (redwing_requests_abandoned_total). event=loop_lag and event=peer_frame_delay tell the longest delay of a second (core/DelayLog). The expected lines of RouteLogTest have the new field.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -249,6 +249,7 @@
   core_.RefreshView();
   slots_.push_back(std::make_unique<CallerSlot>(core_, *this));
   CallerSlot& slot = *slots_.back();
+  slot.first_ = std::exchange(fresh_, false);
   if (tooLarge) {
     RejectHead(slot, "the request head is too large");
     return false;
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -75,6 +75,8 @@
   std::size_t scanned_ = 0;
   /// Requests in the order of their arrival.
   std::deque<std::unique_ptr<CallerSlot>> slots_;
+  /// No request was read yet.
+  bool fresh_ = true;
   bool pumping_ = false;
   bool pumpAgain_ = false;
   bool reading_ = false;
--- a/src/intake/CallerSlot.hpp
+++ b/src/intake/CallerSlot.hpp
@@ -40,12 +40,16 @@
 
   bool SpeaksHttp11() const;
 
+  /// Returns whether nothing was read from the connection before this request.
+  bool IsFirstOfConnection() const { return first_; }
+
 private:
   friend class CallerConnection;
 
   CallerConnection& connection_;
   RequestParser parser_;
   std::unique_ptr<Exchange> exchange_;
+  bool first_ = false;
   /// The request was handed to its exchange.
   bool begun_ = false;
   bool bodyDone_ = true;
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -413,10 +413,20 @@
 void
 Exchange::OnCallerGone()
 {
-  if (!finished_) {
-    CancelAttempts(0);
-    Finish();
+  if (finished_) {
+    return;
   }
+  const bool routed = attemptCount_ > 0;
+  core_.AbandonedCounter(routed).Add();
+  core_.Log().Write(
+    { requestId_,
+      WorkspaceId(),
+      entry_ == nullptr ? std::string_view() : std::string_view(entry_->route_->id_),
+      attemptCount_,
+      core_.Now() - begun_,
+      connection_.IsFirstOfConnection() });
+  CancelAttempts(0);
+  Finish();
 }
 
 } // namespace redwing::Detail
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -154,7 +154,8 @@
                       start_.shard_ ? static_cast<std::int64_t>(start_.shard_->shard_) : -1,
                       aAttempt.instanceId_,
                       attemptCount_,
-                      aReason });
+                      aReason,
+                      core_.Now() - begun_ });
 }
 
 bool
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -30,6 +30,10 @@
   , outcomes_(dependencies_.counters_)
   , hedgeCounter_(dependencies_.counters_.GetCounter("redwing_hedges_total"))
   , retryCounter_(dependencies_.counters_.GetCounter("redwing_retries_total"))
+  , abandonedRouted_(
+      dependencies_.counters_.GetCounter("redwing_requests_abandoned_total", "routed=\"yes\""))
+  , abandonedUnrouted_(
+      dependencies_.counters_.GetCounter("redwing_requests_abandoned_total", "routed=\"no\""))
   , log_(dependencies_.clock_, dependencies_.settings_.routeLogLinesPerSecond_)
   , timers_(dependencies_.io_,
             dependencies_.clock_,
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -66,6 +66,11 @@
   TimerQueue& Timers() { return timers_; }
   Counter& HedgeCounter() { return hedgeCounter_; }
   Counter& RetryCounter() { return retryCounter_; }
+  /// Counts requests whose callers left, before or after the first attempt was sent.
+  Counter& AbandonedCounter(bool aRouted)
+  {
+    return aRouted ? abandonedRouted_ : abandonedUnrouted_;
+  }
   Random& Randomness() { return random_; }
   bool ShuttingDown() const { return shuttingDown_; }
   void SetShuttingDown() { shuttingDown_ = true; }
@@ -108,6 +113,8 @@
   ReturningCallers returning_;
   Counter& hedgeCounter_;
   Counter& retryCounter_;
+  Counter& abandonedRouted_;
+  Counter& abandonedUnrouted_;
   RouteLog log_;
   TimerQueue timers_;
   /// Claims of the parts of split routes that were not served yet.
--- a/src/intake/RouteLog.cpp
+++ b/src/intake/RouteLog.cpp
@@ -6,11 +6,22 @@
 
 namespace redwing::Detail {
 
+namespace {
+
+std::int64_t
+Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+} // namespace
+
 RouteLog::RouteLog(const Clock& aClock, std::uint32_t aLinesPerSecond)
   : clock_(aClock)
   , linesPerSecond_(aLinesPerSecond)
   , decisions_{ aLinesPerSecond }
   , refusals_{ aLinesPerSecond }
+  , abandoned_{ aLinesPerSecond }
 {
 }
 
@@ -38,7 +49,6 @@
   if (!Take(refusals_)) {
     return;
   }
-  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(aRefused.age_);
   LogLine line(LogLevel::Info, "refused");
   line.With("request_id", aRefused.requestId_)
     .With("workspace", aRefused.workspace_)
@@ -47,7 +57,7 @@
     .With("outcome", aRefused.outcome_)
     .With("detail", aRefused.detail_)
     .With("attempts", aRefused.attempts_)
-    .With("age_ms", age.count())
+    .With("age_ms", Milliseconds(aRefused.age_))
     .With("configuration", aRefused.configurationRevision_);
   if (refusals_.suppressed_ > 0) {
     line.With("suppressed", std::exchange(refusals_.suppressed_, 0));
@@ -70,10 +80,29 @@
   }
   line.With("target", aDecision.target_)
     .With("attempt", aDecision.attempt_)
-    .With("reason", aDecision.reason_);
+    .With("reason", aDecision.reason_)
+    .With("age_ms", Milliseconds(aDecision.age_));
   if (decisions_.suppressed_ > 0) {
     line.With("suppressed", std::exchange(decisions_.suppressed_, 0));
   }
 }
 
+void
+RouteLog::Write(const AbandonedRequest& aAbandoned)
+{
+  if (!Take(abandoned_)) {
+    return;
+  }
+  LogLine line(LogLevel::Info, "abandoned");
+  line.With("request_id", aAbandoned.requestId_)
+    .With("workspace", aAbandoned.workspace_)
+    .With("route", aAbandoned.route_)
+    .With("attempts", aAbandoned.attempts_)
+    .With("age_ms", Milliseconds(aAbandoned.age_))
+    .With("first", aAbandoned.firstOfConnection_ ? "yes" : "no");
+  if (abandoned_.suppressed_ > 0) {
+    line.With("suppressed", std::exchange(abandoned_.suppressed_, 0));
+  }
+}
+
 } // namespace redwing::Detail
--- a/src/intake/RouteLog.hpp
+++ b/src/intake/RouteLog.hpp
@@ -19,6 +19,8 @@
   std::string_view target_;
   std::uint32_t attempt_ = 0;
   std::string_view reason_;
+  /// From the arrival of the request.
+  Duration age_{};
 };
 
 /// Fields of the log line of a request that got no answer from a backend server.
@@ -37,7 +39,22 @@
   std::uint64_t configurationRevision_ = 0;
 };
 
-/// Writes log lines of routing decisions and refusals, each up to a rate.
+/// Fields of the log line of a request whose caller left before it was answered.
+struct AbandonedRequest
+{
+  std::string_view requestId_;
+  std::string_view workspace_;
+  /// Empty if no route was found.
+  std::string_view route_;
+  /// Attempts that were sent; with 0 no other instance has seen the request.
+  std::uint32_t attempts_ = 0;
+  /// From the arrival of the request.
+  Duration age_{};
+  /// Nothing was read from the connection before this request.
+  bool firstOfConnection_ = false;
+};
+
+/// Writes log lines of routing decisions, refusals and abandoned requests, each up to a rate.
 class RouteLog
 {
 public:
@@ -54,6 +71,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Write(const RefusedRequest& aRefused);
 
+  /// Writes the line, or counts it as suppressed, within a budget of its own.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void Write(const AbandonedRequest& aAbandoned);
+
 private:
   /// Lines of one kind in a second.
   struct Budget
@@ -69,6 +91,7 @@
   std::uint32_t linesPerSecond_;
   Budget decisions_;
   Budget refusals_;
+  Budget abandoned_;
 };
 
 } // namespace redwing::Detail
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -360,6 +360,7 @@
 FrameDecoder::Feed(std::string_view aBytes, TimePoint aNow)
 {
   buffer_.append(aBytes);
+  longestDelay_ = {};
   std::vector<LinkMessage> messages;
   std::string_view rest = buffer_;
   while (rest.size() >= kFrameLengthBytes) {
@@ -383,6 +384,7 @@
     std::memcpy(&sentAt, payload.data(), sizeof(sentAt));
     sentAt = std::clamp(sentAt, -kMaxClock, kMaxClock);
     const Duration delay = delay_.OnFrame(TimePoint(Duration(sentAt)), aNow);
+    longestDelay_ = std::max(longestDelay_, delay);
     auto decoded = DecodeMessages(payload.substr(kFrameTimeBytes), aNow - delay);
     if (!decoded) {
       return tl::unexpected(decoded.error());
--- a/src/peer/FrameCodec.hpp
+++ b/src/peer/FrameCodec.hpp
@@ -87,9 +87,15 @@
   /// Preconditions: no earlier call returned an error. Thread safety: not thread-safe.
   tl::expected<std::vector<LinkMessage>, FrameError> Feed(std::string_view aBytes, TimePoint aNow);
 
+  /// Returns the longest delay among the frames of the last call of Feed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  Duration LongestDelay() const { return longestDelay_; }
+
 private:
   FrameAuthenticator authenticator_;
   TransitDelay delay_;
+  Duration longestDelay_{};
   std::string buffer_;
 };
 
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -17,6 +17,8 @@
 
 /// Time after which the kernel drops a connection whose data is not acknowledged.
 constexpr int kTcpUserTimeoutMs = 1500;
+/// Delay of a frame on its way from which it is reported.
+constexpr std::chrono::milliseconds kReportedDelay{ 100 };
 
 } // namespace
 
@@ -201,6 +203,9 @@
         self->Close(ToText(messages.error()));
         return;
       }
+      if (self->decoder_->LongestDelay() >= kReportedDelay) {
+        self->observer_.OnDelayed(self, self->decoder_->LongestDelay());
+      }
       for (auto& message : *messages) {
         self->observer_.OnMessage(self, std::move(message));
       }
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -35,6 +35,8 @@
   virtual void OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage) = 0;
   /// aMessage is about to be handed to the socket.
   virtual void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) = 0;
+  /// Frames arrived that were on their way aDelay longer than the fastest recent one.
+  virtual void OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay) = 0;
   virtual void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) = 0;
 };
 
--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -52,6 +52,12 @@
   }
 }
 
+void
+PeerService::OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay)
+{
+  frameDelays_.Add(aDelay, clock_.Now(), aLink->Peer().id_);
+}
+
 void
 PeerService::OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage)
 {
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds kConnectTimeout{ 600 };
 /// A tick this late means that this process was paused, which says nothing about its links.
 constexpr milliseconds kOwnPause{ 300 };
+/// Lateness of the event loop, and delay of a frame on its way, from which a log line is written.
+constexpr milliseconds kLoggedLag{ 250 };
+constexpr milliseconds kLoggedDelay{ 250 };
 constexpr std::size_t kMaxLinksPerPeer = 2;
 /// Open attempts on the first link from which a second one is opened.
 constexpr std::size_t kSecondLinkThreshold = 64;
@@ -39,6 +42,8 @@
   , acceptor_(aContext)
   , timer_(aContext)
   , mailbox_(settings_.queueCapacity_)
+  , loopLag_("loop_lag", kLoggedLag, aCounters)
+  , frameDelays_("peer_frame_delay", kLoggedDelay, aCounters)
   , linksOpened_(aCounters.GetCounter("redwing_peer_links_opened_total"))
   , linksLost_(aCounters.GetCounter("redwing_peer_links_lost_total"))
   , linksStalled_(aCounters.GetCounter("redwing_peer_links_stalled_total"))
@@ -165,6 +170,7 @@
       return;
     }
     const auto now = clock_.Now();
+    loopLag_.Add(now - lastTick_ - kTickInterval, now);
     if (now - lastTick_ > kOwnPause) {
       for (auto& [id, entry] : links_) {
         entry.link_->ResetProgress(now);
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -3,6 +3,7 @@
 #include "core/Address.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
+#include "core/DelayLog.hpp"
 #include "core/Mailbox.hpp"
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
@@ -164,6 +165,7 @@
   void OnEstablished(const std::shared_ptr<Link>& aLink) override;
   void OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage) override;
   void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) override;
+  void OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay) override;
   void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) override;
 
   void Accept();
@@ -211,6 +213,8 @@
   std::unordered_map<std::string, std::vector<std::shared_ptr<Link>>> outbound_;
   std::unordered_map<std::uint64_t, Attempt> attempts_;
   std::map<std::uint64_t, OpenCall> calls_;
+  DelayLog loopLag_;
+  DelayLog frameDelays_;
   Counter& linksOpened_;
   Counter& linksLost_;
   Counter& linksStalled_;
--- a/tests/unit/intake/RouteLogTest.cpp
+++ b/tests/unit/intake/RouteLogTest.cpp
@@ -1,34 +1,11 @@
 #include "intake/RouteLog.hpp"
 
+#include "support/LogSink.hpp"
 #include "support/ManualClock.hpp"
 
 #include <boost/test/unit_test.hpp>
-#include <glog/logging.h>
-#include <string>
-#include <vector>
 
-namespace {
-
-struct Sink final : google::LogSink
-{
-  Sink() { google::AddLogSink(this); }
-  ~Sink() override { google::RemoveLogSink(this); }
-
-  void send(google::LogSeverity,
-            const char*,
-            const char*,
-            int,
-            const struct tm*,
-            const char* aMessage,
-            size_t aLength) override
-  {
-    lines_.emplace_back(aMessage, aLength);
-  }
-
-  std::vector<std::string> lines_;
-};
-
-} // namespace
+using Sink = redwing::test::LogSink;
 
 // Guards against a log that floods the disk under load, and against suppressed lines that leave no
 // trace.
@@ -42,10 +19,27 @@
   }
   BOOST_REQUIRE_EQUAL(sink.lines_.size(), 3U);
   BOOST_TEST(sink.lines_[0] == "event=route request_id=id-1 workspace=desk route=book "
-                               "service=leasing shard=7 target=a attempt=1 reason=first");
+                               "service=leasing shard=7 target=a attempt=1 reason=first "
+                               "age_ms=0");
   clock.Advance(std::chrono::seconds(1));
-  log.Write({ "id-2", "desk", "plant", "plant", -1, "b", 2, "hedge" });
+  log.Write(
+    { "id-2", "desk", "plant", "plant", -1, "b", 2, "hedge", std::chrono::milliseconds(15) });
   BOOST_REQUIRE_EQUAL(sink.lines_.size(), 4U);
   BOOST_TEST(sink.lines_[3] == "event=route request_id=id-2 workspace=desk route=plant "
-                               "service=plant target=b attempt=2 reason=hedge suppressed=2");
+                               "service=plant target=b attempt=2 reason=hedge age_ms=15 "
+                               "suppressed=2");
+}
+
+// Guards against requests of callers that left which leave no trace, or crowd out other lines.
+BOOST_AUTO_TEST_CASE(AbandonedRequestsHaveLinesOfTheirOwn)
+{
+  redwing::test::ManualClock clock;
+  redwing::Detail::RouteLog log(clock, 1);
+  Sink sink;
+  log.Write(redwing::Detail::RouteDecision{});
+  log.Write({ "id-1", "desk", "book", 2, std::chrono::milliseconds(1200), true });
+  log.Write({ "id-2", "desk", "book", 0, {}, false });
+  BOOST_REQUIRE_EQUAL(sink.lines_.size(), 2U);
+  BOOST_TEST(sink.lines_[1] == "event=abandoned request_id=id-1 workspace=desk route=book "
+                               "attempts=2 age_ms=1200 first=yes");
 }
