Accept all waiting connections in one turn of the event loop

What callers saw: requests run up to 3.5 s after their callers had closed (GONE), and links between instances that timed out before they were accepted. Cause: after an accept, the next async_accept is queued behind the poll of the event loop, so each listening socket accepts one connection a turn. With turns of 100 ms on a tenth of a core that is ten a second; more arrive, and connections that were given up keep their place in the listening queue. Change: core/ConnectionAcceptor waits for the listening socket to become readable and takes all that waits, up to 256 in a row. Intake, peers and the local listeners use it in place of three accept loops of their own; the local listeners now pause too when no descriptor is free.

--- a/src/intake/IntakeService.cpp
+++ b/src/intake/IntakeService.cpp
@@ -1,6 +1,6 @@
 #include "intake/IntakeService.hpp"
 
-#include "core/Log.hpp"
+#include "core/ConnectionAcceptor.hpp"
 #include "intake/CallerConnection.hpp"
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
@@ -20,8 +20,6 @@
 
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 constexpr auto kShutdownSweepInterval = std::chrono::milliseconds(20);
-/// Pause after a failed accept, such as when no file descriptor is free.
-constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
 } // namespace
 
@@ -30,9 +28,9 @@
 public:
   explicit Impl(IntakeDependencies aDependencies)
     : core_(std::move(aDependencies))
-    , acceptor_(core_.Dependencies().io_)
+    , acceptor_(core_.Dependencies().io_,
+                [this](tcp::socket aSocket) { Adopt(std::move(aSocket)); })
     , sweepTimer_(core_.Dependencies().io_)
-    , acceptTimer_(core_.Dependencies().io_)
     , connectionGauge_(core_.Dependencies().counters_.GetGauge("redwing_caller_connections"))
   {
   }
@@ -40,14 +38,14 @@
   ~Impl() { CloseAll(); }
 
   std::string Start();
-  void Accept();
   void Adopt(tcp::socket aSocket);
   void Sweep();
   void BeginShutdown(std::function<void()> aDone);
   void CloseAll();
 
   Detail::IntakeCore core_;
-  tcp::acceptor acceptor_;
+  ConnectionAcceptor acceptor_;
+  std::uint16_t port_ = 0;
 
 private:
   std::vector<std::shared_ptr<Detail::CallerConnection>> Connections() const;
@@ -55,7 +53,6 @@
   void StopAccepting();
 
   boost::asio::steady_timer sweepTimer_;
-  boost::asio::steady_timer acceptTimer_;
   std::unordered_map<Detail::CallerConnection*, std::shared_ptr<Detail::CallerConnection>>
     connections_;
   Gauge& connectionGauge_;
@@ -67,53 +64,15 @@
 std::string
 IntakeService::Impl::Start()
 {
-  error_code error;
-  const Address& address = core_.Settings().callersAddress_;
-  const auto ip = boost::asio::ip::make_address(address.ip_, error);
-  if (!error) {
-    acceptor_.open(tcp::v4(), error);
+  const auto bound = acceptor_.Listen(core_.Settings().callersAddress_);
+  if (!bound) {
+    return bound.error();
   }
-  if (!error) {
-    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind({ ip, address.port_ }, error);
-  }
-  if (!error) {
-    acceptor_.listen(tcp::acceptor::max_listen_connections, error);
-  }
-  if (error) {
-    return error.message();
-  }
-  Accept();
+  port_ = bound->port_;
   ArmSweep();
   return {};
 }
 
-void
-IntakeService::Impl::Accept()
-{
-  acceptor_.async_accept([this](const error_code& aError, tcp::socket aSocket) {
-    if (aError == boost::asio::error::operation_aborted) {
-      return;
-    }
-    if (aError) {
-      LogLine(LogLevel::Warning, "accept_failed").With("error", aError.message());
-      acceptTimer_.expires_after(kAcceptPause);
-      acceptTimer_.async_wait([this](const error_code& aWaitError) {
-        if (!aWaitError && acceptor_.is_open()) {
-          Accept();
-        }
-      });
-      return;
-    }
-    Adopt(std::move(aSocket));
-    if (acceptor_.is_open()) {
-      Accept();
-    }
-  });
-}
-
 void
 IntakeService::Impl::Adopt(tcp::socket aSocket)
 {
@@ -169,7 +128,7 @@
       connection->CloseIfIdle();
     }
   }
-  if (core_.ShuttingDown() && connections_.empty() && !acceptor_.is_open()) {
+  if (core_.ShuttingDown() && connections_.empty() && !acceptor_.IsOpen()) {
     if (auto done = std::exchange(done_, nullptr)) {
       done();
     }
@@ -181,10 +140,8 @@
 void
 IntakeService::Impl::StopAccepting()
 {
-  if (core_.ShuttingDown() && acceptor_.is_open() && core_.Now() >= acceptUntil_) {
-    error_code ignored;
-    acceptor_.close(ignored);
-    acceptTimer_.cancel();
+  if (core_.ShuttingDown() && acceptor_.IsOpen() && core_.Now() >= acceptUntil_) {
+    acceptor_.Close();
   }
 }
 
@@ -223,7 +180,7 @@
 std::uint16_t
 IntakeService::Port() const
 {
-  return impl_->acceptor_.local_endpoint().port();
+  return impl_->port_;
 }
 
 void
--- a/src/operator/LocalListener.cpp
+++ b/src/operator/LocalListener.cpp
@@ -2,7 +2,6 @@
 
 #include "operator/LocalSession.hpp"
 
-#include <boost/asio/ip/address_v4.hpp>
 #include <utility>
 
 namespace redwing::Detail {
@@ -13,7 +12,8 @@
   : context_(aContext)
   , settings_(std::move(aSettings))
   , handler_(std::move(aHandler))
-  , acceptor_(aContext)
+  , acceptor_(aContext,
+              [this](boost::asio::ip::tcp::socket aSocket) { OnAccept(std::move(aSocket)); })
 {
 }
 
@@ -22,34 +22,18 @@
 tl::expected<Address, std::string>
 LocalListener::Start()
 {
-  boost::system::error_code error;
-  const auto ip = boost::asio::ip::make_address_v4(settings_.address_.ip_, error);
-  const boost::asio::ip::tcp::endpoint endpoint(ip, settings_.address_.port_);
-  if (!error) {
-    acceptor_.open(endpoint.protocol(), error);
+  const auto bound = acceptor_.Listen(settings_.address_);
+  if (!bound) {
+    return tl::unexpected(settings_.address_.ToString() + ": " + bound.error());
   }
-  if (!error) {
-    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
-  }
-  if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return tl::unexpected(settings_.address_.ToString() + ": " + error.message());
-  }
-  settings_.address_.port_ = acceptor_.local_endpoint().port();
-  Accept();
+  settings_.address_ = *bound;
   return settings_.address_;
 }
 
 void
 LocalListener::Close()
 {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
+  acceptor_.Close();
   for (const auto& item : std::exchange(sessions_, {})) {
     if (const auto session = item.lock()) {
       session->Close();
@@ -57,21 +41,6 @@
   }
 }
 
-void
-LocalListener::Accept()
-{
-  acceptor_.async_accept([self = shared_from_this()](boost::system::error_code aError,
-                                                     boost::asio::ip::tcp::socket aSocket) {
-    if (!self->acceptor_.is_open()) {
-      return;
-    }
-    if (!aError) {
-      self->OnAccept(std::move(aSocket));
-    }
-    self->Accept();
-  });
-}
-
 void
 LocalListener::OnAccept(boost::asio::ip::tcp::socket aSocket)
 {
--- a/src/operator/LocalListener.hpp
+++ b/src/operator/LocalListener.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/ConnectionAcceptor.hpp"
 #include "operator/LocalServer.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -31,13 +32,12 @@
   const LocalServer::Handler& Handler() const { return handler_; }
 
 private:
-  void Accept();
   void OnAccept(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& context_;
   LocalServerSettings settings_;
   LocalServer::Handler handler_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor acceptor_;
   std::vector<std::weak_ptr<LocalSession>> sessions_;
 };
 
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -39,7 +39,7 @@
   , view_(aView)
   , settings_(std::move(aSettings))
   , hooks_(std::move(aHooks))
-  , acceptor_(aContext)
+  , acceptor_(aContext, [this](asio::ip::tcp::socket aSocket) { Adopt(std::move(aSocket)); })
   , timer_(aContext)
   , mailbox_(settings_.queueCapacity_)
   , loopLag_("loop_lag", kLoggedLag, aCounters)
@@ -59,28 +59,15 @@
 bool
 PeerService::Start()
 {
-  error_code error;
-  const auto ip = asio::ip::make_address(settings_.peersAddress_.ip_, error);
-  if (error) {
-    return false;
-  }
-  acceptor_.open(asio::ip::tcp::v4(), error);
-  if (!error) {
-    acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor_.bind({ ip, settings_.peersAddress_.port_ }, error);
-  }
-  if (!error) {
-    acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
+  const auto bound = acceptor_.Listen(settings_.peersAddress_);
+  if (!bound) {
     LogLine(LogLevel::Error, "peer_bind_failed")
       .With("address", settings_.peersAddress_.ToString())
-      .With("error", error.message());
+      .With("error", bound.error());
     return false;
   }
-  port_ = acceptor_.local_endpoint().port();
+  port_ = bound->port_;
   lastTick_ = clock_.Now();
-  Accept();
   Tick();
   return true;
 }
@@ -90,8 +77,7 @@
 {
   asio::post(context_, [this] {
     stopped_ = true;
-    error_code ignored;
-    acceptor_.close(ignored);
+    acceptor_.Close();
     timer_.cancel();
     std::vector<std::shared_ptr<Link>> open;
     for (auto& [id, entry] : links_) {
@@ -139,26 +125,18 @@
 }
 
 void
-PeerService::Accept()
+PeerService::Adopt(asio::ip::tcp::socket aSocket)
 {
-  acceptor_.async_accept([this](error_code aError, asio::ip::tcp::socket aSocket) {
-    if (stopped_ || aError == asio::error::operation_aborted) {
-      return;
-    }
-    if (!aError) {
-      const auto id = nextLinkId_++;
-      LinkObserver& observer = *this;
-      auto link = std::make_shared<Link>(
-        std::move(aSocket),
-        id,
-        Handshake(Handshake::Side::Acceptor, settings_.self_, settings_.fleetKey_),
-        clock_,
-        observer);
-      links_[id].link_ = link;
-      link->Accept();
-    }
-    Accept();
-  });
+  const auto id = nextLinkId_++;
+  LinkObserver& observer = *this;
+  auto link = std::make_shared<Link>(
+    std::move(aSocket),
+    id,
+    Handshake(Handshake::Side::Acceptor, settings_.self_, settings_.fleetKey_),
+    clock_,
+    observer);
+  links_[id].link_ = link;
+  link->Accept();
 }
 
 void
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -2,6 +2,7 @@
 
 #include "core/Address.hpp"
 #include "core/Clock.hpp"
+#include "core/ConnectionAcceptor.hpp"
 #include "core/Counters.hpp"
 #include "core/DelayLog.hpp"
 #include "core/Mailbox.hpp"
@@ -168,7 +169,7 @@
   void OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay) override;
   void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) override;
 
-  void Accept();
+  void Adopt(boost::asio::ip::tcp::socket aSocket);
   void Tick();
   void CheckProgress(TimePoint aNow);
   void ExpireCalls(TimePoint aNow);
@@ -201,7 +202,7 @@
   PublishedReader<RoutingView> view_;
   PeerSettings settings_;
   PeerHooks hooks_;
-  boost::asio::ip::tcp::acceptor acceptor_;
+  ConnectionAcceptor acceptor_;
   boost::asio::steady_timer timer_;
   Mailbox<Command> mailbox_;
   std::uint16_t port_ = 0;
