Do not serve requests whose callers have closed already

What callers saw: a caller that gave up while its request waited unread still had it run on a server (GONE). Cause: the end of a connection is seen by the read after the one that returns its bytes. In between, the requests are parsed, admitted and sent to their server's instance, and the cancellation follows a turn of the event loop later. Change: after each read, and before an attempt that does not follow a read, the intake asks the system whether the other end has closed (intake/ReceiveState), which it knows although bytes are still unread. The token of a request that was admitted and never sent is given back. A connection left unread is counted (redwing_caller_connections_left_unread_total). Tests: RequestsWhoseCallersLeftBeforeTheyWereReadAreNotSentOn failed before and passes; RequestsWhoseCallersLeftBeforeAdmissionAreNotSentOn is new with the change. The waits of the tests no longer sleep. unit.intake passes.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
+#include "intake/ReceiveState.hpp"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -19,6 +20,8 @@
 constexpr std::size_t kMaxBacklogBytes = kBodyWindowBytes;
 /// Time for a caller to read the last response before the connection is closed for good.
 constexpr Duration kLinger = std::chrono::seconds(1);
+/// A caller from whom bytes were read this recently was found to be there then.
+constexpr Duration kRecentRead = std::chrono::milliseconds(10);
 
 bool
 HasObsFold(std::string_view aHead)
@@ -409,10 +412,26 @@
     ReadMore();
     return;
   }
+  if (ClosedByPeer(socket_)) {
+    // The end of the connection waits unread behind these bytes.
+    core_.UnreadCounter().Add();
+    Close();
+    return;
+  }
   end_ += aBytes;
   Pump();
 }
 
+bool
+CallerConnection::CloseIfCallerLeft()
+{
+  if (core_.Now() - lastRead_ < kRecentRead || !ClosedByPeer(socket_)) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
 void
 CallerConnection::Write()
 {
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -59,6 +59,9 @@
   void AbortResponse();
   void DropSlots();
   void ReadMore();
+  /// Closes the connection if its caller has closed it, even if that was not read yet; returns
+  /// whether it did.
+  bool CloseIfCallerLeft();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool MakeRoom();
   void Write();
--- a/src/intake/CallerSlot.cpp
+++ b/src/intake/CallerSlot.cpp
@@ -57,6 +57,12 @@
   }
 }
 
+bool
+CallerSlot::CallerLeft()
+{
+  return connection_.CloseIfCallerLeft();
+}
+
 void
 CallerSlot::ResumeBody()
 {
--- a/src/intake/CallerSlot.hpp
+++ b/src/intake/CallerSlot.hpp
@@ -32,6 +32,9 @@
   /// Resets the connection, so that the caller cannot take the response for complete.
   void AbortResponse();
 
+  /// Returns whether the caller has left. The connection is then closed, and the exchange was told.
+  bool CallerLeft();
+
   /// The exchange can take more request body.
   void ResumeBody();
 
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -350,9 +350,8 @@
   }
   CancelAttempts(0);
   Finish();
-  if (admitted_ && workspace_ != nullptr && aOutcome == Outcome::NotRun &&
-      core_.Dependencies().returnToken_) {
-    core_.Dependencies().returnToken_(*workspace_);
+  if (aOutcome == Outcome::NotRun) {
+    ReturnToken();
   }
   core_.Outcomes().OnRefusal(WorkspaceId(), aCode, aOutcome);
   core_.Log().Write(
@@ -384,6 +383,14 @@
   connection_.EndResponse();
 }
 
+void
+Exchange::ReturnToken()
+{
+  if (admitted_ && workspace_ != nullptr && core_.Dependencies().returnToken_) {
+    core_.Dependencies().returnToken_(*workspace_);
+  }
+}
+
 const std::string&
 Exchange::WorkspaceId() const
 {
@@ -427,6 +434,9 @@
       connection_.IsFirstOfConnection() });
   CancelAttempts(0);
   Finish();
+  if (!routed) {
+    ReturnToken();
+  }
 }
 
 } // namespace redwing::Detail
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -79,6 +79,8 @@
               std::string aDetail,
               Outcome aOutcome = Outcome::NotRun,
               std::optional<std::uint32_t> aRetryAfterMs = std::nullopt);
+  /// Gives back the token of a request that did not run.
+  void ReturnToken();
   void Finish();
   /// Id of the charged workspace; empty if there is none.
   const std::string& WorkspaceId() const;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -52,7 +52,7 @@
 Exchange::SendAttempt(const char* aReason)
 {
   Attempt attempt{ 0, {}, nullptr, false };
-  if (!ChooseTarget(attempt.instanceId_, attempt.load_)) {
+  if (connection_.CallerLeft() || !ChooseTarget(attempt.instanceId_, attempt.load_)) {
     return;
   }
   const TimePoint now = core_.Now();
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -34,6 +34,7 @@
       dependencies_.counters_.GetCounter("redwing_requests_abandoned_total", "routed=\"yes\""))
   , abandonedUnrouted_(
       dependencies_.counters_.GetCounter("redwing_requests_abandoned_total", "routed=\"no\""))
+  , unread_(dependencies_.counters_.GetCounter("redwing_caller_connections_left_unread_total"))
   , log_(dependencies_.clock_, dependencies_.settings_.routeLogLinesPerSecond_)
   , timers_(dependencies_.io_,
             dependencies_.clock_,
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -66,6 +66,8 @@
   TimerQueue& Timers() { return timers_; }
   Counter& HedgeCounter() { return hedgeCounter_; }
   Counter& RetryCounter() { return retryCounter_; }
+  /// Counts connections that were closed by their callers before bytes sent on them were read.
+  Counter& UnreadCounter() { return unread_; }
   /// Counts requests whose callers left, before or after the first attempt was sent.
   Counter& AbandonedCounter(bool aRouted)
   {
@@ -115,6 +117,7 @@
   Counter& retryCounter_;
   Counter& abandonedRouted_;
   Counter& abandonedUnrouted_;
+  Counter& unread_;
   RouteLog log_;
   TimerQueue timers_;
   /// Claims of the parts of split routes that were not served yet.
--- a/tests/unit/intake/IntakeFixture.hpp
+++ b/tests/unit/intake/IntakeFixture.hpp
@@ -96,8 +96,13 @@
         },
         [this](const std::string&, RequestEvent&& aEvent) { events_.push_back(std::move(aEvent)); },
         [this](const Workspace&, TimePoint, RateDecision aDecide) {
-          aDecide(admit_, admit_ ? 0 : 1500);
+          if (holdAdmission_) {
+            held_.push_back(std::move(aDecide));
+          } else {
+            aDecide(admit_, admit_ ? 0 : 1500);
+          }
         },
+        [this](const Workspace&) { ++returnedTokens_; },
       });
       BOOST_REQUIRE_EQUAL(service_->Start(), "");
     }
@@ -171,6 +176,9 @@
   std::string successor_ = "b";
   bool accept_ = true;
   bool admit_ = true;
+  bool holdAdmission_ = false;
+  std::vector<RateDecision> held_;
+  int returnedTokens_ = 0;
   std::deque<Sent> sent_;
   std::size_t taken_ = 0;
   std::vector<RequestEvent> events_;
--- a/tests/unit/intake_overload/IntakeOverloadTest.cpp
+++ b/tests/unit/intake_overload/IntakeOverloadTest.cpp
@@ -45,6 +45,14 @@
     }
   }
 
+  void WaitWithoutReading(Duration aTime) const
+  {
+    const TimePoint end = clock_.Now() + aTime;
+    while (clock_.Now() < end) {
+      std::this_thread::yield();
+    }
+  }
+
   boost::asio::io_context callersIo_;
 };
 
@@ -72,6 +80,21 @@
   BOOST_TEST(sent_.size() == taken_);
 }
 
+// Guards against work for callers that gave up while their requests waited for admission, and
+// against tokens that such requests use up.
+BOOST_AUTO_TEST_CASE(RequestsWhoseCallersLeftBeforeAdmissionAreNotSentOn)
+{
+  holdAdmission_ = true;
+  Socket caller = Connect();
+  Send(caller, "/plant/1");
+  RunUntil([&] { return !held_.empty(); });
+  caller.close();
+  WaitWithoutReading(milliseconds(20));
+  held_.front()(true, 0);
+  BOOST_TEST(sent_.empty());
+  BOOST_TEST(returnedTokens_ == 1);
+}
+
 // Guards against connections that wait for one turn of a slow event loop each.
 BOOST_AUTO_TEST_CASE(WaitingConnectionsAreAcceptedTogether)
 {
@@ -91,7 +114,7 @@
   constexpr milliseconds kUnread{ 300 };
   Socket caller = Connect();
   Send(caller, "/plant/1");
-  std::this_thread::sleep_for(kUnread);
+  WaitWithoutReading(kUnread);
   const TimePoint read = clock_.Now();
   const RequestStart request = NextSent();
   constexpr milliseconds kTimeout{ 1000 };
@@ -108,7 +131,8 @@
   const RequestStart first = NextSent();
   RunTurns(5);
   const TimePoint sent = clock_.Now();
-  std::this_thread::sleep_for(milliseconds(200));
+  const TimePoint later = sent + milliseconds(200);
+  RunUntil([&] { return clock_.Now() >= later; });
   Answer(first, "done");
   const RequestStart second = NextSent();
   BOOST_TEST((second.deadline_ <= sent + milliseconds(1000)));
