Count the time of a request from its arrival

What callers saw: a request that waited unread, or behind others of its connection, was given its whole time anew when it was parsed. It could run on a server until long after its caller's deadline (GONE). Cause: the deadline was counted from the construction of the exchange. Change: the connection keeps the arrival times of the bytes that it has read (intake/ArrivalTimes), less the time since the last bytes arrived if the system tells it (intake/ReceiveState), and an exchange counts from the arrival of its head. A request whose time is over when it is read, or admitted, or due for another attempt, is refused at once as not run. Tests: TimeThatARequestWaitsUnreadIsCounted and TimeThatAPipelinedRequestWaitsIsCounted failed before and pass; RequestsReadAfterTheirDeadlineAreRefusedAtOnce is new.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -236,7 +236,7 @@
 CallerConnection::ParseHead()
 {
   while (begin_ < end_ && (buffer_[begin_] == '\r' || buffer_[begin_] == '\n')) {
-    ++begin_;
+    Consume(1);
     scanned_ = 0;
   }
   constexpr std::string_view kEnd = "\r\n\r\n";
@@ -250,15 +250,15 @@
     return false;
   }
   core_.RefreshView();
-  slots_.push_back(std::make_unique<CallerSlot>(core_, *this));
+  scanned_ = 0;
+  const std::size_t headBytes = tooLarge ? unread.size() : end + kEnd.size();
+  slots_.push_back(std::make_unique<CallerSlot>(core_, *this, Consume(headBytes)));
   CallerSlot& slot = *slots_.back();
   slot.first_ = std::exchange(fresh_, false);
   if (tooLarge) {
     RejectHead(slot, "the request head is too large");
     return false;
   }
-  scanned_ = 0;
-  const std::size_t headBytes = end + kEnd.size();
   if (HasObsFold(unread.substr(0, headBytes))) {
     RejectHead(slot, "a header is folded");
     return false;
@@ -268,7 +268,6 @@
   parser.body_limit(boost::none);
   boost::system::error_code error;
   parser.put(boost::asio::buffer(unread.data(), headBytes), error);
-  begin_ += headBytes;
   // A head without headers leaves the parser waiting for the line end that put was given already.
   if (error || !parser.is_header_done()) {
     RejectHead(slot, "the request head is malformed");
@@ -337,7 +336,7 @@
   boost::system::error_code error;
   const std::size_t used =
     slot.parser_.put(boost::asio::buffer(Unread().data(), Unread().size()), error);
-  begin_ += used;
+  Consume(used);
   const bool full = end_ - begin_ >= kMaxBufferBytes;
   if (error == boost::beast::http::error::need_more && !full) {
     error = {};
@@ -355,6 +354,13 @@
   return used > 0;
 }
 
+TimePoint
+CallerConnection::Consume(std::size_t aBytes)
+{
+  begin_ += aBytes;
+  return arrivals_.Consume(aBytes);
+}
+
 bool
 CallerConnection::MakeRoom()
 {
@@ -412,12 +418,15 @@
     ReadMore();
     return;
   }
-  if (ClosedByPeer(socket_)) {
+  const ReceiveState state = ReadReceiveState(socket_);
+  if (state.closed_) {
     // The end of the connection waits unread behind these bytes.
     core_.UnreadCounter().Add();
     Close();
     return;
   }
+  // Bytes in several segments are taken to have arrived with the last of them.
+  arrivals_.Add(aBytes, lastRead_ - state.sinceLastBytes_);
   end_ += aBytes;
   Pump();
 }
@@ -425,7 +434,7 @@
 bool
 CallerConnection::CloseIfCallerLeft()
 {
-  if (core_.Now() - lastRead_ < kRecentRead || !ClosedByPeer(socket_)) {
+  if (core_.Now() - lastRead_ < kRecentRead || !ReadReceiveState(socket_).closed_) {
     return false;
   }
   Close();
@@ -502,6 +511,7 @@
   lastWrite_ = core_.Now();
   begin_ = 0;
   end_ = 0;
+  arrivals_.Clear();
   if (!writing_) {
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.hpp"
+#include "intake/ArrivalTimes.hpp"
 #include "intake/CallerSlot.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -64,6 +65,8 @@
   bool CloseIfCallerLeft();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool MakeRoom();
+  /// Takes aBytes from the front of the buffer; returns when they had arrived.
+  TimePoint Consume(std::size_t aBytes);
   void Write();
   void OnWritten(const boost::system::error_code& aError);
   void BeginClosing();
@@ -76,6 +79,7 @@
   std::size_t begin_ = 0;
   std::size_t end_ = 0;
   std::size_t scanned_ = 0;
+  ArrivalTimes arrivals_;
   /// Requests in the order of their arrival.
   std::deque<std::unique_ptr<CallerSlot>> slots_;
   /// No request was read yet.
--- a/src/intake/CallerSlot.cpp
+++ b/src/intake/CallerSlot.cpp
@@ -13,9 +13,9 @@
 
 } // namespace
 
-CallerSlot::CallerSlot(IntakeCore& aCore, CallerConnection& aConnection)
+CallerSlot::CallerSlot(IntakeCore& aCore, CallerConnection& aConnection, TimePoint aArrived)
   : connection_(aConnection)
-  , exchange_(std::make_unique<Exchange>(aCore, *this))
+  , exchange_(std::make_unique<Exchange>(aCore, *this, aArrived))
 {
 }
 
--- a/src/intake/CallerSlot.hpp
+++ b/src/intake/CallerSlot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Clock.hpp"
 #include "intake/RequestParser.hpp"
 
 #include <cstddef>
@@ -17,7 +18,8 @@
 class CallerSlot
 {
 public:
-  CallerSlot(IntakeCore& aCore, CallerConnection& aConnection);
+  /// aArrived is when the head of the request had arrived.
+  CallerSlot(IntakeCore& aCore, CallerConnection& aConnection, TimePoint aArrived);
   ~CallerSlot();
   CallerSlot(const CallerSlot&) = delete;
   CallerSlot& operator=(const CallerSlot&) = delete;
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -40,12 +40,12 @@
 
 } // namespace
 
-Exchange::Exchange(IntakeCore& aCore, CallerSlot& aConnection)
+Exchange::Exchange(IntakeCore& aCore, CallerSlot& aConnection, TimePoint aArrived)
   : core_(aCore)
   , connection_(aConnection)
   , id_(aCore.NextExchangeId())
   , requestId_(aCore.NextRequestId())
-  , begun_(aCore.Now())
+  , arrived_(aArrived)
 {
   core_.AddExchange(id_, *this);
 }
@@ -99,7 +99,7 @@
   if (head_.timeout_) {
     wait = std::min(wait, *head_.timeout_ - core_.Settings().replyMargin_);
   }
-  deadline_ = begun_ + wait;
+  deadline_ = arrived_ + wait;
   BuildStart(aContentLength);
   deadlineTimer_ = core_.Timers().Add(deadline_, id_, TimerKind::Deadline);
   if (workspace_ == nullptr) {
@@ -217,7 +217,7 @@
   }
   start_.deadline_ = deadline_;
   start_.targetTime_ = route.targetLatency_.count() > 0
-                         ? std::min(deadline_, begun_ + route.targetLatency_)
+                         ? std::min(deadline_, arrived_ + route.targetLatency_)
                          : deadline_;
   start_.priority_ = route.priority_;
   if (workspace_ != nullptr && workspace_->priority_) {
@@ -230,7 +230,7 @@
       call ? 0 : static_cast<std::uint8_t>(std::min(start_.priority_ + 1, kLowest));
   }
   if (settings.returningLast_ && !call && head_.timeout_ &&
-      core_.Returning().Returns(route.id_, *head_.timeout_, begun_)) {
+      core_.Returning().Returns(route.id_, *head_.timeout_, arrived_)) {
     constexpr int kBehindAllOthers = 128;
     start_.priority_ =
       static_cast<std::uint8_t>(std::min(start_.priority_ + kBehindAllOthers, kLowest));
@@ -362,7 +362,7 @@
       ToText(aOutcome),
       aDetail,
       attemptCount_,
-      core_.Now() - begun_,
+      core_.Now() - arrived_,
       core_.Routes()->Revision().revision_ });
   if (!aRetryAfterMs && IsTemporary(aCode)) {
     aRetryAfterMs = static_cast<std::uint32_t>(core_.Settings().defaultRetryAfter_.count());
@@ -430,7 +430,7 @@
       WorkspaceId(),
       entry_ == nullptr ? std::string_view() : std::string_view(entry_->route_->id_),
       attemptCount_,
-      core_.Now() - begun_,
+      core_.Now() - arrived_,
       connection_.IsFirstOfConnection() });
   CancelAttempts(0);
   Finish();
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -25,7 +25,9 @@
 class Exchange
 {
 public:
-  Exchange(IntakeCore& aCore, CallerSlot& aConnection);
+  /// aArrived is when the head of the request had arrived; the time that the request has counts
+  /// from then.
+  Exchange(IntakeCore& aCore, CallerSlot& aConnection, TimePoint aArrived);
   ~Exchange();
   Exchange(const Exchange&) = delete;
   Exchange& operator=(const Exchange&) = delete;
@@ -88,6 +90,8 @@
 
   // Attempts, in ExchangeAttempts.cpp
   void SendAttempt(const char* aReason);
+  /// Ends the exchange and returns false if its caller has left or its deadline has passed.
+  bool MaySend();
   bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
@@ -126,7 +130,7 @@
   const Workspace* workspace_ = nullptr;
   const CallerKey* key_ = nullptr;
   RequestStart start_;
-  TimePoint begun_;
+  TimePoint arrived_;
   TimePoint deadline_ = TimePoint::max();
   TimerQueue::Handle deadlineTimer_{};
   TimerQueue::Handle retryTimer_{};
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -52,7 +52,7 @@
 Exchange::SendAttempt(const char* aReason)
 {
   Attempt attempt{ 0, {}, nullptr, false };
-  if (connection_.CallerLeft() || !ChooseTarget(attempt.instanceId_, attempt.load_)) {
+  if (!MaySend() || !ChooseTarget(attempt.instanceId_, attempt.load_)) {
     return;
   }
   const TimePoint now = core_.Now();
@@ -94,6 +94,19 @@
   SendBody();
 }
 
+bool
+Exchange::MaySend()
+{
+  if (connection_.CallerLeft()) {
+    return false;
+  }
+  if (attempts_.empty() && core_.Now() >= deadline_) {
+    OnDeadline();
+    return false;
+  }
+  return true;
+}
+
 bool
 Exchange::KeyStillValid() const
 {
@@ -155,7 +168,7 @@
                       aAttempt.instanceId_,
                       attemptCount_,
                       aReason,
-                      core_.Now() - begun_ });
+                      core_.Now() - arrived_ });
 }
 
 bool
--- a/tests/unit/intake_overload/IntakeOverloadTest.cpp
+++ b/tests/unit/intake/IntakeOverloadTest.cpp
@@ -1,4 +1,4 @@
-#include "unit/intake/IntakeFixture.hpp"
+#include "IntakeFixture.hpp"
 
 #include <functional>
 #include <thread>
@@ -122,6 +122,21 @@
   BOOST_TEST((request.deadline_ <= read + kTimeout - kUnread + kTimerPrecision));
 }
 
+// Guards against work that cannot be answered in time, and against callers that wait for it.
+BOOST_AUTO_TEST_CASE(RequestsReadAfterTheirDeadlineAreRefusedAtOnce)
+{
+  Socket caller = Connect();
+  Send(caller, "/plant/1");
+  WaitWithoutReading(milliseconds(1100));
+  std::string answer(4096, '\0');
+  caller.non_blocking(true);
+  boost::system::error_code error;
+  RunUntil([&] { return caller.read_some(boost::asio::buffer(answer), error) > 0; });
+  BOOST_TEST(Has(answer, "Redwing-Error: deadline_exceeded"));
+  BOOST_TEST(Has(answer, "Redwing-Outcome: not-run"));
+  BOOST_TEST(sent_.empty());
+}
+
 // Guards against pipelined requests whose time begins only when the requests before them end.
 BOOST_AUTO_TEST_CASE(TimeThatAPipelinedRequestWaitsIsCounted)
 {
