Try the address of a replaced member once

What callers saw: instances that had taken over the addresses of lost ones answered late, and with them everything that waited in their event loops. Cause: a lost member stays listed until its lease ends, up to 6 s. Each instance probes it every 300 ms, and each probe of an address that another instance has by then is a connection with both handshakes, one of which is checked and refused. Change: a link that finds another instance at the address of a member ends the attempts at that incarnation of the member; a new incarnation is tried again. Test: AddressOfAnotherInstanceIsTriedOnceForEachIncarnation failed before (3 and 4 rejected links instead of 1 and 2) and passes.

--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -84,7 +84,7 @@
         if (!proof) {
           self->Close("authentication_failed");
         } else if (!self->expectedId_.empty() && self->Peer().id_ != self->expectedId_) {
-          self->Close("unexpected_instance");
+          self->Close(kUnexpectedInstance);
         } else {
           self->SendHandshake(*proof, [self] { self->Establish(); });
         }
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -17,6 +17,9 @@
 
 namespace redwing {
 
+/// Reason of a close: another instance than the expected one answered at the address.
+constexpr std::string_view kUnexpectedInstance = "unexpected_instance";
+
 enum class LinkState : std::uint8_t
 {
   Connecting,
--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -19,7 +19,7 @@
 IsRejection(std::string_view aReason)
 {
   static const std::set<std::string_view> kRejections{
-    "authentication_failed", "bad_handshake",  "unexpected_instance", "oversized_frame", "bad_mac",
+    "authentication_failed", "bad_handshake",  kUnexpectedInstance, "oversized_frame", "bad_mac",
     "bad_message",           "wrong_direction"
   };
   return kRejections.contains(aReason);
@@ -174,6 +174,9 @@
     .With("instance", aLink->Peer().Empty() ? aLink->ExpectedId() : aLink->Peer().id_)
     .With("inbound", aLink->Inbound())
     .With("reason", aReason);
+  if (aReason == kUnexpectedInstance) {
+    OnReplaced(*aLink);
+  }
   for (auto it = outbound_.begin(); it != outbound_.end();) {
     std::erase(it->second, aLink);
     it = it->second.empty() ? outbound_.erase(it) : std::next(it);
@@ -192,6 +195,16 @@
   }
 }
 
+void
+PeerService::OnReplaced(const Link& aLink)
+{
+  const auto& members = view_.Get()->members_;
+  std::erase_if(replaced_, [&](const auto& aItem) { return !members.contains(aItem.first); });
+  if (const auto entry = links_.find(aLink.Id()); entry != links_.end()) {
+    replaced_[aLink.ExpectedId()] = entry->second.incarnation_;
+  }
+}
+
 void
 PeerService::FailInbound(std::uint64_t aLinkId, LinkEntry& aEntry)
 {
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -310,10 +310,19 @@
   }
   const auto& members = view_.Get()->members_;
   const auto member = members.find(aInstanceId);
-  if (member == members.end()) {
+  if (member == members.end() || IsReplaced(aInstanceId, member->second)) {
     return best != open.end() ? *best : nullptr;
   }
-  return OpenLink(member->second.peersAddress_, aInstanceId);
+  auto link = OpenLink(member->second.peersAddress_, aInstanceId);
+  links_[link->Id()].incarnation_ = member->second.ref_.incarnation_;
+  return link;
+}
+
+bool
+PeerService::IsReplaced(const std::string& aInstanceId, const Member& aMember) const
+{
+  const auto replaced = replaced_.find(aInstanceId);
+  return replaced != replaced_.end() && replaced->second == aMember.ref_.incarnation_;
 }
 
 std::shared_ptr<Link>
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -143,6 +143,8 @@
     std::unordered_map<std::uint64_t, InboundExchange> inbound_;
     std::size_t outboundOpen_ = 0;
     TimePoint lastPing_{};
+    /// Incarnation of the member that the link was opened to.
+    std::uint64_t incarnation_ = 0;
   };
   struct OutboundCommand
   {
@@ -191,6 +193,10 @@
   void Receive(LinkEntry& aEntry, Event&& aEvent);
 
   std::shared_ptr<Link> LinkTo(const std::string& aInstanceId);
+  /// Returns whether another instance was found at the address of aMember,
+  /// which is known as aInstanceId.
+  bool IsReplaced(const std::string& aInstanceId, const Member& aMember) const;
+  void OnReplaced(const Link& aLink);
   std::shared_ptr<Link> OpenLink(const Address& aAddress, const std::string& aInstanceId);
   void FailAttempts(const std::shared_ptr<Link>& aLink);
   void FailCalls(const std::shared_ptr<Link>& aLink);
@@ -212,6 +218,8 @@
   TimePoint lastTick_{};
   std::unordered_map<std::uint64_t, LinkEntry> links_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<Link>>> outbound_;
+  /// Incarnations of members at whose addresses other instances were found, by instance id.
+  std::unordered_map<std::string, std::uint64_t> replaced_;
   std::unordered_map<std::uint64_t, Attempt> attempts_;
   std::map<std::uint64_t, OpenCall> calls_;
   DelayLog loopLag_;
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -52,9 +52,10 @@
     context_.stop();
     thread_.join();
   }
-  void Knows(const std::string& aId, std::uint16_t aPort)
+  void Knows(const std::string& aId, std::uint16_t aPort, std::uint64_t aIncarnation = 1)
   {
     auto view = std::make_shared<RoutingView>(*view_.Get());
+    view->members_[aId].ref_ = { aId, aIncarnation };
     view->members_[aId].peersAddress_ = { "127.0.0.1", aPort };
     view_.Set(view);
   }
@@ -219,6 +220,27 @@
   BOOST_TEST(KeyOf(cancels.front()).exchangeId_ == 2U);
 }
 
+// Guards against a handshake with a stranger for each request to, or probe of, a member whose
+// address was given to another instance.
+BOOST_AUTO_TEST_CASE(AddressOfAnotherInstanceIsTriedOnceForEachIncarnation)
+{
+  Node a("a", "key");
+  Node b("b", "key");
+  const auto& rejected = a.counters_.GetCounter("redwing_peer_links_rejected_total");
+  a.Knows("gone", b.service_.Port());
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    BOOST_REQUIRE(a.service_.TryStart("gone", MakeStart(id)));
+    const auto refusal = std::get<Refusal>(a.responses_.Await(id).back());
+    BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+    BOOST_TEST((refusal.code_ == ErrorCode::PeerUnreachable));
+  }
+  BOOST_TEST(rejected.Value() == 1U);
+  a.Knows("gone", b.service_.Port(), 2);
+  BOOST_REQUIRE(a.service_.TryStart("gone", MakeStart(4)));
+  a.responses_.Await(4);
+  BOOST_TEST(rejected.Value() == 2U);
+}
+
 // Guards against requests that hang on a link which stays open but delivers nothing.
 BOOST_AUTO_TEST_CASE(StalledLinkIsReplaced)
 {
