Look at all waiting events before a request is dispatched

A request was begun although its end already waited behind it. Cause: BackendService takes its mailbox event by event. A refusal in the middle ends its exchange, which dispatches from the queue, before a cancellation that stands further back has been seen. Change: dispatching is held until the mailbox is empty. Test: ARequestThatArrivesWithItsCancellationIsNotDispatched failed before (the request reached the server, 2 requests there instead of 1) and passes; unit.backend passes.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -147,10 +147,10 @@
 BackendService::Pump()
 {
   // A refusal in Prepare frees a slot and calls Pump again; the outer loop uses that slot.
-  if (pumping_) {
+  if (pumpHeld_) {
     return;
   }
-  pumping_ = true;
+  pumpHeld_ = true;
   limiter_.SetCap(ramp_.Allowed());
   while (Serving() && !queue_.Empty() && pool_->Available() && coldRate_.Allows(clock_.Now()) &&
          limiter_.TryAcquire()) {
@@ -160,7 +160,7 @@
     Prepare(exchange);
     limiter_.SetCap(ramp_.Allowed());
   }
-  pumping_ = false;
+  pumpHeld_ = false;
 }
 
 void
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -117,6 +117,8 @@
   if (checks_.ConsumeChange(clock_.Now()) && announcement_) {
     ApplyConfiguration();
   }
+  // A cancellation that is in the mailbox already must find its request in the queue.
+  pumpHeld_ = true;
   mailbox_.Drain([this](RequestEvent&& aEvent) {
     if (auto* start = std::get_if<RequestStart>(&aEvent)) {
       Admit(std::move(*start));
@@ -128,6 +130,7 @@
       OnCancel(ExchangePtr(it->second));
     }
   });
+  pumpHeld_ = false;
   Pump();
 }
 
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -219,7 +219,8 @@
   std::string crashedRunId_;
   TimePoint crashedAt_{};
   bool stopped_ = false;
-  bool pumping_ = false;
+  /// A function further up the stack calls Pump.
+  bool pumpHeld_ = false;
   bool probingCrash_ = false;
   bool probingProgress_ = false;
   std::uint32_t unansweredProbes_ = 0;
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -251,6 +251,25 @@
   release.set_value();
 }
 
+// Guards against work for a request whose cancellation waits behind it when both are read late.
+BOOST_AUTO_TEST_CASE(ARequestThatArrivesWithItsCancellationIsNotDispatched)
+{
+  Bench bench(Echo);
+  std::promise<void> release;
+  asio::post(bench.context_, [released = release.get_future().share()] { released.wait(); });
+  RequestStart refused = bench.Make(2);
+  refused.service_ = "another";
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
+  BOOST_REQUIRE(bench.service_.TryStart(std::move(refused)));
+  bench.service_.Handle(RequestCancel{ { kLocalLink, 1 } });
+  release.set_value();
+  for (const ResponseEvent& event : bench.responses_.Await(2)) {
+    BOOST_TEST((ExpectRefusal(event).outcome_ == Outcome::NotRun));
+  }
+  bench.Run(bench.Make(3));
+  BOOST_TEST(bench.serverRequests_.Size() == 1U);
+}
+
 // Guards against a request that crashes one server after another: it must be recorded as a suspect
 // before its caller receives the failure and can retry.
 BOOST_AUTO_TEST_CASE(CrashIsRecordedBeforeTheFailureIsReported)
