--- a/src/intake/ArrivalTimes.hpp
+++ b/src/intake/ArrivalTimes.hpp
@@ -16,9 +16,9 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Add(std::size_t aBytes, TimePoint aAt);
 
-  /// Removes aBytes and returns when the last of them arrived.
+  /// Removes aBytes and returns when the last of them arrived; a zero time for no bytes.
   ///
-  /// Preconditions: 0 < aBytes <= the number of bytes that are left. Thread safety: not
+  /// Preconditions: aBytes is at most the number of bytes that are left. Thread safety: not
   /// thread-safe.
   TimePoint Consume(std::size_t aBytes);
 
