Split reading and writing off CallerConnection.cpp

Reads, writes and the end of the connection are CallerConnectionIo.cpp now, as Exchange has its attempts and bodies in files of their own. The functions are moved unchanged; one constant that both parts use is a member.

--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -44,6 +44,8 @@
 private:
   friend class CallerSlot;
 
+  static constexpr std::size_t kMaxBufferBytes = 32 * 1024;
+
   void Pump();
   bool Step();
   bool NextRequest();
--- /dev/null
+++ b/src/intake/CallerConnectionIo.cpp
@@ -0,0 +1,180 @@
+// Part of CallerConnection: reads, writes and the end of the connection.
+
+#include "intake/CallerConnection.hpp"
+#include "intake/Exchange.hpp"
+#include "intake/IntakeCore.hpp"
+#include "intake/ReceiveState.hpp"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+#include <cstring>
+#include <utility>
+
+namespace redwing::Detail {
+
+namespace {
+
+/// A caller from whom bytes were read this recently was found to be there then.
+constexpr Duration kRecentRead = std::chrono::milliseconds(10);
+
+} // namespace
+
+bool
+CallerConnection::MakeRoom()
+{
+  if (begin_ == end_) {
+    begin_ = 0;
+    end_ = 0;
+  }
+  if (end_ < buffer_.size()) {
+    return true;
+  }
+  if (begin_ > 0) {
+    std::memmove(buffer_.data(), buffer_.data() + begin_, end_ - begin_);
+    end_ -= begin_;
+    begin_ = 0;
+    return true;
+  }
+  if (buffer_.size() >= kMaxBufferBytes) {
+    return false;
+  }
+  buffer_.resize(std::min(buffer_.size() * 2, kMaxBufferBytes));
+  return true;
+}
+
+void
+CallerConnection::ReadMore()
+{
+  if (closed_ || reading_ || !MakeRoom()) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+    boost::asio::buffer(buffer_.data() + end_, buffer_.size() - end_),
+    [self = shared_from_this()](const boost::system::error_code& aError, std::size_t aBytes) {
+      self->OnRead(aError, aBytes);
+    });
+}
+
+void
+CallerConnection::OnRead(const boost::system::error_code& aError, std::size_t aBytes)
+{
+  reading_ = false;
+  if (closed_) {
+    return;
+  }
+  if (aError) {
+    // A caller that closes its sending side is taken to be gone.
+    Close();
+    return;
+  }
+  lastRead_ = core_.Now();
+  if (closing_) {
+    // Unread bytes at close would reset the connection and destroy the response on its way.
+    begin_ = 0;
+    end_ = 0;
+    ReadMore();
+    return;
+  }
+  const ReceiveState state = ReadReceiveState(socket_);
+  if (state.closed_) {
+    // The end of the connection waits unread behind these bytes.
+    core_.UnreadCounter().Add();
+    Close();
+    return;
+  }
+  // Bytes in several segments are taken to have arrived with the last of them.
+  arrivals_.Add(aBytes, lastRead_ - state.sinceLastBytes_);
+  end_ += aBytes;
+  Pump();
+}
+
+bool
+CallerConnection::CloseIfCallerLeft()
+{
+  if (core_.Now() - lastRead_ < kRecentRead || !ReadReceiveState(socket_).closed_) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
+void
+CallerConnection::Write()
+{
+  if (closed_ || writing_) {
+    return;
+  }
+  while (!out_.empty()) {
+    inFlight_.clear();
+    inFlight_.swap(out_);
+    inFlightBody_ = std::exchange(outBody_, 0);
+    boost::system::error_code error;
+    // The socket buffer takes most responses at once, which saves a handler per response.
+    const std::size_t sent = socket_.write_some(boost::asio::buffer(inFlight_), error);
+    if (error && error != boost::asio::error::would_block) {
+      inFlight_.clear();
+      boost::asio::post(socket_.get_executor(), [self = shared_from_this()] { self->Close(); });
+      return;
+    }
+    lastWrite_ = core_.Now();
+    if (sent < inFlight_.size()) {
+      writing_ = true;
+      boost::asio::async_write(
+        socket_,
+        boost::asio::buffer(inFlight_.data() + sent, inFlight_.size() - sent),
+        [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
+          self->OnWritten(aError);
+        });
+      return;
+    }
+    if (!slots_.empty() && inFlightBody_ > 0) {
+      slots_.front()->exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
+    }
+  }
+}
+
+void
+CallerConnection::OnWritten(const boost::system::error_code& aError)
+{
+  writing_ = false;
+  if (closed_) {
+    return;
+  }
+  if (aError) {
+    Close();
+    return;
+  }
+  const IntakeCore::Scope scope(core_);
+  lastWrite_ = core_.Now();
+  if (!slots_.empty() && inFlightBody_ > 0) {
+    slots_.front()->exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
+  }
+  Write();
+  if (closing_ && !writing_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  Pump();
+}
+
+void
+CallerConnection::BeginClosing()
+{
+  if (closing_ || closed_) {
+    return;
+  }
+  closing_ = true;
+  lastWrite_ = core_.Now();
+  begin_ = 0;
+  end_ = 0;
+  arrivals_.Clear();
+  if (!writing_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+  ReadMore();
+}
+
+} // namespace redwing::Detail
