Log requests that are unanswered or unfinished when the process ends

The logs of a planned stop do not tell where a request was that got no answer: between its attempt and the end of the process it leaves no line, and a request that is dropped while it runs leaves none at the instance beside the server.

At its end an instance of the users' platform now writes one line for each open request: 'unanswered' where the caller is connected, with what the request waits for, and 'unfinished' beside the server, with its phase. A request that is dropped while it runs is logged as 'dispatch_refused ... detail=detached', within the rate of these lines.

No change of logic.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -23,6 +23,7 @@
   auto exchange = std::make_shared<ServedExchange>();
   exchange->bodyComplete_ = aStart.last_;
   exchange->start_ = std::move(aStart);
+  exchange->arrivedAt_ = now;
   const auto& start = exchange->start_;
   exchanges_[start.key_] = exchange;
   if (const auto code = CheckArrival(start, now)) {
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -178,6 +178,7 @@
     refusal.outcome_ = sent ? Outcome::Unknown : Outcome::NotRun;
     refusal.code_ = aCode;
     refusal.load_ = Load();
+    refusalLog_.Write(start, refusal.outcome_, aCode, "detached", clock_.Now());
     hooks_.sendResponse_(std::move(refusal));
     (sent ? unknown_ : notRun_).Add();
   }
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -437,6 +437,27 @@
   }
 }
 
+void
+BackendService::LogUnfinished() const
+{
+  const auto now = clock_.Now();
+  const auto sinceMs = [&](TimePoint aThen) {
+    return std::chrono::duration_cast<milliseconds>(now - aThen).count();
+  };
+  for (const auto& [key, exchange] : exchanges_) {
+    LogLine line(LogLevel::Warning, "unfinished");
+    line.With("request", exchange->start_.requestId_)
+      .With("service", exchange->start_.service_)
+      .With("phase", ToText(exchange->phase_))
+      .With("link", key.linkId_)
+      .With("idempotent", exchange->start_.idempotent_ ? "yes" : "no")
+      .With("age_ms", sinceMs(exchange->arrivedAt_));
+    if (exchange->connection_) {
+      line.With("running_ms", sinceMs(exchange->dispatchedAt_));
+    }
+  }
+}
+
 void
 BackendService::CheckDrained()
 {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -78,6 +78,11 @@
   /// Preconditions: none. Thread safety: any thread.
   void BeginDrain(std::function<void()> aDrained);
 
+  /// Writes a log line for each request that is queued or running.
+  ///
+  /// Preconditions: none. Thread safety: on the thread of the io_context.
+  void LogUnfinished() const;
+
   /// Replaces all grants of the backend server; grants missing from aGrants are revoked. The grants
   /// are valid until aDeadline. aAcknowledged is called with whether the server accepted this set.
   ///
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace redwing {
 
@@ -22,6 +23,27 @@
   Ended,
 };
 
+/// Returns the name of aPhase for log lines.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+constexpr std::string_view
+ToText(ServedPhase aPhase)
+{
+  switch (aPhase) {
+    case ServedPhase::Queued:
+      return "queued";
+    case ServedPhase::Replicating:
+      return "replicating";
+    case ServedPhase::Running:
+      return "running";
+    case ServedPhase::Failing:
+      return "failing";
+    case ServedPhase::Ended:
+      break;
+  }
+  return "ended";
+}
+
 /// State of one request at the instance that dispatches it to the backend server.
 struct ServedExchange
 {
@@ -32,6 +54,7 @@
   bool bodyComplete_ = false;
   bool bodyCreditSent_ = false;
   std::shared_ptr<HttpConnection> connection_;
+  TimePoint arrivedAt_{};
   TimePoint dispatchedAt_{};
   std::uint64_t token_ = 0;
   /// OwnershipGate::BeginRequest granted the request, so EndRequest must follow.
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -295,6 +295,8 @@
     return;
   }
   LogLine(LogLevel::Info, "shutdown_ends").With("reason", aReason);
+  intake_->LogUnanswered();
+  backend_->LogUnfinished();
   fleet_->End([this] { context_.stop(); });
   stopTimer_.expires_after(kEndTimeout);
   stopTimer_.async_wait([this](const boost::system::error_code& aError) {
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace redwing {
@@ -56,6 +57,9 @@
   /// The caller's connection is gone; running attempts are cancelled.
   void OnCallerGone();
 
+  /// Writes the log line of a request that is unanswered when the process ends.
+  void LogUnanswered() const;
+
   /// Returns whether more of the request body can be buffered.
   bool WantsBody() const;
   bool KeepsConnection() const { return keepsConnection_; }
@@ -68,6 +72,7 @@
     std::string instanceId_;
     MemberLoad* load_;
     bool local_;
+    TimePoint sentAt_;
   };
 
   // Admission, in Exchange.cpp
@@ -84,6 +89,8 @@
   /// Gives back the token of a request that did not run.
   void ReturnToken();
   void Finish();
+  /// Returns the name of what the request waits for.
+  std::string_view Stage() const;
   /// Id of the charged workspace; empty if there is none.
   const std::string& WorkspaceId() const;
   const std::string& ServiceId() const;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -51,12 +51,13 @@
 void
 Exchange::SendAttempt(const char* aReason)
 {
-  Attempt attempt{ 0, {}, nullptr, false };
+  Attempt attempt{ 0, {}, nullptr, false, {} };
   if (!MaySend() || !ChooseTarget(attempt.instanceId_, attempt.load_)) {
     return;
   }
   const TimePoint now = core_.Now();
   attempt.id_ = core_.NextAttemptId();
+  attempt.sentAt_ = now;
   attempt.local_ = attempt.instanceId_ == core_.Dependencies().instanceId_;
   const std::uint64_t id = attempt.id_;
   start_.key_ = { kLocalLink, id };
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -149,6 +149,14 @@
   }
 }
 
+void
+IntakeCore::LogUnanswered() const
+{
+  for (const auto& [id, exchange] : exchanges_) {
+    exchange->LogUnanswered();
+  }
+}
+
 void
 IntakeCore::OnTimer(std::uint64_t aExchangeId, TimerKind aKind)
 {
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -90,6 +90,8 @@
   void AddExchange(std::uint64_t aId, Exchange& aExchange) { exchanges_[aId] = &aExchange; }
   void RemoveExchange(std::uint64_t aId) { exchanges_.erase(aId); }
   std::size_t ExchangeCount() const { return exchanges_.size(); }
+  /// Writes a log line for each request that is unanswered.
+  void LogUnanswered() const;
   void AddAttempt(std::uint64_t aId, Exchange& aExchange) { attempts_[aId] = &aExchange; }
   void RemoveAttempt(std::uint64_t aId) { attempts_.erase(aId); }
   void Retire(std::unique_ptr<CallerSlot> aSlot);
--- a/src/intake/IntakeService.cpp
+++ b/src/intake/IntakeService.cpp
@@ -201,4 +201,10 @@
   impl_->BeginShutdown(std::move(aDone));
 }
 
+void
+IntakeService::LogUnanswered() const
+{
+  impl_->core_.LogUnanswered();
+}
+
 } // namespace redwing
--- a/src/intake/IntakeService.hpp
+++ b/src/intake/IntakeService.hpp
@@ -49,6 +49,11 @@
   /// Preconditions: Start succeeded; called once. Thread safety: intake thread only.
   void BeginShutdown(std::function<void()> aDone);
 
+  /// Writes a log line for each request that is unanswered, with what it waits for.
+  ///
+  /// Preconditions: none. Thread safety: intake thread only.
+  void LogUnanswered() const;
+
 private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/intake/RouteLog.cpp
+++ b/src/intake/RouteLog.cpp
@@ -105,4 +105,20 @@
   }
 }
 
+void
+RouteLog::Write(const UnansweredRequest& aUnanswered)
+{
+  LogLine line(LogLevel::Warning, "unanswered");
+  line.With("request_id", aUnanswered.requestId_)
+    .With("route", aUnanswered.route_)
+    .With("stage", aUnanswered.stage_)
+    .With("attempts", aUnanswered.attempts_)
+    .With("age_ms", Milliseconds(aUnanswered.age_))
+    .With("idempotent", aUnanswered.idempotent_ ? "yes" : "no");
+  if (!aUnanswered.target_.empty()) {
+    line.With("target", aUnanswered.target_)
+      .With("attempt_age_ms", Milliseconds(aUnanswered.attemptAge_));
+  }
+}
+
 } // namespace redwing::Detail
--- a/src/intake/RouteLog.hpp
+++ b/src/intake/RouteLog.hpp
@@ -54,7 +54,25 @@
   bool firstOfConnection_ = false;
 };
 
-/// Writes log lines of routing decisions, refusals and abandoned requests, each up to a rate.
+/// Fields of the log line of a request that is unanswered when the process ends.
+struct UnansweredRequest
+{
+  std::string_view requestId_;
+  /// Empty if no route was found.
+  std::string_view route_;
+  /// What the request waits for.
+  std::string_view stage_;
+  /// Instance to which the present attempt was sent; empty if there is none.
+  std::string_view target_;
+  std::uint32_t attempts_ = 0;
+  /// From the arrival of the request, and from the sending of the present attempt.
+  Duration age_{};
+  Duration attemptAge_{};
+  bool idempotent_ = false;
+};
+
+/// Writes log lines of routing decisions, refusals, abandoned and unanswered requests, each up to a
+/// rate.
 class RouteLog
 {
 public:
@@ -76,6 +94,12 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void Write(const AbandonedRequest& aAbandoned);
 
+  /// Writes the line. The number of such lines is bounded by the number of open requests, and each
+  /// of them tells of a request that failed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  static void Write(const UnansweredRequest& aUnanswered);
+
 private:
   /// Lines of one kind in a second.
   struct Budget
