Refuse requests that cannot be answered before an instance stops

Cause: an instance takes requests for 2.6 s after the signal and ends at 5.0 s, but a request's time was its caller's deadline alone. It was sent to another instance, waited in its queue behind requests of higher priority, and was still there when the instance that had to pass on the answer ended. Nobody told the serving instance, and the ingress does not know whether a request runs.

Change: RequestStart carries the time of the last answer, and RequestRecall asks at that time for what was sent before. The instance beside the server refuses as not run what is expected to be answered later and what is recalled from its queue. What runs is left alone, and the server's time stays that of the caller. Requests that wait at the ingress are refused by it. An instance that stops refuses requests of others in its own queue likewise, so that they can go elsewhere instead of ending as of unknown outcome. The ring's Daemon does the same 2 s before its limit of 30 s. The links' protocol version rises, because the layout of RequestStart has changed.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -118,6 +118,18 @@
   });
 }
 
+void
+FairQueue::LimitDeadlines(TimePoint aLatest)
+{
+  for (auto& [priority, priorityClass] : classes_) {
+    for (auto& [workspace, flow] : priorityClass.flows_) {
+      for (Waiting& waiting : flow.waiting_) {
+        waiting.item_.deadline_ = std::min(waiting.item_.deadline_, aLatest);
+      }
+    }
+  }
+}
+
 FairQueue::WorkAhead
 FairQueue::ExpectedAhead(const QueueItem& aItem, Duration aServiceTime) const
 {
--- a/src/admission/FairQueue.hpp
+++ b/src/admission/FairQueue.hpp
@@ -80,6 +80,11 @@
   /// Preconditions: aDivisor > 0. Thread safety: not thread-safe.
   std::vector<QueueItem> TakeExpired(Duration aServiceTime, TimePoint aNow, int aDivisor = 1);
 
+  /// Moves deadlines later than aLatest to aLatest.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void LimitDeadlines(TimePoint aLatest);
+
   std::size_t Size() const { return size_; }
   bool Empty() const { return size_ == 0; }
 
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/BackendService.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -46,7 +47,7 @@
                   start.workspace_,
                   start.weight_,
                   start.priority_,
-                  start.deadline_,
+                  AnswerBy(start),
                   TimePoint::max(),
                   estimator_.Of(start.class_, now) };
   // Requests without a workspace come from other servers, whose own work fails if they are refused,
@@ -86,6 +87,21 @@
   return (leaving_ && !moves) || health_.draining_;
 }
 
+TimePoint
+BackendService::AnswerBy(const RequestStart& aStart) const
+{
+  return std::min({ aStart.deadline_, aStart.answerBy_, answerBy_ });
+}
+
+void
+BackendService::RefuseLate(const ExchangePtr& aExchange, Duration aNeeded, std::string_view aDetail)
+{
+  // If only this instance stops too early, another one may still answer in time.
+  const auto& start = aExchange->start_;
+  const bool expired = clock_.Now() + aNeeded >= std::min(start.deadline_, start.answerBy_);
+  RefuseNotRun(aExchange, expired ? ErrorCode::DeadlineExceeded : ErrorCode::Draining, aDetail);
+}
+
 bool
 BackendService::CheckExistingEntry(const ExchangePtr& aExchange, TimePoint aNow)
 {
@@ -177,8 +193,11 @@
     return;
   }
   const Duration serviceTime = estimator_.Of(aExchange->start_.class_, now);
-  if (limiter_.Running() > 1 && now + serviceTime > aExchange->start_.deadline_) {
-    RefuseNotRun(aExchange, ErrorCode::DeadlineExceeded, "deadline_cannot_be_met");
+  const TimePoint expected = now + serviceTime;
+  const bool late = limiter_.Running() > 1 && expected > aExchange->start_.deadline_;
+  const bool stops = std::max(now, expected) >= std::min(answerBy_, aExchange->start_.answerBy_);
+  if (late || stops) {
+    RefuseLate(aExchange, serviceTime, "deadline_cannot_be_met");
     return;
   }
   if (!CheckQuarantine(aExchange, now) || !CheckOwnership(aExchange, now)) {
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -165,6 +165,17 @@
   Detach(aExchange, ErrorCode::Cancelled);
 }
 
+void
+BackendService::OnRecall(const ExchangePtr& aExchange)
+{
+  if (aExchange->phase_ == ServedPhase::Queued) {
+    queue_.Remove(aExchange->start_.key_);
+    RefuseNotRun(aExchange, ErrorCode::Draining, "recalled");
+  } else if (aExchange->phase_ == ServedPhase::Replicating && !aExchange->detached_) {
+    Detach(aExchange, ErrorCode::Draining);
+  }
+}
+
 void
 BackendService::Detach(const ExchangePtr& aExchange, ErrorCode aCode)
 {
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -86,7 +86,7 @@
   // time left; only requests with less than that are removed from the queue.
   const int divisor = settings_.enforcesTargetTimes_ ? 2 : std::numeric_limits<int>::max();
   for (const auto& item : queue_.TakeExpired(Duration::zero(), aNow, divisor)) {
-    RefuseNotRun(ExchangePtr(exchanges_[item.key_]), ErrorCode::DeadlineExceeded);
+    RefuseLate(ExchangePtr(exchanges_[item.key_]), item.serviceTime_ / divisor);
   }
   std::vector<ExchangePtr> late;
   for (const auto& [key, exchange] : exchanges_) {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -127,7 +127,8 @@
     } else if (const auto* credit = std::get_if<ResponseCredit>(&aEvent)) {
       OnCredit(*credit);
     } else if (const auto it = exchanges_.find(KeyOf(aEvent)); it != exchanges_.end()) {
-      OnCancel(ExchangePtr(it->second));
+      const ExchangePtr exchange = it->second;
+      std::holds_alternative<RequestRecall>(aEvent) ? OnRecall(exchange) : OnCancel(exchange);
     }
   });
   pumpHeld_ = false;
@@ -149,10 +150,12 @@
 }
 
 void
-BackendService::BeginDrain(std::function<void()> aDrained)
+BackendService::BeginDrain(TimePoint aAnswerBy, std::function<void()> aDrained)
 {
-  Post([this, drained = std::move(aDrained)]() mutable {
+  Post([this, aAnswerBy, drained = std::move(aDrained)]() mutable {
     draining_ = true;
+    answerBy_ = aAnswerBy;
+    queue_.LimitDeadlines(aAnswerBy);
     drained_.push_back(std::move(drained));
     CheckDrained();
     PublishStatus();
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -73,10 +73,11 @@
   /// Preconditions: none. Thread safety: any thread.
   void OnLeave();
 
-  /// Refuses new requests from now on; calls aDrained once no request is queued or running.
+  /// Refuses new requests from now on, and queued ones that cannot be answered by aAnswerBy; calls
+  /// aDrained once no request is queued or running.
   ///
-  /// Preconditions: none. Thread safety: any thread.
-  void BeginDrain(std::function<void()> aDrained);
+  /// Preconditions: called once. Thread safety: any thread.
+  void BeginDrain(TimePoint aAnswerBy, std::function<void()> aDrained);
 
   /// Writes a log line for each request that is queued or running.
   ///
@@ -129,6 +130,10 @@
   void Admit(RequestStart&& aStart);
   std::optional<ErrorCode> CheckArrival(const RequestStart& aStart, TimePoint aNow);
   bool IsLeaving(const RequestStart& aStart, TimePoint aNow) const;
+  /// Returns the latest time at which an answer can reach the caller.
+  TimePoint AnswerBy(const RequestStart& aStart) const;
+  /// Refuses a request that would be answered too late because it still takes aNeeded.
+  void RefuseLate(const ExchangePtr& aExchange, Duration aNeeded, std::string_view aDetail = {});
   bool ApplyVerdict(const ExchangePtr& aExchange, IdempotencyVerdict aVerdict);
   bool CheckExistingEntry(const ExchangePtr& aExchange, TimePoint aNow);
   void Pump();
@@ -147,6 +152,7 @@
   void Dispatch(const ExchangePtr& aExchange, bool aNewConnection);
   void OnBody(RequestBody&& aEvent);
   void OnCancel(const ExchangePtr& aExchange);
+  void OnRecall(const ExchangePtr& aExchange);
   void OnCredit(const ResponseCredit& aEvent);
   void OnResponse(const ExchangePtr& aExchange, HttpHead&& aHead, std::string&& aBody, bool aLast);
   void OnResponseBody(const ExchangePtr& aExchange, std::string&& aBytes, bool aLast);
@@ -232,6 +238,8 @@
   std::uint64_t crashes_ = 0;
   std::vector<std::function<void()>> drained_;
   bool draining_ = false;
+  /// When this instance, which is about to stop, can pass on the last answer.
+  TimePoint answerBy_ = TimePoint::max();
   mutable std::mutex statusMutex_;
   BackendStatus status_;
   Counter& started_;
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -21,6 +21,8 @@
 constexpr auto kLeaveTimeout = std::chrono::seconds(10);
 /// Time in which running requests may end; after it, the process stops.
 constexpr auto kDrainTimeout = std::chrono::seconds(30);
+/// Part of it after which requests that do not run yet are refused.
+constexpr auto kAnswerTimeout = std::chrono::seconds(28);
 
 std::uint64_t
 RandomSeed()
@@ -348,9 +350,11 @@
       mainContext_.stop();
     }
   });
-  backend_->BeginDrain([this] { mainContext_.post([this] { FinishPart(); }); });
-  intakeThread_.Context().post(
-    [this] { intake_->BeginShutdown([this] { mainContext_.post([this] { FinishPart(); }); }); });
+  const TimePoint answerBy = clock_.Now() + kAnswerTimeout;
+  backend_->BeginDrain(answerBy, [this] { mainContext_.post([this] { FinishPart(); }); });
+  intakeThread_.Context().post([this, answerBy] {
+    intake_->BeginShutdown(answerBy, [this] { mainContext_.post([this] { FinishPart(); }); });
+  });
 }
 
 void
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -75,6 +75,7 @@
   peer_.progressTimeout_ = kPeerTimeout;
   peer_.pingInterval_ = kPeerPing;
   drainDelay_ = kAcceptGrace;
+  answerTimeout_ = aGracePeriod * 3 / 4;
   stopTimeout_ = aGracePeriod * 5 / 6;
 }
 
@@ -265,11 +266,12 @@
   }
   fleet_->BeginLeave();
   openParts_ = 2;
-  intake_->BeginShutdown([this] { FinishPart(); });
+  const TimePoint answerBy = clock_.Now() + settings_.answerTimeout_;
+  intake_->BeginShutdown(answerBy, [this] { FinishPart(); });
   drainTimer_.expires_after(settings_.drainDelay_);
-  drainTimer_.async_wait([this](const boost::system::error_code& aError) {
+  drainTimer_.async_wait([this, answerBy](const boost::system::error_code& aError) {
     if (!aError) {
-      backend_->BeginDrain([this] { FinishPart(); });
+      backend_->BeginDrain(answerBy, [this] { FinishPart(); });
     }
   });
   stopTimer_.expires_after(settings_.stopTimeout_);
--- a/src/daemon/FleetDaemon.hpp
+++ b/src/daemon/FleetDaemon.hpp
@@ -28,6 +28,8 @@
   Address metricsAddress_;
   /// Time after the signal to stop from which requests of other instances are refused.
   std::chrono::milliseconds drainDelay_{ 2800 };
+  /// Time after the signal to stop by which requests that do not run yet must be answered.
+  std::chrono::milliseconds answerTimeout_{ 4500 };
   /// Time after the signal to stop at which the process ends whatever still runs.
   std::chrono::milliseconds stopTimeout_{ 5200 };
   std::uint64_t seed_ = 0;
--- a/src/exchange/Events.hpp
+++ b/src/exchange/Events.hpp
@@ -103,6 +103,10 @@
   TimePoint targetTime_{};
   /// Requests of one class take about the same time at a server: the id of the route.
   std::string class_;
+  /// Latest time at which the caller's instance, which is about to stop, can pass an answer on. A
+  /// request that would be answered later is refused instead of being run; the time that a running
+  /// request has is its deadline alone. Sent between instances as remaining time.
+  TimePoint answerBy_ = TimePoint::max();
 };
 
 struct RequestBody
@@ -125,7 +129,15 @@
   std::uint32_t bytes_ = 0;
 };
 
-using RequestEvent = std::variant<RequestStart, RequestBody, RequestCancel, ResponseCredit>;
+/// The caller's instance is about to stop: the request is refused if it was not passed to the
+/// backend server yet, and is left alone if it was.
+struct RequestRecall
+{
+  ExchangeKey key_;
+};
+
+using RequestEvent =
+  std::variant<RequestStart, RequestBody, RequestCancel, ResponseCredit, RequestRecall>;
 
 struct ResponseStart
 {
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -51,6 +51,8 @@
   void OnRateDecision(bool aAdmitted, std::uint32_t aRetryAfterMs);
   void OnResponseEvent(std::uint64_t aAttemptId, ResponseEvent&& aEvent);
   void OnPeerDown(const std::string& aInstanceId);
+  /// The time by which this instance, which is about to stop, can pass an answer on has passed.
+  void OnAnswerBy();
   void OnTimer(TimerKind aKind);
   /// Bytes of the response body have left the connection's buffer.
   void OnResponseWritten(std::size_t aBytes);
@@ -99,6 +101,7 @@
   void SendAttempt(const char* aReason);
   /// Ends the exchange and returns false if its caller has left or its deadline has passed.
   bool MaySend();
+  void RefuseStopping();
   bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -61,6 +61,7 @@
   attempt.local_ = attempt.instanceId_ == core_.Dependencies().instanceId_;
   const std::uint64_t id = attempt.id_;
   start_.key_ = { kLocalLink, id };
+  start_.answerBy_ = core_.AnswerBy();
   ++attemptCount_;
   LogAttempt(attempt, aReason);
   core_.AddAttempt(id, *this);
@@ -101,13 +102,46 @@
   if (connection_.CallerLeft()) {
     return false;
   }
-  if (attempts_.empty() && core_.Now() >= deadline_) {
+  const TimePoint now = core_.Now();
+  if (attempts_.empty() && now >= deadline_) {
     OnDeadline();
     return false;
   }
+  if (now >= core_.AnswerBy()) {
+    // Another attempt of a hedged request is still running.
+    if (attempts_.empty()) {
+      RefuseStopping();
+    }
+    return false;
+  }
   return true;
 }
 
+void
+Exchange::RefuseStopping()
+{
+  Refuse(ErrorCode::Draining,
+         "this instance is about to stop",
+         unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
+}
+
+void
+Exchange::OnAnswerBy()
+{
+  // A request behind another one is not begun yet, and ends with its connection.
+  if (finished_ || responding_ || entry_ == nullptr) {
+    return;
+  }
+  if (attempts_.empty()) {
+    RefuseStopping();
+    return;
+  }
+  // Only the serving instances know whether the request runs already.
+  for (const Attempt& attempt : attempts_) {
+    SendToAttempt(attempt, RequestRecall{ { kLocalLink, attempt.id_ } });
+  }
+}
+
 bool
 Exchange::KeyStillValid() const
 {
@@ -228,7 +262,13 @@
     excluded_.push_back(aAttempt.instanceId_);
     return;
   }
-  if (core_.Now() < deadline_ && CanReplay() && RetryAfter(aAttempt, aRefusal)) {
+  const bool inTime = core_.Now() < std::min(deadline_, core_.AnswerBy());
+  if (inTime && CanReplay() && RetryAfter(aAttempt, aRefusal)) {
+    return;
+  }
+  if (aRefusal.code_ == ErrorCode::DeadlineExceeded && aRefusal.outcome_ == Outcome::NotRun &&
+      core_.AnswerBy() < deadline_) {
+    RefuseStopping();
     return;
   }
   Refuse(aRefusal.code_,
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -140,6 +140,21 @@
   }
 }
 
+void
+IntakeCore::OnAnswerBy()
+{
+  const Scope scope(*this);
+  std::vector<std::uint64_t> open;
+  for (const auto& [id, exchange] : exchanges_) {
+    open.push_back(id);
+  }
+  for (const std::uint64_t id : open) {
+    if (const auto found = exchanges_.find(id); found != exchanges_.end()) {
+      found->second->OnAnswerBy();
+    }
+  }
+}
+
 void
 IntakeCore::OnRateDecision(std::uint64_t aExchangeId, bool aAdmitted, std::uint32_t aRetryAfterMs)
 {
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -75,7 +75,13 @@
   }
   Random& Randomness() { return random_; }
   bool ShuttingDown() const { return shuttingDown_; }
-  void SetShuttingDown() { shuttingDown_ = true; }
+  /// Returns when the last answer can be passed on; a distant time unless a shutdown has begun.
+  TimePoint AnswerBy() const { return answerBy_; }
+  void SetShuttingDown(TimePoint aAnswerBy)
+  {
+    shuttingDown_ = true;
+    answerBy_ = aAnswerBy;
+  }
 
   std::string NextRequestId();
 
@@ -98,6 +104,8 @@
 
   void OnResponseEvent(ResponseEvent&& aEvent);
   void OnPeerDown(const std::string& aInstanceId);
+  /// Refuses or recalls all requests that do not run.
+  void OnAnswerBy();
   void OnRateDecision(std::uint64_t aExchangeId, bool aAdmitted, std::uint32_t aRetryAfterMs);
 
 private:
@@ -133,6 +141,7 @@
   std::vector<std::unique_ptr<CallerSlot>> retired_;
   unsigned depth_ = 0;
   bool shuttingDown_ = false;
+  TimePoint answerBy_ = TimePoint::max();
 };
 
 } // namespace redwing::Detail
--- a/src/intake/IntakeService.cpp
+++ b/src/intake/IntakeService.cpp
@@ -40,7 +40,7 @@
   std::string Start();
   void Adopt(tcp::socket aSocket);
   void Sweep();
-  void BeginShutdown(std::function<void()> aDone);
+  void BeginShutdown(TimePoint aAnswerBy, std::function<void()> aDone);
   void CloseAll();
 
   Detail::IntakeCore core_;
@@ -59,6 +59,8 @@
   std::function<void()> done_;
   TimePoint acceptUntil_{};
   TimePoint idleCloseAt_{};
+  /// The time by which requests must be answered has passed, and those that wait were told.
+  bool recalled_ = false;
 };
 
 std::string
@@ -122,6 +124,9 @@
 {
   const TimePoint now = core_.Now();
   StopAccepting();
+  if (now >= core_.AnswerBy() && !std::exchange(recalled_, true)) {
+    core_.OnAnswerBy();
+  }
   for (const auto& connection : Connections()) {
     connection->Sweep(now);
     if (core_.ShuttingDown() && now >= idleCloseAt_) {
@@ -146,10 +151,10 @@
 }
 
 void
-IntakeService::Impl::BeginShutdown(std::function<void()> aDone)
+IntakeService::Impl::BeginShutdown(TimePoint aAnswerBy, std::function<void()> aDone)
 {
   done_ = std::move(aDone);
-  core_.SetShuttingDown();
+  core_.SetShuttingDown(aAnswerBy);
   acceptUntil_ = core_.Now() + core_.Settings().acceptGrace_;
   idleCloseAt_ = acceptUntil_ + core_.Settings().shutdownGrace_;
   StopAccepting();
@@ -196,9 +201,9 @@
 }
 
 void
-IntakeService::BeginShutdown(std::function<void()> aDone)
+IntakeService::BeginShutdown(TimePoint aAnswerBy, std::function<void()> aDone)
 {
-  impl_->BeginShutdown(std::move(aDone));
+  impl_->BeginShutdown(aAnswerBy, std::move(aDone));
 }
 
 void
--- a/src/intake/IntakeService.hpp
+++ b/src/intake/IntakeService.hpp
@@ -44,10 +44,11 @@
   void OnPeerDown(const std::string& aInstanceId);
 
   /// Stops accepting connections, answers the requests in progress and closes the connections, then
-  /// calls aDone once.
+  /// calls aDone once. A request that cannot be answered by aAnswerBy and does not run yet is
+  /// refused as not run, at aAnswerBy at the latest.
   ///
   /// Preconditions: Start succeeded; called once. Thread safety: intake thread only.
-  void BeginShutdown(std::function<void()> aDone);
+  void BeginShutdown(TimePoint aAnswerBy, std::function<void()> aDone);
 
   /// Writes a log line for each request that is unanswered, with what it waits for.
   ///
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -144,6 +144,7 @@
   aArchive(aValue.body_, aValue.last_, aValue.configurationRevision_, aValue.keyId_);
   Deadline(aArchive, aValue.targetTime_);
   aArchive(aValue.class_);
+  Deadline(aArchive, aValue.answerBy_);
 }
 
 template<typename Archive>
@@ -160,6 +161,13 @@
   aArchive(aValue.key_);
 }
 
+template<typename Archive>
+void
+serialize(Archive& aArchive, RequestRecall& aValue)
+{
+  aArchive(aValue.key_);
+}
+
 template<typename Archive>
 void
 serialize(Archive& aArchive, ResponseCredit& aValue)
--- a/src/peer/Handshake.cpp
+++ b/src/peer/Handshake.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::uint32_t kProtocolVersion = 2;
+constexpr std::uint32_t kProtocolVersion = 3;
 constexpr std::size_t kNonceBytes = 32;
 
 std::string
--- a/src/peer/LinkMessage.hpp
+++ b/src/peer/LinkMessage.hpp
@@ -46,6 +46,7 @@
                                  CallRequest,
                                  CallReply,
                                  Ping,
-                                 Pong>;
+                                 Pong,
+                                 RequestRecall>;
 
 } // namespace redwing
--- a/src/peer/PeerDetail.hpp
+++ b/src/peer/PeerDetail.hpp
@@ -10,8 +10,8 @@
 
 /// A later event of an inbound exchange.
 template<typename T>
-concept RequestAlternative =
-  std::same_as<T, RequestBody> || std::same_as<T, RequestCancel> || std::same_as<T, ResponseCredit>;
+concept RequestAlternative = std::same_as<T, RequestBody> || std::same_as<T, RequestCancel> ||
+  std::same_as<T, ResponseCredit> || std::same_as<T, RequestRecall>;
 
 /// An event of one of our own attempts.
 template<typename T>
--- a/tests/unit/intake/IntakeProtocolTest.cpp
+++ b/tests/unit/intake/IntakeProtocolTest.cpp
@@ -105,7 +105,7 @@
   caller.Send(Head("GET /plant/1", "a") + "\r\n" + Head("GET /plant/2", "b") + "\r\n");
   const RequestStart first = NextSent();
   const RequestStart second = NextSent();
-  Service().BeginShutdown([] {});
+  Service().BeginShutdown(TimePoint::max(), [] {});
   caller.Send(Head("GET /plant/3", "c") + "\r\n");
   Answer(first, "one");
   caller.ReadPast("one");
--- a/tests/unit/intake/IntakeRequestTest.cpp
+++ b/tests/unit/intake/IntakeRequestTest.cpp
@@ -162,7 +162,7 @@
   busy.Request("GET /plant/1");
   const RequestStart request = NextSent();
   bool done = false;
-  Service().BeginShutdown([&] { done = true; });
+  Service().BeginShutdown(TimePoint::max(), [&] { done = true; });
   BOOST_TEST(idle.ReadToEnd().empty());
   BOOST_TEST(!done);
   idle.Close();
--- a/tests/unit/peer/FrameCodecTest.cpp
+++ b/tests/unit/peer/FrameCodecTest.cpp
@@ -21,6 +21,7 @@
   start.service_ = "booking";
   start.headers_ = { { "Accept", "*/*" }, { "X-A", "" } };
   start.deadline_ = kNow + std::chrono::milliseconds(250);
+  start.answerBy_ = kNow + std::chrono::milliseconds(90);
   start.shard_ = ShardTarget{ 17, 9 };
   start.contentLength_ = 5;
   start.body_ = std::string("a\0b\r\n", 5);
@@ -51,6 +52,7 @@
   BOOST_TEST(*start.contentLength_ == 5U);
   BOOST_TEST(start.body_ == MakeStart().body_);
   BOOST_TEST((start.deadline_ - otherClock == std::chrono::milliseconds(250)));
+  BOOST_TEST((start.answerBy_ - otherClock == std::chrono::milliseconds(90)));
 }
 
 // Guards against requests that run after their callers were told otherwise: on the grown sites,
