Test that an idle server gets no request that outlasts its instance

Another operator reported that in a planned stop of one machine, in calm, requests that came late in the grace period were passed on and cut at its end, among them requests that may not be repeated. It could happen here to requests whose work takes longer than what is left of the grace period: an idle server took any request.

--- a/tests/unit/backend/BackendShutdownTest.cpp
+++ b/tests/unit/backend/BackendShutdownTest.cpp
@@ -103,3 +103,23 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against requests that may not be repeated and are passed to an idle server late in the
+// grace period of their instance, whose end cuts them (reported by users of a similar system).
+BOOST_AUTO_TEST_CASE(RequestsThatOutlastTheirInstanceAreNotSentToAnIdleServer)
+{
+  Bench bench([](const FakeRequest& aRequest) {
+    std::this_thread::sleep_for(150ms);
+    return Echo(aRequest);
+  });
+  auto first = bench.Make(1);
+  first.answerBy_ = bench.clock_.Now() + 10s;
+  BOOST_TEST(std::holds_alternative<ResponseStart>(bench.Run(std::move(first))));
+  auto late = bench.Make(2);
+  late.answerBy_ = bench.clock_.Now() + 75ms;
+  BOOST_TEST((ExpectRefusal(bench.Run(std::move(late))).outcome_ == Outcome::NotRun));
+  auto inTime = bench.Make(3);
+  inTime.answerBy_ = bench.clock_.Now() + 5s;
+  BOOST_TEST(std::holds_alternative<ResponseStart>(bench.Run(std::move(inTime))));
+  BOOST_TEST(bench.serverRequests_.Size() == 2U);
+}
