Wait for running requests until shortly before the grace period ends

An instance that stops ended at five sixths of the grace period, 5.0 s of 6 s, and cut the requests at which a server was still at work.

It now ends 0.5 s before the grace period does: the 300 ms of the store and 200 ms for a late event loop. It ends sooner, as before, once nothing runs. Short grace periods keep five sixths. integration.shutdown passes.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
@@ -14,6 +15,8 @@
 
 /// Time for the store to take the last writes of a stopping instance.
 constexpr milliseconds kEndTimeout{ 300 };
+/// Lateness of the event loop that a stopping instance allows for.
+constexpr milliseconds kEndMargin{ 200 };
 /// Bodies up to this size are complete before a server is chosen, so that they can be sent again.
 constexpr std::size_t kBufferedBodyBytes = 640 * 1024;
 /// A body of this size costs less than the extra round trip.
@@ -76,7 +79,7 @@
   peer_.pingInterval_ = kPeerPing;
   drainDelay_ = kAcceptGrace;
   answerTimeout_ = aGracePeriod * 3 / 4;
-  stopTimeout_ = aGracePeriod * 5 / 6;
+  stopTimeout_ = std::max(aGracePeriod * 5 / 6, aGracePeriod - kEndTimeout - kEndMargin);
 }
 
 FleetDaemon::FleetDaemon(boost::asio::io_context& aContext,
