Order the revisions of a store that comes back from an older copy

A store that comes back from an older copy gives revision numbers out again. All comparisons of revisions then take a smaller number for an older state. Revisions of the Store interface now consist of the epoch and the number, so that those of a later epoch are greater. The store in memory for tests can come back from a copy of itself. No adapter reports an epoch yet.

--- a/src/store/Store.hpp
+++ b/src/store/Store.hpp
@@ -8,7 +8,9 @@
 #include <tl/expected.hpp>
 #include <vector>
 
-/// Interface to the platform's key-value store.
+/// Interface to the platform's key-value store. Revisions are those of StoreRevision.hpp: they
+/// never go back, also when the store itself comes back from an older copy. A condition on a
+/// revision of an earlier epoch does not hold, and a watch from one ends with an error.
 namespace redwing {
 
 enum class StoreErrorKind : std::uint8_t
@@ -95,6 +97,13 @@
 
   virtual ~Store() = default;
 
+  /// Returns the newest epoch of the store that an answer has shown; 0 before the first answer and
+  /// for a store that has no epochs. It changes before the callback of the answer runs, and all
+  /// watches end then.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  virtual std::uint64_t Epoch() const { return 0; }
+
   /// Reads all entries whose key starts with aPrefix (the one entry if aExact).
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
--- a/tests/support/CutStore.hpp
+++ b/tests/support/CutStore.hpp
@@ -20,6 +20,9 @@
 
   void Cut(bool aCut) { cut_ = aCut; }
 
+  /// Returns the epoch of the last answer that this instance got.
+  std::uint64_t Epoch() const override { return epoch_; }
+
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override
   {
     if (!Refuse(aDone)) {
@@ -64,15 +67,18 @@
 
 private:
   template<typename Callback>
-  bool Refuse(const Callback& aDone) const
+  bool Refuse(const Callback& aDone)
   {
     if (cut_) {
       aDone(tl::unexpected(StoreError{ StoreErrorKind::Unavailable, "turned away" }));
+    } else {
+      epoch_ = store_.Epoch();
     }
     return cut_;
   }
 
   Store& store_;
+  std::uint64_t epoch_ = 0;
   bool cut_ = false;
 };
 
--- a/tests/support/MemoryStore.hpp
+++ b/tests/support/MemoryStore.hpp
@@ -2,10 +2,12 @@
 
 #include "core/Clock.hpp"
 #include "store/Store.hpp"
+#include "store/StoreRevision.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,7 +15,7 @@
 namespace redwing::test {
 
 /// Store in memory on the test's event loop; answers come with the next turn of the loop. Leases
-/// end when Expire is called after their time.
+/// end when Expire is called after their time. It can come back from an older copy of itself.
 class MemoryStore final : public Store
 {
 public:
@@ -23,6 +25,32 @@
   {
   }
 
+  std::uint64_t Epoch() const override { return epoch_; }
+
+  /// Keeps a copy of the store as it is now for Restore.
+  void Copy() { copy_ = { number_, leases_, entries_ }; }
+
+  /// Replaces the content by that of the last copy in a new epoch: later writes and leases are
+  /// lost, and their revision numbers are given out again. All watches end.
+  void Restore()
+  {
+    number_ = copy_->number_;
+    leases_ = copy_->leases_;
+    for (auto& [lease, state] : leases_) {
+      state.second = clock_.Now() + state.first;
+    }
+    entries_ = copy_->entries_;
+    ++epoch_;
+    for (auto& [key, entry] : entries_) {
+      entry.modRevision_ = MakeRevision(epoch_, NumberOf(entry.modRevision_));
+    }
+    for (const auto& [prefix, callback] : std::exchange(watches_, {})) {
+      boost::asio::post(context_, [callback = callback] {
+        callback(tl::unexpected(StoreError{ StoreErrorKind::Unavailable, "new epoch" }));
+      });
+    }
+  }
+
   /// Ends the leases whose time has passed.
   void Expire()
   {
@@ -37,20 +65,20 @@
           ++entry;
           continue;
         }
-        events.push_back({ entry->first, std::nullopt, revision_ + 1 });
+        events.push_back({ entry->first, std::nullopt, MakeRevision(epoch_, number_ + 1) });
         entry = entries_.erase(entry);
       }
       lease = leases_.erase(lease);
     }
     if (!events.empty()) {
-      ++revision_;
+      ++number_;
       Notify(events);
     }
   }
 
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override
   {
-    StoreRange range{ {}, revision_ };
+    StoreRange range{ {}, Revision() };
     for (const auto& [key, entry] : entries_) {
       if (aExact ? key == aPrefix : key.starts_with(aPrefix)) {
         range.entries_.push_back(entry);
@@ -76,19 +104,19 @@
         holds && (found == entries_.end() ? 0 : found->second.modRevision_) == compare.modRevision_;
     }
     if (holds) {
-      ++revision_;
+      ++number_;
       std::vector<StoreWatchEvent> events;
       for (const StoreWrite& write : aTransaction.writes_) {
         if (write.value_) {
-          entries_[write.key_] = { write.key_, *write.value_, revision_, write.lease_ };
+          entries_[write.key_] = { write.key_, *write.value_, Revision(), write.lease_ };
         } else {
           entries_.erase(write.key_);
         }
-        events.push_back({ write.key_, write.value_, revision_ });
+        events.push_back({ write.key_, write.value_, Revision() });
       }
       Notify(events);
     }
-    const StoreTransactionResult result{ holds, revision_ };
+    const StoreTransactionResult result{ holds, Revision() };
     boost::asio::post(context_, [aDone, result] { aDone(result); });
   }
 
@@ -135,12 +163,25 @@
     }
   }
 
+  using Leases = std::map<std::int64_t, std::pair<std::chrono::seconds, TimePoint>>;
+  struct Content
+  {
+    std::uint64_t number_ = 0;
+    Leases leases_;
+    std::map<std::string, StoreEntry> entries_;
+  };
+
+  std::uint64_t Revision() const { return MakeRevision(epoch_, number_); }
+
   boost::asio::io_context& context_;
   const Clock& clock_;
-  std::uint64_t revision_ = 1;
+  std::uint64_t epoch_ = 0;
+  /// Number of the last change in this epoch.
+  std::uint64_t number_ = 1;
   std::int64_t lastLease_ = 0;
-  std::map<std::int64_t, std::pair<std::chrono::seconds, TimePoint>> leases_;
+  Leases leases_;
   std::map<std::string, StoreEntry> entries_;
+  std::optional<Content> copy_;
   std::vector<std::pair<std::string, WatchCallback>> watches_;
 };
 
