Let the stand-in of the platform's store come back from an older copy

The platform's store may come back from a copy of itself that is some seconds old; no test could play that. The stand-in keeps a copy with its leases, comes back from it, gives revisions and lease ids out again, names its era in all answers, and answers 410 to a watch from a revision that it does not have. Connections and waiting calls go on, which is the harder case for clients.

--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -92,6 +92,15 @@
   AnswerWatches();
 }
 
+void
+PlatformStore::Restore()
+{
+  store_ = copy_->store_;
+  store_.RestartLeases(MonotonicNs());
+  compacted_ = copy_->compacted_;
+  ++era_;
+}
+
 void
 PlatformStore::EndLeases()
 {
@@ -107,7 +116,7 @@
     return;
   }
   if (trouble_ == StoreTrouble::Busy) {
-    aExchange->Respond(Reply({ { "errorMessage", "busy" } }, 503));
+    Respond(*aExchange, Reply({ { "errorMessage", "busy" } }, 503));
     return;
   }
   if (aExchange->Request().path_ == "/-/kv-watch" && StartWatch(aExchange)) {
@@ -117,17 +126,24 @@
   if (trouble_ == StoreTrouble::LosesAnswers) {
     aExchange->Close();
   } else {
-    aExchange->Respond(std::move(response));
+    Respond(*aExchange, std::move(response));
   }
   AnswerWatches();
 }
 
+void
+PlatformStore::Respond(HttpExchange& aExchange, HttpResponse aResponse) const
+{
+  aResponse.headers_.push_back({ "Store-Era", std::to_string(era_) });
+  aExchange.Respond(std::move(aResponse));
+}
+
 bool
 PlatformStore::StartWatch(const HttpExchangePtr& aExchange)
 {
   const HttpRequest& request = aExchange->Request();
   const std::int64_t after = request.Query("after", 0);
-  if (after < compacted_) {
+  if (after < compacted_ || after > store_.Revision()) {
     return false;
   }
   watches_.push_back({ aExchange,
@@ -155,7 +171,7 @@
     if (events.empty() && MonotonicNs() < aWatch.endNs_) {
       return !aWatch.exchange_->Open();
     }
-    aWatch.exchange_->Respond(Reply({ { "events", events }, { "at", store_.Revision() } }));
+    Respond(*aWatch.exchange_, Reply({ { "events", events }, { "at", store_.Revision() } }));
     return true;
   });
 }
@@ -192,7 +208,7 @@
                      : Reply({ { "ttlMs", left * kMsPerSecond } });
   }
   if (path == "/-/kv-watch") {
-    return Reply({ { "errorMessage", "history is gone" } }, 410);
+    return Reply({ { "errorMessage", "no such history" } }, 410);
   }
   return Reply({ { "errorMessage", "no such call" } }, 400);
 }
--- a/standins/platform/PlatformStore.hpp
+++ b/standins/platform/PlatformStore.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <string>
 
 namespace redwing::standins {
@@ -44,6 +45,18 @@
   /// Preconditions: none. Thread safety: the context's thread only.
   void Compact() { compacted_ = store_.Revision(); }
 
+  /// Keeps a copy of the store as it is now.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void Copy() { copy_ = Copied{ store_, compacted_ }; }
+
+  /// Comes back from the last copy: later changes and leases are lost, their revisions and ids are
+  /// given out again, and the era rises by one. The time of the copy's leases begins anew.
+  /// Connections and waiting calls go on, as if their end did not reach the clients.
+  ///
+  /// Preconditions: Copy was called. Thread safety: the context's thread only.
+  void Restore();
+
   /// Ends all leases at once.
   ///
   /// Preconditions: none. Thread safety: the context's thread only.
@@ -61,6 +74,7 @@
   };
 
   void Handle(const HttpExchangePtr& aExchange);
+  void Respond(HttpExchange& aExchange, HttpResponse aResponse) const;
   HttpResponse Dispatch(const HttpRequest& aRequest);
   HttpResponse Transaction(const std::string& aBody);
   HttpResponse Range(const HttpRequest& aRequest);
@@ -68,7 +82,15 @@
   void AnswerWatches();
   void ScheduleExpiry();
 
+  struct Copied
+  {
+    KeyValueStore store_;
+    std::int64_t compacted_ = 0;
+  };
+
   KeyValueStore store_;
+  std::optional<Copied> copy_;
+  std::uint64_t era_ = 1;
   HttpServer server_;
   boost::asio::steady_timer timer_;
   std::list<Watch> watches_;
--- a/standins/store/KeyValueStore.cpp
+++ b/standins/store/KeyValueStore.cpp
@@ -127,6 +127,14 @@
   }
 }
 
+void
+KeyValueStore::RestartLeases(std::int64_t aNowNs)
+{
+  for (auto& [id, lease] : leases_) {
+    lease.deadlineNs_ = aNowNs + lease.ttlSeconds_ * 1'000'000'000;
+  }
+}
+
 std::vector<StoreEvent>
 KeyValueStore::History(const KeyRange& aRange, std::int64_t aRevision) const
 {
--- a/standins/store/KeyValueStore.hpp
+++ b/standins/store/KeyValueStore.hpp
@@ -64,6 +64,8 @@
   void RevokeLease(std::int64_t aLease);
   /// Revokes the leases whose time has passed; all of them when aNowNs is the maximum.
   void ExpireLeases(std::int64_t aNowNs);
+  /// Gives each lease its whole time again.
+  void RestartLeases(std::int64_t aNowNs);
   /// Returns the events of the range from aRevision on.
   std::vector<StoreEvent> History(const KeyRange& aRange, std::int64_t aRevision) const;
 
