--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -2,6 +2,9 @@
 
 #include "store/StoreHttp.hpp"
 
+#include <charconv>
+#include <optional>
+#include <system_error>
 #include <utility>
 
 namespace redwing::Detail {
@@ -11,6 +14,15 @@
 /// Above the largest range the product reads: the row chunks of one service.
 constexpr std::size_t kReplyLimitBytes = std::size_t{ 64 } * 1024 * 1024;
 
+std::optional<std::uint64_t>
+ParseEpoch(boost::beast::string_view aText)
+{
+  std::uint64_t epoch = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, epoch);
+  return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(epoch) : std::nullopt;
+}
+
 } // namespace
 
 struct HttpCall::State
@@ -127,7 +139,9 @@
   const auto kind = ClassifyStatus(status, state_->writes_);
   state_->client_->ReportCall(!kind || *kind == StoreErrorKind::Rejected);
   const auto done = std::exchange(state_->done_, nullptr);
-  done(HttpStoreReply{ status, std::move(reply.body()) });
+  const std::string& epochHeader = state_->client_->Settings().epochHeader_;
+  const auto epoch = epochHeader.empty() ? std::nullopt : ParseEpoch(reply[epochHeader]);
+  done(HttpStoreReply{ status, std::move(reply.body()), epoch });
 }
 
 void
--- a/src/store/HttpClient.hpp
+++ b/src/store/HttpClient.hpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
   /// Idle connections kept for later calls.
   std::size_t idleConnections_ = 4;
   CallBudgetSettings budget_;
+  /// Header of all replies that names the epoch of the store; empty if it has no epochs.
+  std::string epochHeader_;
 };
 
 /// One HTTP request to a store.
@@ -42,6 +45,8 @@
 {
   unsigned status_ = 0;
   std::string body_;
+  /// The epoch of the store; nothing if the header is missing or is no number.
+  std::optional<std::uint64_t> epoch_{};
 };
 
 namespace Detail {
