Send watches of the test store what was written before they began

A watch of the store in memory lost what was written between a read and the watch from its revision, so that tests could not tell a reader that misses changes. A watch from an earlier epoch ends, as the Store interface says.

--- a/tests/support/MemoryStore.hpp
+++ b/tests/support/MemoryStore.hpp
@@ -41,6 +41,7 @@
     }
     entries_ = copy_->entries_;
     ++epoch_;
+    history_.clear();
     for (auto& [key, entry] : entries_) {
       entry.modRevision_ = MakeRevision(epoch_, NumberOf(entry.modRevision_));
     }
@@ -137,8 +138,23 @@
     boost::asio::post(context_, [aDone, left] { aDone(left); });
   }
 
-  void Watch(std::string aPrefix, std::uint64_t, WatchCallback aEvents) override
+  void Watch(std::string aPrefix, std::uint64_t aFromRevision, WatchCallback aEvents) override
   {
+    if (EpochOf(aFromRevision) < epoch_) {
+      boost::asio::post(context_, [aEvents] {
+        aEvents(tl::unexpected(StoreError{ StoreErrorKind::Unavailable, "earlier epoch" }));
+      });
+      return;
+    }
+    std::vector<StoreWatchEvent> missed;
+    for (const StoreWatchEvent& event : history_) {
+      if (event.modRevision_ >= aFromRevision && event.key_.starts_with(aPrefix)) {
+        missed.push_back(event);
+      }
+    }
+    if (!missed.empty()) {
+      boost::asio::post(context_, [aEvents, missed] { aEvents(missed); });
+    }
     watches_.emplace_back(std::move(aPrefix), std::move(aEvents));
   }
 
@@ -150,6 +166,7 @@
 private:
   void Notify(const std::vector<StoreWatchEvent>& aEvents)
   {
+    history_.insert(history_.end(), aEvents.begin(), aEvents.end());
     for (const auto& [prefix, callback] : watches_) {
       std::vector<StoreWatchEvent> seen;
       for (const StoreWatchEvent& event : aEvents) {
@@ -181,6 +198,8 @@
   std::int64_t lastLease_ = 0;
   Leases leases_;
   std::map<std::string, StoreEntry> entries_;
+  /// Changes of this epoch.
+  std::vector<StoreWatchEvent> history_;
   std::optional<Content> copy_;
   std::vector<std::pair<std::string, WatchCallback>> watches_;
 };
