Keep withdrawals that a restored store has lost

Cause: the feed took the entries of the restored store for the operator's state. A withdrawal that was written after the copy is missing there until the operator writes it again; one read in between put the data centre back into service. Besides, the feed read again 200 ms after its watch had ended.

Change: withdrawals that the restored store lacks are kept for the time that the users grant a withdrawal to take effect, unless the operator writes them in the new epoch before; then the store counts. A withdrawal that the store has counts at once, as it may be new. The configuration stays by its own version, which does not go back. When a watch ends because the epoch rose, the entries are read at once. Lines tell that the store went back and what is kept.

--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -1,12 +1,8 @@
 #include "fleet/ConfigurationFeed.hpp"
 
 #include "core/Log.hpp"
+#include "store/StoreRevision.hpp"
 
-#include <algorithm>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <chrono>
-#include <set>
 #include <utility>
 
 namespace redwing {
@@ -20,13 +16,15 @@
 ConfigurationFeed::ConfigurationFeed(boost::asio::io_context& aContext,
                                      Store& aStore,
                                      ConfigurationFormat aFormat,
-                                     std::vector<DataCentre> aDataCentres,
+                                     ConfigurationFeedSettings aSettings,
                                      Adopt aAdopt)
   : context_(aContext)
   , store_(aStore)
   , format_(std::move(aFormat))
-  , dataCentres_(std::move(aDataCentres))
+  , settings_(std::move(aSettings))
+  , dataCentres_(settings_.dataCentres_)
   , adopt_(std::move(aAdopt))
+  , keepTimer_(aContext)
 {
 }
 
@@ -86,18 +84,20 @@
 ConfigurationFeed::OnLoaded(const StoreRange& aRange)
 {
   if (aRange.revision_ >= revision_) {
-    revision_ = aRange.revision_;
+    const std::uint64_t previous = std::exchange(revision_, aRange.revision_);
+    if (previous != 0 && EpochOf(previous) < EpochOf(revision_)) {
+      LogLine(LogLevel::Warning, "configuration_store_restored")
+        .With("previous", previous)
+        .With("revision", revision_)
+        .With("in_force", document_ ? document_->revision_ : 0);
+      KeepWithdrawals();
+    }
     std::set<std::string> keys;
     for (const StoreEntry& entry : aRange.entries_) {
       keys.insert(entry.key_);
       OnEntry(entry.key_, entry.value_);
     }
-    for (const DataCentre& dataCentre : dataCentres_) {
-      const std::string key = format_.withdrawalPrefix_ + dataCentre.id_;
-      if (!keys.contains(key)) {
-        OnEntry(key, std::nullopt);
-      }
-    }
+    OnWithdrawalsRead(keys);
     Publish();
   }
   if (!watching_) {
@@ -105,10 +105,46 @@
   }
 }
 
+void
+ConfigurationFeed::KeepWithdrawals()
+{
+  for (const DataCentre& dataCentre : dataCentres_) {
+    if (dataCentre.withdrawn_) {
+      kept_.insert(dataCentre.id_);
+    }
+  }
+  keepTimer_.expires_after(settings_.withdrawalKeepTime_);
+  keepTimer_.async_wait(
+    [this, alive = std::weak_ptr<bool>(alive_)](const boost::system::error_code& aError) {
+      const auto present = alive.lock();
+      if (aError || !present || !*present || kept_.empty()) {
+        return;
+      }
+      kept_.clear();
+      Refresh();
+    });
+}
+
+void
+ConfigurationFeed::OnWithdrawalsRead(const std::set<std::string>& aKeys)
+{
+  for (const DataCentre& dataCentre : dataCentres_) {
+    if (aKeys.contains(format_.withdrawalPrefix_ + dataCentre.id_)) {
+      continue;
+    }
+    if (kept_.contains(dataCentre.id_)) {
+      LogLine(LogLevel::Info, "withdrawal_kept").With("data_centre", dataCentre.id_);
+    } else {
+      OnWithdrawal(dataCentre.id_, false);
+    }
+  }
+}
+
 void
 ConfigurationFeed::Watch()
 {
   watching_ = true;
+  watchedEpoch_ = EpochOf(revision_);
   store_.Watch(format_.prefix_,
                revision_ + 1,
                [this, alive = std::weak_ptr<bool>(alive_)](
@@ -119,13 +155,26 @@
                  }
                  if (aEvents) {
                    OnEvents(*aEvents);
-                 } else {
-                   watching_ = false;
-                   LoadLater();
+                   return;
                  }
+                 OnWatchEnded();
                });
 }
 
+void
+ConfigurationFeed::OnWatchEnded()
+{
+  watching_ = false;
+  if (watchedEpoch_ == store_.Epoch()) {
+    LoadLater();
+  } else if (EpochOf(revision_) == store_.Epoch()) {
+    // The entries of the new epoch were read before the end of the watch was reported.
+    Watch();
+  } else {
+    Refresh();
+  }
+}
+
 void
 ConfigurationFeed::OnEvents(const std::vector<StoreWatchEvent>& aEvents)
 {
@@ -142,36 +191,50 @@
 ConfigurationFeed::OnEntry(const std::string& aKey, const std::optional<std::string>& aValue)
 {
   if (aKey == format_.configurationKey_) {
-    if (!aValue) {
-      LogLine(LogLevel::Warning, "configuration_removed").With("key", aKey);
-      return;
-    }
-    auto decoded = format_.decode_(*aValue);
-    if (!decoded) {
-      for (const Finding& finding : decoded.error()) {
-        LogLine(LogLevel::Warning, "configuration_rejected")
-          .With("place", finding.place_)
-          .With("error", finding.message_);
-      }
-      return;
-    }
-    if (!document_ || decoded->revision_ > document_->revision_) {
-      document_ = std::move(*decoded);
-      changed_ = true;
-    }
+    OnDocument(aValue);
+  } else if (aKey.starts_with(format_.withdrawalPrefix_)) {
+    const std::string id = aKey.substr(format_.withdrawalPrefix_.size());
+    kept_.erase(id);
+    OnWithdrawal(id, aValue.has_value());
+  }
+}
+
+void
+ConfigurationFeed::OnDocument(const std::optional<std::string>& aValue)
+{
+  if (!aValue) {
+    LogLine(LogLevel::Warning, "configuration_removed").With("key", format_.configurationKey_);
     return;
   }
-  if (!aKey.starts_with(format_.withdrawalPrefix_)) {
+  auto decoded = format_.decode_(*aValue);
+  if (!decoded) {
+    for (const Finding& finding : decoded.error()) {
+      LogLine(LogLevel::Warning, "configuration_rejected")
+        .With("place", finding.place_)
+        .With("error", finding.message_);
+    }
     return;
   }
-  const std::string id = aKey.substr(format_.withdrawalPrefix_.size());
+  if (!document_ || decoded->revision_ > document_->revision_) {
+    document_ = std::move(*decoded);
+    changed_ = true;
+  } else if (decoded->revision_ < document_->revision_) {
+    LogLine(LogLevel::Info, "configuration_older")
+      .With("revision", decoded->revision_)
+      .With("in_force", document_->revision_);
+  }
+}
+
+void
+ConfigurationFeed::OnWithdrawal(const std::string& aId, bool aWithdrawn)
+{
   for (DataCentre& dataCentre : dataCentres_) {
-    if (dataCentre.id_ == id && dataCentre.withdrawn_ != aValue.has_value()) {
-      dataCentre.withdrawn_ = aValue.has_value();
+    if (dataCentre.id_ == aId && dataCentre.withdrawn_ != aWithdrawn) {
+      dataCentre.withdrawn_ = aWithdrawn;
       changed_ = true;
       LogLine(LogLevel::Info, "data_centre_changed")
-        .With("data_centre", id)
-        .With("withdrawn", dataCentre.withdrawn_ ? "yes" : "no")
+        .With("data_centre", aId)
+        .With("withdrawn", aWithdrawn ? "yes" : "no")
         .With("revision", revision_);
     }
   }
--- a/src/fleet/ConfigurationFeed.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -5,10 +5,13 @@
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -28,19 +31,32 @@
   std::function<tl::expected<ConfigurationRevision, Findings>(std::string_view)> decode_;
 };
 
+struct ConfigurationFeedSettings
+{
+  /// All data centres with their regions.
+  std::vector<DataCentre> dataCentres_;
+  /// Time for which a withdrawal is kept that the store lacks since it came back from an older
+  /// copy. It covers the time until the operator has written it again.
+  std::chrono::milliseconds withdrawalKeepTime_{ 5000 };
+};
+
 /// Watches the configuration and the data centre withdrawals that the operator writes to the store,
 /// and delivers them as one ConfigurationRevision. An invalid configuration is logged and the last
 /// valid one stays in force; an older revision is ignored. Runs on the context's thread.
+///
+/// The store may come back from an older copy of itself, in a new epoch. The configuration in force
+/// stays then until there is a newer one: revisions of configurations are the operator's and do not
+/// go back. Withdrawals have no order of their own. One that the store has counts at once, since it
+/// may be new; one that it lacks is kept for a time.
 class ConfigurationFeed
 {
 public:
   using Adopt = std::function<void(std::shared_ptr<const ConfigurationRevision>)>;
 
-  /// aDataCentres lists all data centres with their regions.
   ConfigurationFeed(boost::asio::io_context& aContext,
                     Store& aStore,
                     ConfigurationFormat aFormat,
-                    std::vector<DataCentre> aDataCentres,
+                    ConfigurationFeedSettings aSettings,
                     Adopt aAdopt);
   ~ConfigurationFeed();
 
@@ -57,22 +73,33 @@
 private:
   void Load();
   void OnLoaded(const StoreRange& aRange);
+  void KeepWithdrawals();
+  void OnWithdrawalsRead(const std::set<std::string>& aKeys);
   void Watch();
+  void OnWatchEnded();
   void OnEvents(const std::vector<StoreWatchEvent>& aEvents);
   void OnEntry(const std::string& aKey, const std::optional<std::string>& aValue);
+  void OnDocument(const std::optional<std::string>& aValue);
+  void OnWithdrawal(const std::string& aId, bool aWithdrawn);
   void Publish();
   void LoadLater();
 
   boost::asio::io_context& context_;
   Store& store_;
   ConfigurationFormat format_;
+  ConfigurationFeedSettings settings_;
+  /// The data centres as they were read last.
   std::vector<DataCentre> dataCentres_;
   Adopt adopt_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   std::optional<ConfigurationRevision> document_;
+  /// Data centres that remain withdrawn although the store lacks their entry.
+  std::set<std::string> kept_;
+  boost::asio::steady_timer keepTimer_;
   std::uint64_t revision_ = 0;
   bool loading_ = false;
   bool watching_ = false;
+  std::uint64_t watchedEpoch_ = 0;
   bool changed_ = false;
 };
 
--- a/tests/unit/fleet/ConfigurationFeedTest.cpp
+++ b/tests/unit/fleet/ConfigurationFeedTest.cpp
@@ -34,7 +34,8 @@
       context_,
       store_,
       ConfigurationFormat{ "op/", "op/config", "op/withdrawn/", Decode },
-      std::vector<DataCentre>{ { "braga", "norte", false, {} }, { "porto", "norte", false, {} } },
+      ConfigurationFeedSettings{
+        { { "braga", "norte", false, {} }, { "porto", "norte", false, {} } }, keepTime_ },
       [this](std::shared_ptr<const ConfigurationRevision> aRevision) {
         adopted_.push_back(std::move(aRevision));
       });
@@ -57,6 +58,17 @@
   /// Returns whether the last adopted configuration withdraws the data centre "porto".
   bool Withdrawn() const { return adopted_.back()->configuration_.dataCentres_[1].withdrawn_; }
 
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!aCondition()) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
+      Run();
+    }
+  }
+
+  std::chrono::milliseconds keepTime_ = std::chrono::minutes(10);
   boost::asio::io_context context_;
   SteadyClock clock_;
   MemoryStore store_{ context_, clock_ };
