Adopt all changes of one transaction

The feed took an event for known unless its revision was above that of the event before it. The changes of one transaction share a revision, so all but the first were dropped until the next read of all entries: a withdrawal that is written together with a configuration had no effect. AllChangesOfATransactionAreAdopted failed before.

--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -178,8 +178,10 @@
 void
 ConfigurationFeed::OnEvents(const std::vector<StoreWatchEvent>& aEvents)
 {
+  // The changes of one transaction have the same revision.
+  const std::uint64_t known = revision_;
   for (const StoreWatchEvent& event : aEvents) {
-    if (event.modRevision_ > revision_) {
+    if (event.modRevision_ > known) {
       revision_ = event.modRevision_;
       OnEntry(event.key_, event.value_);
     }
--- a/tests/unit/fleet/ConfigurationFeedTest.cpp
+++ b/tests/unit/fleet/ConfigurationFeedTest.cpp
@@ -137,6 +137,21 @@
   BOOST_TEST(!Withdrawn());
 }
 
+// Guards against all but the first change of a transaction being taken for known.
+BOOST_AUTO_TEST_CASE(AllChangesOfATransactionAreAdopted)
+{
+  Write("op/config", "7");
+  const auto feed = MakeFeed();
+  feed->Start();
+  Run();
+  StoreTransaction transaction;
+  transaction.writes_ = { { "op/config", "8", 0 }, { "op/withdrawn/porto", "", 0 } };
+  store_.Commit(transaction, [](const StoreResult<StoreTransactionResult>&) {});
+  Run();
+  BOOST_TEST(adopted_.back()->revision_ == 8U);
+  BOOST_TEST(Withdrawn());
+}
+
 // Guards against a store reply that arrives after the feed was destroyed.
 BOOST_AUTO_TEST_CASE(NothingIsAdoptedAfterTheEnd)
 {
