Pass on the epoch of the store between threads

ThreadedStore hid it behind the default of the interface. No store of the product's own deployment has epochs yet; found by looking for stores that wrap another one.

--- a/src/control/ThreadedStore.hpp
+++ b/src/control/ThreadedStore.hpp
@@ -15,6 +15,7 @@
 
   ThreadedStore(Store& aStore, Post aPost);
 
+  std::uint64_t Epoch() const override { return store_.Epoch(); }
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override;
   void Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone) override;
   void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone) override;
