Don't replace a leader that was elected while the lease was requested

Seen in the log of a fleet in one process: two instances begin to lead within a millisecond, each of which lends all of an allowance until the first one hears of the second.

Cause: a member that finds no leader requests a lease and then writes the leader's entry, on condition of the revision that it knows at that moment. If it has heard of a new leader in the meantime, that is the revision of the new leader's entry, and the write replaces it. After a store outage all members compete at once.

The condition is now the revision at which the member found the place vacant, so only one of the competitors can be elected.

--- a/src/fleet/FleetElection.cpp
+++ b/src/fleet/FleetElection.cpp
@@ -65,15 +65,16 @@
 FleetService::TakeLeadership()
 {
   electing_ = true;
-  leaderLease_.Acquire([this](std::int64_t aLease) {
+  // Another member may be elected while the lease is requested.
+  const std::string key = session_.LeaderKey();
+  leaderLease_.Acquire([this, key, revision = session_.RevisionOf(key)](std::int64_t aLease) {
     if (aLease == 0) {
       electing_ = false;
       nextElectionAt_ = clock_.Now() + kElectionRetry;
       return;
     }
-    const std::string key = session_.LeaderKey();
     StoreTransaction transaction;
-    transaction.compares_.push_back({ key, session_.RevisionOf(key) });
+    transaction.compares_.push_back({ key, revision });
     transaction.writes_.push_back({ key, settings_.self_.ref_.id_, aLease });
     session_.Commit(std::move(transaction),
                     [this](const StoreResult<StoreTransactionResult>& aResult) {
--- a/tests/unit/fleet/FleetServiceTest.cpp
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -134,6 +134,26 @@
   }
 }
 
+// Guards against two leaders that both lend allowances: a member that competes with the one that
+// was elected in the meantime must not replace it.
+BOOST_AUTO_TEST_CASE(AnElectedLeaderIsNotReplacedByACompetitor)
+{
+  std::vector<std::string> leaders;
+  store_.Watch("redwing/members/leader", 1, [&](const auto& aEvents) {
+    for (const StoreWatchEvent& event : *aEvents) {
+      leaders.push_back(event.value_.value_or(""));
+    }
+  });
+  for (const char* id : { "a", "b" }) {
+    Node& node = Add(id);
+    node.Beat();
+    node.Status(BackendState::Ready, false);
+  }
+  BOOST_REQUIRE(RunUntil([&] { return !leaders.empty(); }));
+  RunUntil([] { return false; }, 500ms);
+  BOOST_TEST(leaders.size() == 1U);
+}
+
 // Guards against a fleet without a leader while the previous one drains.
 BOOST_AUTO_TEST_CASE(ALeavingLeaderIsSucceededAtOnce)
 {
