Keep shard tables over a store that comes back from an older copy

Seen: after the store came back from a copy some seconds old, two servers held the same keys, and keys went to servers with lower fencing tokens than others had them with before ("key 5984 went to .. with fence 10; .. had it with fence 20"; two holders for 4.7 s); or the fleet could not plan any more, because the table was not in the copy and each write was based on a revision that the store no longer has.

Cause: ownership rests on tables, member records and leases that only go forward. An instance adopted the table in the copy as a newer one, granted by it what it had released since, and the last token went back with it. A record in the copy may deny holds that were granted since, and a lease may be renewed, directly or through a peer, that no longer protects anything.

Change: - A session that sees a new epoch registers again, and grants nothing by the lease of the epoch before beyond the time that this lease had at the last renewal in its own epoch. Answers of the epoch before are ignored; a renewal through a peer counts only if the peer saw the same epoch. - Tables and member records name the epoch in which they were written. One that the store has again is older than all that was written after it, and a table of an earlier epoch is no base for plans, releases or grants of the new one. - The leader of the new epoch writes the newest table that anyone knows into it. It waits until all members of the epochs before have registered and reported, and all holders and successors in the table are among them, or until the leases of earlier epochs have run out. It asks for tables that are newer than its own. Records of an earlier epoch get no shards.

Why it works: until the table is written in the new epoch, everyone grants by tables of the epoch before and only until the leases of that epoch end, so its rules still hold. Whoever may grant by such a table has either told the leader which one, or has no lease left when it is written.

If one is missing, keyed services wait for the end of the leases.

--- /dev/null
+++ b/src/fleet/EpochRecovery.cpp
@@ -0,0 +1,104 @@
+#include "fleet/EpochRecovery.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace redwing {
+
+EpochRecovery::EpochRecovery(std::string aSelf, Duration aWait)
+  : self_(std::move(aSelf))
+  , wait_(aWait)
+{
+}
+
+void
+EpochRecovery::Begin(std::uint64_t aEpoch,
+                     bool aConfirmed,
+                     const std::set<InstanceRef>& aMembers,
+                     TimePoint aNow)
+{
+  if (!Waits(aNow)) {
+    awaited_.clear();
+  }
+  epoch_ = aEpoch;
+  seenAt_ = aNow;
+  carried_ = carried_ || aConfirmed;
+  awaited_.insert(aMembers.begin(), aMembers.end());
+  reports_.clear();
+}
+
+std::vector<InstanceRef>
+EpochRecovery::Missing(const std::set<InstanceRef>& aRegistered) const
+{
+  std::vector<InstanceRef> missing;
+  std::set_difference(awaited_.begin(),
+                      awaited_.end(),
+                      aRegistered.begin(),
+                      aRegistered.end(),
+                      std::back_inserter(missing));
+  return missing;
+}
+
+void
+EpochRecovery::OnReport(const FleetReport& aReport)
+{
+  if (aReport.epoch_ != epoch_) {
+    return;
+  }
+  awaited_.insert(aReport.missing_.begin(), aReport.missing_.end());
+  reports_[aReport.from_.id_] = { aReport.from_.incarnation_,
+                                  aReport.carried_,
+                                  { aReport.tables_.begin(), aReport.tables_.end() } };
+}
+
+bool
+EpochRecovery::IsCarried(const std::string& aInstanceId) const
+{
+  if (aInstanceId == self_) {
+    return carried_;
+  }
+  const auto report = reports_.find(aInstanceId);
+  return report != reports_.end() && report->second.carried_;
+}
+
+bool
+EpochRecovery::Accounted(const ShardTable& aTable,
+                         const std::set<InstanceRef>& aRegistered,
+                         const std::map<std::string, std::uint64_t>& aRevisions) const
+{
+  if (!carried_ || !Missing(aRegistered).empty()) {
+    return false;
+  }
+  for (const InstanceRef& member : aRegistered) {
+    if (member.id_ == self_) {
+      continue;
+    }
+    const auto report = reports_.find(member.id_);
+    if (report == reports_.end() || report->second.incarnation_ != member.incarnation_) {
+      return false;
+    }
+    for (const auto& [service, revision] : report->second.tables_) {
+      const auto known = aRevisions.find(service);
+      if (known == aRevisions.end() || known->second < revision) {
+        return false;
+      }
+    }
+  }
+  const auto runs = aTable.Runs();
+  return std::all_of(runs.begin(), runs.end(), [this](const ShardRun& aRun) {
+    return (aRun.holder_.Empty() || IsCarried(aRun.holder_.instanceId_)) &&
+           (aRun.successor_.empty() || IsCarried(aRun.successor_));
+  });
+}
+
+bool
+EpochRecovery::SeesEarlierMembers() const
+{
+  return carried_ || !awaited_.empty() ||
+         std::any_of(reports_.begin(), reports_.end(), [](const auto& aReport) {
+           return aReport.second.carried_;
+         });
+}
+
+} // namespace redwing
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -91,7 +91,7 @@
   std::vector<ShardCandidate> candidates;
   for (const auto& [key, member] : members_) {
     const MemberRecord& record = member.record_;
-    if (record.member_.service_ != aService) {
+    if (record.member_.service_ != aService || !IsCurrent(member.revision_)) {
       continue;
     }
     ShardCandidate candidate;
@@ -126,7 +126,8 @@
 FleetService::MayCreateTable() const
 {
   const TimePoint now = clock_.Now();
-  return now - startedAt_ >= kBootstrapDelay && now - membersChangedAt_ >= kBootstrapQuiet;
+  return now - startedAt_ >= kBootstrapDelay && now - membersChangedAt_ >= kBootstrapQuiet &&
+         (!SeesEarlierEpoch() || MayRecover(ShardTable()));
 }
 
 std::vector<double>
@@ -139,7 +140,11 @@
 void
 FleetService::Plan(const Service& aService)
 {
-  auto known = tables_.find(aService.id_);
+  const auto known = tables_.find(aService.id_);
+  if (known != tables_.end() && !IsCurrent(known->second.revision_)) {
+    RecoverTable(aService.id_, known->second);
+    return;
+  }
   const bool create = known == tables_.end() || known->second.table_.Shards() != aService.shards_;
   if (create && !MayCreateTable()) {
     return;
@@ -207,6 +212,7 @@
                            std::numeric_limits<std::uint32_t>::max()));
   report.configurationRevision_ = configuration_->revision_;
   report.memberRevision_ = session_.NewestChange();
+  report.epoch_ = session_.Epoch();
   return report;
 }
 
@@ -228,6 +234,10 @@
   for (const auto& [service, table] : tables_) {
     report.tables_.emplace_back(service, table.revision_);
   }
+  report.carried_ = recovery_.Carried();
+  if (recovery_.Waits(clock_.Now())) {
+    report.missing_ = recovery_.Missing(RegisteredMembers());
+  }
   report.service_ = settings_.self_.service_;
   report.shardLoad_ = holds_.TakeLoad();
   report.serviceRate_ = hooks_.serviceRate_();
@@ -320,30 +330,6 @@
   return ids;
 }
 
-void
-FleetService::RepairTables(const FleetReport& aReport, FleetReply& aReply)
-{
-  if (aReport.service_.empty()) {
-    // The report only asks for an allowance.
-    return;
-  }
-  std::map<std::string, std::uint64_t> reported(aReport.tables_.begin(), aReport.tables_.end());
-  std::map<std::string, std::uint64_t>& before = reportedTables_[aReport.from_.id_];
-  for (const auto& entry : tables_) {
-    const std::uint64_t known = reported[entry.first];
-    const auto last = before.find(entry.first);
-    // Changes may be in transit to an instance that reports an older revision for the first time.
-    const bool stuck = known == 0 || (last != before.end() && last->second == known);
-    if (known < entry.second.revision_ && stuck) {
-      aReply.tables_.push_back(
-        { entry.first, entry.second.revision_, entry.second.table_.ToText(), 0, {} });
-    } else if (known > entry.second.revision_) {
-      session_.Reload();
-    }
-  }
-  before = std::move(reported);
-}
-
 void
 FleetService::UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow)
 {
@@ -369,8 +355,10 @@
 FleetReply
 FleetService::OnReport(const FleetReport& aReport)
 {
+  session_.OnEpochSeen(aReport.epoch_);
   FleetReply reply;
   reply.leads_ = leads_;
+  reply.epoch_ = session_.Epoch();
   reply.configurationRevision_ = configuration_->revision_;
   reply.memberRevision_ = session_.NewestChange();
   if (aReport.configurationRevision_ > configuration_->revision_) {
@@ -437,9 +425,11 @@
 {
   lastLeaderReplyAt_ = clock_.Now();
   answeredReportAt_ = std::max(answeredReportAt_, aSentAt);
+  session_.OnEpochSeen(aReply.epoch_);
   for (const TableNotice& notice : aReply.tables_) {
     OnTable(notice);
   }
+  SendWantedTables(aReply);
   for (const WorkspaceGrant& grant : aReply.grants_) {
     if (const auto budget = budgets_.find(grant.workspace_); budget != budgets_.end()) {
       budget->second.OnGrant(grant.extra_, aSentAt);
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -52,6 +52,7 @@
     serverStartedAt_ = aHeartbeat.startedAt_;
     serverLeaves_ = false;
     serverCrashed_ = false;
+    WithdrawGrants();
     holds_.SetServerIncarnation(serverIncarnation_);
   }
   lastSequence_ = aHeartbeat.sequence_;
@@ -155,17 +156,39 @@
   const bool silent = backendState_ == BackendState::Down && clock_.Now() >= holds_.HoldsUntil();
   const bool holdsNothing = serverCrashed_ || silent;
   record.serverIncarnation_ = holdsNothing ? std::string() : serverIncarnation_;
+  if (holdsNothing) {
+    WithdrawGrants();
+  }
   session_.SetSelf(record);
 }
 
+void
+FleetService::WithdrawGrants()
+{
+  grantDeadline_ = {};
+  holds_.SetLeaseDeadline(grantDeadline_);
+}
+
 void
 FleetService::UpdateLease()
 {
   // While the record in the store may state that the server holds nothing, other instances may take
   // over its shards.
-  const bool certain =
-    session_.Confirmed() && !serverIncarnation_.empty() && session_.Publishes(serverIncarnation_);
-  holds_.SetLeaseDeadline(certain ? session_.LeaseDeadline() : TimePoint{});
+  const auto table = tables_.find(settings_.self_.service_);
+  const bool certain = session_.Confirmed() && !serverIncarnation_.empty() &&
+                       session_.Publishes(serverIncarnation_) &&
+                       (table == tables_.end() || IsCurrent(table->second.revision_));
+  if (certain) {
+    grantDeadline_ = session_.LeaseDeadline();
+    grantEpoch_ = session_.Epoch();
+  } else if (grantEpoch_ == session_.Epoch()) {
+    grantDeadline_ = {};
+  } else {
+    // Until the table is written in the new epoch, nobody takes over shards before the leases of
+    // the earlier epoch have run out.
+    grantDeadline_ = std::min(grantDeadline_, session_.EarlierDeadline());
+  }
+  holds_.SetLeaseDeadline(grantDeadline_);
 }
 
 bool
@@ -173,7 +196,8 @@
 {
   const std::string& service = settings_.self_.service_;
   const auto known = tables_.find(service);
-  if (known == tables_.end() || !session_.Confirmed() || writing_.contains(service)) {
+  if (known == tables_.end() || !session_.Confirmed() || writing_.contains(service) ||
+      !IsCurrent(known->second.revision_)) {
     return false;
   }
   aTable = &known->second;
@@ -192,7 +216,8 @@
   for (const ReleasedShards& shards : released) {
     const auto member = members_.find(session_.MemberKey(shards.successor_));
     ShardHolder holder;
-    if (member != members_.end() && member->second.record_.Accepts()) {
+    if (member != members_.end() && IsCurrent(member->second.revision_) &&
+        member->second.record_.Accepts()) {
       holder = { shards.successor_, member->second.record_.serverIncarnation_ };
     }
     next.Assign(shards.first_, shards.last_, holder, shards.handover_);
@@ -237,46 +262,53 @@
 void
 FleetService::WriteTable(const std::string& aService,
                          const KnownTable& aBase,
-                         const ShardTable& aNext,
+                         ShardTable aNext,
                          std::vector<StoreCompare> aConditions,
                          const char* aReason)
 {
   const std::string key = session_.TableKey(aService);
+  aNext.SetEpoch(session_.Epoch());
   StoreTransaction transaction;
   transaction.compares_ = std::move(aConditions);
   transaction.compares_.push_back({ key, aBase.revision_ });
+  if (aBase.revision_ == 0) {
+    // The absence of the table could hold in a later epoch, too; this record could not.
+    const std::string self = session_.MemberKey(settings_.self_.ref_.id_);
+    transaction.compares_.push_back({ self, session_.RevisionOf(self) });
+  }
   transaction.writes_.push_back({ key, aNext.ToText(), 0 });
   writing_.insert(aService);
   tableWrites_.Add();
-  session_.Commit(
-    std::move(transaction),
-    [this, aService, aBase, aNext, aReason](const StoreResult<StoreTransactionResult>& aResult) {
-      writing_.erase(aService);
-      const bool written = aResult && aResult->succeeded_;
-      LogLine(LogLevel::Info, "shard_table_written")
-        .With("service", aService)
-        .With("reason", aReason)
-        .With("runs", aNext.Runs().size())
-        .With("outcome",
-              written   ? "written"
-              : aResult ? "conflict"
-                        : "unknown")
-        .With("revision", aResult ? aResult->revision_ : 0);
-      if (!written) {
-        return;
-      }
-      if (tables_[aService].revision_ >= aResult->revision_) {
-        return;
-      }
-      TableNotice notice{ aService, aResult->revision_, {}, aBase.revision_, {} };
-      if (aBase.revision_ > 0 && aBase.table_.Shards() == aNext.Shards()) {
-        notice.changes_ = aBase.table_.ChangesTo(aNext);
-      } else {
-        notice.text_ = aNext.ToText();
-      }
-      SetTable(aService, { aResult->revision_, aNext });
-      BroadcastNotice(notice);
-    });
+  session_.Commit(std::move(transaction),
+                  [this, aService, aBase, next = std::move(aNext), aReason](
+                    const StoreResult<StoreTransactionResult>& aResult) {
+                    writing_.erase(aService);
+                    const bool written = aResult && aResult->succeeded_;
+                    LogLine(LogLevel::Info, "shard_table_written")
+                      .With("service", aService)
+                      .With("reason", aReason)
+                      .With("runs", next.Runs().size())
+                      .With("outcome",
+                            written   ? "written"
+                            : aResult ? "conflict"
+                                      : "unknown")
+                      .With("revision", aResult ? aResult->revision_ : 0);
+                    if (!written) {
+                      return;
+                    }
+                    if (tables_[aService].revision_ >= aResult->revision_) {
+                      return;
+                    }
+                    TableNotice notice{ aService, aResult->revision_, {}, aBase.revision_, {} };
+                    if (aBase.revision_ > 0 && aBase.table_.Shards() == next.Shards() &&
+                        aBase.table_.Epoch() == next.Epoch()) {
+                      notice.changes_ = aBase.table_.ChangesTo(next);
+                    } else {
+                      notice.text_ = next.ToText();
+                    }
+                    SetTable(aService, { aResult->revision_, next });
+                    BroadcastNotice(notice);
+                  });
 }
 
 } // namespace redwing
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -53,6 +53,12 @@
   std::vector<std::pair<std::uint32_t, std::uint32_t>> shardLoad_;
   /// Requests per second that the local server can process; 0 if unknown.
   double serviceRate_ = 0;
+  /// Newest epoch of the store that the sender knows of.
+  std::uint64_t epoch_ = 0;
+  /// The sender's process was a member in an earlier epoch.
+  bool carried_ = false;
+  /// Members of earlier epochs that the sender has not seen registered in this one.
+  std::vector<InstanceRef> missing_;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -67,7 +73,10 @@
              uses_,
              service_,
              shardLoad_,
-             serviceRate_);
+             serviceRate_,
+             epoch_,
+             carried_,
+             missing_);
   }
 };
 
@@ -133,11 +142,13 @@
 {
   /// The store renewed the lease.
   bool renewed_ = false;
+  /// Newest epoch of the store that the peer knew after the renewal.
+  std::uint64_t epoch_ = 0;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(renewed_);
+    aArchive(renewed_, epoch_);
   }
 };
 
@@ -153,11 +164,15 @@
   std::uint64_t memberRevision_ = 0;
   std::vector<WorkspaceGrant> grants_;
   std::vector<TableNotice> tables_;
+  /// Newest epoch of the store that the leader knows of.
+  std::uint64_t epoch_ = 0;
+  /// Services whose table the leader asks for, because the reporting instance knows a newer one.
+  std::vector<std::string> wanted_;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(leads_, configurationRevision_, memberRevision_, grants_, tables_);
+    aArchive(leads_, configurationRevision_, memberRevision_, grants_, tables_, epoch_, wanted_);
   }
 };
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FleetService.hpp"
 
 #include "core/Log.hpp"
+#include "store/StoreRevision.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +22,9 @@
 constexpr milliseconds kRelayTimeout{ 600 };
 /// Maximum number of changes per table that wait for earlier ones.
 constexpr std::size_t kMaxEarlyChanges = 16;
+/// Margin between the end of the leases of an earlier epoch and the time from which their shards
+/// may be assigned to others.
+constexpr milliseconds kEpochMargin{ 300 };
 
 } // namespace
 
@@ -50,6 +54,7 @@
   , timer_(aContext)
   , startedAt_(aClock.Now())
   , configuration_(std::make_shared<const ConfigurationRevision>())
+  , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
   , leaderLease_(aContext, aClock, aStore, settings_.leader_)
   , contacts_(settings_.budget_)
   , pools_(settings_.budget_, hooks_.timeOfDay_)
@@ -95,8 +100,10 @@
 void
 FleetService::OnSessionChange()
 {
+  UpdateEpoch();
   ReadMembers();
   ReadTables();
+  confirmedInEpoch_ = session_.Confirmed() && TablesAreCurrent();
   UpdateLease();
   AdoptOwnShards();
   CommitReleases();
@@ -113,31 +120,16 @@
     if (!session_.IsMemberKey(key)) {
       continue;
     }
-    auto& known = members_[key];
-    if (known.revision_ == entry.modRevision_) {
-      continue;
-    }
-    const bool isNew = known.revision_ == 0;
-    known.revision_ = entry.modRevision_;
-    if (auto record = MemberRecord::Parse(entry.value_)) {
-      known.record_ = std::move(*record);
-      LogLine(LogLevel::Info, isNew ? "member_seen" : "member_changed")
-        .With("instance", known.record_.member_.ref_.id_)
-        .With("incarnation", known.record_.member_.ref_.incarnation_)
-        .With("life", known.record_.serverIncarnation_)
-        .With("accepts", known.record_.Accepts() ? "yes" : "no")
-        .With("revision", entry.modRevision_);
-    } else {
-      LogLine(LogLevel::Warning, "member_record_invalid")
-        .With("key", key)
-        .With("error", record.error());
+    const auto known = members_.find(key);
+    if (known == members_.end() || known->second.entryRevision_ != entry.modRevision_) {
+      ReadMember(key, entry);
     }
-    viewDirty_ = true;
-    membersChangedAt_ = clock_.Now();
-    nextPlan_ = {};
   }
+  const bool recovering = recovery_.Carried() && recovery_.Waits(clock_.Now());
   for (auto member = members_.begin(); member != members_.end();) {
-    if (session_.All().contains(member->first)) {
+    // Members of the earlier epoch have time to register again.
+    const bool kept = recovering && !IsCurrent(member->second.revision_);
+    if (kept || session_.All().contains(member->first)) {
       ++member;
       continue;
     }
@@ -153,6 +145,40 @@
   }
 }
 
+void
+FleetService::ReadMember(const std::string& aKey, const StoreEntry& aEntry)
+{
+  auto record = MemberRecord::Parse(aEntry.value_);
+  if (!record) {
+    LogLine(LogLevel::Warning, "member_record_invalid")
+      .With("key", aKey)
+      .With("error", record.error());
+    KnownMember& known = members_[aKey];
+    known.revision_ = aEntry.modRevision_;
+    known.entryRevision_ = aEntry.modRevision_;
+    return;
+  }
+  const std::uint64_t revision = MakeRevision(record->epoch_, NumberOf(aEntry.modRevision_));
+  const auto present = members_.find(aKey);
+  const bool isNew = present == members_.end();
+  if (recovery_.Carried() && !IsCurrent(revision) &&
+      (isNew || revision <= present->second.revision_)) {
+    // The store has this record again: it was changed or removed before the store came back.
+    return;
+  }
+  members_[aKey] = { revision, aEntry.modRevision_, std::move(*record) };
+  const MemberRecord& known = members_[aKey].record_;
+  LogLine(LogLevel::Info, isNew ? "member_seen" : "member_changed")
+    .With("instance", known.member_.ref_.id_)
+    .With("incarnation", known.member_.ref_.incarnation_)
+    .With("life", known.serverIncarnation_)
+    .With("accepts", known.Accepts() ? "yes" : "no")
+    .With("revision", revision);
+  viewDirty_ = true;
+  membersChangedAt_ = clock_.Now();
+  nextPlan_ = {};
+}
+
 void
 FleetService::ReadTables()
 {
@@ -181,7 +207,10 @@
       .With("error", table.error());
     return;
   }
-  SetTable(aService, { aRevision, std::move(*table) });
+  const std::uint64_t revision = MakeRevision(table->Epoch(), NumberOf(aRevision));
+  if (known == tables_.end() || known->second.revision_ < revision) {
+    SetTable(aService, { revision, std::move(*table) });
+  }
 }
 
 void
@@ -201,6 +230,11 @@
 void
 FleetService::OnTable(const TableNotice& aNotice)
 {
+  session_.OnEpochSeen(EpochOf(aNotice.revision_));
+  if (!IsCurrent(aNotice.revision_) && (!leads_ || aNotice.text_.empty())) {
+    // The notice was delayed; grants from it would not be known to the leader of this epoch.
+    return;
+  }
   if (aNotice.text_.empty()) {
     ApplyChanges(aNotice);
   } else {
@@ -309,6 +343,7 @@
       return;
     }
     const TimePoint now = clock_.Now();
+    session_.CheckEpoch();
     UpdateSelf();
     if (now - delayedHeartbeatAt_ >= kMaxReplyDelay) {
       AnswerDelayedHeartbeat();
@@ -378,7 +413,10 @@
                kRelayTimeout,
                [this, peer, aDone](bool aAnswered, const std::string& aReply) {
                  LeaseRenewalReply reply;
-                 const bool renewed = aAnswered && ReadWire(aReply, reply) && reply.renewed_;
+                 const bool read = aAnswered && ReadWire(aReply, reply);
+                 session_.OnEpochSeen(reply.epoch_);
+                 // In a later epoch other instances need not wait for the end of this lease.
+                 const bool renewed = read && reply.renewed_ && reply.epoch_ == session_.Epoch();
                  relay_ = renewed ? peer : std::string();
                  aDone(renewed);
                });
@@ -388,9 +426,10 @@
 FleetService::RenewForPeer(const LeaseRenewal& aRenewal, const CallReply& aReply)
 {
   // The callback may run after this object was destroyed, so it must not access it.
-  store_.KeepAlive(aRenewal.lease_, [aReply](const StoreResult<std::chrono::seconds>& aLeft) {
-    aReply(WriteWire(LeaseRenewalReply{ aLeft && aLeft->count() > 0 }));
-  });
+  store_.KeepAlive(
+    aRenewal.lease_, [&store = store_, aReply](const StoreResult<std::chrono::seconds>& aLeft) {
+      aReply(WriteWire(LeaseRenewalReply{ aLeft && aLeft->count() > 0, store.Epoch() }));
+    });
 }
 
 void
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -7,6 +7,7 @@
 #include "core/Random.hpp"
 #include "exchange/ServerHeartbeat.hpp"
 #include "fleet/AllowancePools.hpp"
+#include "fleet/EpochRecovery.hpp"
 #include "fleet/FleetMessages.hpp"
 #include "fleet/LeaderContacts.hpp"
 #include "fleet/LeaderLease.hpp"
@@ -143,9 +144,14 @@
   bool Ready() const;
 
 private:
+  /// Revisions consist of the epoch in which the record or table was written and its number in the
+  /// store. So those that the store has again after it came back from an older copy are not taken
+  /// for new ones.
   struct KnownMember
   {
     std::uint64_t revision_ = 0;
+    /// Revision of the entry that was read last.
+    std::uint64_t entryRevision_ = 0;
     MemberRecord record_;
   };
   struct KnownTable
@@ -183,15 +189,17 @@
   void CommitReleases();
   void AdoptOwnShards();
   bool OwnTable(KnownTable*& aTable);
+  void WithdrawGrants();
   void WriteTable(const std::string& aService,
                   const KnownTable& aBase,
-                  const ShardTable& aNext,
+                  ShardTable aNext,
                   std::vector<StoreCompare> aConditions,
                   const char* aReason);
 
   // Members, shard tables and peers (FleetService.cpp).
   void OnSessionChange();
   void ReadMembers();
+  void ReadMember(const std::string& aKey, const StoreEntry& aEntry);
   void ReadTables();
   void AdoptTable(const std::string& aService, std::uint64_t aRevision, const std::string& aText);
   void SetTable(const std::string& aService, KnownTable aTable);
@@ -201,6 +209,17 @@
   void RelayRenewal(std::int64_t aLease, const std::function<void(bool)>& aDone);
   void RenewForPeer(const LeaseRenewal& aRenewal, const CallReply& aReply);
 
+  // Recovery after the store came back from an older copy (FleetRecovery.cpp).
+  void UpdateEpoch();
+  bool IsCurrent(std::uint64_t aRevision) const;
+  bool TablesAreCurrent() const;
+  bool SeesEarlierEpoch() const;
+  bool MayRecover(const ShardTable& aTable) const;
+  std::set<InstanceRef> RegisteredMembers() const;
+  void RecoverTable(const std::string& aService, const KnownTable& aKnown);
+  void RepairTables(const FleetReport& aReport, FleetReply& aReply);
+  void SendWantedTables(const FleetReply& aReply);
+
   // Election (FleetElection.cpp).
   void UpdateLeadership();
   void TakeLeadership();
@@ -230,7 +249,6 @@
   void OnTable(const TableNotice& aNotice);
   void ApplyChanges(const TableNotice& aNotice);
   void BroadcastNotice(const TableNotice& aNotice);
-  void RepairTables(const FleetReport& aReport, FleetReply& aReply);
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
 
@@ -262,6 +280,14 @@
   std::shared_ptr<const ConfigurationRevision> configuration_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
+  EpochRecovery recovery_;
+  /// Epoch that recovery_ was told of.
+  std::uint64_t epoch_ = 0;
+  /// Time until which shards may be granted, and the epoch of the lease that it is based on.
+  TimePoint grantDeadline_{};
+  std::uint64_t grantEpoch_ = 0;
+  /// This instance is a member in epoch_ and knows no table of an earlier one.
+  bool confirmedInEpoch_ = false;
   /// Table changes that arrived before the revision that they are based on, by service and base
   /// revision.
   std::map<std::string, std::map<std::uint64_t, TableNotice>> earlyChanges_;
--- a/src/fleet/LeaderLease.cpp
+++ b/src/fleet/LeaderLease.cpp
@@ -41,6 +41,7 @@
 {
   Drop();
   held_ = std::make_shared<bool>(true);
+  epoch_ = store_.Epoch();
   const TimePoint sentAt = clock_.Now();
   store_.GrantLease(
     settings_.leaseTime_,
@@ -51,6 +52,10 @@
           done(0);
           return;
         }
+        if (store_.Epoch() != epoch_) {
+          done(0);
+          return;
+        }
         lease_ = *aLease;
         deadline_ = sentAt + settings_.leaseTime_;
         ScheduleRenew(settings_.renewInterval_);
@@ -86,7 +91,9 @@
   store_.KeepAlive(
     lease_,
     WhileHeld<std::chrono::seconds>([this, sentAt](const StoreResult<std::chrono::seconds>& aLeft) {
-      if (!aLeft) {
+      if (store_.Epoch() != epoch_) {
+        LogLine(LogLevel::Warning, "leader_lease_of_earlier_epoch").With("lease", lease_);
+      } else if (!aLeft) {
         ScheduleRenew(settings_.retryInterval_);
       } else if (aLeft->count() == 0) {
         LogLine(LogLevel::Warning, "leader_lease_ended").With("lease", lease_);
--- a/src/fleet/LeaderLease.hpp
+++ b/src/fleet/LeaderLease.hpp
@@ -22,7 +22,8 @@
   std::chrono::milliseconds retryInterval_{ 250 };
 };
 
-/// The store lease to which the leader's entry is bound. Runs on the context's thread.
+/// The store lease to which the leader's entry is bound. It is not renewed any more when the store
+/// enters a new epoch, in which its id may belong to another lease. Runs on the context's thread.
 class LeaderLease
 {
 public:
@@ -59,6 +60,8 @@
   /// Replaced with each lease, so that replies for an earlier lease are ignored.
   std::shared_ptr<bool> held_;
   std::int64_t lease_ = 0;
+  /// Epoch of the store in which the lease was requested.
+  std::uint64_t epoch_ = 0;
   TimePoint deadline_{};
 };
 
--- a/src/fleet/MemberRecord.cpp
+++ b/src/fleet/MemberRecord.cpp
@@ -58,6 +58,7 @@
     member.state_ = StateOf(json.at("state").get<std::string>());
     member.leaving_ = json.at("leaving").get<bool>();
     record.serverIncarnation_ = json.at("life").get<std::string>();
+    record.epoch_ = json.value("epoch", std::uint64_t{ 0 });
     return record;
   } catch (const Json::exception& error) {
     return tl::unexpected(std::string(error.what()));
@@ -77,7 +78,8 @@
     { "slots", member_.slots_ },
     { "state", redwing::ToText(member_.state_) },
     { "leaving", member_.leaving_ },
-    { "life", serverIncarnation_ }
+    { "life", serverIncarnation_ },
+    { "epoch", epoch_ }
   }.dump();
 }
 
--- a/src/fleet/MemberRecord.hpp
+++ b/src/fleet/MemberRecord.hpp
@@ -2,6 +2,7 @@
 
 #include "routing/RoutingView.hpp"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -14,6 +15,9 @@
   Member member_;
   /// Incarnation of the backend server that may hold shards; empty once it certainly holds none.
   std::string serverIncarnation_;
+  /// Epoch of the store in which the record was written; the store may have come back from an older
+  /// copy since. 0 in records of builds that did not write it.
+  std::uint64_t epoch_ = 0;
 
   /// Parses the stored form; returns an error message if it is invalid.
   ///
--- a/src/fleet/ShardTable.cpp
+++ b/src/fleet/ShardTable.cpp
@@ -39,6 +39,11 @@
   }
   ShardTable table(std::max(1U, json["shards"].get<std::uint32_t>()));
   table.lastToken_ = json["token"].get<std::uint64_t>();
+  const auto epoch = json.find("epoch");
+  if (epoch != json.end() && !epoch->is_number_unsigned()) {
+    return tl::unexpected(std::string("epoch is not a number"));
+  }
+  table.epoch_ = epoch == json.end() ? 0 : epoch->get<std::uint64_t>();
   table.runs_.clear();
   std::uint32_t next = 0;
   for (const Json& item : json["runs"]) {
@@ -78,7 +83,9 @@
                      run.successor_,
                      run.handover_ });
   }
-  return Json{ { "shards", shards_ }, { "token", lastToken_ }, { "runs", std::move(runs) } }.dump();
+  return Json{
+    { "shards", shards_ }, { "token", lastToken_ }, { "epoch", epoch_ }, { "runs", std::move(runs) }
+  }.dump();
 }
 
 const ShardRun&
@@ -115,6 +122,17 @@
   Merge();
 }
 
+void
+ShardTable::SkipTokens(std::uint64_t aStep, bool aReassign)
+{
+  lastToken_ += aStep;
+  for (ShardRun& run : runs_) {
+    if (aReassign && !run.holder_.Empty()) {
+      run.token_ += aStep;
+    }
+  }
+}
+
 std::vector<ShardRun>
 ShardTable::ChangesTo(const ShardTable& aNext) const
 {
--- a/src/fleet/ShardTable.hpp
+++ b/src/fleet/ShardTable.hpp
@@ -62,6 +62,24 @@
   std::string ToText() const;
 
   std::uint32_t Shards() const { return shards_; }
+
+  /// Returns the epoch of the store in which the table was written; 0 in tables of builds that did
+  /// not write it. In a later epoch the table may be older than what instances know.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  std::uint64_t Epoch() const { return epoch_; }
+
+  /// Sets the epoch in which the table is about to be written.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void SetEpoch(std::uint64_t aEpoch) { epoch_ = aEpoch; }
+
+  /// Reserves aStep fencing tokens that a lost later table may have given out, so that new
+  /// assignments get higher ones. With aReassign the present holders get new tokens, too.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void SkipTokens(std::uint64_t aStep, bool aReassign);
+
   std::span<const ShardRun> Runs() const { return runs_; }
 
   /// Returns the run that contains aShard.
@@ -102,6 +120,7 @@
   void Merge();
 
   std::uint32_t shards_;
+  std::uint64_t epoch_ = 0;
   /// Last fencing token issued.
   std::uint64_t lastToken_ = 0;
   std::vector<ShardRun> runs_;
--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -1,9 +1,9 @@
 #include "fleet/StoreSession.hpp"
 
 #include "core/Log.hpp"
+#include "store/StoreRevision.hpp"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <utility>
 
 namespace redwing {
@@ -64,21 +64,6 @@
   return aKey.starts_with(recordsPrefix_);
 }
 
-template<typename T>
-StoreCallback<T>
-StoreSession::PostToContext(std::function<void(StoreResult<T>)> aHandle)
-{
-  return [this, alive = std::weak_ptr<bool>(alive_), handle = std::move(aHandle)](
-           StoreResult<T> aResult) {
-    boost::asio::post(context_, [alive, handle, result = std::move(aResult)]() mutable {
-      const auto present = alive.lock();
-      if (present && *present) {
-        handle(std::move(result));
-      }
-    });
-  };
-}
-
 void
 StoreSession::RunAfter(milliseconds aDelay, Task aTask)
 {
@@ -104,7 +89,7 @@
   self_ = aSelf;
   if (registered_) {
     WriteSelf();
-  } else if (loaded_) {
+  } else if (loadedInEpoch_) {
     Register();
   }
 }
@@ -119,7 +104,7 @@
 void
 StoreSession::Register()
 {
-  if (ended_ || registered_ || lease_ != 0 || !self_) {
+  if (ended_ || registered_ || lease_ != 0 || !self_ || !loadedInEpoch_) {
     return;
   }
   GrantLease();
@@ -132,7 +117,7 @@
   // Marks the request as pending, so that Register does not send another one.
   lease_ = -1;
   store_.GrantLease(settings_.leaseTime_,
-                    PostToContext<std::int64_t>([this](const StoreResult<std::int64_t>& aLease) {
+                    WithinEpoch<std::int64_t>([this](const StoreResult<std::int64_t>& aLease) {
                       if (!aLease) {
                         lease_ = 0;
                         RunAfter(settings_.retryInterval_, [this] { Register(); });
@@ -150,7 +135,9 @@
     return;
   }
   const std::string key = MemberKey(self_->member_.ref_.id_);
-  const std::string text = self_->ToText();
+  MemberRecord record = *self_;
+  record.epoch_ = epoch_;
+  const std::string text = record.ToText();
   const auto present = entries_.find(key);
   const bool same = present != entries_.end() && present->second.value_ == text;
   if (registered_ && same && !mustRewrite_) {
@@ -161,12 +148,13 @@
   StoreTransaction transaction;
   transaction.compares_.push_back({ key, RevisionOf(key) });
   transaction.writes_.push_back({ key, text, lease_ });
-  store_.Commit(std::move(transaction),
-                PostToContext<StoreTransactionResult>(
-                  [this, record = *self_](const StoreResult<StoreTransactionResult>& aResult) {
-                    writing_ = false;
-                    OnWritten(record, aResult);
-                  }));
+  store_.Commit(
+    std::move(transaction),
+    WithinEpoch<StoreTransactionResult>(
+      [this, record = std::move(record)](const StoreResult<StoreTransactionResult>& aResult) {
+        writing_ = false;
+        OnWritten(record, aResult);
+      }));
 }
 
 void
@@ -227,7 +215,7 @@
 {
   loading_ = true;
   store_.Range(
-    settings_.prefix_, false, PostToContext<StoreRange>([this](StoreResult<StoreRange> aRange) {
+    settings_.prefix_, false, WithinEpoch<StoreRange>([this](StoreResult<StoreRange> aRange) {
       loading_ = false;
       if (ended_) {
         return;
@@ -244,6 +232,10 @@
       if (std::exchange(storeLost_, false)) {
         LogLine(LogLevel::Info, "store_regained").With("revision", aRange->revision_);
       }
+      if (EpochOf(aRange->revision_) != epoch_) {
+        RunAfter(settings_.retryInterval_, [this] { Reload(); });
+        return;
+      }
       OnLoaded(std::move(*aRange));
     }));
 }
@@ -264,6 +256,7 @@
     }
   }
   loaded_ = true;
+  loadedInEpoch_ = true;
   confirmed_ = confirmed_ || (registered_ && aRange.revision_ >= registeredAt_);
   if (registered_ && !confirmed_) {
     // The entries were read before the registration took effect.
@@ -284,19 +277,18 @@
 {
   watching_ = true;
   using Events = std::vector<StoreWatchEvent>;
-  store_.Watch(membersPrefix_,
-               revision_ + 1,
-               PostToContext<Events>([this](const StoreResult<Events>& aEvents) {
-                 if (ended_) {
-                   return;
-                 }
-                 if (!aEvents) {
-                   watching_ = false;
-                   RunAfter(settings_.retryInterval_, [this] { Reload(); });
-                   return;
-                 }
-                 OnEvents(*aEvents);
-               }));
+  store_.Watch(
+    membersPrefix_, revision_ + 1, WithinEpoch<Events>([this](const StoreResult<Events>& aEvents) {
+      if (ended_) {
+        return;
+      }
+      if (!aEvents) {
+        watching_ = false;
+        RunAfter(settings_.retryInterval_, [this] { Reload(); });
+        return;
+      }
+      OnEvents(*aEvents);
+    }));
 }
 
 void
@@ -326,14 +318,20 @@
 void
 StoreSession::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
 {
-  store_.Commit(std::move(aTransaction),
-                PostToContext<StoreTransactionResult>(
-                  [this, done = std::move(aDone)](StoreResult<StoreTransactionResult> aResult) {
-                    if (!aResult || !aResult->succeeded_) {
-                      Reload();
-                    }
-                    done(std::move(aResult));
-                  }));
+  store_.Commit(
+    std::move(aTransaction),
+    PostToContext<StoreTransactionResult>(
+      [this, epoch = epoch_, done = std::move(aDone)](StoreResult<StoreTransactionResult> aResult) {
+        CheckEpoch();
+        if (epoch != epoch_) {
+          aResult = tl::unexpected(
+            StoreError{ StoreErrorKind::OutcomeUnknown, "the store is in a later epoch" });
+        }
+        if (!aResult || !aResult->succeeded_) {
+          Reload();
+        }
+        done(std::move(aResult));
+      }));
 }
 
 void
@@ -353,7 +351,7 @@
   const TimePoint sentAt = clock_.Now();
   const std::int64_t lease = lease_;
   store_.KeepAlive(lease,
-                   PostToContext<std::chrono::seconds>(
+                   WithinEpoch<std::chrono::seconds>(
                      [this, sentAt, lease](const StoreResult<std::chrono::seconds>& aLeft) {
                        if (ended_ || !registered_ || lease != lease_) {
                          return;
@@ -377,8 +375,8 @@
   // The store may reject or be unreachable for this instance while it serves others.
   ScheduleRenew(settings_.retryInterval_);
   const TimePoint sentAt = clock_.Now();
-  hooks_.relayRenewal_(lease_, [this, sentAt, lease = lease_](bool aRenewed) {
-    if (!aRenewed || ended_ || !registered_ || lease != lease_) {
+  hooks_.relayRenewal_(lease_, [this, sentAt, epoch = epoch_, lease = lease_](bool aRenewed) {
+    if (!aRenewed || ended_ || !registered_ || lease != lease_ || epoch != epoch_) {
       return;
     }
     if (!std::exchange(relayed_, true)) {
@@ -407,6 +405,7 @@
   confirmed_ = false;
   lease_ = 0;
   leaseDeadline_ = {};
+  earlierDeadline_ = {};
   writtenServerIncarnation_.clear();
   renewTimer_.cancel();
   hooks_.onChange_();
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -5,6 +5,7 @@
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace redwing {
 
@@ -38,7 +40,8 @@
 
 /// Membership of this instance in the store: its record, bound to a lease that the session renews,
 /// and a local copy of all entries of the fleet. A watch keeps the member records up to date; shard
-/// tables are not watched. Runs on the context's thread.
+/// tables are not watched. When the store comes back from an older copy, in a new epoch, the
+/// session reads the entries and registers again. Runs on the context's thread.
 class StoreSession
 {
 public:
@@ -59,6 +62,15 @@
   /// Sets the record of this instance; the first one registers it.
   void SetSelf(const MemberRecord& aSelf);
 
+  /// Registers again if the store has entered a new epoch.
+  void CheckEpoch();
+
+  /// Records an epoch of the store that another instance has seen.
+  void OnEpochSeen(std::uint64_t aEpoch);
+
+  /// Returns the newest epoch of the store that this instance knows of.
+  std::uint64_t Epoch() const { return epoch_; }
+
   /// Reads all entries again; used when another instance reports newer ones.
   void Reload();
 
@@ -76,6 +88,11 @@
   /// Returns the earliest time at which the lease may expire.
   TimePoint LeaseDeadline() const { return leaseDeadline_; }
 
+  /// Returns the earliest time at which the lease of the last registration of an earlier epoch may
+  /// have expired; renewals in later epochs do not extend it. It is the start of time if there was
+  /// none or if a later registration has ended.
+  TimePoint EarlierDeadline() const { return earlierDeadline_; }
+
   /// Returns whether the entries were read after the current registration, so that no other
   /// instance can have changed this instance's assignments since.
   bool Confirmed() const { return registered_ && confirmed_; }
@@ -113,6 +130,10 @@
 
   template<typename T>
   StoreCallback<T> PostToContext(std::function<void(StoreResult<T>)> aHandle);
+  /// Like PostToContext, but ignores answers that arrive in a later epoch than that of the call.
+  template<typename T>
+  StoreCallback<T> WithinEpoch(std::function<void(StoreResult<T>)> aHandle);
+  void BeginEpoch(std::uint64_t aEpoch);
   void RunAfter(std::chrono::milliseconds aDelay, Task aTask);
   void Register();
   void GrantLease();
@@ -142,6 +163,7 @@
   const std::string tablesPrefix_;
   std::optional<MemberRecord> self_;
   Entries entries_;
+  std::uint64_t epoch_ = 0;
   std::uint64_t revision_ = 0;
   /// Revision of the last read of all entries; events up to it are outdated.
   std::uint64_t loadedAt_ = 0;
@@ -149,9 +171,12 @@
   bool watching_ = false;
   std::int64_t lease_ = 0;
   TimePoint leaseDeadline_{};
+  TimePoint earlierDeadline_{};
   TimePoint grantSentAt_{};
   std::uint64_t registeredAt_ = 0;
   bool loaded_ = false;
+  /// The entries were read in the present epoch.
+  bool loadedInEpoch_ = false;
   bool registered_ = false;
   bool confirmed_ = false;
   bool writing_ = false;
@@ -166,4 +191,34 @@
   bool relayed_ = false;
 };
 
+template<typename T>
+StoreCallback<T>
+StoreSession::PostToContext(std::function<void(StoreResult<T>)> aHandle)
+{
+  return [this, alive = std::weak_ptr<bool>(alive_), handle = std::move(aHandle)](
+           StoreResult<T> aResult) {
+    boost::asio::post(context_, [alive, handle, result = std::move(aResult)]() mutable {
+      const auto present = alive.lock();
+      if (present && *present) {
+        handle(std::move(result));
+      }
+    });
+  };
+}
+
+template<typename T>
+StoreCallback<T>
+StoreSession::WithinEpoch(std::function<void(StoreResult<T>)> aHandle)
+{
+  // Before the first answer the epoch is not known.
+  const bool first = !loaded_;
+  return PostToContext<T>(
+    [this, first, epoch = epoch_, handle = std::move(aHandle)](StoreResult<T> aResult) {
+      CheckEpoch();
+      if (first || epoch == epoch_) {
+        handle(std::move(aResult));
+      }
+    });
+}
+
 } // namespace redwing
--- a/tests/unit/fleet/FleetFixture.hpp
+++ b/tests/unit/fleet/FleetFixture.hpp
@@ -84,7 +84,7 @@
         }
         boost::asio::post(fleet_.context_, [this, aTo, aPayload, aDone] {
           const auto node = fleet_.nodes_.find(aTo);
-          const bool found = node != fleet_.nodes_.end() && answered_;
+          const bool found = node != fleet_.nodes_.end() && answered_ && node->second->called_;
           if (!found) {
             aDone(false, {});
             return;
@@ -101,7 +101,10 @@
       return hooks;
     }
 
-    std::string ServerIncarnation() const { return "server-" + id_ + "@1"; }
+    std::string ServerIncarnation() const
+    {
+      return "server-" + id_ + "@" + std::to_string(startedAt_);
+    }
 
     void Status(BackendState aState, bool aCrashed)
     {
@@ -117,7 +120,7 @@
     {
       ServerHeartbeat heartbeat;
       heartbeat.serverId_ = "server-" + id_;
-      heartbeat.startedAt_ = 1;
+      heartbeat.startedAt_ = startedAt_;
       heartbeat.sequence_ = ++sequence_;
       heartbeat.service_ = "desk";
       heartbeat.slots_ = 4;
@@ -125,10 +128,12 @@
       if (aKeeps) {
         heartbeat.holds_ = holds_;
       }
-      service_.OnHeartbeat(heartbeat, [this](const HeartbeatReply& aReply) {
+      const TimePoint sentAt = fleet_.clock_.Now();
+      service_.OnHeartbeat(heartbeat, [this, sentAt](const HeartbeatReply& aReply) {
         if (!aReply.grants_) {
           return;
         }
+        grantedUntil_ = sentAt + aReply.holdFor_;
         granted_.clear();
         for (const GrantedKeys& keys : *aReply.grants_) {
           granted_.push_back({ keys.first_, keys.last_, keys.token_ });
@@ -141,14 +146,19 @@
     CutStore store_;
     CounterRegistry counters_;
     Published<RoutingView> view_{ std::make_shared<RoutingView>() };
+    std::uint64_t startedAt_ = 1;
     std::uint64_t sequence_ = 0;
     int allowanceCalls_ = 0;
     int openCalls_ = 0;
     int mostOpenCalls_ = 0;
     /// Calls of this node are answered.
     bool answered_ = true;
+    /// Calls of other nodes reach this one.
+    bool called_ = true;
     std::vector<HeldKeys> holds_;
     std::vector<HeldKeys> granted_;
+    /// Time until which the server may hold granted_.
+    TimePoint grantedUntil_{};
     FleetService service_;
   };
 
