Don't lend allowances twice after the store lost the leader's ledger

Seen in a test of two instances whose store came back from an older copy: 519 and 529 requests of a workspace admitted in a window with an allowance of 510.

Cause: the leader of the new epoch starts from the ledger in the copy, or without one if the copy has none. Without one it takes itself for the first leader and lends everything before it has heard what instances hold from the leader before.

The leader of the epoch before, which knows what it lent, is elected first and goes on with its pools; it stores its ledger at once. Any other leader counts all of an allowance as used, less what the instances that have reported hold, until all have reported. Then what is left is the limit of the ledger in the copy.

What a process used that was lost together with the leader and the last ledgers remains unknown.

--- a/src/fleet/AllowancePools.cpp
+++ b/src/fleet/AllowancePools.cpp
@@ -49,7 +49,7 @@
 }
 
 void
-AllowancePools::Begin(const std::optional<std::string>& aLedger, TimePoint aNow)
+AllowancePools::Begin(const std::optional<std::string>& aLedger, TimePoint aNow, bool aOutdated)
 {
   pools_.clear();
   pendingLimits_.clear();
@@ -59,7 +59,11 @@
   inheritedUntil_.reset();
   usedSinceLedger_ = false;
   storing_ = false;
+  outdated_ = aOutdated;
   if (!aLedger) {
+    if (aOutdated) {
+      inherited_.emplace();
+    }
     return;
   }
   Ledger ledger;
@@ -101,7 +105,11 @@
     if (const auto found = inherited_->find(aWorkspace); found != inherited_->end()) {
       record = found->second;
     }
-    pool.Inherit(record, inheritedAge_, leadershipStartedAt_);
+    PoolRecord inherits = record;
+    if (outdated_ && !inheritedUntil_) {
+      inherits.limit_ = std::max(inherits.limit_, aAllowance);
+    }
+    pool.Inherit(inherits, inheritedAge_, leadershipStartedAt_);
     if (inheritedUntil_) {
       pool.EndInheritance(*inheritedUntil_);
     }
@@ -110,6 +118,16 @@
   return pool;
 }
 
+void
+AllowancePools::Resume()
+{
+  pendingLimits_.clear();
+  storing_ = false;
+  // The store may have lost the ledgers that the limits rest on.
+  usedSinceLedger_ = !pools_.empty();
+  ledgerTakenAt_ = {};
+}
+
 double
 AllowancePools::OnReport(const std::string& aWorkspace,
                          const std::string& aInstanceId,
@@ -134,6 +152,11 @@
   inheritedUntil_ = aUntil;
   for (auto& [workspace, pool] : pools_) {
     pool.EndInheritance(aUntil);
+    if (outdated_) {
+      // What is left is the use of processes that the ledger knew and that were lost.
+      const auto found = inherited_->find(workspace);
+      pool.LowerInheritance(found == inherited_->end() ? 0 : found->second.limit_);
+    }
   }
 }
 
--- a/src/fleet/AllowancePools.hpp
+++ b/src/fleet/AllowancePools.hpp
@@ -26,10 +26,16 @@
 
   AllowancePools(WindowBudgetSettings aSettings, TimeOfDay aTimeOfDay);
 
-  /// Starts a term of leadership from the stored ledger; nullopt if there was no earlier leader.
+  /// Starts a term of leadership from the stored ledger; nullopt if there was no earlier leader. If
+  /// aOutdated, earlier leaders stored newer ledgers that the store has lost: all of an allowance
+  /// counts as used, less the use of instances that have reported, until all have.
   ///
   /// Preconditions: none. Thread safety: not thread-safe, like all functions here.
-  void Begin(const std::optional<std::string>& aLedger, TimePoint aNow);
+  void Begin(const std::optional<std::string>& aLedger, TimePoint aNow, bool aOutdated = false);
+
+  /// Starts a term of leadership in which this instance goes on from its own pools, because nobody
+  /// else led since its last term.
+  void Resume();
 
   /// Applies the report of one process of an instance; see BudgetPool::OnReport.
   ///
@@ -72,6 +78,8 @@
   /// Age of the inherited ledger when the term started, at most one window; nullopt if unknown.
   std::optional<Duration> inheritedAge_;
   std::optional<TimePoint> inheritedUntil_;
+  /// The inherited ledger is older than the last one that the earlier leader stored.
+  bool outdated_ = false;
 
   /// An allowance was used since the last ledger was taken.
   bool usedSinceLedger_ = false;
--- a/src/fleet/FleetElection.cpp
+++ b/src/fleet/FleetElection.cpp
@@ -16,6 +16,8 @@
 /// Random delay before members try to replace a lost leader, so that they do not all try at once.
 constexpr std::uint64_t kElectionJitterMs = 150;
 constexpr milliseconds kElectionRetry{ 400 };
+/// Time for the leader of the epoch before to be elected again, because it knows what it lent.
+constexpr milliseconds kReelectionTime{ 300 };
 
 } // namespace
 
@@ -48,13 +50,19 @@
       .With("revision", session_.RevisionOf(key));
   }
   const bool vacant = entry == session_.All().end();
+  ledUntilEpoch_ = ledUntilEpoch_ && (vacant || named) && recovery_.Waits(now);
   if (electing_ || elected || !session_.Confirmed() || leaving_ || (!vacant && !named)) {
     nextElectionAt_ = {};
     return;
   }
   if (nextElectionAt_ == TimePoint{}) {
     // The entry still names this instance from before a restart: no other member competes for it.
-    nextElectionAt_ = now + milliseconds(named ? 0 : random_.Below(kElectionJitterMs));
+    nextElectionAt_ = now;
+    if (!named && !ledUntilEpoch_) {
+      const bool recovering = recovery_.Carried() && recovery_.Waits(now);
+      nextElectionAt_ += milliseconds(random_.Below(kElectionJitterMs)) +
+                         (recovering ? kReelectionTime : milliseconds::zero());
+    }
   }
   if (now >= nextElectionAt_) {
     TakeLeadership();
@@ -94,13 +102,20 @@
 void
 FleetService::BeginLeadership()
 {
-  contacts_.Reset();
-  reportedTables_.clear();
-  earlierGrantsUsedUntil_.clear();
   const auto ledger = session_.All().find(session_.LedgerKey());
   const bool found = ledger != session_.All().end();
   ledgerRevision_ = found ? ledger->second.modRevision_ : 0;
-  pools_.Begin(found ? std::optional(ledger->second.value_) : std::nullopt, clock_.Now());
+  if (std::exchange(ledUntilEpoch_, false)) {
+    pools_.Resume();
+    return;
+  }
+  contacts_.Reset();
+  reportedTables_.clear();
+  earlierGrantsUsedUntil_.clear();
+  const TimePoint now = clock_.Now();
+  pools_.Begin(found ? std::optional(ledger->second.value_) : std::nullopt,
+               now,
+               recovery_.Waits(now) && SeesEarlierEpoch());
 }
 
 void
--- a/src/fleet/FleetRecovery.cpp
+++ b/src/fleet/FleetRecovery.cpp
@@ -36,6 +36,7 @@
     }
     recovery_.Begin(epoch_, confirmedInEpoch_, members, clock_.Now());
     earlyChanges_.clear();
+    ledUntilEpoch_ = leads_ && clock_.Now() < leaderLease_.Deadline();
   }
 }
 
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -316,6 +316,8 @@
   std::set<std::string> writing_;
 
   bool leads_ = false;
+  /// This instance led when the store entered the present epoch, and nobody else has led since.
+  bool ledUntilEpoch_ = false;
   bool electing_ = false;
   TimePoint nextElectionAt_{};
   TimePoint leadsSince_{};
--- a/src/limits/BudgetPool.hpp
+++ b/src/limits/BudgetPool.hpp
@@ -4,6 +4,7 @@
 #include "limits/UseHistory.hpp"
 #include "limits/WindowBudget.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
@@ -68,6 +69,10 @@
   /// reported to this pool or had been restarted.
   void EndInheritance(TimePoint aUntil);
 
+  /// Lowers the limit of the inherited record: processes that are still running account for the
+  /// rest.
+  void LowerInheritance(double aLimit) { inheritedLimit_ = std::min(inheritedLimit_, aLimit); }
+
   /// Limits what running processes may use in a window to aLimit, the limit of the last stored
   /// record. There is no such limit before the first call.
   void SetLimit(double aLimit) { limit_ = aLimit; }
--- a/tests/unit/fleet_restore/RestoredStoreTest.cpp
+++ b/tests/unit/fleet_restore/RestoredStoreTest.cpp
@@ -248,4 +248,52 @@
   BOOST_TEST(members == 2U);
 }
 
+// Guards against refusing requests within the allowance of a workspace, and against admitting more
+// than it, after the leader's ledger went back.
+BOOST_AUTO_TEST_CASE(AllowancesGoOnAndAreNotLentTwice)
+{
+  Begin({ "a", "b" });
+  store_.Copy();
+  PlayFor(500ms);
+  const Workspace workspace = Node::Configured()->configuration_.workspaces_.front();
+  std::vector<TimePoint> admitted;
+  std::size_t refusedAfter = 0;
+  TimePoint next = clock_.Now();
+  const auto ask = [&](std::chrono::milliseconds aInterval, std::size_t& aRefused) {
+    return [&, aInterval] {
+      while (clock_.Now() >= next) {
+        next += aInterval;
+        Node& node = *nodes_.at(admitted.size() % 2 == 0 ? "a" : "b");
+        node.service_.Admit(workspace, [&](bool aAdmitted, std::uint32_t) {
+          if (aAdmitted) {
+            admitted.push_back(clock_.Now());
+          } else {
+            ++aRefused;
+          }
+        });
+      }
+      return false;
+    };
+  };
+  std::size_t refused = 0;
+  Play(ask(5ms, refused), 4s);
+  Restore();
+  Play(ask(5ms, refused), 4s);
+  const auto window = Node::Settings("a").budget_.window_;
+  const double seconds = std::chrono::duration<double>(window).count();
+  const double allowance = workspace.rate_ * seconds + workspace.burst_;
+  std::size_t most = 0;
+  for (std::size_t first = 0, last = 0; last < admitted.size(); ++last) {
+    while (admitted[last] - admitted[first] >= window) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  BOOST_TEST(static_cast<double>(most) <= allowance);
+  PlayFor(5s);
+  next = clock_.Now();
+  Play(ask(20ms, refusedAfter), 2s);
+  BOOST_TEST(refusedAfter == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
