Read the tables before granting to a server whose record denied holds

Seen in a test: an instance grants shards that the leader has given to another server in the meantime.

Cause: while a record states that the server holds nothing, the leader may take its shards. When the record names the same server again, e.g. because its connections were refused for a moment only, the instance granted what its copy of the table said. If the notice of the change was lost, that was an old table. Found while looking for grants that rest on what was known before a gap.

The instance now grants only after it has read the entries later than the write that names the server, as after a registration. That is one read more when a server starts or comes back.

--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -177,7 +177,11 @@
   const std::string key = MemberKey(self_->member_.ref_.id_);
   entries_[key] = { key, aRecord.ToText(), aResult->revision_, lease_ };
   mustRewrite_ = false;
-  writtenServerIncarnation_ = aRecord.serverIncarnation_;
+  if (writtenServerIncarnation_ != aRecord.serverIncarnation_) {
+    writtenServerIncarnation_ = aRecord.serverIncarnation_;
+    namedAt_ = aResult->revision_;
+    Reload();
+  }
   if (!registered_) {
     registered_ = true;
     registeredAt_ = aResult->revision_;
@@ -198,7 +202,7 @@
 bool
 StoreSession::Publishes(const std::string& aServerIncarnation) const
 {
-  return registered_ && !writing_ && !mustRewrite_ &&
+  return registered_ && !writing_ && !mustRewrite_ && loadedAt_ >= namedAt_ &&
          writtenServerIncarnation_ == aServerIncarnation;
 }
 
@@ -258,8 +262,8 @@
   loaded_ = true;
   loadedInEpoch_ = true;
   confirmed_ = confirmed_ || (registered_ && aRange.revision_ >= registeredAt_);
-  if (registered_ && !confirmed_) {
-    // The entries were read before the registration took effect.
+  if (registered_ && (!confirmed_ || loadedAt_ < namedAt_)) {
+    // The entries were read before the last write of the record took effect.
     RunAfter(milliseconds::zero(), [this] { Reload(); });
   }
   Register();
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -97,8 +97,9 @@
   /// instance can have changed this instance's assignments since.
   bool Confirmed() const { return registered_ && confirmed_; }
 
-  /// Returns whether the record in the store states that aServerIncarnation may hold shards, and no
-  /// write that could change this is in progress or may still take effect.
+  /// Returns whether the record in the store states that aServerIncarnation may hold shards, the
+  /// entries were read since it states this, and no write that could change it is in progress or
+  /// may still take effect. Before, other instances could take over its shards.
   bool Publishes(const std::string& aServerIncarnation) const;
 
   /// Returns whether the entries were read at least once.
@@ -184,6 +185,8 @@
   /// effect.
   bool mustRewrite_ = false;
   std::string writtenServerIncarnation_;
+  /// Revision of the write that named it first.
+  std::uint64_t namedAt_ = 0;
   bool loading_ = false;
   bool ended_ = false;
   bool storeLost_ = false;
--- a/tests/unit/fleet/FleetServiceTest.cpp
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -53,6 +53,29 @@
   }));
 }
 
+// Guards against a grant of shards that the leader took while the record denied holds: the instance
+// did not hear of the change, and the record names the same incarnation again.
+BOOST_AUTO_TEST_CASE(ShardsTakenWhileTheRecordDeniedHoldsAreNotGranted)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  Node& denies = LeaderInStore() == "a" ? other : one;
+  denies.called_ = false;
+  denies.answered_ = false;
+  denies.Status(BackendState::Down, true);
+  BOOST_REQUIRE(RunUntil([&] { return !Holders().contains(denies.id_); }));
+  denies.granted_.clear();
+  denies.Status(BackendState::Ready, false);
+  RunUntil(
+    [&] {
+      denies.Beat();
+      return !denies.granted_.empty();
+    },
+    800ms);
+  BOOST_TEST(denies.granted_.empty());
+}
+
 // Guards against a late heartbeat of an earlier server incarnation that replaces the current one.
 BOOST_AUTO_TEST_CASE(LateHeartbeatsOfAnEarlierRunAreIgnored)
 {
