Explore fleets whose store comes back from older copies

The explorer takes copies of the store and restores them at random moments, at once or after an outage of up to a second, between its other troubles: cuts, lost and late writes and calls, crashes, servers that leave. It also checks that a shard's fencing token rises with each new holder, and that shards are served once the troubles have ended.

--- a/tests/support/MemoryStore.hpp
+++ b/tests/support/MemoryStore.hpp
@@ -27,6 +27,8 @@
 
   std::uint64_t Epoch() const override { return epoch_; }
 
+  bool HasCopy() const { return copy_.has_value(); }
+
   /// Keeps a copy of the store as it is now for Restore.
   void Copy() { copy_ = { number_, leases_, entries_ }; }
 
--- a/tests/unit/fleet_explorer/World.cpp
+++ b/tests/unit/fleet_explorer/World.cpp
@@ -28,7 +28,12 @@
     }
     return;
   }
-  After(delay, [aCall, aDone] { aCall(aDone); });
+  After(delay, [this, aCall, aDone] {
+    aCall([this, aDone](StoreResult<T> aResult) {
+      epoch_ = std::max(epoch_, store_.Epoch());
+      aDone(std::move(aResult));
+    });
+  });
 }
 
 void
@@ -250,11 +255,13 @@
 ExplorerFleet::ExplorerFleet(boost::asio::io_context& aContext,
                              const Clock& aClock,
                              std::uint64_t aSeed,
-                             ShardHoldSettings aHolds)
+                             ShardHoldSettings aHolds,
+                             ExplorerTroubles aTroubles)
   : context_(aContext)
   , clock_(aClock)
   , seed_(aSeed)
   , holds_(aHolds)
+  , troubles_(aTroubles)
   , random_(aSeed)
   , store_(aContext, aClock)
   , nextTrouble_(aClock.Now() + std::chrono::seconds(4))
@@ -264,9 +271,51 @@
   }
 }
 
+void
+ExplorerFleet::Heal()
+{
+  for (auto& [id, node] : nodes_) {
+    node->CutStore(false);
+    node->SetLoss(0);
+  }
+}
+
+void
+ExplorerFleet::Calm()
+{
+  calm_ = true;
+  Heal();
+  for (auto& [id, node] : nodes_) {
+    node->EndDrain();
+  }
+}
+
+void
+ExplorerFleet::TroubleStore()
+{
+  if (random_.Below(2) == 0) {
+    store_.Copy();
+    return;
+  }
+  if (store_.HasCopy() && !restoreAt_) {
+    // The store is away for up to a second before, or comes back at once.
+    const bool away = random_.Below(3) > 0;
+    restoreAt_ = clock_.Now() + milliseconds(away ? random_.Below(1000) : 0);
+    if (away) {
+      for (auto& [id, node] : nodes_) {
+        node->CutStore(true);
+      }
+    }
+  }
+}
+
 void
 ExplorerFleet::Trouble()
 {
+  if (troubles_.restores_ && random_.Below(3) == 0) {
+    TroubleStore();
+    return;
+  }
   auto node = nodes_.begin();
   std::advance(node, static_cast<std::ptrdiff_t>(random_.Below(nodes_.size())));
   switch (random_.Below(5)) {
@@ -283,10 +332,7 @@
       node->second->BeginDrain();
       break;
     default:
-      for (auto& [id, other] : nodes_) {
-        other->CutStore(false);
-        other->SetLoss(0);
-      }
+      Heal();
       break;
   }
 }
@@ -299,33 +345,60 @@
   for (auto& [id, node] : nodes_) {
     node->Step(now);
   }
-  if (now >= nextTrouble_) {
+  if (restoreAt_ && now >= *restoreAt_) {
+    restoreAt_.reset();
+    store_.Restore();
+    Heal();
+  }
+  if (now >= nextTrouble_ && !calm_) {
     nextTrouble_ = now + milliseconds(300 + random_.Below(1200));
     Trouble();
   }
   Check();
 }
 
+void
+ExplorerFleet::Violated(std::uint32_t aShard, const std::string& aWhat)
+{
+  if (violation_.empty()) {
+    violation_ =
+      "seed " + std::to_string(seed_) + ": shard " + std::to_string(aShard) + " " + aWhat;
+  }
+}
+
+void
+ExplorerFleet::CheckToken(std::uint32_t aShard, const ExplorerNode& aHolder)
+{
+  const std::uint64_t token = aHolder.TokenOf(aShard);
+  Hold& last = lastHolds_[aShard];
+  if (last.run_ != aHolder.Run() && token <= last.token_) {
+    Violated(aShard,
+             "went to " + aHolder.Run() + " with token " + std::to_string(token) + "; " +
+               last.run_ + " had it with token " + std::to_string(last.token_));
+  }
+  last = { aHolder.Run(), std::max(token, last.token_) };
+}
+
 void
 ExplorerFleet::Check()
 {
   const TimePoint now = clock_.Now();
-  bool held = false;
+  heldShards_ = 0;
   for (std::uint32_t shard = 0; shard < kExplorerShards; ++shard) {
     std::string holder;
     for (const auto& [id, node] : nodes_) {
       if (!node->Holds(shard, now)) {
         continue;
       }
-      held = true;
-      if (!holder.empty() && violation_.empty()) {
-        violation_ = "seed " + std::to_string(seed_) + ": shard " + std::to_string(shard) +
-                     " is held by " + holder + " and " + id;
+      if (!holder.empty()) {
+        Violated(shard, "is held by " + holder + " and " + id);
       }
       holder = id;
+      CheckToken(shard, *node);
     }
+    heldShards_ += holder.empty() ? 0 : 1;
   }
-  heldChecks_ += held ? 1 : 0;
+  heldChecks_ += heldShards_ > 0 ? 1 : 0;
 }
 
 } // namespace redwing::test
--- a/tests/unit/fleet_explorer/World.hpp
+++ b/tests/unit/fleet_explorer/World.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
   {
   }
 
+  std::uint64_t Epoch() const override { return epoch_; }
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override;
   void Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone) override;
   void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone) override;
@@ -45,6 +47,8 @@
   boost::asio::io_context& context_;
   Store& store_;
   Random random_;
+  /// Epoch of the last answer that got here.
+  std::uint64_t epoch_ = 0;
 };
 
 /// Backend server that checks its grants, on a clock that may run slow, and the instance beside it.
@@ -58,11 +62,20 @@
 
   bool Holds(std::uint32_t aShard, TimePoint aNow) const;
   std::uint64_t TokenOf(std::uint32_t aShard) const { return tokens_[aShard]; }
+  /// Tells the runs of the server apart.
+  std::string Run() const { return id_ + "@" + std::to_string(startedAt_); }
   FleetService& Service() { return *service_; }
   void Crash(TimePoint aNow);
   void CutStore(bool aCut) { store_.cut_ = aCut; }
   void SetLoss(double aLoss) { store_.loss_ = aLoss; }
   void BeginDrain() { draining_ = true; }
+  /// A server that says that it leaves ends and comes back.
+  void EndDrain()
+  {
+    if (draining_) {
+      Crash(TimePoint{});
+    }
+  }
 
 private:
   FleetSettings Settings() const;
@@ -90,6 +103,13 @@
   std::vector<ReleasedKeys> released_;
 };
 
+/// Troubles of an explored fleet.
+struct ExplorerTroubles
+{
+  /// The store comes back from older copies of itself.
+  bool restores_ = false;
+};
+
 /// A fleet of instances of one keyed service with a store of its own and seeded troubles.
 class ExplorerFleet
 {
@@ -97,11 +117,16 @@
   ExplorerFleet(boost::asio::io_context& aContext,
                 const Clock& aClock,
                 std::uint64_t aSeed,
-                ShardHoldSettings aHolds);
+                ShardHoldSettings aHolds,
+                ExplorerTroubles aTroubles);
 
-  /// Moves the servers on, causes troubles and checks that no shard has two holders.
+  /// Moves the servers on, causes troubles and checks that no shard has two holders and that its
+  /// fencing token rises with each new one.
   void Step();
 
+  /// Ends all troubles; from now on all shards should get holders.
+  void Calm();
+
   boost::asio::io_context& Context() { return context_; }
   const Clock& GetClock() const { return clock_; }
   MemoryStore& GetStore() { return store_; }
@@ -110,15 +135,33 @@
   const std::string& Violation() const { return violation_; }
   /// Number of checks in which some shard was held.
   std::size_t HeldChecks() const { return heldChecks_; }
+  std::uint64_t Restores() const { return store_.Epoch(); }
+  /// Number of shards that were held at the last check.
+  std::uint32_t HeldShards() const { return heldShards_; }
 
 private:
+  struct Hold
+  {
+    std::string run_;
+    std::uint64_t token_ = 0;
+  };
+
   void Trouble();
+  void TroubleStore();
+  void Heal();
   void Check();
+  void CheckToken(std::uint32_t aShard, const ExplorerNode& aHolder);
+  void Violated(std::uint32_t aShard, const std::string& aWhat);
 
   boost::asio::io_context& context_;
   const Clock& clock_;
   std::uint64_t seed_;
   ShardHoldSettings holds_;
+  ExplorerTroubles troubles_;
+  bool calm_ = false;
+  std::optional<TimePoint> restoreAt_;
+  std::map<std::uint32_t, Hold> lastHolds_;
+  std::uint32_t heldShards_ = 0;
   Random random_;
   MemoryStore store_;
   std::map<std::string, std::unique_ptr<ExplorerNode>> nodes_;
