Believe a refusal only if it carries the id of its request

Callers saw 503, which promises that the request did not run, for a request that the backend server had run or was running, when the server had written an earlier refusal once more on the kept connection without an id. A caller that trusts the promise sends the request again, and so does the ingress for a pooled service.

Cause: a response with another id was discarded, but one without an id was taken for the answer to the current request, refusals included.

Change: once the server has echoed an id on a connection, a response without one belongs to no request and is discarded, like one with another id; the answer to the request is waited for. On a connection on which no id has been seen, a refusal without an id leaves the outcome unknown. A refusal with the id of its request is believed as before.

Evidence: RepeatedRefusalIsNotTheNextAnswer sends 503, 429, 421 and 400 once more before the next answer, behind the refusal, late and while the connection is idle, with interim responses in between.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -210,16 +210,21 @@
   }
 }
 
-bool
-BackendService::IsValidResponse(const HttpHead& aHead) const
+std::string_view
+BackendService::FindFault(const HttpHead& aHead) const
 {
   const HttpProtocol& protocol = settings_.protocol_;
+  if (!aHead.identified_ && ReportsNotRun(protocol, aHead)) {
+    // May be a copy of an earlier refusal, so it tells nothing about this request.
+    return "unidentified_refusal";
+  }
   if (protocol.signatureHeader_.empty()) {
-    return true;
+    return {};
   }
   const bool success = aHead.status_ >= kFirstSuccess && aHead.status_ < kFirstRedirect;
   const bool isSigned = FindHeader(aHead, protocol.signatureHeader_) != nullptr;
-  return (isSigned || !success) && FindHeader(aHead, "content-encoding") == nullptr;
+  const bool valid = (isSigned || !success) && FindHeader(aHead, "content-encoding") == nullptr;
+  return valid ? std::string_view() : "invalid_response";
 }
 
 void
@@ -255,7 +260,7 @@
 BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
 {
   // The server may shed the second attempt of a resent request although it ran the first one.
-  if (!ReportsNotRun(settings_.protocol_, aHead) || aExchange->resent_) {
+  if (!ReportsNotRun(settings_.protocol_, aHead) || !aHead.identified_ || aExchange->resent_) {
     return false;
   }
   const bool misdirected = aHead.status_ == kStatusMisdirected;
@@ -296,10 +301,10 @@
     return;
   }
   ReadLoadHeader(aHead);
-  if (!IsValidResponse(aHead)) {
+  if (const auto fault = FindFault(aHead); !fault.empty()) {
     std::exchange(aExchange->connection_, nullptr)->Close();
     if (aExchange->phase_ != ServedPhase::Ended) {
-      FailUnknown(aExchange, "invalid_response");
+      FailUnknown(aExchange, fault);
     }
     return;
   }
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -159,7 +159,8 @@
   void OnRequestWritten(const ExchangePtr& aExchange, std::size_t aBytes);
   void OnFailed(const ExchangePtr& aExchange, const HttpFailure& aFailure);
   bool OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast);
-  bool IsValidResponse(const HttpHead& aHead) const;
+  /// Returns why the response can't be passed on; empty if it can.
+  std::string_view FindFault(const HttpHead& aHead) const;
   void ReadLoadHeader(const HttpHead& aHead);
   void FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail);
   void Complete(const ExchangePtr& aExchange);
--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -50,11 +50,13 @@
 
 } // namespace
 
-/// Parses one response and collects its head and the body bytes not yet delivered.
+/// Parses one response and collects its head and the body bytes not yet delivered. aConnection
+/// outlives it.
 class HttpConnection::Reader : public http::basic_parser<false>
 {
 public:
-  explicit Reader(bool aHeadMethod)
+  Reader(HttpConnection& aConnection, bool aHeadMethod)
+    : connection_(aConnection)
   {
     eager(true);
     skip(aHeadMethod);
@@ -64,6 +66,8 @@
 
   HttpHead head_;
   std::string body_;
+  /// Belongs to another request.
+  bool stale_ = false;
 
 private:
   void on_request_impl(http::verb, string_view, string_view, int, error_code&) override {}
@@ -86,6 +90,7 @@
     if (const auto length = content_length()) {
       head_.contentLength_ = *length;
     }
+    CheckId();
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&, error_code&) override {}
   std::size_t on_body_impl(string_view aBody, error_code&) override
@@ -100,6 +105,22 @@
     return aBody.size();
   }
   void on_finish_impl(error_code&) override {}
+
+  void CheckId()
+  {
+    if (connection_.idHeader_.empty() || head_.status_ < kFirstFinalStatus) {
+      return;
+    }
+    const auto id =
+      std::find_if(head_.headers_.begin(), head_.headers_.end(), [&](const Header& aHeader) {
+        return boost::beast::iequals(aHeader.name_, connection_.idHeader_);
+      });
+    head_.identified_ = id != head_.headers_.end();
+    stale_ = head_.identified_ ? id->value_ != connection_.id_ : connection_.echoesId_;
+    connection_.echoesId_ = connection_.echoesId_ || head_.identified_;
+  }
+
+  HttpConnection& connection_;
 };
 
 HttpConnection::HttpConnection(asio::io_context& aContext, Address aAddress, const Clock& aClock)
@@ -155,7 +176,7 @@
 HttpConnection::Start(HttpRequest&& aRequest, std::shared_ptr<HttpObserver> aObserver)
 {
   observer_ = std::move(aObserver);
-  reader_ = std::make_unique<Reader>(aRequest.headMethod_);
+  reader_ = std::make_unique<Reader>(*this, aRequest.headMethod_);
   progress_ = {};
   progress_.connected_ = state_ == State::Open;
   progress_.reused_ = used_;
@@ -285,9 +306,9 @@
     if (error) {
       break;
     }
-    if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || IsStaleResponse())) {
+    if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || reader_->stale_)) {
       staleBytes_ += reader_->body_.size();
-      reader_ = std::make_unique<Reader>(false);
+      reader_ = std::make_unique<Reader>(*this, false);
     }
   }
   if ((error && error != http::error::need_more) || !DiscardStaleBody()) {
@@ -310,32 +331,17 @@
 bool
 HttpConnection::DiscardStaleBody()
 {
-  if (IsStaleResponse()) {
+  if (reader_->stale_) {
     staleBytes_ += reader_->body_.size();
     reader_->body_.clear();
   }
   return staleBytes_ <= kMaxStaleBytes;
 }
 
-bool
-HttpConnection::IsStaleResponse() const
-{
-  if (idHeader_.empty() || !reader_->is_header_done()) {
-    return false;
-  }
-  for (const Header& header : reader_->head_.headers_) {
-    if (boost::beast::iequals(header.name_, idHeader_)) {
-      return header.value_ != id_;
-    }
-  }
-  return false;
-}
-
 void
 HttpConnection::Deliver()
 {
-  if (!reader_->is_header_done() || reader_->head_.status_ < kFirstFinalStatus ||
-      IsStaleResponse()) {
+  if (!reader_->is_header_done() || reader_->head_.status_ < kFirstFinalStatus || reader_->stale_) {
     return;
   }
   const bool last = reader_->is_done();
@@ -362,8 +368,7 @@
 void
 HttpConnection::OnEnd(bool aClean)
 {
-  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done() &&
-      !IsStaleResponse()) {
+  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done() && !reader_->stale_) {
     error_code error;
     reader_->put_eof(error);
     if (!error && reader_->is_done()) {
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -27,7 +27,8 @@
   /// The method is HEAD, whose responses have no body even if their head states a length.
   bool headMethod_ = false;
   /// Response header that echoes id_; empty if responses carry no id. A response with a different
-  /// id is stale, because it belongs to an earlier request, and is discarded.
+  /// id is stale, because it belongs to an earlier request, and is discarded. So is one without an
+  /// id once the server has echoed an id on the connection.
   std::string idHeader_;
   std::string id_;
 };
@@ -37,6 +38,9 @@
   std::uint16_t status_ = 0;
   HeaderList headers_;
   std::optional<std::uint64_t> contentLength_;
+  /// False if the response should carry the id of its request and carries none: it may be a copy of
+  /// an earlier response.
+  bool identified_ = true;
 };
 
 /// How far an exchange got before its connection failed.
@@ -132,7 +136,6 @@
   void Connect();
   void Read();
   void OnRead(std::size_t aBytes);
-  bool IsStaleResponse() const;
   /// Discards the body read so far if the response is stale; returns false if too many bytes were
   /// discarded.
   bool DiscardStaleBody();
@@ -159,6 +162,8 @@
   TimePoint lastProgress_;
   std::string idHeader_;
   std::string id_;
+  /// The server has echoed an id on this connection.
+  bool echoesId_ = false;
   std::size_t staleBytes_ = 0;
   HttpFailure progress_;
   bool used_ = false;
--- a/tests/unit/backend/FakeServer.hpp
+++ b/tests/unit/backend/FakeServer.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <chrono>
 #include <functional>
 #include <list>
 #include <memory>
@@ -22,7 +23,7 @@
 };
 
 /// Minimal HTTP server with a thread per connection. The handler returns the raw response, and sets
-/// closeAfter_ to close the connection after an empty or incomplete one.
+/// closeAfter_ or resetAfter_ to end the connection after an empty or incomplete one.
 class FakeServer
 {
 public:
@@ -32,6 +33,13 @@
     bool closeAfter_ = false;
     /// Sends another 64 KiB every millisecond until the connection is closed.
     bool endless_ = false;
+    /// Ends the connection after the response with a reset.
+    bool resetAfter_ = false;
+    /// Bytes sent after a pause of lateAfter_, before the next request is read.
+    std::string late_;
+    std::chrono::milliseconds lateAfter_{ 20 };
+    /// Text that an endless response repeats.
+    std::string filler_ = "x";
   };
   using Handler = std::function<Response(const FakeRequest&)>;
 
@@ -123,11 +131,24 @@
       }
       const auto answer = handler_(request);
       boost::asio::write(aSocket, boost::asio::buffer(answer.text_), error);
-      const std::string more(64 * 1024, 'x');
+      std::string more;
+      while (answer.endless_ && more.size() < 64 * 1024) {
+        more.append(answer.filler_);
+      }
       while (answer.endless_ && !error) {
         boost::asio::write(aSocket, boost::asio::buffer(more), error);
         std::this_thread::sleep_for(std::chrono::milliseconds(1));
       }
+      if (!answer.late_.empty()) {
+        std::this_thread::sleep_for(answer.lateAfter_);
+        boost::asio::write(aSocket, boost::asio::buffer(answer.late_), error);
+      }
+      if (answer.resetAfter_) {
+        std::lock_guard lock(mutex_);
+        aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
+        aSocket.close(error);
+        return;
+      }
       if (answer.closeAfter_) {
         break;
       }
--- /dev/null
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -0,0 +1,143 @@
+#include "BackendBench.hpp"
+
+using namespace redwing;
+using namespace std::chrono_literals;
+using redwing::test::Bench;
+using redwing::test::ExpectRefusal;
+using redwing::test::FakeRequest;
+using redwing::test::FakeServer;
+
+namespace {
+
+HttpProtocol
+EchoingProtocol()
+{
+  HttpProtocol protocol;
+  protocol.serverEchoesId_ = true;
+  protocol.notRunHeader_ = "X-Not-Executed";
+  protocol.notRunValue_ = {};
+  protocol.statusTellsOutcome_ = true;
+  return protocol;
+}
+
+std::string
+IdLine(const std::string& aId)
+{
+  return aId.empty() ? "" : "Redwing-Request-Id: " + aId + "\r\n";
+}
+
+std::string
+AnswerTo(const std::string& aId)
+{
+  return FakeServer::Ok("body of " + aId, IdLine(aId));
+}
+
+std::string
+RefusalOf(const std::string& aId, const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nX-Not-Executed: 1\r\n" + IdLine(aId) +
+         "Content-Length: 4\r\n\r\nbusy";
+}
+
+std::string
+IdOf(const FakeRequest& aRequest)
+{
+  const std::string name = "Redwing-Request-Id: ";
+  const auto begin = aRequest.head_.find(name) + name.size();
+  return aRequest.head_.substr(begin, aRequest.head_.find("\r\n", begin) - begin);
+}
+
+const std::vector<std::string> kRefusalStatus{ "503 Service Unavailable",
+                                               "429 Too Many Requests",
+                                               "421 Misdirected Request",
+                                               "400 Bad Request" };
+constexpr auto kInterim =
+  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+
+/// Sends one request that is refused, then another that the server runs, and returns what is said
+/// of the latter.
+ResponseEvent
+RunBehindRefusal(const FakeServer::Response& aRefusal, const std::string& aBefore, Duration aPause)
+{
+  Bench bench(
+    [&](const FakeRequest& aRequest) {
+      return IdOf(aRequest) == "r1" ? aRefusal
+                                    : FakeServer::Response{ aBefore + AnswerTo(IdOf(aRequest)) };
+    },
+    1,
+    {},
+    EchoingProtocol());
+  const auto refusal = ExpectRefusal(bench.Run(bench.Make(1)));
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  std::this_thread::sleep_for(aPause);
+  return bench.Run(bench.Make(2));
+}
+
+void
+ExpectAnswer(const ResponseEvent& aEvent, const std::string& aBody)
+{
+  BOOST_REQUIRE(std::holds_alternative<ResponseStart>(aEvent));
+  BOOST_TEST(std::get<ResponseStart>(aEvent).body_ == aBody);
+}
+
+} // namespace
+
+// Guards against a copy of an earlier refusal that is taken for the answer to the next request,
+// which the server runs.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsNotTheNextAnswer)
+{
+  for (const auto& status : kRefusalStatus) {
+    const std::string refusal = RefusalOf("r1", status);
+    for (const std::string& id : { "r1", "" }) {
+      const std::string copy = RefusalOf(id, status);
+      BOOST_TEST_CONTEXT(status << " with the id '" << id << "'")
+      {
+        // Before the next answer, in the same read.
+        ExpectAnswer(RunBehindRefusal({ refusal }, copy, 0ms), "body of r2");
+        ExpectAnswer(RunBehindRefusal({ refusal }, kInterim + copy + kInterim, 0ms), "body of r2");
+        // Behind the refusal, in the same read.
+        ExpectAnswer(RunBehindRefusal({ refusal + copy }, "", 0ms), "body of r2");
+        // Just after the next request was written.
+        FakeServer::Response late{ refusal };
+        late.late_ = copy;
+        ExpectAnswer(RunBehindRefusal(late, "", 0ms), "body of r2");
+        // While the connection is idle.
+        late.lateAfter_ = 5ms;
+        ExpectAnswer(RunBehindRefusal(late, "", 50ms), "body of r2");
+      }
+    }
+  }
+}
+
+// Guards against a promise that the request did not run when the refusal may be of another request.
+BOOST_AUTO_TEST_CASE(RefusalWithoutAnIdPromisesNothing)
+{
+  for (const auto& status : kRefusalStatus) {
+    Bench bench([&](const FakeRequest&) { return FakeServer::Response{ RefusalOf("", status) }; },
+                1,
+                {},
+                EchoingProtocol());
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+      const auto refusal = ExpectRefusal(bench.Run(bench.Make(id)));
+      BOOST_TEST((refusal.outcome_ == Outcome::Unknown), status);
+    }
+  }
+}
+
+// Guards against reporting a truthful refusal as unknown.
+BOOST_AUTO_TEST_CASE(RefusalWithTheIdIsNotRun)
+{
+  for (const auto& status : kRefusalStatus) {
+    Bench bench(
+      [&](const FakeRequest& aRequest) {
+        return FakeServer::Response{ kInterim + RefusalOf(IdOf(aRequest), status) };
+      },
+      1,
+      {},
+      EchoingProtocol());
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      const auto refusal = ExpectRefusal(bench.Run(bench.Make(id)));
+      BOOST_TEST((refusal.outcome_ == Outcome::NotRun), status);
+    }
+  }
+}
