Send a refused request that comes back on a new connection

Callers could see 'not run' for a keyed request that the backend server was running: the server had refused it (421), the request came back to the same instance under the same id when its keys had settled, on the same kept connection, and the server wrote the earlier refusal once more.

Cause: responses are told apart by the id of the request. An attempt that comes back has the id of the one that was refused, so a copy of that refusal passes for the new answer.

Change: the ids of refused requests of shards are kept until their deadline, and such a request is sent on a new connection, on which no copy of an earlier response can arrive. Requests of a pool do not come back: the ingress tries another member.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -75,7 +75,7 @@
 BackendService::Dispatch(const ExchangePtr& aExchange, bool aNewConnection)
 {
   auto& start = aExchange->start_;
-  auto connection = pool_->Acquire(aNewConnection);
+  auto connection = pool_->Acquire(aNewConnection || refusedIds_.contains(start.requestId_));
   const auto fail = [&](ErrorCode aCode, std::string_view aDetail) {
     if (aExchange->resent_) {
       FailUnknown(aExchange, aDetail);
@@ -278,6 +278,9 @@
     pool_->Release(connection);
   }
   aExchange->reachedServer_ = true;
+  if (aExchange->start_.shard_ && settings_.protocol_.serverEchoesId_) {
+    refusedIds_[aExchange->start_.requestId_] = aExchange->start_.deadline_;
+  }
   if (misdirected) {
     RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
   } else {
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -67,6 +67,7 @@
       nextSweep_ = now + kSweepInterval;
       entries_.Expire(now);
       quarantine_.Expire(now);
+      std::erase_if(refusedIds_, [&](const auto& aItem) { return aItem.second < now; });
     }
     ExpireRequests(now);
     if (!settings_.serverReportsState_) {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -212,6 +212,9 @@
   IdempotencyTable entries_;
   QuarantineRegistry quarantine_;
   std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
+  /// Ids of requests of shards that the server refused, and the requests' deadlines. They may come
+  /// back under the same id, by which a late copy of the refusal could not be told from the answer.
+  std::unordered_map<std::string, TimePoint> refusedIds_;
   std::optional<BackendAnnouncement> announcement_;
   TimePoint announcedAt_{};
   TimePoint lastHealthy_{};
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -141,3 +141,32 @@
     }
   }
 }
+
+// Guards against a copy of a refusal that is taken for the answer to the same request, which came
+// back under its id after it had been refused.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsNotTheAnswerToTheSameRequestLater)
+{
+  std::atomic<int> requests{ 0 };
+  Bench bench(
+    [&](const FakeRequest&) {
+      if (++requests > 1) {
+        std::this_thread::sleep_for(50ms);
+        return FakeServer::Response{ AnswerTo("r1") };
+      }
+      FakeServer::Response refused{ RefusalOf("r1", "421 Misdirected Request") };
+      refused.late_ = refused.text_;
+      return refused;
+    },
+    1,
+    {},
+    EchoingProtocol());
+  const auto make = [&](std::uint64_t aAttempt) {
+    auto start = bench.Make(aAttempt);
+    start.requestId_ = "r1";
+    start.shard_ = ShardTarget{ 1, 7 };
+    return start;
+  };
+  const auto refusal = ExpectRefusal(bench.Run(make(1)));
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  ExpectAnswer(bench.Run(make(2)), "body of r1");
+}
