Report a refused second copy of a request as unknown

Callers got the server's 503 with its statement that the request did not run, although its first copy may have run: an idempotent request is sent once more when a kept connection ends without an answer, and the server refused that second copy.

Cause: the code did not believe the refusal, rightly, but passed it on to the caller as the answer.

Change: the refusal of a second copy ends the request with an unknown outcome, and it counts as a sign of a full server as any other refusal does. The ingress may try another member, as for any idempotent request whose outcome is unknown.

Evidence: RefusalOfAResentRequestIsUnknown failed before: the caller got the server's response.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -259,8 +259,7 @@
 bool
 BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
 {
-  // The server may shed the second attempt of a resent request although it ran the first one.
-  if (!ReportsNotRun(settings_.protocol_, aHead) || !aHead.identified_ || aExchange->resent_) {
+  if (!ReportsNotRun(settings_.protocol_, aHead) || !aHead.identified_) {
     return false;
   }
   const bool misdirected = aHead.status_ == kStatusMisdirected;
@@ -281,7 +280,10 @@
   if (aExchange->start_.shard_ && settings_.protocol_.serverEchoesId_) {
     refusedIds_[aExchange->start_.requestId_] = aExchange->start_.deadline_;
   }
-  if (misdirected) {
+  if (aExchange->resent_) {
+    // The server may have run the first copy of the request.
+    FailUnknown(aExchange, "shed_when_resent");
+  } else if (misdirected) {
     RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
   } else {
     RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -170,3 +170,29 @@
   BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
   ExpectAnswer(bench.Run(make(2)), "body of r1");
 }
+
+// Guards against a promise that a request did not run after its first copy may have run.
+BOOST_AUTO_TEST_CASE(RefusalOfAResentRequestIsUnknown)
+{
+  int requests = 0;
+  Bench bench(
+    [&](const FakeRequest& aRequest) {
+      switch (++requests) {
+        case 1:
+          return FakeServer::Response{ AnswerTo(IdOf(aRequest)) };
+        case 2:
+          return FakeServer::Response{ "", true };
+        default:
+          return FakeServer::Response{ RefusalOf(IdOf(aRequest), kRefusalStatus[0]) };
+      }
+    },
+    1,
+    {},
+    EchoingProtocol());
+  ExpectAnswer(bench.Run(bench.Make(1)), "body of r1");
+  auto start = bench.Make(2);
+  start.idempotent_ = true;
+  const auto refusal = ExpectRefusal(bench.Run(std::move(start)));
+  BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
+  BOOST_TEST(requests == 3);
+}
