Pass on no status that promises more than the server stated

Where the status alone tells callers whether a request ran, 503, 429 and 408 promise that it did not. Such a status was passed on unchanged when the backend server sent it without stating that it did not run the request.

Cause: a response that is no stated refusal was taken for an answer, whatever its status.

Evidence: StatusAloneDoesNotPromiseThatTheRequestDidNotRun failed before for each of the three.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::uint16_t kStatusTimeout = 408;
+constexpr std::uint16_t kStatusTooMany = 429;
 constexpr std::uint16_t kStatusUnavailable = 503;
 constexpr std::uint16_t kStatusMisdirected = 421;
 constexpr std::uint16_t kFirstSuccess = 200;
@@ -39,6 +41,15 @@
          *notRun == aProtocol.notRunValue_;
 }
 
+/// Returns whether callers take the status alone as a promise that the request did not run.
+bool
+PromisesNotRun(const HttpProtocol& aProtocol, std::uint16_t aStatus)
+{
+  return aProtocol.statusTellsOutcome_ &&
+         (aStatus == kStatusUnavailable || aStatus == kStatusTooMany || aStatus == kStatusTimeout ||
+          aStatus == kStatusMisdirected);
+}
+
 } // namespace
 
 /// Passes the events of a connection to the service, together with the exchange that uses the
@@ -218,6 +229,9 @@
     // May be a copy of an earlier refusal, so it tells nothing about this request.
     return "unidentified_refusal";
   }
+  if (PromisesNotRun(protocol, aHead.status_)) {
+    return "unconfirmed_refusal";
+  }
   if (protocol.signatureHeader_.empty()) {
     return {};
   }
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -196,3 +196,21 @@
   BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
   BOOST_TEST(requests == 3);
 }
+
+// Guards against passing on a status that promises callers that the request did not run when the
+// server did not say so.
+BOOST_AUTO_TEST_CASE(StatusAloneDoesNotPromiseThatTheRequestDidNotRun)
+{
+  for (const std::string& status : { "503 Busy", "429 Too Many Requests", "408 Timeout" }) {
+    Bench bench(
+      [&](const FakeRequest& aRequest) {
+        return FakeServer::Response{ "HTTP/1.1 " + status + "\r\n" + IdLine(IdOf(aRequest)) +
+                                     "Content-Length: 0\r\n\r\n" };
+      },
+      1,
+      {},
+      EchoingProtocol());
+    const auto refusal = ExpectRefusal(bench.Run(bench.Make(1)));
+    BOOST_TEST((refusal.outcome_ == Outcome::Unknown), status);
+  }
+}
