Expect no body of a HEAD response behind an interim one

A caller that sent HEAD got the head and then no end of the response when the server had sent an interim response before it: the connection waited for the body whose length the head states, until the deadline.

Cause: after an interim or stale response, the next one was read without regard to the method.

Evidence: HeadResponseBehindAnInterimOneHasNoBody failed before.

--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -176,7 +176,8 @@
 HttpConnection::Start(HttpRequest&& aRequest, std::shared_ptr<HttpObserver> aObserver)
 {
   observer_ = std::move(aObserver);
-  reader_ = std::make_unique<Reader>(*this, aRequest.headMethod_);
+  headMethod_ = aRequest.headMethod_;
+  reader_ = std::make_unique<Reader>(*this, headMethod_);
   progress_ = {};
   progress_.connected_ = state_ == State::Open;
   progress_.reused_ = used_;
@@ -308,7 +309,7 @@
     }
     if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || reader_->stale_)) {
       staleBytes_ += reader_->body_.size();
-      reader_ = std::make_unique<Reader>(*this, false);
+      reader_ = std::make_unique<Reader>(*this, headMethod_);
     }
   }
   if ((error && error != http::error::need_more) || !DiscardStaleBody()) {
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -170,6 +170,7 @@
   bool reading_ = false;
   bool writeActive_ = false;
   bool chunked_ = false;
+  bool headMethod_ = false;
   bool requestComplete_ = false;
   bool headDelivered_ = false;
 };
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -214,3 +214,22 @@
     BOOST_TEST((refusal.outcome_ == Outcome::Unknown), status);
   }
 }
+
+// Guards against waiting for the body of a response to HEAD that follows an interim response.
+BOOST_AUTO_TEST_CASE(HeadResponseBehindAnInterimOneHasNoBody)
+{
+  Bench bench(
+    [&](const FakeRequest& aRequest) {
+      return FakeServer::Response{ kInterim + std::string("HTTP/1.1 200 OK\r\n") +
+                                   IdLine(IdOf(aRequest)) + "Content-Length: 5\r\n\r\n" };
+    },
+    1,
+    {},
+    EchoingProtocol());
+  auto start = bench.Make(1);
+  start.method_ = "HEAD";
+  start.deadline_ = bench.clock_.Now() + 1s;
+  const auto response = bench.Run(std::move(start));
+  BOOST_REQUIRE(std::holds_alternative<ResponseStart>(response));
+  BOOST_TEST(std::get<ResponseStart>(response).last_);
+}
