Give up a server that sends interim or stale responses without end

A caller waited until its deadline while the instance read interim responses, or empty responses to another request, without end.

Cause: only the bodies of discarded responses were counted towards the limit after which the connection is closed.

Change: their heads count too.

Evidence: two new cases of EndlessResponseFailsTheRequest, which failed before (over 5 s, up to the deadline of 10 s).

--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -25,8 +25,8 @@
 constexpr std::size_t kMaxInputBytes = kMaxChunkBytes;
 constexpr int kTcpUserTimeoutMs = 2000;
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
-/// Maximum number of body bytes of stale responses that are discarded before the connection is
-/// closed.
+/// Maximum number of bytes of interim and stale responses that are discarded before the connection
+/// is closed.
 constexpr std::size_t kMaxStaleBytes = 1024 * 1024;
 constexpr std::uint16_t kFirstFinalStatus = 200;
 
@@ -303,12 +303,13 @@
   std::size_t used = 0;
   error_code error;
   while (used < inputBytes_ && !reader_->is_done()) {
-    used += reader_->put(asio::buffer(input_.data() + used, inputBytes_ - used), error);
+    const auto parsed = reader_->put(asio::buffer(input_.data() + used, inputBytes_ - used), error);
+    used += parsed;
     if (error) {
       break;
     }
     if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || reader_->stale_)) {
-      staleBytes_ += reader_->body_.size();
+      staleBytes_ += parsed;
       reader_ = std::make_unique<Reader>(*this, headMethod_);
     }
   }
--- a/tests/unit/backend/DamagedAnswersTest.cpp
+++ b/tests/unit/backend/DamagedAnswersTest.cpp
@@ -39,22 +39,27 @@
 // limit, and the caller must not wait until its deadline.
 BOOST_AUTO_TEST_CASE(EndlessResponseFailsTheRequest)
 {
-  const std::vector<std::string> endless{
+  const std::vector<std::pair<std::string, std::string>> endless{
     // In the head of a response.
-    "HTTP/1.1 200 OK\r\nX-Filler: ",
+    { "HTTP/1.1 200 OK\r\nX-Filler: ", "x" },
     // In the size line of a chunk, after the chunk extension begins.
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x" },
     // In the body of a response to another request.
-    "HTTP/1.1 200 OK\r\nRedwing-Request-Id: other\r\n\r\n",
+    { "HTTP/1.1 200 OK\r\nRedwing-Request-Id: other\r\n\r\n", "x" },
     // Not a response at all.
-    "",
+    { "", "x" },
+    // Interim responses, and responses to another request.
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "", "HTTP/1.1 204 No Content\r\nRedwing-Request-Id: other\r\n\r\n" },
   };
   HttpProtocol protocol;
   protocol.serverEchoesId_ = true;
-  for (const std::string& text : endless) {
+  for (const auto& [text, filler] : endless) {
     Bench bench(
-      [&](const FakeRequest&) {
-        return FakeServer::Response{ text, false, true };
+      [&, first = text, more = filler](const FakeRequest&) {
+        FakeServer::Response response{ first, false, true };
+        response.filler_ = more;
+        return response;
       },
       4,
       {},
