--- a/tests/unit/backend/BackendBench.hpp
+++ b/tests/unit/backend/BackendBench.hpp
@@ -87,7 +87,7 @@
     view_.Set(view);
     service_.Start();
     thread_ = std::thread([this] { context_.run(); });
-    service_.OnAnnounce({ "svc", { "127.0.0.1", server_.Port() }, aSlots, 32, {} });
+    Announce(aSlots);
     upEvents_.Await(1);
   }
   ~Bench()
@@ -97,6 +97,12 @@
     thread_.join();
   }
 
+  /// Announces the server; an announcement expires after a few seconds.
+  void Announce(std::uint32_t aSlots = 4)
+  {
+    service_.OnAnnounce({ "svc", { "127.0.0.1", server_.Port() }, aSlots, 32, {} });
+  }
+
   RequestStart Make(std::uint64_t aId)
   {
     RequestStart start;
--- a/tests/unit/store/EtcdStoreTest.cpp
+++ b/tests/unit/store/EtcdStoreTest.cpp
@@ -149,6 +149,28 @@
   BOOST_TEST((fixture.Commit().error().kind_ == StoreErrorKind::Unavailable));
 }
 
+// Guards against a reply that breaks off, in its head or body, and is taken for a whole one.
+BOOST_AUTO_TEST_CASE(ReplyThatBreaksOffIsLost)
+{
+  Reply reply;
+  Fixture fixture([&](const auto&) { return reply; });
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Folded: a\r\n b\r\n";
+  const std::string json = kTransactionReply;
+  for (const std::string& whole : {
+         head + "Content-Length: " + std::to_string(json.size()) + "\r\n\r\n" + json,
+         head + "Transfer-Encoding: chunked\r\n\r\n1;ext=1\r\n{\r\n" + "2c\r\n" + json.substr(1) +
+           "\r\n0\r\nX-End: 1\r\n\r\n",
+       }) {
+    for (std::size_t size = 0; size < whole.size(); ++size) {
+      reply = { whole.substr(0, size), true };
+      BOOST_TEST((fixture.Commit().error().kind_ == StoreErrorKind::OutcomeUnknown), reply.bytes_);
+      BOOST_TEST((fixture.Range().error().kind_ == StoreErrorKind::Unavailable), reply.bytes_);
+    }
+    reply = { whole, true };
+    BOOST_TEST(fixture.Commit().has_value());
+  }
+}
+
 // Guards against a store that accepts a request and never answers blocking its caller.
 BOOST_AUTO_TEST_CASE(SlowReplyEndsWithTheTimeOut)
 {
