Keep no connection to a store with bytes behind the reply

No caller is known to have seen this; it was found by looking for the cause of the repeated refusals at the other clients. A connection to the store was used again after a reply with further bytes behind it. If those bytes were the first part of another reply, its rest came before the reply to the next call.

Change: such a connection is closed.

Evidence: ConnectionWithMoreThanTheReplyIsNotReused failed before: both calls went over one connection.

--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -129,7 +129,8 @@
     return;
   }
   auto reply = state_->parser_.release();
-  if (reply.keep_alive()) {
+  // Bytes behind the reply may be a part of more, which would be taken for the next reply.
+  if (reply.keep_alive() && state_->buffer_.size() == 0) {
     state_->stream_.expires_never();
     state_->client_->KeepConnection(state_->stream_.release_socket());
   } else {
--- a/tests/unit/store/EtcdStoreTest.cpp
+++ b/tests/unit/store/EtcdStoreTest.cpp
@@ -195,6 +195,18 @@
   BOOST_TEST(fixture.server_.Connections() == 2);
 }
 
+// Guards against bytes behind a reply whose rest is taken for the reply to the next call.
+BOOST_AUTO_TEST_CASE(ConnectionWithMoreThanTheReplyIsNotReused)
+{
+  const std::string reply = ScriptedHttpServer::Json(kTransactionReply).bytes_;
+  Fixture fixture([&](const auto& aRequest) {
+    return Reply{ aRequest.connection_ == 1 ? reply + reply : reply, false };
+  });
+  BOOST_TEST(fixture.Commit().has_value());
+  BOOST_TEST(fixture.Commit().has_value());
+  BOOST_TEST(fixture.server_.Connections() == 2);
+}
+
 // Guards against calls beyond the budget reaching the store.
 BOOST_AUTO_TEST_CASE(CallsBeyondTheBudgetAreNotSent)
 {
