Play repeated refusals that arrive in parts

RepeatedRefusalInPartsIsNotTheNextAnswer cuts a repeated refusal and the answer behind it at each byte. The fake server sends without delay, so that a part does not wait for the acknowledgement of the one before.

--- a/tests/unit/backend/FakeServer.hpp
+++ b/tests/unit/backend/FakeServer.hpp
@@ -95,6 +95,7 @@
       if (error) {
         return;
       }
+      socket->set_option(boost::asio::ip::tcp::no_delay(true), error);
       std::lock_guard lock(mutex_);
       sockets_.push_back(socket);
       workers_.emplace_back([this, socket] { Serve(*socket); });
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -109,6 +109,50 @@
   }
 }
 
+// Guards against a repeated refusal that is believed when it arrives in parts.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalInPartsIsNotTheNextAnswer)
+{
+  for (const std::string& earlier : { "r0", "" }) {
+    const std::string copy = kInterim + RefusalOf(earlier, kRefusalStatus[0]);
+    std::size_t cut = 0;
+    Bench bench(
+      [&](const FakeRequest& aRequest) {
+        const std::string own = AnswerTo(IdOf(aRequest));
+        if (cut == 0) {
+          return FakeServer::Response{ own };
+        }
+        const std::string text = copy + own;
+        FakeServer::Response response{ text.substr(0, cut) };
+        response.late_ = text.substr(cut);
+        response.lateAfter_ = 1ms;
+        return response;
+      },
+      1,
+      {},
+      EchoingProtocol());
+    for (; cut < copy.size() + AnswerTo("r100").size(); ++cut) {
+      bench.Announce(1);
+      const auto id = cut + 100;
+      const auto events = bench.responses_.Size();
+      std::string body;
+      bool last = false;
+      BOOST_REQUIRE(bench.service_.TryStart(bench.Make(id)));
+      for (std::size_t next = events; !last; ++next) {
+        const auto event = bench.responses_.Await(next + 1)[next];
+        if (const auto* head = std::get_if<ResponseStart>(&event)) {
+          body = head->body_;
+          last = head->last_;
+        } else {
+          BOOST_REQUIRE(std::holds_alternative<ResponseBody>(event));
+          body.append(std::get<ResponseBody>(event).bytes_);
+          last = std::get<ResponseBody>(event).last_;
+        }
+      }
+      BOOST_TEST(body == "body of r" + std::to_string(id));
+    }
+  }
+}
+
 // Guards against a promise that the request did not run when the refusal may be of another request.
 BOOST_AUTO_TEST_CASE(RefusalWithoutAnIdPromisesNothing)
 {
