Cut explorer instances off from their peers as well as from the store

Seen: unit.fleet_explorer HoldsBeyondTheLeaseAreFound finds no double hold, although the planted setting lets servers hold shards up to 4 s beyond the lease. It failed in every run on an arm64 machine and in some on x86-64.

Cause: the explorer only cut instances off from the store. Since leases are renewed through peers, such an instance keeps its lease (44 renewals by peers in a run), nobody takes its shards over, and a hold beyond the lease meets nobody. The explorer hardly tested the end of a lease, which also took force from NoShardHasTwoHolders.

Change: in two of three cases an instance that is cut off from the store is cut off from its peers too, until the trouble ends. Both checks are unchanged.

--- a/tests/unit/fleet_explorer/FleetExplorerTest.cpp
+++ b/tests/unit/fleet_explorer/FleetExplorerTest.cpp
@@ -61,7 +61,7 @@
 } // namespace
 
 // Guards against a shard with two holders, whatever heartbeats and writes are late or lost, servers
-// crash, return or leave, clocks run 2 % slow and paths to the store are cut.
+// crash, return or leave, clocks run 2 % slow and paths to the store or to the peers are cut.
 BOOST_AUTO_TEST_CASE(NoShardHasTwoHolders)
 {
   for (const Exploration& outcome : Explore({})) {
--- a/tests/unit/fleet_explorer/World.cpp
+++ b/tests/unit/fleet_explorer/World.cpp
@@ -128,7 +128,7 @@
     boost::asio::post(fleet_.Context(), [this, aTo, aPayload, aDone, lost] {
       const auto node = fleet_.Nodes().find(aTo);
       const bool found = !lost && node != fleet_.Nodes().end();
-      if (!found) {
+      if (!found || peersCut_ || node->second->peersCut_) {
         aDone(false, {});
         return;
       }
@@ -276,6 +276,7 @@
 {
   for (auto& [id, node] : nodes_) {
     node->CutStore(false);
+    node->CutPeers(false);
     node->SetLoss(0);
   }
 }
@@ -320,7 +321,9 @@
   std::advance(node, static_cast<std::ptrdiff_t>(random_.Below(nodes_.size())));
   switch (random_.Below(5)) {
     case 0:
+      // An instance that only loses the store has its lease renewed by a peer.
       node->second->CutStore(true);
+      node->second->CutPeers(random_.Below(3) != 0);
       break;
     case 1:
       node->second->SetLoss(0.4);
--- a/tests/unit/fleet_explorer/World.hpp
+++ b/tests/unit/fleet_explorer/World.hpp
@@ -67,6 +67,7 @@
   FleetService& Service() { return *service_; }
   void Crash(TimePoint aNow);
   void CutStore(bool aCut) { store_.cut_ = aCut; }
+  void CutPeers(bool aCut) { peersCut_ = aCut; }
   void SetLoss(double aLoss) { store_.loss_ = aLoss; }
   void BeginDrain() { draining_ = true; }
   /// A server that says that it leaves ends and comes back.
@@ -96,6 +97,8 @@
   std::uint64_t sequence_ = 0;
   bool up_ = true;
   bool draining_ = false;
+  /// Calls from and to this instance are lost.
+  bool peersCut_ = false;
   TimePoint nextBeat_{};
   TimePoint upAt_{};
   TimePoint holdEnd_{};
