Recall queued requests of an instance whose link is lost

A request that may not be repeated stayed in the queue of the serving instance after the link to its ingress was lost, and was run for nobody. Such requests were left alone so that running ones are not cancelled. A recall now takes the queued ones out and leaves the running ones alone; their outcome at the ingress is unknown in both cases, as before.

--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -209,9 +209,12 @@
 PeerService::FailInbound(std::uint64_t aLinkId, LinkEntry& aEntry)
 {
   for (const auto& [exchangeId, exchange] : aEntry.inbound_) {
-    // A request that may not be repeated is left to finish: cancelling it would only add doubt.
+    // A request that may not be repeated is left to finish if it runs: cancelling it would only add
+    // doubt. If it is still queued, nobody waits for it any more.
     if (exchange.idempotent_) {
       hooks_.sendRequest_(RequestCancel{ { aLinkId, exchangeId } });
+    } else {
+      hooks_.sendRequest_(RequestRecall{ { aLinkId, exchangeId } });
     }
   }
 }
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -198,8 +198,8 @@
   BOOST_TEST(a.counters_.GetCounter("redwing_peer_links_rejected_total").Value() == 1U);
 }
 
-// Guards against a false "not run" when the link dies after a request was written, and against
-// cancelling a non-idempotent request that runs.
+// Guards against a false "not run" when the link dies after a request was written, against
+// cancelling a non-idempotent request that runs, and against running one for nobody.
 BOOST_AUTO_TEST_CASE(LostLinkMakesWrittenRequestsUnknown)
 {
   Node a("a", "key");
@@ -215,9 +215,13 @@
     BOOST_TEST((std::get<Refusal>(event).outcome_ == Outcome::Unknown));
     BOOST_TEST((std::get<Refusal>(event).code_ == ErrorCode::LinkLost));
   }
-  const auto cancels = b.events_.Await(1);
-  BOOST_TEST(cancels.size() == 1U);
-  BOOST_TEST(KeyOf(cancels.front()).exchangeId_ == 2U);
+  const auto events = b.events_.Await(2);
+  BOOST_TEST(events.size() == 2U);
+  for (const RequestEvent& event : events) {
+    const bool idempotent = KeyOf(event).exchangeId_ == 2;
+    BOOST_TEST(std::holds_alternative<RequestCancel>(event) == idempotent);
+    BOOST_TEST(std::holds_alternative<RequestRecall>(event) == !idempotent);
+  }
 }
 
 // Guards against a handshake with a stranger for each request to, or probe of, a member whose
