Keep the ring's instance running on SIGHUP

redwingd did not handle SIGHUP, whose default ends the process and cuts all its requests. It now logs the signal and goes on. Not tested by a case of its own.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -45,7 +45,7 @@
   , controlThread_("control")
   , storeThread_("store")
   , operatorThread_("operator")
-  , signals_(mainContext_, SIGTERM, SIGINT)
+  , signals_(mainContext_, SIGTERM, SIGINT, SIGHUP)
   , shutdownTimer_(mainContext_)
   , limiterTimer_(intakeThread_.Context())
   , intakeMailbox_(kIntakeMailboxCapacity)
@@ -306,6 +306,11 @@
       return;
     }
     LogLine(LogLevel::Info, "signal").With("number", aSignal);
+    if (aSignal == SIGHUP) {
+      // There is nothing to read again; by default the signal would end the process.
+      WaitForSignal();
+      return;
+    }
     if (shuttingDown_) {
       exitCode_ = 1;
       mainContext_.stop();
