Write the last answers to other instances before the event loop stops

Callers saw 502, which promises nothing, for requests that the instance beside the server had answered or refused as not run: in two of seven stops of integration.shutdown, one request that may not be repeated each, within 2 ms of the end of the serving instance.

Cause: a stopping instance ended its event loop as soon as its last request had ended. The answer to that request was in the mailbox of the peer service, or queued at its link, and never written. A store call at the end used to hide this, and is not made while the own server holds shards.

The event loop now stops once all links have written what was passed on, within the 300 ms that the end may take.

Evidence: found in a review, in logs of integration.shutdown before this change (link_lost at the ingress right after shutdown_ends reason=drained). TheLastResponseIsWrittenBeforeTheEventLoopStops tests the new function. integration.shutdown also counts answers that were made and not passed on.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -302,7 +302,8 @@
   LogLine(LogLevel::Info, "shutdown_ends").With("reason", aReason);
   intake_->LogUnanswered();
   backend_->LogUnfinished();
-  fleet_->End([this] { context_.stop(); });
+  // The last answers and refusals for other instances may still be on their way to the links.
+  fleet_->End([this] { peer_->AwaitWritten([this] { context_.stop(); }); });
   stopTimer_.expires_after(kEndTimeout);
   stopTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -257,8 +257,11 @@
       self->writing_ = false;
       if (aError) {
         self->Close("write_failed");
-      } else {
-        self->Flush();
+        return;
+      }
+      self->Flush();
+      if (!self->Writes()) {
+        self->observer_.OnWritten();
       }
     });
 }
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -40,6 +40,8 @@
   virtual void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) = 0;
   /// Frames arrived that were on their way aDelay longer than the fastest recent one.
   virtual void OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay) = 0;
+  /// All messages that were sent on the link have been passed to the system.
+  virtual void OnWritten() = 0;
   virtual void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) = 0;
 };
 
@@ -75,6 +77,9 @@
   /// Preconditions: none. Thread safety: peer thread only.
   void Close(std::string_view aReason);
 
+  /// Returns whether messages are queued or being written on an established link.
+  bool Writes() const { return state_ == LinkState::Established && (writing_ || !queue_.empty()); }
+
   std::uint64_t Id() const { return id_; }
   bool Inbound() const { return inbound_; }
   LinkState State() const { return state_; }
--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -193,6 +193,7 @@
       hooks_.onPeerDown_(aLink->ExpectedId());
     }
   }
+  OnWritten();
 }
 
 void
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -89,6 +89,26 @@
   });
 }
 
+void
+PeerService::AwaitWritten(std::function<void()> aDone)
+{
+  asio::post(context_, [this, done = std::move(aDone)]() mutable {
+    written_ = std::move(done);
+    Drain();
+    OnWritten();
+  });
+}
+
+void
+PeerService::OnWritten()
+{
+  const bool writes = std::any_of(
+    links_.begin(), links_.end(), [](const auto& aEntry) { return aEntry.second.link_->Writes(); });
+  if (written_ && !writes) {
+    std::exchange(written_, nullptr)();
+  }
+}
+
 bool
 PeerService::TryStart(const std::string& aInstanceId, RequestStart&& aStart)
 {
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -94,6 +94,12 @@
   /// Preconditions: none. Thread safety: callable from any thread.
   void Stop();
 
+  /// Calls aDone once all events and calls that were passed on before have been written to their
+  /// links, or the links were closed.
+  ///
+  /// Preconditions: called once. Thread safety: callable from any thread.
+  void AwaitWritten(std::function<void()> aDone);
+
   /// Returns the bound port.
   ///
   /// Preconditions: Start returned true. Thread safety: callable from any thread.
@@ -169,6 +175,7 @@
   void OnMessage(const std::shared_ptr<Link>& aLink, LinkMessage&& aMessage) override;
   void OnWriting(const std::shared_ptr<Link>& aLink, const LinkMessage& aMessage) override;
   void OnDelayed(const std::shared_ptr<Link>& aLink, Duration aDelay) override;
+  void OnWritten() override;
   void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) override;
 
   void Adopt(boost::asio::ip::tcp::socket aSocket);
@@ -213,6 +220,8 @@
   Mailbox<Command> mailbox_;
   std::uint16_t port_ = 0;
   bool stopped_ = false;
+  /// Waits until all links have written what was passed on.
+  std::function<void()> written_;
   std::uint64_t nextLinkId_ = kLocalLink + 1;
   std::uint64_t nextCallId_ = 1;
   TimePoint lastTick_{};
--- a/tests/integration/shutdown/ShutdownTest.cpp
+++ b/tests/integration/shutdown/ShutdownTest.cpp
@@ -325,6 +325,8 @@
   int repeated_ = 0;
   /// Ended as of unknown outcome and never ran.
   int doubtful_ = 0;
+  /// Ended as of unknown outcome although the server had answered.
+  int withheld_ = 0;
 };
 
 Verdict
@@ -345,6 +347,8 @@
     verdict.served_ += sent.status_ == 200 && sent.signed_ ? 1 : 0;
     verdict.refused_ += sent.status_ == 503 ? 1 : 0;
     verdict.doubtful_ += sent.status_ > 500 && sent.status_ != 503 && run.count_ == 0 ? 1 : 0;
+    verdict.withheld_ +=
+      sent.status_ == 502 && run.count_ > 0 && run.end_ && *run.end_ < sent.ended_ ? 1 : 0;
     verdict.repeated_ += !sent.idempotent_ && run.count_ > 1 ? 1 : 0;
     verdict.falselyRefused_ += sent.status_ == 503 && !sent.idempotent_ && run.count_ > 0 ? 1 : 0;
     const bool lost = sent.status_ == 0 && !crossed && !lateAllowed;
@@ -423,5 +427,6 @@
   BOOST_TEST(verdict.replaced_ == 0);
   BOOST_TEST(verdict.repeated_ == 0);
   BOOST_TEST(verdict.doubtful_ == 0);
+  BOOST_TEST(verdict.withheld_ == 0);
   BOOST_TEST(verdict.served_ > 100);
 }
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -161,6 +161,23 @@
 
 } // namespace
 
+// Guards against dropping the last response of an instance that stops once all requests have ended.
+BOOST_AUTO_TEST_CASE(TheLastResponseIsWrittenBeforeTheEventLoopStops)
+{
+  Node caller("a", "key");
+  Node serving("b", "key");
+  caller.Knows("b", serving.service_.Port());
+  BOOST_REQUIRE(caller.service_.TryStart("b", MakeStart(1)));
+  const RequestStart request = serving.requests_.Await(1).front();
+  asio::post(serving.context_, [&] {
+    serving.service_.Respond(MakeResponse(request));
+    serving.service_.AwaitWritten([&] { serving.context_.stop(); });
+  });
+  const ResponseEvent response = caller.responses_.Await(1).front();
+  BOOST_REQUIRE(std::holds_alternative<ResponseStart>(response));
+  BOOST_TEST(std::get<ResponseStart>(response).body_ == "response to 1");
+}
+
 // Guards against crossed responses: many requests answered in reverse order must each get their
 // own.
 BOOST_AUTO_TEST_CASE(ResponsesReachTheirRequestsInAnyOrder)
