Tell the queue of a stopping instance its end at the signal

A stopping instance told its own queue the time of the last answer only when it began to drain, 2.6 s after the signal. Until then it dispatched long requests of other instances that it cuts at its end, where another member could have served them. Found by reading. The time is now set at the signal, apart from the drain; QueuedRequestsAreRefusedBeforeTheServingInstanceEnds uses it.

--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -150,12 +150,19 @@
 }
 
 void
-BackendService::BeginDrain(TimePoint aAnswerBy, std::function<void()> aDrained)
+BackendService::LimitAnswers(TimePoint aAnswerBy)
 {
-  Post([this, aAnswerBy, drained = std::move(aDrained)]() mutable {
-    draining_ = true;
+  Post([this, aAnswerBy] {
     answerBy_ = aAnswerBy;
     queue_.LimitDeadlines(aAnswerBy);
+  });
+}
+
+void
+BackendService::BeginDrain(std::function<void()> aDrained)
+{
+  Post([this, drained = std::move(aDrained)]() mutable {
+    draining_ = true;
     drained_.push_back(std::move(drained));
     CheckDrained();
     PublishStatus();
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -73,11 +73,15 @@
   /// Preconditions: none. Thread safety: any thread.
   void OnLeave();
 
-  /// Refuses new requests from now on, and queued ones that cannot be answered by aAnswerBy; calls
-  /// aDrained once no request is queued or running.
+  /// Refuses requests that are not running and cannot be answered by aAnswerBy.
   ///
   /// Preconditions: called once. Thread safety: any thread.
-  void BeginDrain(TimePoint aAnswerBy, std::function<void()> aDrained);
+  void LimitAnswers(TimePoint aAnswerBy);
+
+  /// Refuses new requests from now on; calls aDrained once no request is queued or running.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void BeginDrain(std::function<void()> aDrained);
 
   /// Writes a log line for each request that is queued or running.
   ///
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -356,7 +356,8 @@
     }
   });
   const TimePoint answerBy = clock_.Now() + kAnswerTimeout;
-  backend_->BeginDrain(answerBy, [this] { mainContext_.post([this] { FinishPart(); }); });
+  backend_->LimitAnswers(answerBy);
+  backend_->BeginDrain([this] { mainContext_.post([this] { FinishPart(); }); });
   intakeThread_.Context().post([this, answerBy] {
     intake_->BeginShutdown(answerBy, [this] { mainContext_.post([this] { FinishPart(); }); });
   });
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -270,11 +270,12 @@
   fleet_->BeginLeave();
   openParts_ = 2;
   const TimePoint answerBy = clock_.Now() + settings_.answerTimeout_;
+  backend_->LimitAnswers(answerBy);
   intake_->BeginShutdown(answerBy, [this] { FinishPart(); });
   drainTimer_.expires_after(settings_.drainDelay_);
-  drainTimer_.async_wait([this, answerBy](const boost::system::error_code& aError) {
+  drainTimer_.async_wait([this](const boost::system::error_code& aError) {
     if (!aError) {
-      backend_->BeginDrain(answerBy, [this] { FinishPart(); });
+      backend_->BeginDrain([this] { FinishPart(); });
     }
   });
   stopTimer_.expires_after(settings_.stopTimeout_);
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -311,7 +311,7 @@
   BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
   bench.serverRequests_.Await(1);
   Inbox<int> drained;
-  bench.service_.BeginDrain(TimePoint::max(), [&] { drained.Add(1); });
+  bench.service_.BeginDrain([&] { drained.Add(1); });
   BOOST_TEST((ExpectRefusal(bench.Run(bench.Make(2))).code_ == ErrorCode::Draining));
   BOOST_TEST(drained.Size() == 0U);
   release.set_value();
--- a/tests/unit/backend/BackendShutdownTest.cpp
+++ b/tests/unit/backend/BackendShutdownTest.cpp
@@ -92,7 +92,8 @@
 {
   BOOST_REQUIRE(bench_.service_.TryStart(bench_.Make(2)));
   Inbox<int> drained;
-  bench_.service_.BeginDrain(bench_.clock_.Now() + 60ms, [&] { drained.Add(1); });
+  bench_.service_.LimitAnswers(bench_.clock_.Now() + 60ms);
+  bench_.service_.BeginDrain([&] { drained.Add(1); });
   const Refusal refusal = ExpectRefusal(bench_.responses_.Await(1).front());
   BOOST_TEST(refusal.key_.exchangeId_ == 2U);
   BOOST_TEST((refusal.code_ == ErrorCode::Draining));
