--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -439,40 +439,4 @@
   }
 }
 
-std::string_view
-Exchange::Stage() const
-{
-  if (entry_ == nullptr) {
-    return "behind_another";
-  }
-  if (responding_) {
-    return "response";
-  }
-  if (!attempts_.empty()) {
-    return "attempt";
-  }
-  if (!admitted_) {
-    return "allowance";
-  }
-  return started_ ? "target" : "body";
-}
-
-void
-Exchange::LogUnanswered() const
-{
-  if (finished_) {
-    return;
-  }
-  const TimePoint now = core_.Now();
-  const Attempt* attempt = attempts_.empty() ? nullptr : &attempts_.back();
-  RouteLog::Write({ requestId_,
-                    entry_ == nullptr ? std::string_view() : std::string_view(entry_->route_->id_),
-                    Stage(),
-                    attempt == nullptr ? std::string_view() : attempt->instanceId_,
-                    attemptCount_,
-                    now - arrived_,
-                    attempt == nullptr ? Duration() : now - attempt->sentAt_,
-                    entry_ != nullptr && entry_->route_->idempotent_ });
-}
-
 } // namespace redwing::Detail
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -91,8 +91,6 @@
   /// Gives back the token of a request that did not run.
   void ReturnToken();
   void Finish();
-  /// Returns the name of what the request waits for.
-  std::string_view Stage() const;
   /// Id of the charged workspace; empty if there is none.
   const std::string& WorkspaceId() const;
   const std::string& ServiceId() const;
@@ -101,7 +99,6 @@
   void SendAttempt(const char* aReason);
   /// Ends the exchange and returns false if its caller has left or its deadline has passed.
   bool MaySend();
-  void RefuseStopping();
   bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
@@ -120,6 +117,11 @@
   bool MayHedge() const;
   void ArmHedge();
 
+  // The end of the instance, in ExchangeShutdown.cpp
+  void RefuseStopping();
+  /// Returns the name of what the request waits for.
+  std::string_view Stage() const;
+
   // Bodies, in ExchangeBodies.cpp
   void SendBody();
   void SendDeferredBody();
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -117,31 +117,6 @@
   return true;
 }
 
-void
-Exchange::RefuseStopping()
-{
-  Refuse(ErrorCode::Draining,
-         "this instance is about to stop",
-         unknownCount_ > 0 ? Outcome::Unknown : Outcome::NotRun);
-}
-
-void
-Exchange::OnAnswerBy()
-{
-  // A request behind another one is not begun yet, and ends with its connection.
-  if (finished_ || responding_ || entry_ == nullptr) {
-    return;
-  }
-  if (attempts_.empty()) {
-    RefuseStopping();
-    return;
-  }
-  // Only the serving instances know whether the request runs already.
-  for (const Attempt& attempt : attempts_) {
-    SendToAttempt(attempt, RequestRecall{ { kLocalLink, attempt.id_ } });
-  }
-}
-
 bool
 Exchange::KeyStillValid() const
 {
