Don't wait for the leases of an epoch that have run out before the next

Shards without a holder in a table that is not settled can be held by leases of epochs before that of the table only. So the leader counts the wait from the time at which it first saw that epoch. For the same reason a member that did not register while its lease could last is not awaited after a further restore.

--- a/src/fleet/EpochRecovery.cpp
+++ b/src/fleet/EpochRecovery.cpp
@@ -32,12 +32,20 @@
   }
   epoch_ = aEpoch;
   seenAt_ = aNow;
+  seen_[aEpoch] = aNow;
   carried_ = carried_ || aConfirmed;
   holds_ = aHolds;
   awaited_.insert(aMembers.begin(), aMembers.end());
   reports_.clear();
 }
 
+bool
+EpochRecovery::WaitsFor(std::uint64_t aEpoch, TimePoint aNow) const
+{
+  const auto seen = seen_.find(aEpoch);
+  return seen == seen_.end() ? Waits(aNow) : aNow - seen->second < wait_;
+}
+
 std::vector<InstanceRef>
 EpochRecovery::Missing(const std::set<InstanceRef>& aRegistered) const
 {
--- a/src/fleet/EpochRecovery.hpp
+++ b/src/fleet/EpochRecovery.hpp
@@ -49,6 +49,9 @@
   /// Returns whether the leases of earlier epochs may still run.
   bool Waits(TimePoint aNow) const { return epoch_ > 0 && aNow - seenAt_ < wait_; }
 
+  /// Returns whether leases of epochs before aEpoch may still run.
+  bool WaitsFor(std::uint64_t aEpoch, TimePoint aNow) const;
+
   /// Records a report to this instance; reports of another epoch are ignored.
   void OnReport(const FleetReport& aReport);
 
@@ -89,6 +92,8 @@
   Duration wait_;
   std::uint64_t epoch_ = 0;
   TimePoint seenAt_{};
+  /// Time at which each epoch was first seen.
+  std::map<std::uint64_t, TimePoint> seen_;
   bool carried_ = false;
   bool holds_ = false;
   /// Members of earlier epochs, each of which may hold shards by a table of its epoch.
--- a/src/fleet/FleetRecovery.cpp
+++ b/src/fleet/FleetRecovery.cpp
@@ -29,12 +29,16 @@
 FleetService::UpdateEpoch()
 {
   if (session_.Epoch() != epoch_) {
-    epoch_ = session_.Epoch();
+    const TimePoint now = clock_.Now();
+    const bool waited = !recovery_.Waits(now);
     std::set<InstanceRef> members;
     for (const auto& [key, member] : members_) {
-      members.insert(member.record_.member_.ref_);
+      // One that did not register again while its lease could last holds nothing any more.
+      if (!waited || EpochOf(member.revision_) == epoch_) {
+        members.insert(member.record_.member_.ref_);
+      }
     }
-    const TimePoint now = clock_.Now();
+    epoch_ = session_.Epoch();
     recovery_.Begin(epoch_, confirmedInEpoch_, now < grantDeadline_, members, now);
     earlyChanges_.clear();
     ledUntilEpoch_ = leads_ && clock_.Now() < leaderLease_.Deadline();
@@ -100,8 +104,10 @@
   if (!all && !MayRecoverPart()) {
     return;
   }
-  const bool leasesRun = recovery_.Waits(clock_.Now());
-  const bool settled = all && (aKnown.table_.Settled() || !leasesRun);
+  const TimePoint now = clock_.Now();
+  const bool leasesRun = recovery_.Waits(now);
+  const bool settled =
+    all && (aKnown.table_.Settled() || !recovery_.WaitsFor(aKnown.table_.Epoch(), now));
   const std::string key = session_.TableKey(aService);
   LogLine(LogLevel::Info, "shard_table_recovered")
     .With("service", aService)
--- a/tests/unit/fleet_restore/RestoredStoreTest.cpp
+++ b/tests/unit/fleet_restore/RestoredStoreTest.cpp
@@ -166,6 +166,26 @@
   BOOST_TEST(violation_ == "");
 }
 
+// Guards against keys of a lost machine that are not assigned for another lease time because the
+// store comes back from a copy a second time.
+BOOST_AUTO_TEST_CASE(ASecondRestoreDoesNotProlongTheWait)
+{
+  Begin({ "a", "b", "c" });
+  store_.Copy();
+  Node& lost = Other({ Leader().id_ });
+  Restore(100ms);
+  const TimePoint restored = clock_.Now();
+  Lose(lost);
+  BOOST_REQUIRE(Play([&] { return StoredTable().Epoch() == 1 && !StoredTable().Settled(); }));
+  store_.Copy();
+  // The store is away again when the leases of the first epoch have run out.
+  Play([&] { return clock_.Now() - restored >= 2s; });
+  Restore(800ms);
+  BOOST_TEST(Play([&] { return StoredTable().Epoch() == 2 && StoredTable().Settled(); }, 1500ms));
+  BOOST_TEST(Play([&] { return AllServed(); }, 1500ms));
+  BOOST_TEST(violation_ == "");
+}
+
 // Guards against a fleet that waits for a leader that was lost while it collected the tables.
 BOOST_AUTO_TEST_CASE(ALeaderThatIsLostAfterTheRestoreIsSucceeded)
 {
