Tell members of an earlier epoch in their records, and close two gaps

- A process that started during a restore could not tell that the others are members of the epoch before, once all had registered again.
As the leader it created a table with tokens from 1 if the copy had none, and took an old ledger for the last one.
Records now say so.
- Two restores whose second copy is older than the first recovery raised the tokens to the same number twice.
The step now counts the epochs in between.
- Shards of an earlier run of a server stayed with its instance when only its new run had been heard.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -148,6 +148,7 @@
   record.member_ = settings_.self_;
   record.member_.slots_ = slots_;
   record.member_.leaving_ = leaving_;
+  record.carried_ = recovery_.Carried();
   if (serverLeaves_) {
     record.member_.state_ = BackendState::Draining;
   } else if (backendState_ != BackendState::Down) {
--- a/src/fleet/FleetRecovery.cpp
+++ b/src/fleet/FleetRecovery.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-/// More fencing tokens than a service can use in the writes that the store may lose.
+/// More fencing tokens than a service can use in the writes of one epoch that the store may lose.
 constexpr std::uint64_t kLostTokens = 1U << 20U;
 constexpr std::chrono::milliseconds kTableTimeout{ 400 };
 
@@ -42,6 +42,7 @@
     recovery_.Begin(epoch_, confirmedInEpoch_, now < grantDeadline_, members, now);
     earlyChanges_.clear();
     ledUntilEpoch_ = leads_ && clock_.Now() < leaderLease_.Deadline();
+    UpdateSelf();
   }
 }
 
@@ -58,7 +59,7 @@
 {
   return recovery_.SeesEarlierMembers() ||
          std::any_of(members_.begin(), members_.end(), [this](const auto& aMember) {
-           return !IsCurrent(aMember.second.revision_);
+           return aMember.second.record_.carried_ || !IsCurrent(aMember.second.revision_);
          });
 }
 
@@ -118,12 +119,17 @@
   ShardTable next = aKnown.table_;
   // If not all instances were heard, the holder of a shard may have been another one in a lost
   // write, with a higher token.
-  next.SkipTokens(kLostTokens, !leasesRun);
+  next.SkipTokens(kLostTokens * (session_.Epoch() - aKnown.table_.Epoch()), !leasesRun);
   next.SetSettled(settled);
   if (!all) {
     const std::set<InstanceRef> registered = RegisteredMembers();
     for (const ShardRun& run : aKnown.table_.Runs()) {
-      if (!run.holder_.Empty() && !recovery_.IsCertain(run, registered)) {
+      const auto holder = members_.find(session_.MemberKey(run.holder_.instanceId_));
+      // What a new incarnation of the server holds tells nothing about shards of the one before.
+      const bool sameServer =
+        holder != members_.end() &&
+        holder->second.record_.serverIncarnation_ == run.holder_.serverIncarnation_;
+      if (!run.holder_.Empty() && !(sameServer && recovery_.IsCertain(run, registered))) {
         next.Assign(run.first_, run.last_, {});
       }
     }
--- a/src/fleet/MemberRecord.cpp
+++ b/src/fleet/MemberRecord.cpp
@@ -59,6 +59,7 @@
     member.leaving_ = json.at("leaving").get<bool>();
     record.serverIncarnation_ = json.at("life").get<std::string>();
     record.epoch_ = json.value("epoch", std::uint64_t{ 0 });
+    record.carried_ = json.value("carried", false);
     return record;
   } catch (const Json::exception& error) {
     return tl::unexpected(std::string(error.what()));
@@ -79,7 +80,8 @@
     { "state", redwing::ToText(member_.state_) },
     { "leaving", member_.leaving_ },
     { "life", serverIncarnation_ },
-    { "epoch", epoch_ }
+    { "epoch", epoch_ },
+    { "carried", carried_ }
   }.dump();
 }
 
--- a/src/fleet/MemberRecord.hpp
+++ b/src/fleet/MemberRecord.hpp
@@ -18,6 +18,8 @@
   /// Epoch of the store in which the record was written; the store may have come back from an older
   /// copy since. 0 in records of builds that did not write it.
   std::uint64_t epoch_ = 0;
+  /// The process was a member in an earlier epoch, so that it may know of lost writes.
+  bool carried_ = false;
 
   /// Parses the stored form; returns an error message if it is invalid.
   ///
--- a/tests/unit/fleet/EpochDocumentsTest.cpp
+++ b/tests/unit/fleet/EpochDocumentsTest.cpp
@@ -20,6 +20,7 @@
     R"("service":"desk","slots":1,"state":"ready","leaving":false,"life":"s@1"})");
   BOOST_REQUIRE(record.has_value());
   BOOST_TEST(record->epoch_ == 0U);
+  BOOST_TEST(!record->carried_);
 }
 
 // Guards against losing the epoch when documents are stored.
@@ -33,7 +34,9 @@
   MemberRecord record;
   record.member_.peersAddress_ = { "127.0.0.1", 1 };
   record.epoch_ = 7;
+  record.carried_ = true;
   BOOST_TEST(MemberRecord::Parse(record.ToText())->epoch_ == 7U);
+  BOOST_TEST(MemberRecord::Parse(record.ToText())->carried_);
 }
 
 // Guards against a table whose epoch is no number and would be taken for an old one.
