--- a/tests/integration/shutdown/Servers.hpp
+++ b/tests/integration/shutdown/Servers.hpp
@@ -64,7 +64,7 @@
   std::map<std::string, Run> runs_;
 };
 
-/// A backend server that works on /work/MS for that many milliseconds.
+/// A backend server that works for as many milliseconds as the last part of the path states.
 class WorkingServer
 {
 public:
