Tell how long a configuration takes to be received, decoded and indexed

The only line of a change was configuration_adopted, which doesn't tell the hypotheses of late adoption apart: receiving the reply, decoding the document, indexing the routes, or a read that failed. store_reply_large, configuration_read and routes_indexed give the time of each. ConfigurationFeed takes a clock for it.

--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -14,11 +14,13 @@
 } // namespace
 
 ConfigurationFeed::ConfigurationFeed(boost::asio::io_context& aContext,
+                                     const Clock& aClock,
                                      Store& aStore,
                                      ConfigurationFormat aFormat,
                                      ConfigurationFeedSettings aSettings,
                                      Adopt aAdopt)
   : context_(aContext)
+  , clock_(aClock)
   , store_(aStore)
   , format_(std::move(aFormat))
   , settings_(std::move(aSettings))
@@ -208,7 +210,13 @@
     LogLine(LogLevel::Warning, "configuration_removed").With("key", format_.configurationKey_);
     return;
   }
+  const TimePoint begin = clock_.Now();
   auto decoded = format_.decode_(*aValue);
+  LogLine(LogLevel::Info, "configuration_read")
+    .With("revision", decoded ? decoded->revision_ : 0)
+    .With("bytes", aValue->size())
+    .With("decode_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() - begin).count());
   if (!decoded) {
     for (const Finding& finding : decoded.error()) {
       LogLine(LogLevel::Warning, "configuration_rejected")
--- a/src/fleet/ConfigurationFeed.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/Configuration.hpp"
+#include "core/Clock.hpp"
 #include "core/Finding.hpp"
 #include "store/Store.hpp"
 
@@ -53,7 +54,9 @@
 public:
   using Adopt = std::function<void(std::shared_ptr<const ConfigurationRevision>)>;
 
+  /// Preconditions: aContext, aClock and aStore outlive this object.
   ConfigurationFeed(boost::asio::io_context& aContext,
+                    const Clock& aClock,
                     Store& aStore,
                     ConfigurationFormat aFormat,
                     ConfigurationFeedSettings aSettings,
@@ -85,6 +88,7 @@
   void LoadLater();
 
   boost::asio::io_context& context_;
+  const Clock& clock_;
   Store& store_;
   ConfigurationFormat format_;
   ConfigurationFeedSettings settings_;
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -1,5 +1,6 @@
 #include "intake/IntakeCore.hpp"
 
+#include "core/Log.hpp"
 #include "intake/CallerSlot.hpp"
 #include "intake/Exchange.hpp"
 
@@ -56,10 +57,16 @@
   view_ = current;
   const auto& revision = view_->configuration_;
   if (!routes_ || (revision && &routes_->Revision() != revision.get())) {
+    const TimePoint begin = Now();
     const auto adopted = revision ? revision : std::make_shared<const ConfigurationRevision>();
     routes_ = std::make_shared<const RouteTable>(adopted);
     credentials_ = std::make_unique<CredentialTable>(adopted);
     partClaims_.clear();
+    LogLine(LogLevel::Info, "routes_indexed")
+      .With("revision", adopted->revision_)
+      .With("routes", adopted->configuration_.routes_.size())
+      .With("index_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(Now() - begin).count());
   }
   selector_.SetView(view_);
 }
--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -1,5 +1,6 @@
 #include "store/HttpCall.hpp"
 
+#include "core/Log.hpp"
 #include "store/StoreHttp.hpp"
 
 #include <charconv>
@@ -14,6 +15,9 @@
 /// Above the largest range the product reads: the row chunks of one service.
 constexpr std::size_t kReplyLimitBytes = std::size_t{ 64 } * 1024 * 1024;
 
+/// Replies from this size on are logged with the time that they took.
+constexpr std::size_t kLargeReplyBytes = std::size_t{ 256 } * 1024;
+
 std::optional<std::uint64_t>
 ParseEpoch(boost::beast::string_view aText)
 {
@@ -48,6 +52,8 @@
   boost::beast::tcp_stream stream_;
   boost::beast::flat_buffer buffer_;
   boost::beast::http::response_parser<boost::beast::http::string_body> parser_;
+  /// When the head of the reply was complete.
+  TimePoint headAt_{};
 };
 
 HttpCall::HttpCall(std::shared_ptr<HttpClient> aClient,
@@ -109,6 +115,23 @@
 void
 HttpCall::Read()
 {
+  boost::beast::http::async_read_header(
+    state_->stream_,
+    state_->buffer_,
+    state_->parser_,
+    [self = shared_from_this()](boost::system::error_code aError, std::size_t) {
+      if (aError) {
+        self->Fail(true, "receive: " + aError.message());
+        return;
+      }
+      self->ReadBody();
+    });
+}
+
+void
+HttpCall::ReadBody()
+{
+  state_->headAt_ = state_->client_->Now();
   boost::beast::http::async_read(
     state_->stream_,
     state_->buffer_,
@@ -129,6 +152,12 @@
     return;
   }
   auto reply = state_->parser_.release();
+  if (reply.body().size() >= kLargeReplyBytes) {
+    const auto spent = state_->client_->Now() - state_->headAt_;
+    LogLine(LogLevel::Info, "store_reply_large")
+      .With("bytes", reply.body().size())
+      .With("receive_ms", std::chrono::duration_cast<std::chrono::milliseconds>(spent).count());
+  }
   // Bytes behind the reply may be a part of more, which would be taken for the next reply.
   if (reply.keep_alive() && state_->buffer_.size() == 0) {
     state_->stream_.expires_never();
--- a/src/store/HttpCall.hpp
+++ b/src/store/HttpCall.hpp
@@ -29,6 +29,7 @@
   void Connect();
   void Send();
   void Read();
+  void ReadBody();
   void Finish();
   void Fail(bool aSent, const std::string& aMessage);
 
--- a/src/store/HttpClient.cpp
+++ b/src/store/HttpClient.cpp
@@ -13,6 +13,7 @@
                        std::uint64_t aSeed,
                        HttpClientSettings aSettings)
   : context_(aContext)
+  , clock_(aClock)
   , settings_(std::move(aSettings))
   , budget_(aClock, aSeed, settings_.budget_)
 {
--- a/src/store/HttpClient.hpp
+++ b/src/store/HttpClient.hpp
@@ -79,6 +79,8 @@
 
   // The methods below run on the store thread.
 
+  TimePoint Now() const { return clock_.Now(); }
+
   /// Drops all connections and callbacks.
   virtual void Close();
   bool Closed() const { return closed_; }
@@ -102,6 +104,7 @@
   void Start(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone);
 
   boost::asio::io_context& context_;
+  const Clock& clock_;
   HttpClientSettings settings_;
   CallBudget budget_;
   bool closed_ = false;
--- a/tests/unit/fleet/ConfigurationFeedRestoreTest.cpp
+++ b/tests/unit/fleet/ConfigurationFeedRestoreTest.cpp
@@ -37,6 +37,7 @@
     }
     settings.withdrawalKeepTime_ = aKeepTime;
     feed_.emplace(context_,
+                  clock_,
                   store_,
                   ConfigurationFormat{ "op/", "op/config", "op/withdrawn/", DecodeNumber },
                   settings,
--- a/tests/unit/fleet/ConfigurationFeedTest.cpp
+++ b/tests/unit/fleet/ConfigurationFeedTest.cpp
@@ -32,6 +32,7 @@
   {
     return std::make_unique<ConfigurationFeed>(
       context_,
+      clock_,
       store_,
       ConfigurationFormat{ "op/", "op/config", "op/withdrawn/", Decode },
       ConfigurationFeedSettings{
