Receive large replies of the store in few reads

Callers on fleets of small machines saw a configuration come into force late when it was large. Beast reads what the capacity of the buffer allows, at least 512 bytes; the buffer of a call never grew, so a reply of 1.3 MB took about 2,500 reads, each with a wake-up and a system call, on all instances at the same moment.

unit.platform LargeValuesAreReceivedInFewTurns: 5507 turns of the event loop (of client and stand-in together) before, 128 allowed; passes now.

--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.hpp"
 #include "store/StoreHttp.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <system_error>
@@ -15,6 +16,7 @@
 /// Above the largest range the product reads: the row chunks of one service.
 constexpr std::size_t kReplyLimitBytes = std::size_t{ 64 } * 1024 * 1024;
 
+constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
 /// Replies from this size on are logged with the time that they took.
 constexpr std::size_t kLargeReplyBytes = std::size_t{ 256 } * 1024;
 
@@ -132,6 +134,9 @@
 HttpCall::ReadBody()
 {
   state_->headAt_ = state_->client_->Now();
+  // The size of the buffer bounds what one read returns.
+  const auto length = state_->parser_.content_length_remaining();
+  state_->buffer_.reserve(length ? std::min<std::size_t>(*length, kReadBytes) : kReadBytes);
   boost::beast::http::async_read(
     state_->stream_,
     state_->buffer_,
--- a/tests/unit/platform/KvStoreTest.cpp
+++ b/tests/unit/platform/KvStoreTest.cpp
@@ -46,7 +46,7 @@
     while (!aCondition()) {
       BOOST_REQUIRE(std::chrono::steady_clock::now() < limit);
       context_.restart();
-      context_.run_for(std::chrono::milliseconds(1));
+      turns_ += context_.run_for(std::chrono::milliseconds(1));
     }
   }
 
@@ -77,6 +77,8 @@
   }
 
   boost::asio::io_context context_;
+  /// Handlers that the context has run.
+  std::size_t turns_ = 0;
   SteadyClock clock_;
   PlatformStore standin_;
   KvStore store_;
@@ -113,6 +115,20 @@
   BOOST_TEST(Read("t/")->entries_.size() == 10U);
 }
 
+// Guards against large values that are received in small pieces, each of which costs a wake-up.
+BOOST_AUTO_TEST_CASE(LargeValuesAreReceivedInFewTurns)
+{
+  constexpr std::size_t kBytes = std::size_t{ 1024 } * 1024;
+  constexpr std::size_t kBytesPerTurn = std::size_t{ 8 } * 1024;
+  const std::string value(kBytes, 'v');
+  standin_.Put("op/config", value);
+  const std::size_t before = turns_;
+  const auto read = Read("op/config", true);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->entries_.at(0).value_ == value));
+  BOOST_TEST(turns_ - before < kBytes / kBytesPerTurn);
+}
+
 // Guards against a lease that is taken for alive after its end.
 BOOST_AUTO_TEST_CASE(LeasesEnd)
 {
