Give large replies of the store time by their size

An instance whose watch has ended reads all entries of the operator again, with the time-out of any call: 1 s from its start to the end of its reply. A document of 1.3 MB takes longer than that when all instances of a fleet fetch it or the processor is slow; the read then fails, backs off and begins again, and the instance keeps its old configuration. Once the head of a reply has come, its body has 1 s more for each 256 KB.

--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -20,6 +20,16 @@
 /// Replies from this size on are logged with the time that they took.
 constexpr std::size_t kLargeReplyBytes = std::size_t{ 256 } * 1024;
 
+/// Returns the time that receiving a body may take beyond the time-out of the call.
+std::chrono::milliseconds
+ReceiveTime(std::uint64_t aBytes)
+{
+  // Small instances and a store that sends to a whole fleet at once are slow.
+  constexpr std::uint64_t kSlowestBytesPerMs = 256;
+  const std::uint64_t bytes = std::min<std::uint64_t>(aBytes, kReplyLimitBytes);
+  return std::chrono::milliseconds(bytes / kSlowestBytesPerMs);
+}
+
 std::optional<std::uint64_t>
 ParseEpoch(boost::beast::string_view aText)
 {
@@ -137,6 +147,7 @@
   // The size of the buffer bounds what one read returns.
   const auto length = state_->parser_.content_length_remaining();
   state_->buffer_.reserve(length ? std::min<std::size_t>(*length, kReadBytes) : kReadBytes);
+  state_->stream_.expires_after(state_->timeout_ + ReceiveTime(length.value_or(0)));
   boost::beast::http::async_read(
     state_->stream_,
     state_->buffer_,
--- a/src/store/HttpClient.hpp
+++ b/src/store/HttpClient.hpp
@@ -19,7 +19,8 @@
 struct HttpClientSettings
 {
   Address address_;
-  /// Time for one call from its start to the end of its reply.
+  /// Time for one call from its start to the head of its reply, and for the body of a small reply.
+  /// Large ones get more time by their size.
   std::chrono::milliseconds timeout_{ 1000 };
   /// Idle connections kept for later calls.
   std::size_t idleConnections_ = 4;
--- a/tests/unit/platform/KvStoreTest.cpp
+++ b/tests/unit/platform/KvStoreTest.cpp
@@ -1,7 +1,9 @@
 #include "platform/KvStore.hpp"
 
+#include "core/Base64.hpp"
 #include "core/SteadyClock.hpp"
 #include "platform/PlatformStore.hpp"
+#include "support/ScriptedHttpServer.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
@@ -129,6 +131,33 @@
   BOOST_TEST(turns_ - before < kBytes / kBytesPerTurn);
 }
 
+// Guards against a large value that is never read because receiving it outlasts the time-out of a
+// call, and against calls without a limit.
+BOOST_AUTO_TEST_CASE(LargeValuesHaveTimeToBeReceived)
+{
+  const std::string value = EncodeBase64(std::string(std::size_t{ 768 } * 1024, 'v'));
+  std::size_t cut = 0;
+  test::ScriptedHttpServer server(context_, [&](const test::ScriptedHttpServer::Request&) {
+    auto reply = test::ScriptedHttpServer::Json(
+      R"({"at":7,"key":"op/config","lease":0,"revision":7,"value":")" + value + "\"}");
+    reply.pause_ = std::chrono::milliseconds(40);
+    reply.bytes_.resize(reply.bytes_.size() - cut);
+    return reply;
+  });
+  KvStoreSettings settings = Settings();
+  settings.client_.address_ = server.Where();
+  settings.client_.timeout_ = std::chrono::milliseconds(300);
+  KvStore slow(context_, clock_, 1, settings);
+  const auto read = [&] {
+    return Await<StoreRange>([&](auto aDone) { slow.Range("op/config", true, std::move(aDone)); });
+  };
+  const auto whole = read();
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_TEST(whole->entries_.at(0).modRevision_ == 7U);
+  cut = 1;
+  BOOST_TEST(!read().has_value());
+}
+
 // Guards against a lease that is taken for alive after its end.
 BOOST_AUTO_TEST_CASE(LeasesEnd)
 {
