Let the watch deliver a configuration before it is read again

An instance that heard of a newer configuration from the leader, or the leader from an instance, read all entries of the operator at once. The watch now has 400 ms, that is until the next report, to deliver what others have; a read follows if it doesn't. A watch that has silently stopped is noticed one report later.

--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -364,9 +364,7 @@
   reply.epoch_ = session_.Epoch();
   reply.configurationRevision_ = configuration_->revision_;
   reply.memberRevision_ = session_.NewestChange();
-  if (aReport.configurationRevision_ > configuration_->revision_) {
-    hooks_.refreshConfiguration_();
-  }
+  OnConfigurationReported(aReport.configurationRevision_);
   const InstanceRef& from = aReport.from_;
   if (!leads_ || !contacts_.OnReport(from.id_,
                                      from.incarnation_,
@@ -439,9 +437,7 @@
       answeredTerms_[grant.workspace_] = aTerm;
     }
   }
-  if (aReply.configurationRevision_ > configuration_->revision_) {
-    hooks_.refreshConfiguration_();
-  }
+  OnConfigurationReported(aReply.configurationRevision_);
   staleReplies_ = aReply.memberRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
   if (staleReplies_ >= kMaxStaleReplies) {
     staleReplies_ = 0;
@@ -449,4 +445,16 @@
   }
 }
 
+void
+FleetService::OnConfigurationReported(std::uint64_t aRevision)
+{
+  if (!configurationLag_.OnReported(aRevision, configuration_->revision_, clock_.Now())) {
+    return;
+  }
+  LogLine(LogLevel::Warning, "configuration_behind")
+    .With("in_force", configuration_->revision_)
+    .With("reported", aRevision);
+  hooks_.refreshConfiguration_();
+}
+
 } // namespace redwing
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -25,6 +25,8 @@
 /// Margin between the end of the leases of an earlier epoch and the time from which their shards
 /// may be assigned to others.
 constexpr milliseconds kEpochMargin{ 300 };
+/// Time that the watch has to deliver a configuration that other instances have.
+constexpr milliseconds kConfigurationPatience{ 400 };
 
 } // namespace
 
@@ -54,6 +56,7 @@
   , timer_(aContext)
   , startedAt_(aClock.Now())
   , configuration_(std::make_shared<const ConfigurationRevision>())
+  , configurationLag_(kConfigurationPatience)
   , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
   , leaderLease_(aContext, aClock, aStore, settings_.leader_)
   , contacts_(settings_.budget_)
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -7,6 +7,7 @@
 #include "core/Random.hpp"
 #include "exchange/ServerHeartbeat.hpp"
 #include "fleet/AllowancePools.hpp"
+#include "fleet/ConfigurationLag.hpp"
 #include "fleet/EpochRecovery.hpp"
 #include "fleet/FleetMessages.hpp"
 #include "fleet/LeaderContacts.hpp"
@@ -251,6 +252,7 @@
   void OnTable(const TableNotice& aNotice);
   void ApplyChanges(const TableNotice& aNotice);
   void BroadcastNotice(const TableNotice& aNotice);
+  void OnConfigurationReported(std::uint64_t aRevision);
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
 
@@ -280,6 +282,7 @@
   TimePoint startedAt_;
 
   std::shared_ptr<const ConfigurationRevision> configuration_;
+  ConfigurationLag configurationLag_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
   EpochRecovery recovery_;
