Clear requests of a crash by any run without one

A run that a server answers clears the request of the crashes so far, and the entry says so to other instances. Three or more crashes within a second count as one: they have a common cause, such as a loss of power. From how many crashes a request runs as a trial or is refused is a setting. unit.admission CrashesAtTheSameMomentCountAsOne and ARunWithoutACrashClearsARequestAtAllInstances use functions that are new.

--- a/src/admission/QuarantineRegistry.cpp
+++ b/src/admission/QuarantineRegistry.cpp
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::chrono::minutes kExpiry{ 10 };
-/// Number of crashes after which a request is refused.
-constexpr std::size_t kQuarantineCrashes = 2;
+/// Crashes within this time count as one if there are at least kCommonCrashes of them.
+constexpr std::chrono::seconds kSameMoment{ 1 };
+constexpr std::size_t kCommonCrashes = 3;
 /// Bounds memory; beyond it the entries that expire first are evicted.
 constexpr std::size_t kMaxEntries = 4096;
 
@@ -20,6 +21,32 @@
   return aCrashId + '/' + std::to_string(aFingerprint);
 }
 
+struct CrashCount
+{
+  std::size_t crashes_ = 0;
+  /// Some of them had a common cause.
+  bool common_ = false;
+};
+
+CrashCount
+CountCrashes(const std::map<std::string, TimePoint>& aCrashes)
+{
+  std::vector<TimePoint> times;
+  for (const auto& [id, time] : aCrashes) {
+    times.push_back(time);
+  }
+  std::sort(times.begin(), times.end());
+  CrashCount count;
+  for (auto first = times.begin(); first != times.end();) {
+    const auto end = std::upper_bound(first, times.end(), *first + kSameMoment);
+    const auto together = static_cast<std::size_t>(end - first);
+    count.common_ = count.common_ || together >= kCommonCrashes;
+    count.crashes_ += together >= kCommonCrashes ? 1 : together;
+    first = end;
+  }
+  return count;
+}
+
 } // namespace
 
 std::vector<QuarantineEntry>
@@ -30,7 +57,7 @@
 {
   std::vector<QuarantineEntry> changed;
   for (const auto fingerprint : aFingerprints) {
-    QuarantineEntry entry{ aService, fingerprint, { aCrashId }, aNow + kExpiry };
+    QuarantineEntry entry{ aService, fingerprint, { { aCrashId, aNow } }, aNow + kExpiry };
     Merge({ &entry, 1 });
     if (const auto it = entries_.find({ aService, fingerprint }); it != entries_.end()) {
       changed.push_back(it->second);
@@ -43,10 +70,14 @@
 QuarantineRegistry::Merge(std::span<const QuarantineEntry> aEntries)
 {
   for (const auto& received : aEntries) {
-    std::set<std::string> crashes;
-    for (const auto& crash : received.crashes_) {
+    if (received.cleared_) {
+      Clear({ received.service_, received.fingerprint_ }, received.crashes_);
+      continue;
+    }
+    std::map<std::string, TimePoint> crashes;
+    for (const auto& [crash, time] : received.crashes_) {
       if (!cleared_.contains(ClearedId(crash, received.fingerprint_))) {
-        crashes.insert(crash);
+        crashes.emplace(crash, time);
       }
     }
     if (crashes.empty()) {
@@ -75,11 +106,33 @@
     return QuarantineVerdict::Clear;
   }
   const auto it = entries_.find({ aService, aFingerprint });
-  if (it == entries_.end() || it->second.expiry_ <= aNow) {
+  return it == entries_.end() ? QuarantineVerdict::Clear : VerdictOn(it->second, aNow);
+}
+
+QuarantineVerdict
+QuarantineRegistry::VerdictOn(const QuarantineEntry& aEntry, TimePoint aNow) const
+{
+  if (aEntry.expiry_ <= aNow) {
     return QuarantineVerdict::Clear;
   }
-  return it->second.crashes_.size() >= kQuarantineCrashes ? QuarantineVerdict::Quarantined
-                                                          : QuarantineVerdict::Suspect;
+  const CrashCount count = CountCrashes(aEntry.crashes_);
+  if (count.crashes_ >= settings_.refusalCrashes_) {
+    return QuarantineVerdict::Quarantined;
+  }
+  return count.common_ || count.crashes_ >= settings_.trialCrashes_ ? QuarantineVerdict::Suspect
+                                                                    : QuarantineVerdict::Clear;
+}
+
+std::vector<QuarantineEntry>
+QuarantineRegistry::Suspects(TimePoint aNow) const
+{
+  std::vector<QuarantineEntry> suspects;
+  for (const auto& [key, entry] : entries_) {
+    if (VerdictOn(entry, aNow) != QuarantineVerdict::Clear) {
+      suspects.push_back(entry);
+    }
+  }
+  return suspects;
 }
 
 bool
@@ -88,24 +141,45 @@
   return trials_.emplace(aService, aFingerprint).second;
 }
 
-void
+std::optional<QuarantineEntry>
 QuarantineRegistry::EndTrial(const std::string& aService,
                              std::uint64_t aFingerprint,
                              bool aCompleted)
+{
+  trials_.erase({ aService, aFingerprint });
+  return aCompleted ? OnCompleted(aService, aFingerprint) : std::nullopt;
+}
+
+std::optional<QuarantineEntry>
+QuarantineRegistry::OnCompleted(const std::string& aService, std::uint64_t aFingerprint)
 {
   const Key key{ aService, aFingerprint };
-  trials_.erase(key);
   const auto it = entries_.find(key);
-  if (!aCompleted || it == entries_.end()) {
-    return;
+  if (it == entries_.end()) {
+    return std::nullopt;
   }
+  QuarantineEntry entry = it->second;
+  entry.cleared_ = true;
+  Clear(key, entry.crashes_);
+  return entry;
+}
+
+void
+QuarantineRegistry::Clear(const Key& aKey, const std::map<std::string, TimePoint>& aCrashes)
+{
   if (cleared_.size() > kMaxEntries) {
     cleared_.clear();
   }
-  for (const auto& crash : it->second.crashes_) {
-    cleared_.insert(ClearedId(crash, aFingerprint));
+  const auto it = entries_.find(aKey);
+  for (const auto& [crash, time] : aCrashes) {
+    cleared_.insert(ClearedId(crash, aKey.second));
+    if (it != entries_.end()) {
+      it->second.crashes_.erase(crash);
+    }
+  }
+  if (it != entries_.end() && it->second.crashes_.empty()) {
+    entries_.erase(it);
   }
-  entries_.erase(it);
 }
 
 void
--- a/src/admission/QuarantineRegistry.hpp
+++ b/src/admission/QuarantineRegistry.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -19,28 +20,46 @@
   std::string service_;
   /// Hash that identifies the request.
   std::uint64_t fingerprint_ = 0;
-  /// Ids of the crashes, so that an entry that is received twice is counted once.
-  std::set<std::string> crashes_;
+  /// Ids of the crashes, so that an entry that is received twice is counted once, and when they
+  /// were noticed.
+  std::map<std::string, TimePoint> crashes_;
   /// Encoded as the remaining time, because clocks of instances differ.
   TimePoint expiry_{};
+  /// The request has run without a crash since, so the crashes are no evidence against it.
+  bool cleared_ = false;
 };
 
 /// Whether a request may run.
 enum class QuarantineVerdict : std::uint8_t
 {
   Clear,
-  /// Was running at one crash; may run only as a trial, one at a time.
+  /// Was running at some crashes; may run only as a trial, one at a time.
   Suspect,
-  /// Was running at two or more crashes; must not run until the entry expires.
+  /// Was running at more crashes; must not run until the entry expires.
   Quarantined,
 };
 
+struct QuarantineSettings
+{
+  /// Crashes from which a request runs only as a trial, and from which it is refused.
+  std::size_t trialCrashes_ = 1;
+  std::size_t refusalCrashes_ = 2;
+};
+
 /// Quarantines requests that probably crash backend servers: records which requests were running
-/// when a server crashed. After one crash a request may run only as a trial, one at a time; after
-/// two it is refused (error `poison_request`).
+/// when a server crashed. After some crashes a request may run only as a trial, one at a time;
+/// after more it is refused (error `poison_request`). A run without a crash clears it.
+///
+/// Crashes of many servers at the same moment have a common cause, so they count as one. That keeps
+/// requests which all servers run all the time from being refused after a loss of power.
 class QuarantineRegistry
 {
 public:
+  explicit QuarantineRegistry(QuarantineSettings aSettings = {})
+    : settings_(aSettings)
+  {
+  }
+
   /// Records a crash during which requests with aFingerprints were running. Returns the entries to
   /// spread by gossip.
   ///
@@ -50,7 +69,7 @@
                                            const std::string& aCrashId,
                                            TimePoint aNow);
 
-  /// Adds entries received from other instances.
+  /// Adds entries received from other instances, and removes what they say is cleared.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   void Merge(std::span<const QuarantineEntry> aEntries);
@@ -68,10 +87,24 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   bool BeginTrial(const std::string& aService, std::uint64_t aFingerprint);
 
-  /// Ends a trial; a completed one removes the entry.
+  /// Ends a trial; a completed one clears the request, as OnCompleted does.
   ///
   /// Preconditions: BeginTrial returned true. Thread safety: not thread-safe.
-  void EndTrial(const std::string& aService, std::uint64_t aFingerprint, bool aCompleted);
+  std::optional<QuarantineEntry> EndTrial(const std::string& aService,
+                                          std::uint64_t aFingerprint,
+                                          bool aCompleted);
+
+  /// Clears a request that a server has answered. Returns the cleared entry, for the other
+  /// instances, if there was one.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::optional<QuarantineEntry> OnCompleted(const std::string& aService,
+                                             std::uint64_t aFingerprint);
+
+  /// Returns the entries of requests that do not run freely.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  std::vector<QuarantineEntry> Suspects(TimePoint aNow) const;
 
   /// Removes expired entries.
   ///
@@ -83,6 +116,10 @@
 private:
   using Key = std::pair<std::string, std::uint64_t>;
 
+  QuarantineVerdict VerdictOn(const QuarantineEntry& aEntry, TimePoint aNow) const;
+  void Clear(const Key& aKey, const std::map<std::string, TimePoint>& aCrashes);
+
+  QuarantineSettings settings_;
   std::map<Key, QuarantineEntry> entries_;
   std::set<Key> trials_;
   /// Crash ids and fingerprints of cleared entries; delayed gossip about them is ignored.
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -218,7 +218,8 @@
   if (verdict == QuarantineVerdict::Clear) {
     return true;
   }
-  if (verdict == QuarantineVerdict::Suspect && checks_.MayRunTrial(start) &&
+  if (verdict == QuarantineVerdict::Suspect &&
+      (settings_.trialsAnywhere_ || checks_.MayRunTrial(start)) &&
       quarantine_.BeginTrial(start.service_, start.fingerprint_)) {
     aExchange->trial_ = true;
     return true;
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -2,6 +2,7 @@
 
 #include "backend/BackendService.hpp"
 #include "backend/RequestText.hpp"
+#include "core/Log.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
 #include <charconv>
@@ -444,8 +445,19 @@
   if (aExchange->ownsEntry_) {
     EndEntry(aExchange, aEnding);
   }
-  if (aExchange->trial_) {
-    quarantine_.EndTrial(start.service_, start.fingerprint_, aEnding == Ending::Answered);
+  const bool completed = aEnding == Ending::Answered;
+  const auto cleared = aExchange->trial_
+                         ? quarantine_.EndTrial(start.service_, start.fingerprint_, completed)
+                       : completed ? quarantine_.OnCompleted(start.service_, start.fingerprint_)
+                                   : std::nullopt;
+  if (cleared) {
+    LogLine(LogLevel::Info, "request_cleared")
+      .With("service", start.service_)
+      .With("fingerprint", start.fingerprint_)
+      .With("crashes", cleared->crashes_.size());
+    if (hooks_.onQuarantine_) {
+      hooks_.onQuarantine_({ *cleared });
+    }
   }
   if (std::exchange(aExchange->countedByGate_, false)) {
     gate_.EndRequest({ start.service_, start.shard_->shard_ });
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -370,6 +370,12 @@
   LogLine(LogLevel::Error, "backend_crashed")
     .With("service", announcement_->service_)
     .With("running", fingerprints.size());
+  for (const QuarantineEntry& entry : changed) {
+    LogLine(LogLevel::Warning, "request_suspected")
+      .With("service", entry.service_)
+      .With("fingerprint", entry.fingerprint_)
+      .With("crashes", entry.crashes_.size());
+  }
   if (hooks_.onQuarantine_ && !changed.empty()) {
     hooks_.onQuarantine_(changed);
   }
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -35,6 +35,7 @@
   , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
   , queue_(settings_.queueCapacity_)
   , coldRate_(aClock.Now())
+  , quarantine_(settings_.quarantine_)
   , started_(aCounters.GetCounter("redwing_backend_requests_total"))
   , answered_(aCounters.GetCounter("redwing_backend_answered_total"))
   , notRun_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"not-run\""))
@@ -213,6 +214,12 @@
   Post([this, entries = std::move(aEntries)] { quarantine_.Merge(entries); });
 }
 
+void
+BackendService::ExportQuarantine(std::function<void(std::vector<QuarantineEntry>)> aCallback)
+{
+  Post([this, callback = std::move(aCallback)] { callback(quarantine_.Suspects(clock_.Now())); });
+}
+
 IdempotencyKey
 BackendService::EntryKey(const RequestStart& aStart) const
 {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -117,6 +117,11 @@
   /// Preconditions: none. Thread safety: any thread.
   void MergeQuarantine(std::vector<QuarantineEntry> aEntries);
 
+  /// Calls aCallback with the entries of requests that do not run freely, on the backend thread.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void ExportQuarantine(std::function<void(std::vector<QuarantineEntry>)> aCallback);
+
 private:
   class Observer;
   using ExchangePtr = std::shared_ptr<ServedExchange>;
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -59,6 +59,10 @@
   bool enforcesTargetTimes_ = false;
   /// Time for which a leaving backend server still serves its shards while they move elsewhere.
   std::chrono::milliseconds leaveGrace_{ 0 };
+  QuarantineSettings quarantine_{};
+  /// A request that is suspected of crashing servers may be tried at any instance, and not only at
+  /// the one that all instances choose for it.
+  bool trialsAnywhere_ = false;
 };
 
 struct BackendHooks
@@ -70,7 +74,8 @@
   /// may be dispatched. The callback may be called from any thread. Without this hook nothing is
   /// replicated.
   std::function<void(const IdempotencyEntry&, std::function<void(bool)>)> replicate_;
-  /// Called after a crash of the backend server with the entries to gossip.
+  /// Called with entries for the other instances: after a crash of the backend server, and when a
+  /// request was cleared.
   std::function<void(const std::vector<QuarantineEntry>&)> onQuarantine_;
 };
 
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -144,11 +144,15 @@
 {
   Post([this, entries = std::move(aEntries)] {
     for (const QuarantineEntry& entry : entries) {
-      for (const std::string& crash : entry.crashes_) {
+      if (entry.cleared_) {
+        // A fact cannot be taken back; each instance clears the request by a run of its own.
+        continue;
+      }
+      for (const auto& [crash, time] : entry.crashes_) {
         // One fact per crash; receivers merge the crashes that different instances report for the
         // same request.
         QuarantineEntry single = entry;
-        single.crashes_ = { crash };
+        single.crashes_ = { { crash, time } };
         const std::string key = std::string(kQuarantinePrefix) + entry.service_ + "/" + crash +
                                 "/" + std::to_string(entry.fingerprint_);
         fleet_.PublishFact(key, EncodeQuarantine(single, clock_.Now()));
--- a/src/control/EntryCodec.cpp
+++ b/src/control/EntryCodec.cpp
@@ -129,8 +129,12 @@
 std::string
 EncodeQuarantine(const QuarantineEntry& aEntry, TimePoint aNow)
 {
+  std::set<std::string> crashes;
+  for (const auto& [crash, time] : aEntry.crashes_) {
+    crashes.insert(crash);
+  }
   return WriteWire(WireQuarantine{
-    aEntry.service_, aEntry.fingerprint_, aEntry.crashes_, RemainingMs(aEntry.expiry_, aNow) });
+    aEntry.service_, aEntry.fingerprint_, std::move(crashes), RemainingMs(aEntry.expiry_, aNow) });
 }
 
 std::optional<QuarantineEntry>
@@ -140,10 +144,14 @@
   if (!ReadWire(aBytes, wire)) {
     return std::nullopt;
   }
-  return QuarantineEntry{ std::move(wire.service_),
-                          wire.fingerprint_,
-                          std::move(wire.crashes_),
-                          ExpiryOf(wire.remainingMs_, aNow) };
+  QuarantineEntry entry;
+  entry.service_ = std::move(wire.service_);
+  entry.fingerprint_ = wire.fingerprint_;
+  for (const std::string& crash : wire.crashes_) {
+    entry.crashes_.emplace(crash, aNow);
+  }
+  entry.expiry_ = ExpiryOf(wire.remainingMs_, aNow);
+  return entry;
 }
 
 } // namespace redwing
--- a/tests/unit/admission/DecisionsTest.cpp
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -190,3 +190,45 @@
   BOOST_TEST((second.Check("s", 2, kNow) == QuarantineVerdict::Clear));
   BOOST_TEST((second.Check("s", 1, kNow + 11min) == QuarantineVerdict::Clear));
 }
+
+// Guards against a request that all servers run all the time being refused after a loss of power.
+BOOST_AUTO_TEST_CASE(CrashesAtTheSameMomentCountAsOne)
+{
+  QuarantineRegistry registry({ 2, 3 });
+  const std::array<std::uint64_t, 1> hot{ 1 };
+  for (int server = 0; server < 60; ++server) {
+    registry.RecordCrash("s", hot, std::to_string(server), kNow + 10ms * server);
+  }
+  BOOST_TEST((registry.Check("s", 1, kNow + 1s) == QuarantineVerdict::Suspect));
+  // A request that crashes its servers goes on to crash those that are back.
+  registry.RecordCrash("s", hot, "a", kNow + 10s);
+  registry.RecordCrash("s", hot, "b", kNow + 20s);
+  BOOST_TEST((registry.Check("s", 1, kNow + 20s) == QuarantineVerdict::Quarantined));
+}
+
+// Guards against requests that are refused although they have run elsewhere since the crashes, and
+// against late news of these crashes.
+BOOST_AUTO_TEST_CASE(ARunWithoutACrashClearsARequestAtAllInstances)
+{
+  QuarantineRegistry first({ 2, 3 });
+  QuarantineRegistry second({ 2, 3 });
+  const std::array<std::uint64_t, 1> running{ 1 };
+  std::vector<QuarantineEntry> spread;
+  for (int crash = 0; crash < 3; ++crash) {
+    spread = first.RecordCrash("s", running, std::to_string(crash), kNow + 5s * crash);
+  }
+  second.Merge(spread);
+  BOOST_TEST((second.Check("s", 1, kNow + 15s) == QuarantineVerdict::Quarantined));
+  BOOST_TEST(second.Suspects(kNow + 15s).size() == 1U);
+  BOOST_TEST(!second.OnCompleted("s", 2).has_value());
+  const auto cleared = first.OnCompleted("s", 1);
+  BOOST_REQUIRE(cleared.has_value());
+  second.Merge({ &*cleared, 1 });
+  second.Merge(spread);
+  BOOST_TEST((second.Check("s", 1, kNow + 15s) == QuarantineVerdict::Clear));
+  BOOST_TEST(second.Size() == 0U);
+  // Later crashes count anew.
+  first.RecordCrash("s", running, "later", kNow + 20s);
+  BOOST_TEST((first.Check("s", 1, kNow + 20s) == QuarantineVerdict::Clear));
+  BOOST_TEST(first.Suspects(kNow + 20s).empty());
+}
--- a/tests/unit/backend/FakeServer.hpp
+++ b/tests/unit/backend/FakeServer.hpp
@@ -36,16 +36,17 @@
     /// Ends the connection after the response with a reset.
     bool resetAfter_ = false;
     /// Bytes sent after a pause of lateAfter_, before the next request is read.
-    std::string late_;
+    std::string late_{};
     std::chrono::milliseconds lateAfter_{ 20 };
     /// Text that an endless response repeats.
     std::string filler_ = "x";
   };
   using Handler = std::function<Response(const FakeRequest&)>;
 
-  explicit FakeServer(Handler aHandler)
+  /// Port 0 takes any free port.
+  explicit FakeServer(Handler aHandler, std::uint16_t aPort = 0)
     : handler_(std::move(aHandler))
-    , acceptor_(context_, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , acceptor_(context_, { boost::asio::ip::make_address("127.0.0.1"), aPort })
     , port_(acceptor_.local_endpoint().port())
     , thread_([this] { AcceptLoop(); })
   {
