Tell all instances of requests that crash servers

Instances now tell each other what ran when their server crashed and what was cleared since; instances that join, or are reachable again, are told what is suspect. On the platform a request runs as a trial after two crashes and is refused after three.

PlatformFleet is the fleet of integration.shutdown, moved; no check of that test changed.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -39,6 +39,7 @@
 /// Retries that each instance may save up; those of all instances add up.
 constexpr double kRetryReserve = 2.5;
 constexpr int kMissedHeartbeats = 4;
+constexpr QuarantineSettings kQuarantine{ 2, 3 };
 constexpr milliseconds kPeerTimeout{ 1200 };
 constexpr milliseconds kPeerPing{ 400 };
 
@@ -75,6 +76,8 @@
   backend_.bodiesNeedCredit_ = true;
   backend_.withdrawalGrace_ = aEvacuationTimeout * 7 / 10;
   backend_.leaveGrace_ = aDrainTimeout * 3 / 4;
+  backend_.quarantine_ = kQuarantine;
+  backend_.trialsAnywhere_ = true;
   peer_.progressTimeout_ = kPeerTimeout;
   peer_.pingInterval_ = kPeerPing;
   drainDelay_ = kAcceptGrace;
@@ -132,6 +135,12 @@
   };
   hooks.refreshConfiguration_ = std::move(aRefreshConfiguration);
   hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
+  hooks.mergeQuarantine_ = [this](std::vector<QuarantineEntry> aEntries) {
+    backend_->MergeQuarantine(std::move(aEntries));
+  };
+  hooks.exportQuarantine_ = [this](auto aCallback) {
+    backend_->ExportQuarantine(std::move(aCallback));
+  };
   fleet_ = std::make_unique<FleetService>(
     context_, clock_, aStore, view_, counters_, settings_.fleet_, std::move(hooks));
 }
@@ -173,6 +182,9 @@
     }
   };
   hooks.onStatus_ = [this](const BackendStatus& aStatus) { fleet_->OnBackendStatus(aStatus); };
+  hooks.onQuarantine_ = [this](const std::vector<QuarantineEntry>& aEntries) {
+    fleet_->SpreadQuarantine(aEntries);
+  };
   backend_ = std::make_unique<BackendService>(
     context_, clock_, view_, fleet_->Gate(), counters_, settings_.backend_, std::move(hooks));
 }
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -155,8 +155,39 @@
   }
 };
 
+/// A request that was running when backend servers crashed, or that was cleared of it.
+struct SuspectRequest
+{
+  std::string service_;
+  std::uint64_t fingerprint_ = 0;
+  bool cleared_ = false;
+  /// Time for which the request remains suspect.
+  std::uint32_t remainingMs_ = 0;
+  /// Ids of the crashes, and how long ago they were noticed in milliseconds.
+  std::vector<std::pair<std::string, std::uint32_t>> crashes_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(service_, fingerprint_, cleared_, remainingMs_, crashes_);
+  }
+};
+
+/// Sent by an instance whose backend server crashed or cleared a request, and to instances that
+/// have joined.
+struct QuarantineNotice
+{
+  std::vector<SuspectRequest> requests_;
+
+  template<typename Archive>
+  void serialize(Archive& aArchive)
+  {
+    aArchive(requests_);
+  }
+};
+
 /// Any request that one instance sends to another.
-using FleetRequest = std::variant<FleetReport, TableNotice, LeaseRenewal>;
+using FleetRequest = std::variant<FleetReport, TableNotice, LeaseRenewal, QuarantineNotice>;
 
 /// The leader's reply to a FleetReport.
 struct FleetReply
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -177,6 +177,9 @@
     .With("life", known.serverIncarnation_)
     .With("accepts", known.Accepts() ? "yes" : "no")
     .With("revision", revision);
+  if (isNew) {
+    SendSuspects(known.member_.ref_.id_);
+  }
   viewDirty_ = true;
   membersChangedAt_ = clock_.Now();
   nextPlan_ = {};
@@ -391,6 +394,7 @@
       if (aAnswered && unreachable_.erase(id) > 0) {
         LogLine(LogLevel::Info, "instance_reachable").With("instance", id);
         viewDirty_ = true;
+        SendSuspects(id);
       }
     });
   }
@@ -450,6 +454,9 @@
     aReply({});
   } else if (const auto* renewal = std::get_if<LeaseRenewal>(&request)) {
     RenewForPeer(*renewal, aReply);
+  } else if (const auto* quarantine = std::get_if<QuarantineNotice>(&request)) {
+    OnQuarantine(*quarantine);
+    aReply({});
   } else {
     aReply(WriteWire(OnReport(std::get<FleetReport>(request))));
   }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -79,6 +79,11 @@
   std::function<void()> refreshConfiguration_;
   /// Returns the time of day, which may jump at any time and differ between machines.
   AllowancePools::TimeOfDay timeOfDay_;
+  /// Takes what other instances know of requests that crash servers; may be empty.
+  std::function<void(std::vector<QuarantineEntry>)> mergeQuarantine_;
+  /// Passes what an instance that has just joined must know of such requests to the callback; may
+  /// be empty.
+  std::function<void(std::function<void(std::vector<QuarantineEntry>)>)> exportQuarantine_;
 };
 
 /// Manages membership, shard ownership and shares of allowances for a fleet that keeps its state in
@@ -105,6 +110,9 @@
   /// Returns the ownership gate for requests to the local server.
   OwnershipGate& Gate() { return holds_; }
 
+  /// Tells all other instances of requests that crash servers, or were cleared of it.
+  void SpreadQuarantine(const std::vector<QuarantineEntry>& aEntries);
+
   /// Adopts a configuration; a revision older than the current one is ignored.
   void OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration);
 
@@ -252,6 +260,9 @@
   void OnTable(const TableNotice& aNotice);
   void ApplyChanges(const TableNotice& aNotice);
   void BroadcastNotice(const TableNotice& aNotice);
+  void SendQuarantine(const std::string& aTo, const std::string& aPayload, int aTries);
+  void SendSuspects(const std::string& aTo);
+  void OnQuarantine(const QuarantineNotice& aNotice);
   void OnConfigurationReported(std::uint64_t aRevision);
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
--- a/tests/integration/shutdown/ShutdownTest.cpp
+++ b/tests/integration/shutdown/ShutdownTest.cpp
@@ -1,30 +1,20 @@
-#include "bench/HttpCall.hpp"
-#include "bench/Process.hpp"
-#include "standins/platform/PlatformStore.hpp"
+#include "tests/integration/PlatformFleet.hpp"
 #include "tests/integration/shutdown/Servers.hpp"
 
 #include <algorithm>
-#include <array>
 #include <atomic>
-#include <boost/asio.hpp>
-#include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <fcntl.h>
-#include <filesystem>
-#include <fstream>
-#include <future>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
-#include <unistd.h>
 
 using namespace redwing::test;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 using redwing::Address;
-using redwing::bench::Call;
 using redwing::bench::Process;
-using redwing::standins::PlatformStore;
 using Json = nlohmann::json;
 
 /// Planned stops of instances under load: clients use their connections until the process is gone.
@@ -40,7 +30,6 @@
 constexpr auto kCrossing = 500ms;
 /// Refused callers come back after this long.
 constexpr auto kRetryAfter = 200ms;
-constexpr std::uint16_t kPort = 23600;
 
 /// One request as its client saw it.
 struct Sent
@@ -60,75 +49,29 @@
 public:
   Fleet()
   {
-    std::filesystem::create_directories(directory_);
-    std::promise<void> listening;
-    storeThread_ = std::thread([&] {
-      PlatformStore store(storeContext_, { Ip(0), kPort });
-      store.Put("op/config", Manifest().dump());
-      listening.set_value();
-      storeContext_.run();
-    });
-    listening.get_future().wait();
+    PlatformFleetSettings settings;
+    settings.name_ = "shutdown";
+    settings.manifest_ = Manifest();
+    settings.service_ = "records";
+    settings.slots_ = kSlots;
+    settings.grace_ = kGrace;
     for (int i = 0; i < kInstances; ++i) {
       servers_.push_back(std::make_unique<WorkingServer>(runs_));
-      Start(i);
-    }
-    beats_ = std::thread([this] { Beat(); });
-    for (int i = 0; i < kInstances; ++i) {
-      BOOST_REQUIRE(AwaitReady(i));
-    }
-  }
-
-  ~Fleet()
-  {
-    stopped_ = true;
-    beats_.join();
-    for (auto& instance : instances_) {
-      instance.reset();
+      settings.serverPorts_.push_back(servers_.back()->Port());
     }
-    storeContext_.stop();
-    storeThread_.join();
-    std::filesystem::remove_all(directory_);
+    settings.serverState_ = [](int aInstance) {
+      return ServerState{ "i-" + std::to_string(aInstance) };
+    };
+    fleet_.emplace(std::move(settings));
   }
 
-  Address At(int aInstance, int aOffset) const
-  {
-    return { Ip(aInstance + 1), static_cast<std::uint16_t>(kPort + aOffset) };
-  }
-
-  void Start(int aInstance)
-  {
-    const std::string name = directory_ + "/" + std::to_string(aInstance);
-    std::ofstream(name + ".json") << Settings(aInstance).dump();
-    instances_[aInstance] = std::make_unique<Process>(
-      REDWINGD_PLATFORM,
-      std::vector<std::string>{ "--settings=" + name + ".json", "--fleet-key=0123456789abcdef" },
-      name + "-" + std::to_string(++starts_) + ".log");
-  }
-
-  bool AwaitReady(int aInstance) const
-  {
-    const auto limit = Clock::now() + 30s;
-    while (!Call(At(aInstance, 2), "GET", "/-/readiness").Ok()) {
-      if (Clock::now() > limit) {
-        return false;
-      }
-      std::this_thread::sleep_for(50ms);
-    }
-    return true;
-  }
-
-  Process& Instance(int aInstance) { return *instances_[aInstance]; }
+  Address Callers(int aInstance) const { return fleet_->Callers(aInstance); }
+  void Start(int aInstance) { fleet_->Start(aInstance); }
+  bool AwaitReady(int aInstance) const { return fleet_->AwaitReady(aInstance); }
+  Process& Instance(int aInstance) { return fleet_->Instance(aInstance); }
   RunLog& Runs() { return runs_; }
 
 private:
-  static std::string Ip(int aHost)
-  {
-    // An address of this process's own, so that several runs may go on at once.
-    return "127." + std::to_string(64 + ::getpid() / 250 % 60) + "." +
-           std::to_string(::getpid() % 250) + "." + std::to_string(aHost + 1);
-  }
-
   static Json Manifest()
   {
     Json routes = Json::array();
@@ -153,63 +96,9 @@
              { "limits", { { "maxHeaderBytes", 16384 } } } };
   }
 
-  Json Settings(int aInstance) const
-  {
-    const auto at = [&](int aOffset) { return At(aInstance, aOffset).ToString(); };
-    const std::uint16_t server = servers_[aInstance]->Port();
-    return { { "nodeName", "sidecar-" + std::to_string(aInstance) },
-             { "ipAddress", Ip(aInstance + 1) },
-             { "zone", "a" },
-             { "region", "north" },
-             { "zones", { { "a", "north" } } },
-             { "listenAddresses",
-               { { "outbound", at(1) }, { "ready", at(2) }, { "controlPlane", at(3) } } },
-             { "internalPortRange", { kPort + 4, kPort + 5 } },
-             { "heartbeatIntervalMs", 300 },
-             { "bounds",
-               { { "holdMaxMs", 10000 },
-                 { "drainTimeoutMs", 2000 },
-                 { "evacuationMs", 5000 },
-                 { "gracePeriodS", std::chrono::duration<double>(kGrace).count() },
-                 { "quotaWindowS", 5 },
-                 { "quotaOvershoot", 0.1 },
-                 { "quotaSlack", 20 },
-                 { "retryBudgetRatio", 0.2 } } },
-             { "applicationAddress", "127.0.0.1:" + std::to_string(server) },
-             { "service", "records" },
-             { "platformConfig", { { "address", Address{ Ip(0), kPort }.ToString() } } } };
-  }
-
-  void Beat()
-  {
-    for (std::uint64_t sequence = 1; !stopped_; ++sequence) {
-      for (int i = 0; i < kInstances; ++i) {
-        const Json beat{ { "service", "records" },
-                         { "address", "127.0.0.1:" + std::to_string(servers_[i]->Port()) },
-                         { "zone", "a" },
-                         { "version", "v1" },
-                         { "slots", kSlots },
-                         { "state", "ready" },
-                         { "coldRemainingMs", 0 },
-                         { "born", 1789395282487 },
-                         { "seq", sequence } };
-        Call(At(i, 3), "PUT", "/-/instances/i-" + std::to_string(i), beat.dump(), {}, 200);
-      }
-      std::this_thread::sleep_for(200ms);
-    }
-  }
-
-  std::string directory_ =
-    (std::filesystem::temp_directory_path() / ("redwing-shutdown-" + std::to_string(::getpid())))
-      .string();
   RunLog runs_;
-  boost::asio::io_context storeContext_;
-  std::thread storeThread_;
   std::vector<std::unique_ptr<WorkingServer>> servers_;
-  int starts_ = 0;
-  std::array<std::unique_ptr<Process>, kInstances> instances_;
-  std::atomic<bool> stopped_{ false };
-  std::thread beats_;
+  std::optional<PlatformFleet> fleet_;
 };
 
 /// A client that keeps its connection for as long as the instance does, and opens new ones while
@@ -218,7 +107,7 @@
 {
 public:
   Client(const Fleet& aFleet, int aInstance, int aNumber, unsigned aSeed)
-    : address_(aFleet.At(aInstance, 1))
+    : address_(aFleet.Callers(aInstance))
     , instance_(aInstance)
     , name_(std::to_string(aInstance) + "-" + std::to_string(aNumber) + "-")
     , random_(aSeed)
