Keep to the limit that a backend server names in its answers

All requests for a server pass the instance beside it, so that it alone sees their whole rate: it paces them to the limit as long as answers name it, with a quarter of a second of the rate at once. What can't be served in time is refused at once, in the order of priority and share that the queue has, as not run and with the time until there is room. The wait is told with answers and refusals as requests ahead, and the rate to the leader, which moves shards. A limit ends with the first answer to a later request that names none, or with the run of the server; below one request in 2 s it is kept at that, since only answers can end it; of several the lowest counts, and one that can't be read changes nothing.

A first trial added the wait to the service time that is told; senders keep that, and the server got nothing.

--- a/src/admission/FairQueue.cpp
+++ b/src/admission/FairQueue.cpp
@@ -34,16 +34,18 @@
 {
   const auto slots = std::max(1U, aRate.limit_);
   // An idle server accepts any request, so that a wrong estimate is corrected by a new sample.
-  if (aRate.running_ > 0 || size_ > 0) {
-    const bool mustWait = aRate.running_ >= slots || size_ > 0;
+  if (aRate.running_ > 0 || size_ > 0 || aRate.pause_ > Duration::zero()) {
+    const bool mustWait = aRate.running_ >= slots || size_ > 0 || aRate.pause_ > Duration::zero();
     const WorkAhead ahead = ExpectedAhead(aItem, aRate.serviceTime_);
     // With all slots busy, one becomes free after about serviceTime_ / slots on average. The
     // requests ahead then share all slots.
-    auto wait = mustWait ? (aRate.serviceTime_ + ahead.work_) / slots : Duration::zero();
+    const bool slotsBusy = aRate.running_ >= slots || size_ > 0;
+    auto wait = slotsBusy ? (aRate.serviceTime_ + ahead.work_) / slots : Duration::zero();
     if (aRate.perSecond_ > 0) {
       constexpr Duration kSecond = std::chrono::seconds(1);
       const double seconds = ahead.count_ / aRate.perSecond_;
-      wait = std::max(wait, Duration(static_cast<Duration::rep>(seconds * kSecond.count())));
+      wait = std::max(
+        wait, aRate.pause_ + Duration(static_cast<Duration::rep>(seconds * kSecond.count())));
     }
     const TimePoint limit = mustWait ? WaitLimit(aItem, aNow) : aItem.deadline_;
     const Duration own =
--- a/src/admission/FairQueue.hpp
+++ b/src/admission/FairQueue.hpp
@@ -39,6 +39,8 @@
   std::uint32_t limit_ = 1;
   /// Maximum requests per second; 0 means no limit.
   double perSecond_ = 0;
+  /// Time until the next request may be sent.
+  Duration pause_{};
 };
 
 enum class QueueVerdict : std::uint8_t
--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -170,7 +170,7 @@
   pumpHeld_ = true;
   limiter_.SetCap(ramp_.Allowed());
   while (Serving() && !queue_.Empty() && pool_->Available() && coldRate_.Allows(clock_.Now()) &&
-         limiter_.TryAcquire()) {
+         statedRate_.Wait(clock_.Now()) == Duration::zero() && limiter_.TryAcquire()) {
     const auto item = queue_.Pop();
     const auto exchange = exchanges_[item->key_];
     exchange->phase_ = ServedPhase::Running;
@@ -315,6 +315,7 @@
     refusal.detail_ = aDetail;
     refusal.load_ = Load();
     refusal.reachedServer_ = aExchange->reachedServer_;
+    refusal.retryAfterMs_ = StatedRetryAfter(aCode, now);
     if (start.shard_ && aCode == ErrorCode::NotOwner) {
       const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
       refusal.ownerHint_ = answer.owner_.id_;
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -120,6 +120,7 @@
   aExchange->dispatchedAt_ = now;
   aExchange->connection_ = connection;
   coldRate_.OnSent(now);
+  statedRate_.OnSent(now);
   if (settings_.bodiesNeedCredit_ && !aExchange->bodyComplete_ && !aExchange->bodyCreditSent_) {
     aExchange->bodyCreditSent_ = true;
     hooks_.sendResponse_(RequestCredit{ start.key_, static_cast<std::uint32_t>(kBodyWindowBytes) });
@@ -317,7 +318,11 @@
                            std::string&& aBody,
                            bool aLast)
 {
-  if (aExchange->phase_ == ServedPhase::Ended || OnShed(aExchange, aHead, aLast)) {
+  if (aExchange->phase_ == ServedPhase::Ended) {
+    return;
+  }
+  ReadStatedLimit(*aExchange, aHead);
+  if (OnShed(aExchange, aHead, aLast)) {
     return;
   }
   ReadLoadHeader(aHead);
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -248,6 +248,8 @@
 void
 BackendService::OnNewServer(TimePoint aNow)
 {
+  serverSince_ = aNow;
+  statedRate_.Reset();
   ramp_.Begin(aNow);
   estimator_.Reset();
   pool_->Clear();
@@ -429,6 +431,7 @@
   next.limit_ = limiter_.Limit();
   next.running_ = limiter_.Running();
   next.serviceTime_ = estimator_.All().LongTermServiceTime();
+  next.statedRate_ = statedRate_.Rate();
   next.crashed_ =
     down_ && announcement_ && !crashedRunId_.empty() && announcement_->life_ == crashedRunId_;
   next.queued_ = static_cast<std::uint32_t>(queue_.Size());
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -3,6 +3,7 @@
 #include "backend/AnnouncedServer.hpp"
 #include "backend/ServerMonitor.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -14,6 +15,8 @@
 
 /// Time for which a slowdown reported by the server is used.
 constexpr std::chrono::milliseconds kSlowdownExpiry{ 400 };
+/// Bound of the waiting time told to other instances, in service times.
+constexpr double kMostRounds = 100;
 
 } // namespace
 
@@ -239,16 +242,29 @@
     time = Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * slowdown_));
   }
   const auto serviceTime = std::chrono::duration_cast<microseconds>(time);
-  return { limiter_.Running(),
-           static_cast<std::uint32_t>(queue_.Size()),
-           limiter_.Limit(),
-           static_cast<std::uint32_t>(serviceTime.count()) };
+  auto queued = static_cast<std::uint32_t>(queue_.Size());
+  if (const Duration wait = StatedWait(now); wait > Duration::zero() && time > Duration::zero()) {
+    // Told as requests ahead, because senders forget those soon and may try again.
+    const double rounds = std::chrono::duration<double>(wait) / time;
+    const double ahead = limiter_.Limit() * std::min(rounds + 1, kMostRounds);
+    queued = std::max(queued, static_cast<std::uint32_t>(ahead));
+  }
+  return {
+    limiter_.Running(), queued, limiter_.Limit(), static_cast<std::uint32_t>(serviceTime.count())
+  };
 }
 
 ServiceRate
 BackendService::Rate(TimePoint aNow) const
 {
-  return { estimator_.Any(aNow), limiter_.Running(), limiter_.Limit(), coldRate_.Rate(aNow) };
+  ServiceRate rate{
+    estimator_.Any(aNow), limiter_.Running(), limiter_.Limit(), coldRate_.Rate(aNow)
+  };
+  if (const double stated = statedRate_.Rate(); stated > 0) {
+    rate.perSecond_ = rate.perSecond_ > 0 ? std::min(rate.perSecond_, stated) : stated;
+    rate.pause_ = statedRate_.Wait(aNow);
+  }
+  return rate;
 }
 
 } // namespace redwing
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -5,6 +5,7 @@
 #include "admission/FairQueue.hpp"
 #include "admission/ServiceTimes.hpp"
 #include "admission/SlotLimiter.hpp"
+#include "admission/StatedRateLimit.hpp"
 #include "backend/BackendTypes.hpp"
 #include "backend/ConnectionPool.hpp"
 #include "backend/RefusalLog.hpp"
@@ -177,6 +178,17 @@
   void End(const ExchangePtr& aExchange, Ending aEnding);
   void EndEntry(const ExchangePtr& aExchange, Ending aEnding);
 
+  // The limit that the server states, implemented in BackendStated.cpp.
+  void ReadStatedLimit(const ServedExchange& aExchange, const HttpHead& aHead);
+  void LogStatedLimit(std::string_view aState, TimePoint aNow);
+  /// Refuses the queued requests that would now be answered too late.
+  void QueueAgain(TimePoint aNow);
+  /// Returns the time until the server may get a request that arrives now.
+  Duration StatedWait(TimePoint aNow) const;
+  /// Returns when a request that was refused with aCode may come back; nothing if that does not
+  /// depend on a stated limit.
+  std::optional<std::uint32_t> StatedRetryAfter(ErrorCode aCode, TimePoint aNow) const;
+
   // Health and timers, implemented in BackendHealth.cpp.
   void Tick();
   void ExpireRequests(TimePoint aNow);
@@ -217,6 +229,8 @@
   FairQueue queue_;
   ColdStartRamp ramp_;
   ColdRateLimit coldRate_;
+  StatedRateLimit statedRate_;
+  TimePoint nextLimitLog_{};
   ServiceTimes estimator_;
   IdempotencyTable entries_;
   QuarantineRegistry quarantine_;
@@ -226,6 +240,8 @@
   std::unordered_map<std::string, TimePoint> refusedIds_;
   std::optional<BackendAnnouncement> announcement_;
   TimePoint announcedAt_{};
+  /// When the present run of the server was announced.
+  TimePoint serverSince_{};
   TimePoint lastHealthy_{};
   TimePoint nextPoll_{};
   TimePoint nextSweep_{};
--- /dev/null
+++ b/src/backend/BackendStated.cpp
@@ -0,0 +1,125 @@
+// BackendService: the limit that the backend server states in its answers.
+
+#include "backend/BackendService.hpp"
+#include "core/Log.hpp"
+
+#include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
+#include <charconv>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+namespace redwing {
+
+namespace {
+
+constexpr std::chrono::seconds kLogInterval{ 1 };
+constexpr std::chrono::milliseconds kShortestRetry{ 200 };
+constexpr std::chrono::milliseconds kLongestRetry{ 5000 };
+
+/// Returns the number that aText is; nothing unless it is finite and at least 0.
+std::optional<double>
+ParseRate(std::string_view aText)
+{
+  double rate = 0;
+  const auto parsed = std::from_chars(aText.data(), aText.data() + aText.size(), rate);
+  const bool whole = parsed.ec == std::errc{} && parsed.ptr == aText.data() + aText.size();
+  return whole && std::isfinite(rate) && rate >= 0 ? std::optional(rate) : std::nullopt;
+}
+
+} // namespace
+
+void
+BackendService::ReadStatedLimit(const ServedExchange& aExchange, const HttpHead& aHead)
+{
+  const std::string& name = settings_.protocol_.limitHeader_;
+  // An answer without an id, or to a request of an earlier run, says nothing about this run.
+  if (name.empty() || !aHead.identified_ || aExchange.dispatchedAt_ < serverSince_) {
+    return;
+  }
+  const auto now = clock_.Now();
+  std::optional<double> stated;
+  bool unreadable = false;
+  for (const Header& header : aHead.headers_) {
+    if (!boost::algorithm::iequals(header.name_, name)) {
+      continue;
+    }
+    if (const auto rate = ParseRate(header.value_)) {
+      // Of several, all are kept by keeping the lowest.
+      stated = std::min(stated.value_or(*rate), *rate);
+    } else {
+      unreadable = true;
+    }
+  }
+  if (unreadable && !stated) {
+    LogStatedLimit("unreadable", now);
+    return;
+  }
+  const double before = statedRate_.Rate();
+  statedRate_.OnAnswer(stated, aExchange.dispatchedAt_, now);
+  const double after = statedRate_.Rate();
+  if (before == after) {
+    return;
+  }
+  LogStatedLimit(after > 0 ? "in_force" : "ended", now);
+  if (after > 0 && (before <= 0 || after < before)) {
+    QueueAgain(now);
+  }
+}
+
+void
+BackendService::LogStatedLimit(std::string_view aState, TimePoint aNow)
+{
+  if (aNow < nextLimitLog_) {
+    return;
+  }
+  nextLimitLog_ = aNow + kLogInterval;
+  LogLine(LogLevel::Info, "server_limit")
+    .With("service", announcement_ ? announcement_->service_ : std::string())
+    .With("state", aState)
+    .With("per_second", statedRate_.Rate())
+    .With("queued", queue_.Size());
+}
+
+void
+BackendService::QueueAgain(TimePoint aNow)
+{
+  std::vector<QueueItem> items;
+  while (auto item = queue_.Pop()) {
+    items.push_back(std::move(*item));
+  }
+  // Refusals must not dispatch what is still to be queued.
+  const bool held = std::exchange(pumpHeld_, true);
+  for (auto& item : items) {
+    const ExchangePtr exchange = exchanges_[item.key_];
+    if (queue_.Push(std::move(item), Rate(aNow), aNow) != QueueVerdict::Queued) {
+      RefuseNotRun(exchange, ErrorCode::Overloaded, "deadline_cannot_be_met");
+    }
+  }
+  pumpHeld_ = held;
+}
+
+Duration
+BackendService::StatedWait(TimePoint aNow) const
+{
+  if (statedRate_.Rate() <= 0) {
+    return Duration::zero();
+  }
+  const std::chrono::duration<double> queued(static_cast<double>(queue_.Size()) /
+                                             statedRate_.Rate());
+  return statedRate_.Wait(aNow) + std::chrono::duration_cast<Duration>(queued);
+}
+
+std::optional<std::uint32_t>
+BackendService::StatedRetryAfter(ErrorCode aCode, TimePoint aNow) const
+{
+  if (aCode != ErrorCode::Overloaded || statedRate_.Rate() <= 0) {
+    return std::nullopt;
+  }
+  const auto room = std::clamp<Duration>(StatedWait(aNow), kShortestRetry, kLongestRetry);
+  return static_cast<std::uint32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(room).count());
+}
+
+} // namespace redwing
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -30,6 +30,8 @@
   std::uint32_t queued_ = 0;
   /// Average service time of a request; zero if unknown.
   Duration serviceTime_{};
+  /// Requests per second that the server takes by its own word; 0 if it states no limit.
+  double statedRate_ = 0;
   /// The announced server has definitely crashed: its address refused a connection.
   bool crashed_ = false;
 };
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -131,7 +131,9 @@
   hooks.serviceRate_ = [this] {
     const BackendStatus status = backend_->Status();
     const double seconds = std::chrono::duration<double>(status.serviceTime_).count();
-    return seconds > 0 ? status.announcement_.slots_ / seconds : 0;
+    const double rate = seconds > 0 ? status.announcement_.slots_ / seconds : 0;
+    const double stated = status.statedRate_;
+    return stated > 0 && (rate <= 0 || stated < rate) ? stated : rate;
   };
   hooks.refreshConfiguration_ = std::move(aRefreshConfiguration);
   hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
--- a/src/exchange/HttpProtocol.hpp
+++ b/src/exchange/HttpProtocol.hpp
@@ -48,6 +48,9 @@
   std::string notRunValue_ = "not-run";
   /// Running and waiting requests, slots and slowness in per cent, separated by commas.
   std::string loadHeader_;
+  /// Requests per second that the server takes from all instances together, for as long as its
+  /// answers say so.
+  std::string limitHeader_;
   /// A success without this header is not the backend server's answer.
   std::string signatureHeader_;
   /// Responses echo the request id; one with another id belongs to another request.
