Take a server at its word when it says in an answer that it leaves

Any answer of the present run now has the effect of a heartbeat that says so: queued requests that other servers can run are refused, new ones are refused, those of its shards are served until they have moved or three quarters of the drain time have passed, and the fleet is told. It holds without the store, since the instance beside the server sees all answers first.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -321,7 +321,7 @@
   if (aExchange->phase_ == ServedPhase::Ended) {
     return;
   }
-  ReadStatedLimit(*aExchange, aHead);
+  ReadStatements(*aExchange, aHead);
   if (OnShed(aExchange, aHead, aLast)) {
     return;
   }
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -178,7 +178,9 @@
   void End(const ExchangePtr& aExchange, Ending aEnding);
   void EndEntry(const ExchangePtr& aExchange, Ending aEnding);
 
-  // The limit that the server states, implemented in BackendStated.cpp.
+  // What the server states of itself in answers, implemented in BackendStated.cpp.
+  void ReadStatements(const ServedExchange& aExchange, const HttpHead& aHead);
+  void ReadLeaving(const HttpHead& aHead);
   void ReadStatedLimit(const ServedExchange& aExchange, const HttpHead& aHead);
   void LogStatedLimit(std::string_view aState, TimePoint aNow);
   /// Refuses the queued requests that would now be answered too late.
--- a/src/backend/BackendStated.cpp
+++ b/src/backend/BackendStated.cpp
@@ -1,4 +1,5 @@
-// BackendService: the limit that the backend server states in its answers.
+// BackendService: what the backend server states of itself in its answers: a limit, or that it
+// leaves.
 
 #include "backend/BackendService.hpp"
 #include "core/Log.hpp"
@@ -30,12 +31,44 @@
 
 } // namespace
 
+void
+BackendService::ReadStatements(const ServedExchange& aExchange, const HttpHead& aHead)
+{
+  // An answer without an id, or to a request of an earlier run, says nothing about this run.
+  if (aHead.identified_ && aExchange.dispatchedAt_ >= serverSince_) {
+    ReadStatedLimit(aExchange, aHead);
+    ReadLeaving(aHead);
+  }
+}
+
+void
+BackendService::ReadLeaving(const HttpHead& aHead)
+{
+  const std::string& name = settings_.protocol_.leavingHeader_;
+  if (name.empty() || leaving_ || !announcement_) {
+    return;
+  }
+  const bool leaves =
+    std::any_of(aHead.headers_.begin(), aHead.headers_.end(), [&](const Header& aHeader) {
+      return boost::algorithm::iequals(aHeader.name_, name) && aHeader.value_ == "1";
+    });
+  if (!leaves) {
+    return;
+  }
+  LogLine(LogLevel::Info, "server_leaves_by_answer").With("server", announcement_->serverId_);
+  const bool held = std::exchange(pumpHeld_, true);
+  Leave();
+  pumpHeld_ = held;
+  if (hooks_.onServerLeaves_) {
+    hooks_.onServerLeaves_(announcement_->serverId_);
+  }
+}
+
 void
 BackendService::ReadStatedLimit(const ServedExchange& aExchange, const HttpHead& aHead)
 {
   const std::string& name = settings_.protocol_.limitHeader_;
-  // An answer without an id, or to a request of an earlier run, says nothing about this run.
-  if (name.empty() || !aHead.identified_ || aExchange.dispatchedAt_ < serverSince_) {
+  if (name.empty()) {
     return;
   }
   const auto now = clock_.Now();
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -78,7 +78,9 @@
   std::function<void(const IdempotencyEntry&, std::function<void(bool)>)> replicate_;
   /// Called with entries for the other instances: after a crash of the backend server, and when a
   /// request was cleared.
-  std::function<void(const std::vector<QuarantineEntry>&)> onQuarantine_;
+  std::function<void(const std::vector<QuarantineEntry>&)> onQuarantine_{};
+  /// Called when the backend server says in an answer that it leaves, with its name.
+  std::function<void(const std::string& aServerId)> onServerLeaves_{};
 };
 
 } // namespace redwing
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -184,6 +184,9 @@
     }
   };
   hooks.onStatus_ = [this](const BackendStatus& aStatus) { fleet_->OnBackendStatus(aStatus); };
+  hooks.onServerLeaves_ = [this](const std::string& aServerId) {
+    fleet_->OnServerLeaves(aServerId);
+  };
   hooks.onQuarantine_ = [this](const std::vector<QuarantineEntry>& aEntries) {
     fleet_->SpreadQuarantine(aEntries);
   };
--- a/src/exchange/HttpProtocol.hpp
+++ b/src/exchange/HttpProtocol.hpp
@@ -51,6 +51,8 @@
   /// Requests per second that the server takes from all instances together, for as long as its
   /// answers say so.
   std::string limitHeader_;
+  /// Says with the value 1 in any answer that the server leaves.
+  std::string leavingHeader_;
   /// A success without this header is not the backend server's answer.
   std::string signatureHeader_;
   /// Responses echo the request id; one with another id belongs to another request.
--- a/tests/unit/backend/StatedLimitTest.cpp
+++ b/tests/unit/backend/StatedLimitTest.cpp
@@ -13,6 +13,7 @@
     HttpProtocol protocol;
     protocol.serverEchoesId_ = true;
     protocol.limitHeader_ = "Limit";
+    protocol.leavingHeader_ = "Leaving";
     return protocol;
   }
 
@@ -104,4 +105,33 @@
   BOOST_TEST((bench_.clock_.Now() - free < 1s));
 }
 
+// Guards against new and queued requests of a server that says only in its answers that it leaves.
+BOOST_AUTO_TEST_CASE(AnyAnswerMaySayThatTheServerLeaves)
+{
+  State("Leaving: 0\r\n");
+  bench_.Run(Make(1, 5s));
+  BOOST_CHECK(bench_.service_.Status().state_ != BackendState::Draining);
+  State("Limit: 0.5\r\n");
+  bench_.Run(Make(2, 5s));
+  RequestStart queued = bench_.Make(3);
+  BOOST_REQUIRE(bench_.service_.TryStart(std::move(queued)));
+  State("leaving: 1\r\n");
+  BOOST_REQUIRE(bench_.service_.TryStart(Make(4, 10s)));
+  // One of the two gets through and is answered; no later one does.
+  bench_.responses_.Await(4);
+  BOOST_CHECK(bench_.service_.Status().state_ == BackendState::Draining);
+  const auto served = bench_.serverRequests_.Size();
+  BOOST_TEST((ExpectRefusal(bench_.Run(bench_.Make(5))).code_ == ErrorCode::Draining));
+  bench_.service_.OnAnnounce(
+    { "svc", { "127.0.0.1", bench_.server_.Port() }, 4, 32, {}, "run-2", "run-2" });
+  BOOST_TEST(bench_.serverRequests_.Size() == served);
+  State("");
+  // The next run is up once it was asked for its health.
+  std::uint64_t id = 6;
+  while (!std::holds_alternative<ResponseStart>(bench_.Run(bench_.Make(id)))) {
+    BOOST_REQUIRE(++id < 1000);
+    std::this_thread::sleep_for(5ms);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
