Leave odd entries among those of the instances out

An entry that another writer has left could end every instance that reads it: a table of 4,294,967,295 shards was taken, and an instance of that service keeps a state for each. Numbers beyond 32 bits, negative numbers and fractions were cut to fit; a record without an id, or under another instance's key, took the place of a good one; a table that can't be read was parsed and logged again at each change, a record with the whole text that it quotes. Numbers must now fit, a table has 65,536 shards at most, a record must stand under the key of its id, and an entry that can't be read is left out and logged once for each revision, in 200 letters at most.

--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -124,10 +124,14 @@
       continue;
     }
     const auto known = members_.find(key);
-    if (known == members_.end() || known->second.entryRevision_ != entry.modRevision_) {
+    const bool isRead =
+      known != members_.end() && known->second.entryRevision_ == entry.modRevision_;
+    if (!isRead && !IsKnownInvalid(key, entry.modRevision_)) {
       ReadMember(key, entry);
     }
   }
+  std::erase_if(invalidEntries_,
+                [this](const auto& aItem) { return !session_.All().contains(aItem.first); });
   const bool recovering = recovery_.Carried() && recovery_.Waits(clock_.Now());
   for (auto member = members_.begin(); member != members_.end();) {
     // Members of the earlier epoch have time to register again.
@@ -152,13 +156,15 @@
 FleetService::ReadMember(const std::string& aKey, const StoreEntry& aEntry)
 {
   auto record = MemberRecord::Parse(aEntry.value_);
+  if (record && session_.MemberKey(record->member_.ref_.id_) != aKey) {
+    record = tl::unexpected(std::string("the key names another instance"));
+  }
   if (!record) {
-    LogLine(LogLevel::Warning, "member_record_invalid")
-      .With("key", aKey)
-      .With("error", record.error());
-    KnownMember& known = members_[aKey];
-    known.revision_ = aEntry.modRevision_;
-    known.entryRevision_ = aEntry.modRevision_;
+    LogInvalid(aKey, aEntry.modRevision_, "member_record_invalid", record.error());
+    if (const auto present = members_.find(aKey); present != members_.end()) {
+      present->second.revision_ = aEntry.modRevision_;
+      present->second.entryRevision_ = aEntry.modRevision_;
+    }
     return;
   }
   const std::uint64_t revision = MakeRevision(record->epoch_, NumberOf(aEntry.modRevision_));
@@ -185,6 +191,26 @@
   nextPlan_ = {};
 }
 
+bool
+FleetService::IsKnownInvalid(const std::string& aKey, std::uint64_t aRevision) const
+{
+  const auto found = invalidEntries_.find(aKey);
+  return found != invalidEntries_.end() && found->second == aRevision;
+}
+
+void
+FleetService::LogInvalid(const std::string& aKey,
+                         std::uint64_t aRevision,
+                         std::string_view aEvent,
+                         const std::string& aError)
+{
+  invalidEntries_[aKey] = aRevision;
+  LogLine(LogLevel::Warning, aEvent)
+    .With("key", aKey)
+    .With("revision", aRevision)
+    .With("error", aError);
+}
+
 void
 FleetService::ReadTables()
 {
@@ -202,15 +228,13 @@
                          const std::string& aText)
 {
   const auto known = tables_.find(aService);
-  if (known != tables_.end() && known->second.revision_ >= aRevision) {
+  if ((known != tables_.end() && known->second.revision_ >= aRevision) ||
+      IsKnownInvalid(session_.TableKey(aService), aRevision)) {
     return;
   }
   auto table = ShardTable::Parse(aText);
   if (!table) {
-    LogLine(LogLevel::Error, "shard_table_invalid")
-      .With("service", aService)
-      .With("revision", aRevision)
-      .With("error", table.error());
+    LogInvalid(session_.TableKey(aService), aRevision, "shard_table_invalid", table.error());
     return;
   }
   const std::uint64_t revision = MakeRevision(table->Epoch(), NumberOf(aRevision));
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -29,6 +29,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace redwing {
@@ -209,6 +210,11 @@
   void OnSessionChange();
   void ReadMembers();
   void ReadMember(const std::string& aKey, const StoreEntry& aEntry);
+  bool IsKnownInvalid(const std::string& aKey, std::uint64_t aRevision) const;
+  void LogInvalid(const std::string& aKey,
+                  std::uint64_t aRevision,
+                  std::string_view aEvent,
+                  const std::string& aError);
   void ReadTables();
   void AdoptTable(const std::string& aService, std::uint64_t aRevision, const std::string& aText);
   void SetTable(const std::string& aService, KnownTable aTable);
@@ -296,6 +302,8 @@
   ConfigurationLag configurationLag_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
+  /// Revisions of entries that cannot be read, by key; each is logged once.
+  std::map<std::string, std::uint64_t> invalidEntries_;
   EpochRecovery recovery_;
   /// Epoch that recovery_ was told of.
   std::uint64_t epoch_ = 0;
--- a/src/fleet/MemberRecord.cpp
+++ b/src/fleet/MemberRecord.cpp
@@ -1,6 +1,9 @@
 #include "fleet/MemberRecord.hpp"
 
+#include "fleet/JsonInteger.hpp"
+
 #include <nlohmann/json.hpp>
+#include <optional>
 
 namespace redwing {
 
@@ -27,13 +30,24 @@
   return kDown;
 }
 
-BackendState
+std::optional<BackendState>
 StateOf(std::string_view aText)
 {
   if (aText == kReady) {
     return BackendState::Ready;
   }
-  return aText == kDraining ? BackendState::Draining : BackendState::Down;
+  if (aText == kDraining) {
+    return BackendState::Draining;
+  }
+  return aText == kDown ? std::optional(BackendState::Down) : std::nullopt;
+}
+
+/// Returns an error that is short enough for the log, whatever text it quotes.
+tl::unexpected<std::string>
+Error(std::string_view aMessage)
+{
+  constexpr std::size_t kLongestMessage = 200;
+  return tl::unexpected(std::string(aMessage.substr(0, kLongestMessage)));
 }
 
 } // namespace
@@ -45,24 +59,32 @@
     const Json json = Json::parse(aText);
     MemberRecord record;
     Member& member = record.member_;
-    member.ref_ = { json.at("id").get<std::string>(), json.at("incarnation").get<std::uint64_t>() };
+    member.ref_.id_ = json.at("id").get<std::string>();
+    const auto incarnation = IntegerOf<std::uint64_t>(json.at("incarnation"));
+    const auto slots = IntegerOf<std::uint32_t>(json.at("slots"));
+    const auto epoch = IntegerOf<std::uint64_t>(json.value("epoch", Json(0U)));
+    if (!incarnation || !slots || !epoch) {
+      return Error("incarnation, slots or epoch is not a number in its range");
+    }
     const auto address = Address::Parse(json.at("peers").get<std::string>());
-    if (!address) {
-      return tl::unexpected(std::string("peers is not an address"));
+    const auto state = StateOf(json.at("state").get<std::string>());
+    if (member.ref_.id_.empty() || !address || !state) {
+      return Error("id is empty, peers is not an address, or state is unknown");
     }
+    member.ref_.incarnation_ = *incarnation;
     member.peersAddress_ = *address;
     member.dataCentre_ = json.at("dataCentre").get<std::string>();
     member.region_ = json.at("region").get<std::string>();
     member.service_ = json.at("service").get<std::string>();
-    member.slots_ = json.at("slots").get<std::uint32_t>();
-    member.state_ = StateOf(json.at("state").get<std::string>());
+    member.slots_ = *slots;
+    member.state_ = *state;
     member.leaving_ = json.at("leaving").get<bool>();
     record.serverIncarnation_ = json.at("life").get<std::string>();
-    record.epoch_ = json.value("epoch", std::uint64_t{ 0 });
+    record.epoch_ = *epoch;
     record.carried_ = json.value("carried", false);
     return record;
   } catch (const Json::exception& error) {
-    return tl::unexpected(std::string(error.what()));
+    return Error(error.what());
   }
 }
 
@@ -82,7 +104,7 @@
     { "life", serverIncarnation_ },
     { "epoch", epoch_ },
     { "carried", carried_ }
-  }.dump();
+  }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 bool
--- a/src/fleet/ShardTable.cpp
+++ b/src/fleet/ShardTable.cpp
@@ -1,7 +1,10 @@
 #include "fleet/ShardTable.hpp"
 
+#include "fleet/JsonInteger.hpp"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace redwing {
@@ -11,13 +14,29 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kRunFields = 7;
+/// Each instance keeps a state for each shard of its service.
+constexpr std::uint32_t kMostShards = 65536;
 
-bool
-IsRun(const Json& aRun)
+/// Reads a run of shards; returns nothing if aRun is something else.
+std::optional<ShardRun>
+ReadRun(const Json& aRun)
 {
-  return aRun.is_array() && aRun.size() == kRunFields && aRun[0].is_number_unsigned() &&
-         aRun[1].is_number_unsigned() && aRun[2].is_string() && aRun[3].is_string() &&
-         aRun[4].is_number_unsigned() && aRun[5].is_string() && aRun[6].is_string();
+  if (!aRun.is_array() || aRun.size() != kRunFields) {
+    return std::nullopt;
+  }
+  const auto first = IntegerOf<std::uint32_t>(aRun[0]);
+  const auto last = IntegerOf<std::uint32_t>(aRun[1]);
+  const auto token = IntegerOf<std::uint64_t>(aRun[4]);
+  if (!first || !last || !token || !aRun[2].is_string() || !aRun[3].is_string() ||
+      !aRun[5].is_string() || !aRun[6].is_string()) {
+    return std::nullopt;
+  }
+  return ShardRun{ *first,
+                   *last,
+                   { aRun[2].get<std::string>(), aRun[3].get<std::string>() },
+                   *token,
+                   aRun[5].get<std::string>(),
+                   aRun[6].get<std::string>() };
 }
 
 } // namespace
@@ -32,39 +51,36 @@
 ShardTable::Parse(std::string_view aText)
 {
   const Json json = Json::parse(aText, nullptr, false);
-  if (!json.is_object() || !json.contains("shards") || !json["shards"].is_number_unsigned() ||
-      !json.contains("token") || !json["token"].is_number_unsigned() || !json.contains("runs") ||
-      !json["runs"].is_array()) {
+  if (!json.is_object() || !json.contains("shards") || !json.contains("token") ||
+      !json.contains("runs") || !json["runs"].is_array()) {
     return tl::unexpected(std::string("is not an object with shards, token and runs"));
   }
-  ShardTable table(std::max(1U, json["shards"].get<std::uint32_t>()));
-  table.lastToken_ = json["token"].get<std::uint64_t>();
-  const auto epoch = json.find("epoch");
-  if (epoch != json.end() && !epoch->is_number_unsigned()) {
-    return tl::unexpected(std::string("epoch is not a number"));
+  const auto shards = IntegerOf<std::uint32_t>(json["shards"]);
+  const auto token = IntegerOf<std::uint64_t>(json["token"]);
+  const auto epoch = IntegerOf<std::uint64_t>(json.value("epoch", Json(0U)));
+  if (!shards || *shards < 1 || *shards > kMostShards || !token || !epoch) {
+    return tl::unexpected(std::string("shards, token or epoch is not a number in its range"));
   }
-  table.epoch_ = epoch == json.end() ? 0 : epoch->get<std::uint64_t>();
+  ShardTable table(*shards);
+  table.lastToken_ = *token;
+  table.epoch_ = *epoch;
   const auto settled = json.find("settled");
   table.settled_ = settled == json.end() || *settled != false;
   table.runs_.clear();
   std::uint32_t next = 0;
   for (const Json& item : json["runs"]) {
     const std::string place = "runs/" + std::to_string(table.runs_.size());
-    if (!IsRun(item)) {
+    const auto read = ReadRun(item);
+    if (!read) {
       return tl::unexpected(place + " is not a run of shards");
     }
-    ShardRun run{ item[0].get<std::uint32_t>(),
-                  item[1].get<std::uint32_t>(),
-                  { item[2].get<std::string>(), item[3].get<std::string>() },
-                  item[4].get<std::uint64_t>(),
-                  item[5].get<std::string>(),
-                  item[6].get<std::string>() };
+    const ShardRun& run = *read;
     if (run.first_ != next || run.last_ < run.first_ || run.last_ >= table.shards_ ||
         run.token_ > table.lastToken_) {
       return tl::unexpected(place + " does not continue the run before it");
     }
     next = run.last_ + 1;
-    table.runs_.push_back(std::move(run));
+    table.runs_.push_back(run);
   }
   if (next != table.shards_) {
     return tl::unexpected(std::string("runs do not cover all shards"));
@@ -91,7 +107,7 @@
     { "epoch", epoch_ },
     { "settled", settled_ },
     { "runs", std::move(runs) }
-  }.dump();
+  }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 const ShardRun&
