--- a/tests/unit/platform/HeartbeatCodecTest.cpp
+++ b/tests/unit/platform/HeartbeatCodecTest.cpp
@@ -81,4 +81,23 @@
   }
 }
 
+// Guards against names and numbers of another writer that end the process later, when they are
+// published, or that are cut to fit.
+BOOST_AUTO_TEST_CASE(RejectsOddNamesAndNumbers)
+{
+  const auto body = [](const std::string& aSlots) {
+    return R"({"service":"desk","address":"10.0.0.1:80","state":"ready","seq":1,"slots":)" +
+           aSlots + "}";
+  };
+  BOOST_TEST(DecodeHeartbeat("i-1", body("4294967295")).has_value());
+  BOOST_TEST(!DecodeHeartbeat("i-1", body("4294967297")).has_value());
+  BOOST_TEST(!DecodeHeartbeat("i-1", body("1e999")).has_value());
+  for (const char* id : { "", "i\xff", "i 1", "i\n1", "\xc3\xa9" }) {
+    BOOST_TEST(!DecodeHeartbeat(id, body("4")).has_value());
+  }
+  BOOST_TEST(!DecodeHeartbeat(std::string(201, 'i'), body("4")).has_value());
+  const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+  BOOST_TEST(!DecodeHeartbeat("i-1", deep).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
