Count the end of a server that runs again before it is probed

A crash counted when the server's address refused a connection. A server that is back before the probe, with another name, was not counted as crashed, and the request that ended it was free to end others. Crashes move to a file of their own.

unit.backend ANewRunThatNothingAnnouncedIsACrashOfTheEarlierOne: fails without the check in Announce.

--- a/src/admission/QuarantineRegistry.cpp
+++ b/src/admission/QuarantineRegistry.cpp
@@ -32,6 +32,7 @@
 CountCrashes(const std::map<std::string, TimePoint>& aCrashes)
 {
   std::vector<TimePoint> times;
+  times.reserve(aCrashes.size());
   for (const auto& [id, time] : aCrashes) {
     times.push_back(time);
   }
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -1,4 +1,4 @@
-// BackendService: timers, health, crashes, stalled connections and status.
+// BackendService: timers, health, stalled connections and status.
 
 #include "backend/BackendService.hpp"
 #include "core/Log.hpp"
@@ -28,9 +28,6 @@
 /// slower than normal and must not be treated as stalled.
 constexpr int kOverdueFactor = 30;
 constexpr milliseconds kProbeInterval{ 500 };
-/// Number of consecutive probes without a response after which a broken connection is reported
-/// although it is unknown whether the server crashed.
-constexpr std::uint32_t kMaxUnansweredProbes = 3;
 /// Time that the server has to finish a cancelled request before its connection is closed.
 constexpr milliseconds kCancelGrace{ 1000 };
 /// Time that a request with an Idempotency-Key has to finish after its caller has gone.
@@ -68,6 +65,7 @@
       entries_.Expire(now);
       quarantine_.Expire(now);
       std::erase_if(refusedIds_, [&](const auto& aItem) { return aItem.second < now; });
+      ForgetUnexplained(now);
     }
     ExpireRequests(now);
     if (!settings_.serverReportsState_) {
@@ -199,6 +197,11 @@
   if (aAnnouncement.life_ == crashedRunId_) {
     crashedRunId_.clear();
   }
+  if (announcement_ && !down_ && !leaving_ && !announcement_->life_.empty() &&
+      announcement_->life_ != aAnnouncement.life_) {
+    // It ended without a word, and ran again before a probe could tell.
+    RecordCrash(now);
+  }
   announcedAt_ = now;
   coldRate_.SetColdUntil(now + std::exchange(aAnnouncement.coldFor_, milliseconds::zero()));
   const bool draining = std::exchange(aAnnouncement.draining_, false);
@@ -329,77 +332,6 @@
   }
 }
 
-void
-BackendService::ProbeForCrash()
-{
-  if (probingCrash_) {
-    return;
-  }
-  probingCrash_ = true;
-  monitor_->Probe([this](const std::optional<HealthReport>& aReport, bool aRefused) {
-    probingCrash_ = false;
-    // A process that is exiting may still accept a connection and close it without a response, so
-    // the probe is repeated.
-    if (!aReport && !aRefused && ++unansweredProbes_ < kMaxUnansweredProbes) {
-      ProbeForCrash();
-      return;
-    }
-    unansweredProbes_ = 0;
-    if (aRefused && !down_) {
-      OnCrash();
-    }
-    EndFailingExchanges(aRefused);
-  });
-}
-
-void
-BackendService::OnCrash()
-{
-  crashedRunId_ = announcement_->life_;
-  crashedAt_ = clock_.Now();
-  crashCount_.Add();
-  ++crashes_;
-  std::vector<std::uint64_t> fingerprints;
-  for (const auto& [key, exchange] : exchanges_) {
-    if (exchange->connection_ || exchange->phase_ == ServedPhase::Failing) {
-      fingerprints.push_back(exchange->start_.fingerprint_);
-    }
-  }
-  const auto crashId = settings_.self_.id_ + '/' + std::to_string(settings_.self_.incarnation_) +
-                       '/' + std::to_string(crashes_);
-  const auto changed =
-    quarantine_.RecordCrash(announcement_->service_, fingerprints, crashId, clock_.Now());
-  LogLine(LogLevel::Error, "backend_crashed")
-    .With("service", announcement_->service_)
-    .With("running", fingerprints.size());
-  for (const QuarantineEntry& entry : changed) {
-    LogLine(LogLevel::Warning, "request_suspected")
-      .With("service", entry.service_)
-      .With("fingerprint", entry.fingerprint_)
-      .With("crashes", entry.crashes_.size());
-  }
-  if (hooks_.onQuarantine_ && !changed.empty()) {
-    hooks_.onQuarantine_(changed);
-  }
-  MarkDown("connection_refused");
-}
-
-void
-BackendService::EndFailingExchanges(bool aCrashed)
-{
-  std::vector<ExchangePtr> failing;
-  for (const auto& [key, exchange] : exchanges_) {
-    if (exchange->phase_ == ServedPhase::Failing) {
-      failing.push_back(exchange);
-    }
-  }
-  for (const auto& exchange : failing) {
-    if (exchange->phase_ == ServedPhase::Failing) {
-      FailUnknown(exchange, aCrashed ? "server_crashed" : "connection_closed");
-    }
-  }
-}
-
 void
 BackendService::MarkDown(std::string_view aReason)
 {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -26,6 +26,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace redwing {
@@ -191,6 +192,14 @@
   /// depend on a stated limit.
   std::optional<std::uint32_t> StatedRetryAfter(ErrorCode aCode, TimePoint aNow) const;
 
+  // Crashes, implemented in BackendCrashes.cpp.
+  void ProbeForCrash();
+  void OnCrash();
+  /// Blames the requests that were at the server for its end.
+  void RecordCrash(TimePoint aNow);
+  void EndFailingExchanges(bool aCrashed);
+  void ForgetUnexplained(TimePoint aNow);
+
   // Health and timers, implemented in BackendHealth.cpp.
   void Tick();
   void ExpireRequests(TimePoint aNow);
@@ -204,10 +213,7 @@
   void OnNewServer(TimePoint aNow);
   void OnHealth(const HealthReport& aReport);
   void OnHealthFailed(bool aRefused);
-  void ProbeForCrash();
-  void OnCrash();
   void MarkDown(std::string_view aReason);
-  void EndFailingExchanges(bool aCrashed);
   void PublishStatus();
   void CheckDrained();
 
@@ -267,6 +273,8 @@
   bool probingProgress_ = false;
   std::uint32_t unansweredProbes_ = 0;
   std::uint64_t crashes_ = 0;
+  /// Fingerprints of requests whose connection the server closed without an answer, and when.
+  std::vector<std::pair<std::uint64_t, TimePoint>> unexplained_;
   std::vector<std::function<void()>> drained_;
   bool draining_ = false;
   /// When this instance, which is about to stop, can pass on the last answer.
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -293,6 +293,43 @@
   crash.set_value();
 }
 
+// Guards against a crash that goes unnoticed because the server runs again before it is probed.
+BOOST_AUTO_TEST_CASE(ANewRunThatNothingAnnouncedIsACrashOfTheEarlierOne)
+{
+  Bench bench([](const FakeRequest& aRequest) {
+    return aRequest.target_ == "/things/1"
+             ? FakeServer::Response{ .text_ = {}, .closeAfter_ = true }
+             : Echo(aRequest);
+  });
+  const auto announce = [&](const std::string& aRun, bool aDraining) {
+    BackendAnnouncement announcement{ "svc", { "127.0.0.1", bench.server_.Port() }, 4, 32, {} };
+    announcement.serverId_ = aRun;
+    announcement.life_ = aRun;
+    announcement.draining_ = aDraining;
+    bench.service_.OnAnnounce(std::move(announcement));
+  };
+  const auto serve = [&](std::uint64_t aId) {
+    while (!std::holds_alternative<ResponseStart>(bench.Run(bench.Make(aId)))) {
+      std::this_thread::sleep_for(5ms);
+      ++aId;
+    }
+  };
+  announce("run-1", false);
+  serve(100);
+  BOOST_TEST((ExpectRefusal(bench.Run(bench.Make(1))).outcome_ == Outcome::Unknown));
+  BOOST_TEST(bench.quarantine_.Size() == 0U);
+  announce("run-2", false);
+  const auto entries = bench.quarantine_.Await(1).front();
+  BOOST_REQUIRE(entries.size() == 1U);
+  BOOST_TEST(entries.front().fingerprint_ == 1U);
+  // A server that has said that it leaves has not crashed.
+  serve(300);
+  announce("run-2", true);
+  announce("run-3", false);
+  serve(500);
+  BOOST_TEST(bench.quarantine_.Size() == 1U);
+}
+
 // Guards against grants that don't reach the server, and against a drain that ends while requests
 // are still running.
 BOOST_AUTO_TEST_CASE(GrantsAreSentAndDrainWaitsForRunningRequests)
