--- a/src/fleet/FleetQuarantine.cpp
+++ b/src/fleet/FleetQuarantine.cpp
@@ -81,18 +81,21 @@
 void
 FleetService::SendQuarantine(const std::string& aTo, const std::string& aPayload, int aTries)
 {
-  hooks_.call_(
-    aTo, aPayload, kNoticeTimeout, [this, aTo, aPayload, aTries](bool aAnswered, std::string) {
-      // An instance that cannot be reached is told once it can be again.
-      if (aAnswered || unreachable_.contains(aTo) || !members_.contains(session_.MemberKey(aTo))) {
-        return;
-      }
-      if (aTries > 1) {
-        SendQuarantine(aTo, aPayload, aTries - 1);
-      } else {
-        LogLine(LogLevel::Warning, "quarantine_notice_unanswered").With("instance", aTo);
-      }
-    });
+  hooks_.call_(aTo,
+               aPayload,
+               kNoticeTimeout,
+               [this, aTo, aPayload, aTries](bool aAnswered, const std::string&) {
+                 // An instance that cannot be reached is told once it can be again.
+                 if (aAnswered || unreachable_.contains(aTo) ||
+                     !members_.contains(session_.MemberKey(aTo))) {
+                   return;
+                 }
+                 if (aTries > 1) {
+                   SendQuarantine(aTo, aPayload, aTries - 1);
+                 } else {
+                   LogLine(LogLevel::Warning, "quarantine_notice_unanswered").With("instance", aTo);
+                 }
+               });
 }
 
 void
