--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -75,10 +75,16 @@
                  }
                  loading_ = false;
                  if (aRange) {
+                   readFailed_ = false;
                    OnLoaded(*aRange);
-                 } else {
-                   LoadLater();
+                   return;
+                 }
+                 if (!std::exchange(readFailed_, true)) {
+                   LogLine(LogLevel::Warning, "configuration_read_failed")
+                     .With("error", aRange.error().message_)
+                     .With("in_force", document_ ? document_->revision_ : 0);
                  }
+                 LoadLater();
                });
 }
 
--- a/src/fleet/ConfigurationFeed.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -106,6 +106,8 @@
   boost::asio::steady_timer keepTimer_;
   std::uint64_t revision_ = 0;
   bool loading_ = false;
+  /// The last read failed; further failures in a row are not logged.
+  bool readFailed_ = false;
   bool watching_ = false;
   std::uint64_t watchedEpoch_ = 0;
   bool changed_ = false;
