Tell other instances of cleared requests only where that matters

Each run that cleared a request of a single crash was told to the whole fleet, although such a request runs freely. After the loss of a zone that would be a message to each instance for each request that had run there. Only an instance at which the request did not run freely tells the others.

--- a/src/admission/QuarantineRegistry.cpp
+++ b/src/admission/QuarantineRegistry.cpp
@@ -146,17 +146,11 @@
 QuarantineRegistry::EndTrial(const std::string& aService,
                              std::uint64_t aFingerprint,
                              bool aCompleted)
-{
-  trials_.erase({ aService, aFingerprint });
-  return aCompleted ? OnCompleted(aService, aFingerprint) : std::nullopt;
-}
-
-std::optional<QuarantineEntry>
-QuarantineRegistry::OnCompleted(const std::string& aService, std::uint64_t aFingerprint)
 {
   const Key key{ aService, aFingerprint };
+  trials_.erase(key);
   const auto it = entries_.find(key);
-  if (it == entries_.end()) {
+  if (!aCompleted || it == entries_.end()) {
     return std::nullopt;
   }
   QuarantineEntry entry = it->second;
@@ -165,6 +159,16 @@
   return entry;
 }
 
+std::optional<QuarantineEntry>
+QuarantineRegistry::OnCompleted(const std::string& aService,
+                                std::uint64_t aFingerprint,
+                                TimePoint aNow)
+{
+  const bool hindered = Check(aService, aFingerprint, aNow) != QuarantineVerdict::Clear;
+  auto cleared = EndTrial(aService, aFingerprint, true);
+  return hindered ? std::move(cleared) : std::nullopt;
+}
+
 void
 QuarantineRegistry::Clear(const Key& aKey, const std::map<std::string, TimePoint>& aCrashes)
 {
--- a/src/admission/QuarantineRegistry.hpp
+++ b/src/admission/QuarantineRegistry.hpp
@@ -95,11 +95,13 @@
                                           bool aCompleted);
 
   /// Clears a request that a server has answered. Returns the cleared entry, for the other
-  /// instances, if there was one.
+  /// instances, if it did not run freely here. Telling them of each cleared request would take
+  /// more messages than it is worth after a loss of many servers.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   std::optional<QuarantineEntry> OnCompleted(const std::string& aService,
-                                             std::uint64_t aFingerprint);
+                                             std::uint64_t aFingerprint,
+                                             TimePoint aNow);
 
   /// Returns the entries of requests that do not run freely.
   ///
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -451,10 +451,10 @@
     EndEntry(aExchange, aEnding);
   }
   const bool completed = aEnding == Ending::Answered;
-  const auto cleared = aExchange->trial_
-                         ? quarantine_.EndTrial(start.service_, start.fingerprint_, completed)
-                       : completed ? quarantine_.OnCompleted(start.service_, start.fingerprint_)
-                                   : std::nullopt;
+  const auto cleared =
+    aExchange->trial_ ? quarantine_.EndTrial(start.service_, start.fingerprint_, completed)
+    : completed       ? quarantine_.OnCompleted(start.service_, start.fingerprint_, clock_.Now())
+                      : std::nullopt;
   if (cleared) {
     LogLine(LogLevel::Info, "request_cleared")
       .With("service", start.service_)
--- a/tests/unit/admission/DecisionsTest.cpp
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -220,8 +220,8 @@
   second.Merge(spread);
   BOOST_TEST((second.Check("s", 1, kNow + 15s) == QuarantineVerdict::Quarantined));
   BOOST_TEST(second.Suspects(kNow + 15s).size() == 1U);
-  BOOST_TEST(!second.OnCompleted("s", 2).has_value());
-  const auto cleared = first.OnCompleted("s", 1);
+  BOOST_TEST(!second.OnCompleted("s", 2, kNow + 15s).has_value());
+  const auto cleared = first.OnCompleted("s", 1, kNow + 15s);
   BOOST_REQUIRE(cleared.has_value());
   second.Merge({ &*cleared, 1 });
   second.Merge(spread);
@@ -231,4 +231,6 @@
   first.RecordCrash("s", running, "later", kNow + 20s);
   BOOST_TEST((first.Check("s", 1, kNow + 20s) == QuarantineVerdict::Clear));
   BOOST_TEST(first.Suspects(kNow + 20s).empty());
+  BOOST_TEST(!first.OnCompleted("s", 1, kNow + 20s).has_value());
+  BOOST_TEST(first.Size() == 0U);
 }
