--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -156,7 +156,8 @@
 FleetService::ReadMember(const std::string& aKey, const StoreEntry& aEntry)
 {
   auto record = MemberRecord::Parse(aEntry.value_);
-  if (record && session_.MemberKey(record->member_.ref_.id_) != aKey) {
+  if (record && (record->member_.ref_.id_.empty() ||
+                 session_.MemberKey(record->member_.ref_.id_) != aKey)) {
     record = tl::unexpected(std::string("the key names another instance"));
   }
   if (!record) {
--- a/src/fleet/MemberRecord.cpp
+++ b/src/fleet/MemberRecord.cpp
@@ -68,8 +68,8 @@
     }
     const auto address = Address::Parse(json.at("peers").get<std::string>());
     const auto state = StateOf(json.at("state").get<std::string>());
-    if (member.ref_.id_.empty() || !address || !state) {
-      return Error("id is empty, peers is not an address, or state is unknown");
+    if (!address || !state) {
+      return Error("peers is not an address, or state is unknown");
     }
     member.ref_.incarnation_ = *incarnation;
     member.peersAddress_ = *address;
