Take over the shards of more lost holders than one transaction can name

Cause: a plan that takes shards from holders that are gone names their member records as conditions, 28 at most. With more of them the leader logged plan_too_large and wrote nothing, for as long as they were gone: after the loss of 29 or more holders at once nobody took their shards over.

Change: such a plan takes the shards of 28 holders; those of the others follow in the next one, 50 ms after the write.

--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -171,18 +171,20 @@
   }
   nextRebalance = now + kRebalanceInterval;
   // The write is conditional on the member records of holders that lose shards without a handover,
-  // so that shards are only taken from holders that are gone at the revision of this plan.
+  // so that shards are only taken from holders that are gone at the revision of this plan. Holders
+  // that exceed the conditions of one transaction follow in the next one.
   std::set<std::string> lost;
+  std::vector<ShardRun> postponed;
   for (const ShardRun& run : base.table_.Runs()) {
+    const std::string& id = run.holder_.instanceId_;
     const bool taken = !run.holder_.Empty() && next.At(run.first_).holder_ != run.holder_;
-    if (taken) {
-      lost.insert(run.holder_.instanceId_);
+    if (taken && lost.size() >= kMaxLostHolders && !lost.contains(id)) {
+      postponed.push_back(run);
+    } else if (taken) {
+      lost.insert(id);
     }
   }
-  if (lost.size() > kMaxLostHolders) {
-    LogLine(LogLevel::Error, "plan_too_large").With("lost_holders", lost.size());
-    return;
-  }
+  next.Apply(postponed);
   std::vector<StoreCompare> conditions;
   for (const std::string& id : lost) {
     const std::string key = session_.MemberKey(id);
