Let the leader assign the shards of restarted servers together

Cause: after a loss of power or a restart of many servers each holder wrote its rows of the shard table for the new incarnation of its server. The writes are conditional on the table, so one of N succeeded, N - 1 conflicted, read all entries of the store again and tried at once: N * N / 2 writes and as many reads of all entries. The leader, when it was sooner, gave such shards to other instances.

A holder writes its own rows after a random part of the time that writes of all members would take, and again after each conflict (TableContention). A conflict no longer leads to a read of all entries, as the winner announces the change; only if the table is the same at a second conflict is the store read.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -198,7 +198,7 @@
   const std::string& service = settings_.self_.service_;
   const auto known = tables_.find(service);
   if (known == tables_.end() || !session_.Confirmed() || writing_.contains(service) ||
-      !IsCurrent(known->second.revision_)) {
+      !contention_.MayWrite(service) || !IsCurrent(known->second.revision_)) {
     return false;
   }
   aTable = &known->second;
@@ -251,7 +251,9 @@
       changed = true;
     }
   }
-  if (changed) {
+  if (changed && std::exchange(adoptingFor_, serverIncarnation_) != serverIncarnation_) {
+    contention_.Spread(settings_.self_.service_, members_.size());
+  } else if (changed) {
     WriteTable(settings_.self_.service_,
                *known,
                next,
@@ -280,37 +282,45 @@
   transaction.writes_.push_back({ key, aNext.ToText(), 0 });
   writing_.insert(aService);
   tableWrites_.Add();
-  session_.Commit(std::move(transaction),
-                  [this, aService, aBase, next = std::move(aNext), aReason](
-                    const StoreResult<StoreTransactionResult>& aResult) {
-                    writing_.erase(aService);
-                    const bool written = aResult && aResult->succeeded_;
-                    LogLine(LogLevel::Info, "shard_table_written")
-                      .With("service", aService)
-                      .With("reason", aReason)
-                      .With("runs", next.Runs().size())
-                      .With("outcome",
-                            written   ? "written"
-                            : aResult ? "conflict"
-                                      : "unknown")
-                      .With("revision", aResult ? aResult->revision_ : 0);
-                    if (!written) {
-                      return;
-                    }
-                    if (tables_[aService].revision_ >= aResult->revision_) {
-                      return;
-                    }
-                    TableNotice notice{ aService, aResult->revision_, {}, aBase.revision_, {} };
-                    if (aBase.revision_ > 0 && aBase.table_.Shards() == next.Shards() &&
-                        aBase.table_.Epoch() == next.Epoch() &&
-                        aBase.table_.Settled() == next.Settled()) {
-                      notice.changes_ = aBase.table_.ChangesTo(next);
-                    } else {
-                      notice.text_ = next.ToText();
-                    }
-                    SetTable(aService, { aResult->revision_, next });
-                    BroadcastNotice(notice);
-                  });
+  session_.Commit(
+    std::move(transaction),
+    [this, aService, aBase, next = std::move(aNext), aReason](
+      const StoreResult<StoreTransactionResult>& aResult) {
+      writing_.erase(aService);
+      const bool written = aResult && aResult->succeeded_;
+      LogLine(LogLevel::Info, "shard_table_written")
+        .With("service", aService)
+        .With("reason", aReason)
+        .With("runs", next.Runs().size())
+        .With("outcome",
+              written   ? "written"
+              : aResult ? "conflict"
+                        : "unknown")
+        .With("revision", aResult ? aResult->revision_ : 0);
+      if (!written) {
+        // The leader's copy must be current: it plans for all.
+        const bool behind =
+          aResult && contention_.OnConflict(aService, aBase.revision_, members_.size());
+        if (behind || leads_) {
+          session_.Reload();
+        }
+        return;
+      }
+      contention_.OnWritten(aService);
+      if (tables_[aService].revision_ >= aResult->revision_) {
+        return;
+      }
+      TableNotice notice{ aService, aResult->revision_, {}, aBase.revision_, {} };
+      if (aBase.revision_ > 0 && aBase.table_.Shards() == next.Shards() &&
+          aBase.table_.Epoch() == next.Epoch() && aBase.table_.Settled() == next.Settled()) {
+        notice.changes_ = aBase.table_.ChangesTo(next);
+      } else {
+        notice.text_ = next.ToText();
+      }
+      SetTable(aService, { aResult->revision_, next });
+      BroadcastNotice(notice);
+    },
+    false);
 }
 
 } // namespace redwing
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -58,6 +58,7 @@
   , configuration_(std::make_shared<const ConfigurationRevision>())
   , configurationLag_(kConfigurationPatience)
   , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
+  , contention_(aClock, settings_.seed_ + 1)
   , leaderLease_(aContext, aClock, aStore, settings_.leader_)
   , contacts_(settings_.budget_)
   , pools_(settings_.budget_, hooks_.timeOfDay_)
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -15,6 +15,7 @@
 #include "fleet/ShardHolds.hpp"
 #include "fleet/ShardPlanner.hpp"
 #include "fleet/StoreSession.hpp"
+#include "fleet/TableContention.hpp"
 #include "intake/IntakeDependencies.hpp"
 #include "limits/WindowBudget.hpp"
 #include "routing/RoutingView.hpp"
@@ -338,6 +339,9 @@
   bool leaving_ = false;
   /// Services whose shard table is being written.
   std::set<std::string> writing_;
+  TableContention contention_;
+  /// Incarnation of the local server whose adoption of its rows was delayed.
+  std::string adoptingFor_;
 
   bool leads_ = false;
   /// This instance led when the store entered the present epoch, and nobody else has led since.
--- a/src/fleet/ShardPlanner.cpp
+++ b/src/fleet/ShardPlanner.cpp
@@ -46,10 +46,8 @@
       return table_;
     }
     const std::vector<ShardRun> runs(table_.Runs().begin(), table_.Runs().end());
-    for (const ShardRun& run : runs) {
-      if (aAssign && HolderOf(run) == kNoCandidate) {
-        PlaceShards(run, true);
-      }
+    if (aAssign) {
+      AssignShards(runs);
     }
     for (const ShardRun& run : runs) {
       const std::size_t holder = HolderOf(run);
@@ -72,6 +70,30 @@
   }
 
 private:
+  /// Assigns the shards that nobody holds: to the new incarnation of their last holder's server, or
+  /// else to the candidates furthest below their fair shares.
+  void AssignShards(std::span<const ShardRun> aRuns)
+  {
+    std::vector<ShardRun> orphaned;
+    for (const ShardRun& run : aRuns) {
+      if (HolderOf(run) != kNoCandidate) {
+        continue;
+      }
+      const std::size_t last = IndexOf(run.holder_.instanceId_);
+      if (last == kNoCandidate || !candidates_[last].accepts_ ||
+          candidates_[last].serverIncarnation_.empty()) {
+        orphaned.push_back(run);
+        continue;
+      }
+      load_[last] += WeightOf(run.first_, run.last_);
+      table_.Assign(
+        run.first_, run.last_, { run.holder_.instanceId_, candidates_[last].serverIncarnation_ });
+    }
+    for (const ShardRun& run : orphaned) {
+      PlaceShards(run, true);
+    }
+  }
+
   static std::vector<double> WeightsOf(std::uint32_t aShards,
                                        std::span<const double> aLoad,
                                        double aEvenShare)
--- a/src/fleet/ShardPlanner.hpp
+++ b/src/fleet/ShardPlanner.hpp
@@ -33,8 +33,9 @@
 };
 
 /// Decides which instance holds which shards in response to lost, new and leaving servers and to
-/// hot key ranges. Orphaned shards are reassigned at once, shards of leaving servers by handover,
-/// and as few other shards are moved as balancing the load requires.
+/// hot key ranges. Shards whose server has restarted stay with its instance, other orphaned shards
+/// are reassigned at once, shards of leaving servers by handover, and as few other shards are moved
+/// as balancing the load requires.
 class ShardPlanner
 {
 public:
--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -320,22 +320,24 @@
 }
 
 void
-StoreSession::Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone)
+StoreSession::Commit(StoreTransaction aTransaction,
+                     StoreCallback<StoreTransactionResult> aDone,
+                     bool aReadsOnConflict)
 {
-  store_.Commit(
-    std::move(aTransaction),
-    PostToContext<StoreTransactionResult>(
-      [this, epoch = epoch_, done = std::move(aDone)](StoreResult<StoreTransactionResult> aResult) {
-        CheckEpoch();
-        if (epoch != epoch_) {
-          aResult = tl::unexpected(
-            StoreError{ StoreErrorKind::OutcomeUnknown, "the store is in a later epoch" });
-        }
-        if (!aResult || !aResult->succeeded_) {
-          Reload();
-        }
-        done(std::move(aResult));
-      }));
+  store_.Commit(std::move(aTransaction),
+                PostToContext<StoreTransactionResult>(
+                  [this, epoch = epoch_, done = std::move(aDone), aReadsOnConflict](
+                    StoreResult<StoreTransactionResult> aResult) {
+                    CheckEpoch();
+                    if (epoch != epoch_) {
+                      aResult = tl::unexpected(StoreError{ StoreErrorKind::OutcomeUnknown,
+                                                           "the store is in a later epoch" });
+                    }
+                    if (!aResult || (aReadsOnConflict && !aResult->succeeded_)) {
+                      Reload();
+                    }
+                    done(std::move(aResult));
+                  }));
 }
 
 void
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -74,8 +74,11 @@
   /// Reads all entries again; used when another instance reports newer ones.
   void Reload();
 
-  /// Commits aTransaction; reads all entries again if a condition did not hold or the call failed.
-  void Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone);
+  /// Commits aTransaction; reads all entries again if the call failed or, with aReadsOnConflict, a
+  /// condition did not hold.
+  void Commit(StoreTransaction aTransaction,
+              StoreCallback<StoreTransactionResult> aDone,
+              bool aReadsOnConflict = true);
 
   /// Removes the leader's entry if it names this instance.
   void Resign();
--- a/tests/support/CutStore.hpp
+++ b/tests/support/CutStore.hpp
@@ -20,11 +20,15 @@
 
   void Cut(bool aCut) { cut_ = aCut; }
 
+  /// Returns the number of reads, writes and new leases so far, those that were refused included.
+  int Calls() const { return calls_; }
+
   /// Returns the epoch of the last answer that this instance got.
   std::uint64_t Epoch() const override { return epoch_; }
 
   void Range(std::string aPrefix, bool aExact, StoreCallback<StoreRange> aDone) override
   {
+    ++calls_;
     if (!Refuse(aDone)) {
       store_.Range(std::move(aPrefix), aExact, std::move(aDone));
     }
@@ -32,6 +36,7 @@
 
   void Commit(StoreTransaction aTransaction, StoreCallback<StoreTransactionResult> aDone) override
   {
+    ++calls_;
     if (!Refuse(aDone)) {
       store_.Commit(std::move(aTransaction), std::move(aDone));
     }
@@ -39,6 +44,7 @@
 
   void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone) override
   {
+    ++calls_;
     if (!Refuse(aDone)) {
       store_.GrantLease(aTimeToLive, std::move(aDone));
     }
@@ -80,6 +86,7 @@
   Store& store_;
   std::uint64_t epoch_ = 0;
   bool cut_ = false;
+  int calls_ = 0;
 };
 
 } // namespace redwing::test
--- a/tests/unit/fleet/ShardPlannerTest.cpp
+++ b/tests/unit/fleet/ShardPlannerTest.cpp
@@ -47,6 +47,28 @@
 
 BOOST_AUTO_TEST_SUITE(ShardPlanning)
 
+// Guards against shards that change hands although their instance only has a new incarnation of its
+// server.
+BOOST_AUTO_TEST_CASE(ShardsStayWithTheInstanceOfARestartedServer)
+{
+  auto servers = Servers({ 1, 1, 1 });
+  const ShardTable table = ShardPlanner().Plan(ShardTable(kShards), servers, {});
+  const auto before = Targets(table);
+  servers[0].serverIncarnation_ = "second-a";
+  servers[1].serverIncarnation_ = "second-b";
+  const ShardTable planned = ShardPlanner().Plan(table, servers, {}, false);
+  BOOST_CHECK(Targets(planned) == before);
+  for (const ShardRun& run : planned.Runs()) {
+    const bool restarted = run.holder_.instanceId_ != "c";
+    BOOST_TEST(run.holder_.serverIncarnation_ ==
+               (restarted ? "second-" : "life-") + run.holder_.instanceId_);
+    BOOST_TEST(run.token_ > table.At(run.first_).token_ - (restarted ? 0 : 1));
+  }
+  // One that leaves keeps none.
+  servers[0].accepts_ = false;
+  BOOST_TEST(!Targets(ShardPlanner().Plan(table, servers, {}, false)).contains("a"));
+}
+
 // Guards against an initial table that leaves shards unassigned or ignores server capacities.
 BOOST_AUTO_TEST_CASE(SpreadsANewTableByCapacity)
 {
