Let requests wait for the successor of a leader

When none came within 80 ms, or it came from an instance that does not lead any more, the request was refused as beyond its workspace's rate, though nobody knew whether it was.

Change: such requests wait up to 300 ms and are asked for again, for 2 s after the leader's last answer. What a leader has refused, and what comes when no leader has answered for longer, is refused at once as before.

--- a/src/fleet/FleetAllowances.cpp
+++ b/src/fleet/FleetAllowances.cpp
@@ -24,6 +24,10 @@
 /// new leader may still be learning which instances are running.
 constexpr milliseconds kFirstGrantWait{ 400 };
 constexpr milliseconds kFirstGrantInterval{ 50 };
+/// Maximum time for which a request waits while no leader answers, unless none has for longer than
+/// it takes to elect one.
+constexpr milliseconds kLeaderChangeWait{ 300 };
+constexpr milliseconds kLeaderChangeTime{ 2000 };
 /// Minimum time between two log lines about an exhausted allowance.
 constexpr milliseconds kRefusalLogInterval{ 200 };
 
@@ -101,7 +105,12 @@
 bool
 FleetService::MayWait(TimePoint aSince, TimePoint aNow) const
 {
-  return aNow - startedAt_ < settings_.budget_.window_ && aNow - aSince < kFirstGrantWait;
+  if (aNow - startedAt_ < settings_.budget_.window_) {
+    return aNow - aSince < kFirstGrantWait;
+  }
+  // Without an answer nobody knows whether the allowance is exhausted.
+  return !leaderAnswers_ && aNow - answeredReportAt_ < kLeaderChangeTime &&
+         aNow - aSince < kLeaderChangeWait;
 }
 
 void
@@ -137,6 +146,7 @@
 FleetService::OnAllowanceReply(const std::vector<std::string>& aWorkspaces, bool aAnswered)
 {
   allowanceCallOpen_ = false;
+  leaderAnswers_ = aAnswered;
   if (!aAnswered) {
     nextAllowanceCall_ = clock_.Now() + kUnansweredCallInterval;
   }
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -318,10 +318,11 @@
     aTimeout,
     [this, sentAt, term, done = std::move(aDone)](bool aAnswered, const std::string& aReply) {
       FleetReply reply;
-      if (aAnswered && ReadWire(aReply, reply) && reply.leads_) {
+      const bool answered = aAnswered && ReadWire(aReply, reply) && reply.leads_;
+      if (answered) {
         OnReply(reply, term, sentAt);
       }
-      done(aAnswered);
+      done(answered);
     });
 }
 
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -262,7 +262,7 @@
   void Send(const std::string& aLeader,
             const FleetReport& aReport,
             Duration aTimeout,
-            std::function<void(bool aAnswered)> aDone);
+            std::function<void(bool aAnsweredByLeader)> aDone);
   std::string Leader() const;
   bool InContactWithLeader(TimePoint aNow) const;
   std::set<std::string> MemberIds() const;
@@ -375,6 +375,8 @@
   std::map<std::string, AllowanceRequests> allowanceRequests_;
   /// A call to the leader about allowances awaits its reply. Further workspaces share the next one.
   bool allowanceCallOpen_ = false;
+  /// The last such call was answered by an instance that leads.
+  bool leaderAnswers_ = true;
   /// Earliest time of the next such call, after one without an answer.
   TimePoint nextAllowanceCall_{};
   TimePoint nextRefusalLog_{};
--- a/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
+++ b/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
@@ -48,4 +48,65 @@
   BOOST_TEST(RunUntil([&] { return decided == asked; }));
 }
 
+// Guards against refusing requests within the allowance of a workspace while a leader that stops is
+// succeeded: in a large fleet an instance has to ask for each request.
+BOOST_AUTO_TEST_CASE(RequestsWaitForTheSuccessorOfALeader)
+{
+  for (const char* id : { "a", "b", "c", "d" }) {
+    Node& node = Add(id);
+    node.Beat();
+    node.Status(BackendState::Ready, false);
+  }
+  BOOST_REQUIRE(RunUntil([&] { return Holders().size() == nodes_.size(); }));
+  auto revision = std::make_shared<ConfigurationRevision>(*Node::Configured());
+  revision->revision_ = 2;
+  // No instance has a minimum of its own.
+  Workspace& small = revision->configuration_.workspaces_.front();
+  small.rate_ = 1;
+  small.burst_ = 1;
+  for (auto& [id, node] : nodes_) {
+    node->service_.OnConfiguration(revision);
+  }
+  RunUntil([] { return false; }, Node::Settings("a").budget_.window_);
+  const std::string before = LeaderInStore();
+  const auto follower = std::find_if(
+    nodes_.begin(), nodes_.end(), [&](const auto& aNode) { return aNode.first != before; });
+  nodes_.at(before)->service_.BeginLeave();
+  std::optional<bool> admitted;
+  follower->second->service_.Admit(small,
+                                   [&](bool aAdmitted, std::uint32_t) { admitted = aAdmitted; });
+  BOOST_TEST(RunUntil([&] { return admitted.has_value(); }, 800ms));
+  BOOST_TEST(admitted.value_or(false));
+}
+
+// Guards against requests that wait although the leader has told that nothing is left, or although
+// no leader has answered for long.
+BOOST_AUTO_TEST_CASE(RequestsThatNoLeaderWillAdmitAreRefusedAtOnce)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  auto revision = std::make_shared<ConfigurationRevision>(*Node::Configured());
+  revision->revision_ = 2;
+  Workspace& small = revision->configuration_.workspaces_.front();
+  small.rate_ = 0.2;
+  small.burst_ = 0;
+  for (Node* node : { &one, &other }) {
+    node->service_.OnConfiguration(revision);
+  }
+  RunUntil([] { return false; }, Node::Settings("a").budget_.window_);
+  Node& follower = LeaderInStore() == "a" ? other : one;
+  const auto decide = [&] {
+    std::optional<bool> admitted;
+    follower.service_.Admit(small, [&](bool aAdmitted, std::uint32_t) { admitted = aAdmitted; });
+    RunUntil([&] { return admitted.has_value(); }, 150ms);
+    return admitted;
+  };
+  BOOST_TEST(decide().value_or(false));
+  BOOST_TEST(!decide().value_or(true));
+  follower.answered_ = false;
+  RunUntil([] { return false; }, 2500ms);
+  BOOST_TEST(!decide().value_or(true));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
