Spread conflicting table writes over those that have rows to change

Cause: the delay after a conflict grew with the number of members. Where the releases of two holders met in a fleet of 195, shards could have waited up to 2 s for their new owner.

Change: the delay grows with the holders that have rows to change in the table: those with pending handovers and those whose server has restarted.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -253,7 +253,7 @@
     }
   }
   if (changed && std::exchange(adoptingFor_, serverIncarnation_) != serverIncarnation_) {
-    contention_.Spread(settings_.self_.service_, members_.size());
+    contention_.Spread(settings_.self_.service_, WritersOf(known->table_));
   } else if (changed) {
     WriteTable(settings_.self_.service_,
                *known,
@@ -263,6 +263,21 @@
   }
 }
 
+std::size_t
+FleetService::WritersOf(const ShardTable& aTable) const
+{
+  std::set<std::string_view> writers;
+  for (const ShardRun& run : aTable.Runs()) {
+    const auto member = members_.find(session_.MemberKey(run.holder_.instanceId_));
+    const bool restarted = member != members_.end() && member->second.record_.serverIncarnation_ !=
+                                                         run.holder_.serverIncarnation_;
+    if (restarted || (!run.holder_.Empty() && !run.successor_.empty())) {
+      writers.insert(run.holder_.instanceId_);
+    }
+  }
+  return std::max<std::size_t>(1, writers.size());
+}
+
 void
 FleetService::WriteTable(const std::string& aService,
                          const KnownTable& aBase,
@@ -301,7 +316,7 @@
       if (!written) {
         // The leader's copy must be current: it plans for all.
         const bool behind =
-          aResult && contention_.OnConflict(aService, aBase.revision_, members_.size());
+          aResult && contention_.OnConflict(aService, aBase.revision_, WritersOf(aBase.table_));
         if (behind || leads_) {
           session_.Reload();
         }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -202,6 +202,8 @@
   void CommitReleases();
   void AdoptOwnShards();
   bool OwnTable(KnownTable*& aTable);
+  /// Returns the number of instances that have rows of aTable to change.
+  std::size_t WritersOf(const ShardTable& aTable) const;
   void WithdrawGrants();
   void WriteTable(const std::string& aService,
                   const KnownTable& aBase,
--- a/src/fleet/TableContention.hpp
+++ b/src/fleet/TableContention.hpp
@@ -21,8 +21,8 @@
 
 /// Spreads the writes by which instances change their own rows of a shard table. Each write is
 /// conditional on the table, so when many instances write at once one of them succeeds and all
-/// others conflict. So an instance waits for a random part of the time that writes of all instances
-/// in turn would take; the leader, which writes the rows of many holders together, is
+/// others conflict. So an instance waits for a random part of the time that the writes of all of
+/// them in turn would take; the leader, which writes the rows of many holders together, is
 /// usually faster then.
 class TableContention
 {
@@ -34,14 +34,14 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   bool MayWrite(const std::string& aService) const;
 
-  /// Delays the first write of rows that many instances may have to change at the same time, as
-  /// after a loss of power; aWriters instances may write the table.
+  /// Delays the first write of rows that many instances have to change at the same time, as after a
+  /// loss of power; aWriters instances have rows to change.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
   void Spread(const std::string& aService, std::size_t aWriters);
 
   /// Records that a condition of a write based on revision aBase did not hold; aWriters instances
-  /// may write the table. Returns whether the store must be read: other instances announce their
+  /// have rows to change. Returns whether the store must be read: other instances announce their
   /// changes, but that of the one that succeeded did not arrive before a second attempt.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/tests/unit/fleet/TableContentionTest.cpp
+++ b/tests/unit/fleet/TableContentionTest.cpp
@@ -69,6 +69,19 @@
   }
 }
 
+// Guards against shards without an owner for long, in a fleet of any size, because the releases of
+// two holders met.
+BOOST_AUTO_TEST_CASE(AConflictOfTwoDelaysThemShortly)
+{
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    test::ManualClock clock;
+    TableContention contention(clock, seed);
+    contention.OnConflict("desk", 7, 2);
+    clock.Advance(25ms);
+    BOOST_TEST(contention.MayWrite("desk"));
+  }
+}
+
 // Guards against an instance that goes on writing by a table that it does not know to be outdated,
 // and against reading the store for each conflict.
 BOOST_AUTO_TEST_CASE(TheStoreIsReadWhenTheTableIsUnchangedAfterAConflict)
