Choose among servers with old news in proportion to their capacity

Cause: an instance hears of a pooled server's load only with answers to its own requests.

Change: ExpectedTimeChoice, a class of its own, compares members with recent news by their expected time. Of the others one takes part, drawn in proportion to its capacity and taken to be as busy as the pool is on average.

--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -72,14 +72,13 @@
 }
 
 double
-MemberLoad::ExpectedTime(double aSlots, double aUsual, TimePoint aNow) const
+MemberLoad::ExpectedTime(double aSlots, const UsualLoad& aUsual, TimePoint aNow) const
 {
-  const double service = report_.serviceTimeUs_ > 0 ? report_.serviceTimeUs_ : aUsual;
+  const double service =
+    report_.serviceTimeUs_ > 0 ? report_.serviceTimeUs_ : aUsual.serviceTimeUs_;
   // Own outstanding requests are part of a fresh report; the larger number is nearer the truth.
-  double load = outstanding_;
-  if (const Duration age = aNow - reportAt_; age < kReportLife) {
-    load = std::max(load, static_cast<double>(report_.running_ + report_.queued_));
-  }
+  const double load =
+    std::max<double>(outstanding_, HasNews(aNow) ? Reported() : aUsual.perSlot_ * aSlots);
   // With a slot free a request runs at once; otherwise it waits for its turn. Servers that are
   // nearly full tend to slow down.
   const double rounds = std::max(0.0, (load + 1) / aSlots - 1);
@@ -88,6 +87,12 @@
   return service * (1 + rounds + kFullPenalty * fill);
 }
 
+bool
+MemberLoad::HasNews(TimePoint aNow) const
+{
+  return aNow - reportAt_ < kReportLife;
+}
+
 Duration
 MemberLoad::WaitingAge(std::size_t aSkip, TimePoint aNow) const
 {
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -30,6 +30,15 @@
   bool answered_ = false;
 };
 
+/// What is usual among the members of a pool.
+struct UsualLoad
+{
+  /// Service time in microseconds.
+  double serviceTimeUs_ = 1;
+  /// Requests that run or wait for each slot.
+  double perSlot_ = 0;
+};
+
 /// What the ingress knows about the load and speed of one pooled backend server.
 class MemberLoad
 {
@@ -62,10 +71,20 @@
   double Score(double aSlots, TimePoint aNow) const;
 
   /// Returns the time in which a further request would probably be answered, in microseconds;
-  /// aUsual is assumed for a member that has not reported its service time.
+  /// aUsual is assumed for a member that has not reported its service time, or its load of late.
   ///
   /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
-  double ExpectedTime(double aSlots, double aUsual, TimePoint aNow) const;
+  double ExpectedTime(double aSlots, const UsualLoad& aUsual, TimePoint aNow) const;
+
+  /// Returns whether the last load report is recent enough to be believed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool HasNews(TimePoint aNow) const;
+
+  /// Returns the requests that ran or waited at the last report, whatever its age.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  double Reported() const { return report_.running_ + report_.queued_; }
 
   /// Returns the reported service time in microseconds, 0 if it is not known.
   ///
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -15,8 +15,6 @@
 /// A far member must be expected to answer sooner by this factor.
 constexpr double kFarFactor = 1.3;
 constexpr double kFarFactorOfLarge = 2.2;
-/// Expected times are spread at random by this part.
-constexpr double kSpread = 0.2;
 /// Slots assumed for a member that does not announce them.
 constexpr double kDefaultSlots = 4.0;
 /// A cold member counts with this share of its slots; its own instance limits it further.
@@ -254,32 +252,13 @@
 const PoolSelector::Candidate*
 PoolSelector::Soonest()
 {
-  double known = 0;
-  unsigned count = 0;
-  for (const auto* list : { &near_, &far_ }) {
-    for (const Candidate* candidate : *list) {
-      const double time = candidate->tracked_->load_.ServiceTime();
-      known += time;
-      count += time > 0 ? 1 : 0;
-    }
+  near_.insert(near_.end(), far_.begin(), far_.end());
+  options_.clear();
+  for (const Candidate* candidate : near_) {
+    options_.push_back({ &candidate->tracked_->load_, candidate->slots_, candidate->near_ });
   }
-  const double usual = count > 0 ? known / count : 1;
   const double farFactor = choice_ == ChoiceBy::LoadNear ? kFarFactorOfLarge : kFarFactor;
-  const Candidate* best = nullptr;
-  double bestTime = 0;
-  for (const auto* list : { &near_, &far_ }) {
-    for (const Candidate* candidate : *list) {
-      double time = candidate->tracked_->load_.ExpectedTime(candidate->slots_, usual, now_);
-      time *= candidate->near_ ? 1 : farFactor;
-      // Small differences are left to chance, so that instances do not all choose the same member.
-      time *= 1 + kSpread * random_.Unit();
-      if (best == nullptr || time < bestTime) {
-        best = candidate;
-        bestTime = time;
-      }
-    }
-  }
-  return best;
+  return near_[soonest_.Choose(options_, farFactor, random_, now_)];
 }
 
 const PoolSelector::Candidate*
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -2,6 +2,7 @@
 
 #include "core/Clock.hpp"
 #include "core/Random.hpp"
+#include "routing/ExpectedTimeChoice.hpp"
 #include "routing/OutlierDetector.hpp"
 #include "routing/RoutingSettings.hpp"
 #include "routing/RoutingView.hpp"
@@ -109,6 +110,8 @@
   std::unordered_map<const Route*, std::unique_ptr<Pool>> pools_;
   std::vector<const Candidate*> near_;
   std::vector<const Candidate*> far_;
+  ExpectedTimeChoice soonest_;
+  std::vector<ExpectedTimeChoice::Option> options_;
   TimePoint now_{};
   ChoiceBy choice_ = ChoiceBy::Load;
 };
--- a/tests/unit/routing_load/PoolLoad.hpp
+++ b/tests/unit/routing_load/PoolLoad.hpp
@@ -25,9 +25,15 @@
   std::vector<double> speeds_{ 0.5, 1.0, 1.0, 1.5 };
   /// Part of the servers' capacity that the requests need.
   double utilisation_ = 0.75;
+  /// Mean work of a request; a share of the requests are longer than the others by a factor.
   Duration work_ = std::chrono::milliseconds(150);
-  /// Time to the answer that callers aim at.
-  Duration aim_ = std::chrono::milliseconds(750);
+  double longShare_ = 0.1;
+  double longFactor_ = 12;
+  /// Times to the answer that callers aim at.
+  Duration aim_ = std::chrono::milliseconds(400);
+  Duration longAim_ = std::chrono::milliseconds(2300);
+  /// Load of the data centres in turn, relative to the busiest.
+  std::vector<double> dataCentreLoads_{ 0.72, 0.96, 1.0, 0.7, 0.86, 0.74 };
   std::uint64_t seed_ = 1;
 };
 
@@ -86,10 +92,17 @@
       const double gap = -std::log(1 - random_.Unit()) / perSecond;
       next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
       Request request;
-      request.instance_ = random_.Below(selectors_.size());
+      do {
+        request.instance_ = random_.Below(selectors_.size());
+      } while (random_.Unit() >
+               settings_.dataCentreLoads_[request.instance_ % settings_.dataCentres_ %
+                                          settings_.dataCentreLoads_.size()]);
       request.sentAt_ = clock_.Now();
-      const double size = -std::log(1 - random_.Unit());
+      const bool isLong = random_.Unit() < settings_.longShare_;
+      const double mean = settings_.longShare_ * settings_.longFactor_ + 1 - settings_.longShare_;
+      const double size = (isLong ? settings_.longFactor_ : 1) / mean * (0.5 + random_.Unit());
       request.work_ = std::chrono::duration_cast<Duration>(settings_.work_ * size);
+      request.aim_ = isLong ? settings_.longAim_ : settings_.aim_;
       Send(std::move(request));
     }
   }
@@ -125,6 +138,7 @@
     std::uint64_t attempt_ = 0;
     TimePoint sentAt_{};
     Duration work_{};
+    Duration aim_{};
     std::vector<std::string> excluded_;
   };
   struct Server
@@ -147,8 +161,8 @@
 
   LoadReport Report(const Server& aServer) const
   {
-    const auto time = std::chrono::duration_cast<std::chrono::microseconds>(
-      TimeOn(aServer, settings_.work_));
+    const auto time =
+      std::chrono::duration_cast<std::chrono::microseconds>(TimeOn(aServer, settings_.work_));
     return { aServer.running_,
              static_cast<std::uint32_t>(aServer.queue_.size()),
              settings_.slots_,
@@ -159,8 +173,9 @@
   {
     constexpr std::size_t kMostAttempts = 3;
     PoolSelector& selector = *selectors_[aRequest.instance_];
-    const Member* member =
-      aRequest.excluded_.size() < kMostAttempts ? selector.Choose(route_, aRequest.excluded_) : nullptr;
+    const Member* member = aRequest.excluded_.size() < kMostAttempts
+                             ? selector.Choose(route_, aRequest.excluded_)
+                             : nullptr;
     if (member == nullptr) {
       ++refused_;
       return;
@@ -176,7 +191,7 @@
     const auto expected = TimeOn(server, settings_.work_) * (1 + rounds);
     if (server.running_ < settings_.slots_) {
       Begin(server, std::move(aRequest));
-    } else if (expected <= settings_.aim_ * 3 / 4) {
+    } else if (expected <= aRequest.aim_ * 3 / 4) {
       server.queue_.push_back(std::move(aRequest));
     } else {
       ++refusals_;
@@ -199,11 +214,12 @@
   {
     Server& server = servers_[aRequest.server_];
     --server.running_;
-    MemberLoad& load = selectors_[aRequest.instance_]->LoadOf("s" + std::to_string(aRequest.server_));
+    MemberLoad& load =
+      selectors_[aRequest.instance_]->LoadOf("s" + std::to_string(aRequest.server_));
     load.OnReport(Report(server), clock_.Now());
     load.OnResponse(aRequest.attempt_, clock_.Now());
     load.OnEnd(aRequest.attempt_, clock_.Now(), AttemptEnd::Answered);
-    ++(clock_.Now() - aRequest.sentAt_ <= settings_.aim_ ? inAim_ : late_);
+    ++(clock_.Now() - aRequest.sentAt_ <= aRequest.aim_ ? inAim_ : late_);
     if (!server.queue_.empty()) {
       Request next = std::move(server.queue_.front());
       server.queue_.pop_front();
