--- a/src/daemon/FleetDaemon.hpp
+++ b/src/daemon/FleetDaemon.hpp
@@ -69,6 +69,11 @@
 
   FleetService& Fleet() { return *fleet_; }
 
+  /// Returns the metrics of the process.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  CounterRegistry& Counters() { return counters_; }
+
   /// Sets what a SIGHUP does besides a log line.
   ///
   /// Preconditions: before Run. Thread safety: not thread-safe.
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -39,13 +39,15 @@
                            FleetHooks aHooks)
   : clock_(aClock)
   , store_(aStore)
+  , fleetCalls_(aStore, aCounters, "fleet")
+  , leaderCalls_(aStore, aCounters, "leader")
   , view_(aView)
   , settings_(std::move(aSettings))
   , hooks_(std::move(aHooks))
   , random_(settings_.seed_)
   , session_(aContext,
              aClock,
-             aStore,
+             fleetCalls_,
              settings_.session_,
              { [this] { OnSessionChange(); },
                [this](std::int64_t aLease, const std::function<void(bool)>& aDone) {
@@ -59,7 +61,7 @@
   , configurationLag_(kConfigurationPatience)
   , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
   , contention_(aClock, settings_.seed_ + 1)
-  , leaderLease_(aContext, aClock, aStore, settings_.leader_)
+  , leaderLease_(aContext, aClock, leaderCalls_, settings_.leader_)
   , contacts_(settings_.budget_)
   , pools_(settings_.budget_, hooks_.timeOfDay_)
   , heartbeats_(aCounters.GetCounter("redwing_heartbeats_total"))
@@ -108,6 +110,7 @@
   ReadMembers();
   ReadTables();
   confirmedInEpoch_ = session_.Confirmed() && TablesAreCurrent();
+  LogStart();
   UpdateLease();
   AdoptOwnShards();
   CommitReleases();
@@ -117,6 +120,19 @@
   }
 }
 
+void
+FleetService::LogStart()
+{
+  if (!confirmedInEpoch_ || configuration_->revision_ == 0 || startLogged_) {
+    return;
+  }
+  startLogged_ = true;
+  LogLine(LogLevel::Info, "start_complete")
+    .With("ms", std::chrono::duration_cast<milliseconds>(clock_.Now() - startedAt_).count())
+    .With("members", members_.size())
+    .With("store_calls", fleetCalls_.Calls() + leaderCalls_.Calls());
+}
+
 void
 FleetService::SetTable(const std::string& aService, KnownTable aTable)
 {
@@ -331,7 +347,7 @@
 FleetService::RenewForPeer(const LeaseRenewal& aRenewal, const CallReply& aReply)
 {
   // The callback may run after this object was destroyed, so it must not access it.
-  store_.KeepAlive(
+  fleetCalls_.KeepAlive(
     aRenewal.lease_, [&store = store_, aReply](const StoreResult<std::chrono::seconds>& aLeft) {
       aReply(WriteWire(LeaseRenewalReply{ aLeft && aLeft->count() > 0, store.Epoch() }));
     });
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -19,6 +19,7 @@
 #include "intake/IntakeDependencies.hpp"
 #include "limits/WindowBudget.hpp"
 #include "routing/RoutingView.hpp"
+#include "store/CountedStore.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -213,6 +214,7 @@
 
   // Members, shard tables and peers (FleetService.cpp).
   void OnSessionChange();
+  void LogStart();
   void ReadMembers();
   void ReadMember(const std::string& aKey, const StoreEntry& aEntry);
   bool IsKnownInvalid(const std::string& aKey, std::uint64_t aRevision) const;
@@ -294,6 +296,9 @@
 
   const Clock& clock_;
   Store& store_;
+  CountedStore fleetCalls_;
+  /// Calls for the leader's lease.
+  CountedStore leaderCalls_;
   Published<RoutingView>& view_;
   FleetSettings settings_;
   FleetHooks hooks_;
@@ -313,6 +318,7 @@
   EpochRecovery recovery_;
   /// Epoch that recovery_ was told of.
   std::uint64_t epoch_ = 0;
+  bool startLogged_ = false;
   /// Time until which shards may be granted, and the epoch of the lease that it is based on.
   TimePoint grantDeadline_{};
   std::uint64_t grantEpoch_ = 0;
