Believe a shard table before the member record of a restarted server

Cause: tables arrive over links, member records by the watch of the store, up to 600 ms and the event loop later. A row that named a new incarnation of a server counted as held by nobody until the record named it too, so requests for it waited and were refused with no_owner.

Change: a row whose incarnation started after the one in the record counts as held. The owner's instance decides as before whether it grants.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.hpp"
 #include "fleet/FleetService.hpp"
+#include "fleet/ServerIncarnation.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,12 +15,6 @@
 /// heartbeat usually arrives within this time.
 constexpr std::chrono::milliseconds kFirstHeartbeatWait{ 2500 };
 
-std::string
-ServerIncarnationOf(const ServerHeartbeat& aHeartbeat)
-{
-  return aHeartbeat.serverId_ + "@" + std::to_string(aHeartbeat.startedAt_);
-}
-
 } // namespace
 
 void
@@ -28,7 +23,8 @@
   // The server no longer waits for the earlier reply, or has sent both heartbeats at once.
   AnswerDelayedHeartbeat();
   heartbeats_.Add();
-  const std::string serverIncarnation = ServerIncarnationOf(aHeartbeat);
+  const std::string serverIncarnation =
+    MakeServerIncarnation(aHeartbeat.serverId_, aHeartbeat.startedAt_);
   const bool older = serverIncarnation != serverIncarnation_
                        ? aHeartbeat.startedAt_ < serverStartedAt_
                        : aHeartbeat.sequence_ <= lastSequence_;
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -1,6 +1,7 @@
 #include "fleet/FleetService.hpp"
 
 #include "core/Log.hpp"
+#include "fleet/ServerIncarnation.hpp"
 #include "store/StoreRevision.hpp"
 
 #include <algorithm>
@@ -240,8 +241,11 @@
     }
     for (const ShardRun& run : known->second.table_.Runs()) {
       const auto serverIncarnation = serverIncarnations.find(run.holder_.instanceId_);
-      const bool held = serverIncarnation != serverIncarnations.end() &&
-                        serverIncarnation->second == run.holder_.serverIncarnation_;
+      // A table may arrive before the record that names the new incarnation.
+      const bool held =
+        serverIncarnation != serverIncarnations.end() &&
+        (serverIncarnation->second == run.holder_.serverIncarnation_ ||
+         IsLaterIncarnation(run.holder_.serverIncarnation_, serverIncarnation->second));
       ShardRow row;
       row.token_ = run.token_;
       row.owner_.id_ = held ? run.holder_.instanceId_ : std::string();
--- /dev/null
+++ b/src/fleet/ServerIncarnation.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace redwing {
+
+/// Names an incarnation of a backend server by the server's id and the time of its start.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+std::string MakeServerIncarnation(std::string_view aServerId, std::uint64_t aStartedAt);
+
+/// Returns whether aOne started after aOther, both incarnations of the server beside one instance.
+/// False if either is not a name of MakeServerIncarnation.
+///
+/// Preconditions: none. Thread safety: callable from any thread.
+bool IsLaterIncarnation(std::string_view aOne, std::string_view aOther);
+
+} // namespace redwing
--- a/tests/unit/fleet/FleetServiceTest.cpp
+++ b/tests/unit/fleet/FleetServiceTest.cpp
@@ -1,6 +1,7 @@
 #include "FleetFixture.hpp"
 
 #include "fleet/ElectionHandicap.hpp"
+#include "fleet/ServerIncarnation.hpp"
 
 using namespace redwing;
 using namespace redwing::test;
@@ -78,6 +79,45 @@
   BOOST_TEST(denies.granted_.empty());
 }
 
+// Guards against shards without a known owner after a restart of their server: the table that names
+// the new incarnation arrives over links, before the watch shows the member record.
+BOOST_AUTO_TEST_CASE(ATableIsBelievedBeforeTheRecordOfARestartedServer)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  one.store_.Cut(true);
+  ++other.startedAt_;
+  other.sequence_ = 0;
+  other.holds_.clear();
+  other.Beat();
+  other.Status(BackendState::Ready, false);
+  const auto ownsAsStored = [&] {
+    const auto table = ShardTable::Parse(store_.Entries().at(kTableKey).value_);
+    const auto view = one.view_.Get();
+    const auto& rows = view->shards_.at("desk").rows_;
+    return std::all_of(table->Runs().begin(), table->Runs().end(), [&](const ShardRun& aRun) {
+      return aRun.holder_.instanceId_ != "b" ||
+             (aRun.holder_.serverIncarnation_ == other.ServerIncarnation() &&
+              rows[aRun.first_].token_ == aRun.token_ && rows[aRun.first_].owner_.id_ == "b");
+    });
+  };
+  BOOST_TEST(RunUntil(ownsAsStored, 1s));
+}
+
+// Guards against rows of an earlier incarnation that count as held, and against names of another
+// form.
+BOOST_AUTO_TEST_CASE(IncarnationsAreOrderedByTheirStart)
+{
+  BOOST_TEST(IsLaterIncarnation(MakeServerIncarnation("b", 12), MakeServerIncarnation("a", 9)));
+  BOOST_TEST(!IsLaterIncarnation(MakeServerIncarnation("b", 9), MakeServerIncarnation("a", 12)));
+  BOOST_TEST(!IsLaterIncarnation(MakeServerIncarnation("b", 9), MakeServerIncarnation("a", 9)));
+  for (const char* odd : { "", "a", "a@", "a@x", "a@1x", "a@-1", "a@99999999999999999999" }) {
+    BOOST_TEST(!IsLaterIncarnation(odd, "a@1"), odd);
+    BOOST_TEST(!IsLaterIncarnation("a@1", odd), odd);
+  }
+}
+
 // Guards against a late heartbeat of an earlier server incarnation that replaces the current one.
 BOOST_AUTO_TEST_CASE(LateHeartbeatsOfAnEarlierRunAreIgnored)
 {
