Let requests wait for a new leader as long as after a start

One time serves both: 400 ms, which an election with its store calls and the first report take on small machines. The time for a change of the leader was 300 ms.

--- a/src/fleet/FleetAllowances.cpp
+++ b/src/fleet/FleetAllowances.cpp
@@ -20,13 +20,11 @@
 constexpr milliseconds kUnansweredCallInterval{ 100 };
 /// Maximum number of requests of one workspace that wait for the leader at the same time.
 constexpr std::size_t kMaxWaitingRequests = 64;
-/// Maximum time for which a request waits for the first grant after the start of a process, while a
-/// new leader may still be learning which instances are running.
-constexpr milliseconds kFirstGrantWait{ 400 };
+/// Maximum time for which a request waits while no leader answers, or while a new one may still be
+/// learning which instances are running: after the start of a process and when a leader is lost.
+constexpr milliseconds kNewLeaderWait{ 400 };
 constexpr milliseconds kFirstGrantInterval{ 50 };
-/// Maximum time for which a request waits while no leader answers, unless none has for longer than
-/// it takes to elect one.
-constexpr milliseconds kLeaderChangeWait{ 300 };
+/// Requests are refused at once when no leader has answered for longer than it takes to elect one.
 constexpr milliseconds kLeaderChangeTime{ 2000 };
 /// Minimum time between two log lines about an exhausted allowance.
 constexpr milliseconds kRefusalLogInterval{ 200 };
@@ -105,12 +103,10 @@
 bool
 FleetService::MayWait(TimePoint aSince, TimePoint aNow) const
 {
-  if (aNow - startedAt_ < settings_.budget_.window_) {
-    return aNow - aSince < kFirstGrantWait;
-  }
+  const bool starts = aNow - startedAt_ < settings_.budget_.window_;
   // Without an answer nobody knows whether the allowance is exhausted.
-  return !leaderAnswers_ && aNow - answeredReportAt_ < kLeaderChangeTime &&
-         aNow - aSince < kLeaderChangeWait;
+  const bool changes = !leaderAnswers_ && aNow - answeredReportAt_ < kLeaderChangeTime;
+  return (starts || changes) && aNow - aSince < kNewLeaderWait;
 }
 
 void
