Let requests wait also where the vacancy of the leader is known

Cause: an instance that had seen in the store that there is no leader made no call, so the last one still counted as answered and requests that needed an allowance were refused at once.

Change: no reachable leader counts like one that does not answer.

--- a/src/fleet/FleetAllowances.cpp
+++ b/src/fleet/FleetAllowances.cpp
@@ -92,12 +92,17 @@
 }
 
 bool
-FleetService::MayRequestAllowance(const AllowanceRequests& aPending, TimePoint aNow) const
+FleetService::LeaderIsReachable() const
 {
   const std::string leader = Leader();
-  const bool reachable =
-    leader == settings_.self_.ref_.id_ ? leads_ : !leader.empty() && !unreachable_.contains(leader);
-  return reachable && aNow >= aPending.notBefore_ && aNow >= nextAllowanceCall_;
+  return leader == settings_.self_.ref_.id_ ? leads_
+                                            : !leader.empty() && !unreachable_.contains(leader);
+}
+
+bool
+FleetService::MayRequestAllowance(const AllowanceRequests& aPending, TimePoint aNow) const
+{
+  return LeaderIsReachable() && aNow >= aPending.notBefore_ && aNow >= nextAllowanceCall_;
 }
 
 bool
@@ -105,7 +110,8 @@
 {
   const bool starts = aNow - startedAt_ < settings_.budget_.window_;
   // Without an answer nobody knows whether the allowance is exhausted.
-  const bool changes = !leaderAnswers_ && aNow - answeredReportAt_ < kLeaderChangeTime;
+  const bool changes =
+    (!leaderAnswers_ || !LeaderIsReachable()) && aNow - answeredReportAt_ < kLeaderChangeTime;
   return (starts || changes) && aNow - aSince < kNewLeaderWait;
 }
 
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -286,6 +286,7 @@
   const Workspace* FindWorkspace(const std::string& aId) const;
   WindowBudget& BudgetOf(const Workspace& aWorkspace);
   bool QueueForAllowance(const Workspace& aWorkspace, const RateDecision& aDecide);
+  bool LeaderIsReachable() const;
   bool MayRequestAllowance(const AllowanceRequests& aPending, TimePoint aNow) const;
   bool MayWait(TimePoint aSince, TimePoint aNow) const;
   void RequestAllowances();
--- a/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
+++ b/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
@@ -3,6 +3,48 @@
 using namespace redwing;
 using namespace redwing::test;
 
+namespace {
+
+/// Sends a request of a workspace with a small allowance right after the leader of four instances
+/// has begun to stop; returns whether it is admitted.
+bool
+AdmitsWhileLeaderChanges(Fleet& aFleet, bool aKnowsVacancy)
+{
+  using Node = Fleet::Node;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    Node& node = aFleet.Add(id);
+    node.Beat();
+    node.Status(BackendState::Ready, false);
+  }
+  BOOST_REQUIRE(aFleet.RunUntil([&] { return aFleet.Holders().size() == aFleet.nodes_.size(); }));
+  auto revision = std::make_shared<ConfigurationRevision>(*Node::Configured());
+  revision->revision_ = 2;
+  // No instance has a minimum of its own.
+  Workspace& small = revision->configuration_.workspaces_.front();
+  small.rate_ = 1;
+  small.burst_ = 1;
+  for (auto& [id, node] : aFleet.nodes_) {
+    node->service_.OnConfiguration(revision);
+  }
+  aFleet.RunUntil([] { return false; }, Node::Settings("a").budget_.window_);
+  const std::string before = aFleet.LeaderInStore();
+  const auto follower = std::find_if(aFleet.nodes_.begin(),
+                                     aFleet.nodes_.end(),
+                                     [&](const auto& aNode) { return aNode.first != before; });
+  aFleet.nodes_.at(before)->service_.BeginLeave();
+  if (aKnowsVacancy) {
+    BOOST_REQUIRE(aFleet.RunUntil([&] { return aFleet.LeaderInStore().empty(); }));
+    aFleet.RunUntil([] { return false; }, 3ms);
+  }
+  std::optional<bool> admitted;
+  follower->second->service_.Admit(small,
+                                   [&](bool aAdmitted, std::uint32_t) { admitted = aAdmitted; });
+  BOOST_TEST(aFleet.RunUntil([&] { return admitted.has_value(); }, 800ms));
+  return admitted.value_or(false);
+}
+
+} // namespace
+
 BOOST_FIXTURE_TEST_SUITE(FleetAllowances, Fleet)
 
 // Guards against a leader that gets a call for each workspace that runs out at an instance.
@@ -52,31 +94,13 @@
 // succeeded: in a large fleet an instance has to ask for each request.
 BOOST_AUTO_TEST_CASE(RequestsWaitForTheSuccessorOfALeader)
 {
-  for (const char* id : { "a", "b", "c", "d" }) {
-    Node& node = Add(id);
-    node.Beat();
-    node.Status(BackendState::Ready, false);
-  }
-  BOOST_REQUIRE(RunUntil([&] { return Holders().size() == nodes_.size(); }));
-  auto revision = std::make_shared<ConfigurationRevision>(*Node::Configured());
-  revision->revision_ = 2;
-  // No instance has a minimum of its own.
-  Workspace& small = revision->configuration_.workspaces_.front();
-  small.rate_ = 1;
-  small.burst_ = 1;
-  for (auto& [id, node] : nodes_) {
-    node->service_.OnConfiguration(revision);
-  }
-  RunUntil([] { return false; }, Node::Settings("a").budget_.window_);
-  const std::string before = LeaderInStore();
-  const auto follower = std::find_if(
-    nodes_.begin(), nodes_.end(), [&](const auto& aNode) { return aNode.first != before; });
-  nodes_.at(before)->service_.BeginLeave();
-  std::optional<bool> admitted;
-  follower->second->service_.Admit(small,
-                                   [&](bool aAdmitted, std::uint32_t) { admitted = aAdmitted; });
-  BOOST_TEST(RunUntil([&] { return admitted.has_value(); }, 800ms));
-  BOOST_TEST(admitted.value_or(false));
+  BOOST_TEST(AdmitsWhileLeaderChanges(*this, false));
+}
+
+// Guards against the same by an instance that knows already that there is no leader.
+BOOST_AUTO_TEST_CASE(RequestsWaitForTheFirstLeaderAfterAVacancy)
+{
+  BOOST_TEST(AdmitsWhileLeaderChanges(*this, true));
 }
 
 // Guards against requests that wait although the leader has told that nothing is left, or although
