Let an old report of a full server not keep requests away from it

Cause: the load that is assumed of members without recent news was the mean of all last reports, however old. A server that states a limit reports hundreds of requests ahead while it takes none.

Change: a report counts in the mean with one request per slot at the most.

--- a/src/routing/ExpectedTimeChoice.cpp
+++ b/src/routing/ExpectedTimeChoice.cpp
@@ -23,7 +23,8 @@
   for (const auto& option : aOptions) {
     if (option.load_->ServiceTime() > 0) {
       time += option.load_->ServiceTime();
-      load += option.load_->Reported();
+      // Old reports of queues, and of servers that take nothing for a while, say little about now.
+      load += std::min(option.load_->Reported(), option.slots_);
       slots += option.slots_;
       ++reported;
     }
