Show two holders of a key after the loss of a process beside a leaving server

A server leaves with DELETE and sends no heartbeat any more; the process beside it is killed 0.2 s later and started again. 2.5 s after its start the new process registers its server as holding nothing, and the leader assigns the keys while the server still holds them.

--- /dev/null
+++ b/review/standins/Cases.cpp
@@ -0,0 +1,282 @@
+// Runs one case: cases NAME DIRECTORY. TROUBLE=0 in the environment leaves out the disruption.
+// Exit code: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
+
+#include "World.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <iostream>
+#include <random>
+
+namespace {
+
+using namespace review;
+using namespace std::chrono_literals;
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCannotRun = 2;
+
+constexpr const char* kKey = "3fexd9dnn2ctnfzs989a";
+
+Json
+Manifest(bool aKeyed)
+{
+  const Json desk{ { "name", "desk" },        { "healthCheckPath", "/health" },
+                   { "maxConnections", 130 }, { "protocol", "h1" },
+                   { "tls", false },          { "coldStartS", 3.0 },
+                   { "coldPerS", 14.0 },      { "sharded", aKeyed },
+                   { "warmupS", 2.0 },        { "grants", "heartbeat" } };
+  const Json route{ { "name", "r-1" },          { "host", "shop.example" },
+                    { "pathPrefix", "/look/" }, { "kind", "safe" },
+                    { "timeoutMs", 1000 },      { "targetLatencyMs", 400 },
+                    { "priority", 2 },          { "service", "desk" },
+                    { "maxAttempts", 2 },       { "allowAnonymous", false } };
+  const Json limits{ { "maxHeaderBytes", 16384 },
+                     { "maxBodyBytes", 67108864 },
+                     { "headerTimeoutMs", 3000 },
+                     { "idleTimeoutMs", 15000 } };
+  const Json tenant{ { "name", "t-1" },
+                     { "apiKeys", { kKey } },
+                     { "priority", 1 },
+                     { "ratePerS", 500 },
+                     { "burstSize", 500 } };
+  return { { "version", "r7" },
+           { "routes", { route } },
+           { "services", { desk } },
+           { "limits", limits },
+           { "tenants", { tenant } } };
+}
+
+/// Sends safe requests for random keys to the instances in turn until it goes away.
+class Requesters
+{
+public:
+  Requesters(World& aWorld,
+             std::vector<std::size_t> aIngresses,
+             std::chrono::milliseconds aPause = 20ms,
+             unsigned aSeed = 1)
+    : thread_([this, &aWorld, ingresses = std::move(aIngresses), aPause, aSeed] {
+      std::mt19937 random(aSeed);
+      auto next = Clock::now();
+      for (std::size_t i = 0; !stopped_; ++i) {
+        const std::string key = std::to_string(random() % 65536);
+        aWorld.Request(ingresses[i % ingresses.size()],
+                       "GET",
+                       "/look/" + key,
+                       {},
+                       { { "X-Key", kKey }, { "X-Shard-Key", key } },
+                       1000);
+        next += aPause;
+        std::this_thread::sleep_until(next);
+      }
+    })
+  {
+  }
+  ~Requesters()
+  {
+    stopped_ = true;
+    thread_.join();
+  }
+  Requesters(const Requesters&) = delete;
+  Requesters& operator=(const Requesters&) = delete;
+
+private:
+  std::atomic<bool> stopped_{ false };
+  std::thread thread_;
+};
+
+WorldSettings
+ThreeDesks(const std::string& aDirectory)
+{
+  return { { "desk", "desk", "desk" }, "desk", Manifest(true), aDirectory };
+}
+
+/// A backend server leaves with DELETE; the process beside it is killed and started again.
+int
+LeaveThenKill(const std::string& aDirectory, bool aTrouble)
+{
+  World world(ThreeDesks(aDirectory));
+  if (!world.AwaitStart()) {
+    return kCannotRun;
+  }
+  constexpr std::size_t kLeaving = 2;
+  Backend& leaving = world.Server(kLeaving);
+  double overlap = 0;
+  {
+    const Requesters requesters(world, { 0, 1 });
+    std::this_thread::sleep_for(4s);
+    OverlapWatch watch(world, { 0, 1, 2 });
+    leaving.BeatNow();
+    leaving.StopBeats();
+    if (!leaving.SendDelete()) {
+      return kCannotRun;
+    }
+    std::this_thread::sleep_for(200ms);
+    if (aTrouble) {
+      world.KillInstance(kLeaving);
+      std::this_thread::sleep_for(500ms);
+      world.StartInstance(kLeaving);
+    }
+    // The server goes on for drainTimeoutMs and some seconds.
+    std::this_thread::sleep_for(8s);
+    leaving.Exit();
+    std::this_thread::sleep_for(1s);
+    overlap = watch.Longest();
+  }
+  world.Log().Write("longest time with two holders of a key: " + std::to_string(overlap) + " s");
+  return overlap > 0.5 ? kBroken : kHeld;
+}
+
+/// A heartbeat of another writer, in which fields are missing, reaches the process beside a server.
+int
+ForeignHeartbeat(const std::string& aDirectory, bool aTrouble)
+{
+  World world(ThreeDesks(aDirectory));
+  if (!world.AwaitStart()) {
+    return kCannotRun;
+  }
+  constexpr std::size_t kHit = 2;
+  double overlap = 0;
+  {
+    const Requesters requesters(world, { 0, 1 });
+    std::this_thread::sleep_for(4s);
+    OverlapWatch watch(world, { 0, 1, 2 });
+    if (aTrouble) {
+      const Backend& server = world.Server(kHit);
+      const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+      // No zone, no version, no cold time and no lists of keys.
+      const Json beat{ { "service", "desk" }, { "address", server.Settings().address_.ToString() },
+                       { "slots", 9 },        { "state", "draining" },
+                       { "born", now },       { "seq", 1 } };
+      const auto reply = redwing::bench::Call(
+        world.Heartbeats(kHit), "PUT", "/-/instances/i-77", beat.dump(), {}, 1000);
+      world.Log().Write("a heartbeat without zone, version and lists of keys is answered " +
+                        std::to_string(reply.status_));
+    }
+    std::this_thread::sleep_for(8s);
+    overlap = watch.Longest();
+  }
+  world.Log().Write("longest time with two holders of a key: " + std::to_string(overlap) + " s");
+  return overlap > 0.5 ? kBroken : kHeld;
+}
+
+/// A server turns cold right after a heartbeat.
+int
+TurnsCold(const std::string& aDirectory, bool aTrouble)
+{
+  // coldPerS x coldOvershoot + coldSlack
+  constexpr double kMost = 14 * 1.5 + 5;
+  World world(ThreeDesks(aDirectory));
+  if (!world.AwaitStart()) {
+    return kCannotRun;
+  }
+  Backend& server = world.Server(1);
+  std::size_t most = 0;
+  double coldAt = 0;
+  {
+    std::vector<std::unique_ptr<Requesters>> requesters;
+    for (unsigned i = 0; i < 6; ++i) {
+      requesters.push_back(
+        std::make_unique<Requesters>(world, std::vector<std::size_t>{ 0, 1, 2 }, 33ms, i + 1));
+    }
+    // The server's start ends its first cold time.
+    std::this_thread::sleep_for(5s);
+    server.BeatNow();
+    coldAt = world.Log().Now();
+    if (aTrouble) {
+      server.TurnCold(3s);
+    }
+    std::this_thread::sleep_for(4s);
+  }
+  const auto seen = server.Seen();
+  for (const SeenRequest& first : seen) {
+    const double from = world.SentAt(first.id_);
+    if (!first.ran_ || from < coldAt || from + 1 > coldAt + 3) {
+      continue;
+    }
+    const auto count = std::count_if(seen.begin(), seen.end(), [&](const SeenRequest& aRequest) {
+      return aRequest.ran_ && aRequest.at_ <= from + 1 && world.SentAt(aRequest.id_) >= from;
+    });
+    most = std::max(most, static_cast<std::size_t>(count));
+  }
+  world.Log().Write("most requests sent and arrived in one second: " + std::to_string(most) +
+                    ", allowed while cold: " + std::to_string(kMost));
+  return aTrouble && static_cast<double>(most) > kMost ? kBroken : kHeld;
+}
+
+/// A zone is evacuated; the store's answer that tells one machine is lost.
+int
+LostEvacuation(const std::string& aDirectory, bool aTrouble)
+{
+  World world({ { "desk", "desk", "desk" },
+                "",
+                Manifest(false),
+                aDirectory,
+                { "a", "a", "b" },
+                std::size_t{ 2 } });
+  if (!world.AwaitStart()) {
+    return kCannotRun;
+  }
+  double evacuatedAt = 0;
+  {
+    const Requesters requesters(world, { 0, 1, 2 });
+    std::this_thread::sleep_for(5s);
+    world.Proxy().LoseAnswers(aTrouble);
+    world.Operate("op/evacuate/b", "{}");
+    evacuatedAt = world.Log().Now();
+    std::this_thread::sleep_for(1s);
+    world.Proxy().LoseAnswers(false);
+    std::this_thread::sleep_for(20s);
+  }
+  // evacuationMs + maxStretchMs
+  constexpr double kBound = 5 + 5;
+  std::size_t late = 0;
+  double last = 0;
+  for (const SeenRequest& seen : world.Server(2).Seen()) {
+    if (seen.at_ > evacuatedAt + kBound) {
+      ++late;
+      last = seen.at_ - evacuatedAt;
+    }
+  }
+  world.Log().Write("lost answers: " + std::to_string(world.Proxy().Lost()) +
+                    "; requests in the evacuated zone later than 10 s: " + std::to_string(late) +
+                    ", the last after " + std::to_string(last) + " s");
+  return late > 0 ? kBroken : kHeld;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  if (aCount != 3) {
+    std::cerr << "usage: cases NAME DIRECTORY\n";
+    return kCannotRun;
+  }
+  const std::string name = aArguments[1];
+  const std::string directory = aArguments[2];
+  const char* trouble = std::getenv("TROUBLE");
+  const bool troubled = trouble == nullptr || std::string(trouble) != "0";
+  try {
+    if (name == "leave-then-kill") {
+      return LeaveThenKill(directory, troubled);
+    }
+    if (name == "foreign-heartbeat") {
+      return ForeignHeartbeat(directory, troubled);
+    }
+    if (name == "turns-cold") {
+      return TurnsCold(directory, troubled);
+    }
+    if (name == "lost-evacuation") {
+      return LostEvacuation(directory, troubled);
+    }
+  } catch (const std::exception& error) {
+    std::cerr << "cases: " << error.what() << "\n";
+    return kCannotRun;
+  }
+  std::cerr << "cases: there is no case " << name << "\n";
+  return kCannotRun;
+}
