--- a/review/2/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../play" foreign-heartbeat "$(dirname "$0")"
--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -194,57 +194,18 @@
   const auto seen = server.Seen();
   for (const SeenRequest& first : seen) {
     const double from = world.SentAt(first.id_);
-    if (!first.ran_ || from < coldAt || from + 1 > coldAt + 3) {
+    if (!first.ran_ || !first.cold_ || from < coldAt) {
       continue;
     }
     const auto count = std::count_if(seen.begin(), seen.end(), [&](const SeenRequest& aRequest) {
-      return aRequest.ran_ && aRequest.at_ <= from + 1 && world.SentAt(aRequest.id_) >= from;
+      return aRequest.ran_ && aRequest.cold_ && aRequest.at_ <= from + 1 &&
+             world.SentAt(aRequest.id_) >= from;
     });
     most = std::max(most, static_cast<std::size_t>(count));
   }
   world.Log().Write("most requests sent and arrived in one second: " + std::to_string(most) +
                     ", allowed while cold: " + std::to_string(kMost));
-  return aTrouble && static_cast<double>(most) > kMost ? kBroken : kHeld;
-}
-
-/// A zone is evacuated; the store's answer that tells one machine is lost.
-int
-LostEvacuation(const std::string& aDirectory, bool aTrouble)
-{
-  World world({ { "desk", "desk", "desk" },
-                "",
-                Manifest(false),
-                aDirectory,
-                { "a", "a", "b" },
-                std::size_t{ 2 } });
-  if (!world.AwaitStart()) {
-    return kCannotRun;
-  }
-  double evacuatedAt = 0;
-  {
-    const Requesters requesters(world, { 0, 1, 2 });
-    std::this_thread::sleep_for(5s);
-    world.Proxy().LoseAnswers(aTrouble);
-    world.Operate("op/evacuate/b", "{}");
-    evacuatedAt = world.Log().Now();
-    std::this_thread::sleep_for(1s);
-    world.Proxy().LoseAnswers(false);
-    std::this_thread::sleep_for(20s);
-  }
-  // evacuationMs + maxStretchMs
-  constexpr double kBound = 5 + 5;
-  std::size_t late = 0;
-  double last = 0;
-  for (const SeenRequest& seen : world.Server(2).Seen()) {
-    if (seen.at_ > evacuatedAt + kBound) {
-      ++late;
-      last = seen.at_ - evacuatedAt;
-    }
-  }
-  world.Log().Write("lost answers: " + std::to_string(world.Proxy().Lost()) +
-                    "; requests in the evacuated zone later than 10 s: " + std::to_string(late) +
-                    ", the last after " + std::to_string(last) + " s");
-  return late > 0 ? kBroken : kHeld;
+  return static_cast<double>(most) > kMost ? kBroken : kHeld;
 }
 
 } // namespace
@@ -270,9 +231,6 @@
     if (name == "turns-cold") {
       return TurnsCold(directory, troubled);
     }
-    if (name == "lost-evacuation") {
-      return LostEvacuation(directory, troubled);
-    }
   } catch (const std::exception& error) {
     std::cerr << "cases: " << error.what() << "\n";
     return kCannotRun;
--- a/review/standins/World.cpp
+++ b/review/standins/World.cpp
@@ -1,12 +1,9 @@
 #include "World.hpp"
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/write.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
-#include <future>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -293,9 +290,10 @@
       runs = false;
     }
   }
+  const bool cold = ColdRemainingMs() > 0;
   {
     std::lock_guard lock(mutex_);
-    seen_.push_back({ id, record_.Now(), runs });
+    seen_.push_back({ id, record_.Now(), runs, cold });
   }
   if (!runs) {
     aExchange->Respond(std::move(refusal));
@@ -325,81 +323,6 @@
   aExchange->Respond(std::move(answer));
 }
 
-struct StoreProxy::Pipe : std::enable_shared_from_this<StoreProxy::Pipe>
-{
-  Pipe(StoreProxy& aProxy, boost::asio::ip::tcp::socket aClient)
-    : proxy_(aProxy)
-    , client_(std::move(aClient))
-    , store_(aProxy.io_)
-  {
-  }
-
-  void Start()
-  {
-    const boost::asio::ip::tcp::endpoint to(boost::asio::ip::make_address(proxy_.to_.ip_),
-                                            proxy_.to_.port_);
-    store_.async_connect(to, [self = shared_from_this()](const boost::system::error_code& aError) {
-      if (!aError) {
-        self->Pass(self->client_, self->store_, self->up_, false);
-        self->Pass(self->store_, self->client_, self->down_, true);
-      }
-    });
-  }
-
-  void Pass(boost::asio::ip::tcp::socket& aFrom,
-            boost::asio::ip::tcp::socket& aTo,
-            std::array<char, 16384>& aBuffer,
-            bool aAnswers)
-  {
-    aFrom.async_read_some(boost::asio::buffer(aBuffer),
-                          [self = shared_from_this(), &aFrom, &aTo, &aBuffer, aAnswers](
-                            const boost::system::error_code& aError, std::size_t aBytes) {
-                            boost::system::error_code ignored;
-                            if (aError) {
-                              self->client_.close(ignored);
-                              self->store_.close(ignored);
-                              return;
-                            }
-                            if (aAnswers && self->proxy_.lose_ && !self->silent_) {
-                              self->silent_ = true;
-                              ++self->proxy_.lost_;
-                            }
-                            if (!(aAnswers && self->silent_)) {
-                              boost::asio::write(
-                                aTo, boost::asio::buffer(aBuffer.data(), aBytes), ignored);
-                            }
-                            self->Pass(aFrom, aTo, aBuffer, aAnswers);
-                          });
-  }
-
-  StoreProxy& proxy_;
-  boost::asio::ip::tcp::socket client_;
-  boost::asio::ip::tcp::socket store_;
-  std::array<char, 16384> up_{};
-  std::array<char, 16384> down_{};
-  bool silent_ = false;
-};
-
-StoreProxy::StoreProxy(boost::asio::io_context& aIo, const Address& aFrom, Address aTo)
-  : io_(aIo)
-  , to_(std::move(aTo))
-  , acceptor_(aIo, { boost::asio::ip::make_address(aFrom.ip_), aFrom.port_ })
-{
-  Accept();
-}
-
-void
-StoreProxy::Accept()
-{
-  acceptor_.async_accept(
-    [this](const boost::system::error_code& aError, boost::asio::ip::tcp::socket aSocket) {
-      if (!aError) {
-        std::make_shared<Pipe>(*this, std::move(aSocket))->Start();
-        Accept();
-      }
-    });
-}
-
 World::World(WorldSettings aSettings)
   : settings_(std::move(aSettings))
   , record_(settings_.directory_ + "/record.txt")
@@ -411,16 +334,12 @@
   store_ =
     std::make_unique<redwing::standins::PlatformStore>(io_, Address{ network_ + "1", port_ });
   store_->Put("op/config", settings_.manifest_.dump());
-  if (settings_.proxied_) {
-    proxy_ = std::make_unique<StoreProxy>(
-      io_, At(*settings_.proxied_, 7), Address{ network_ + "1", port_ });
-  }
   processes_.assign(settings_.services_.size(), -1);
   for (std::size_t i = 0; i < settings_.services_.size(); ++i) {
     BackendSettings backend;
     backend.id_ = "i-" + std::to_string(i + 1);
     backend.service_ = settings_.services_[i];
-    backend.zone_ = ZoneOf(i);
+    backend.zone_ = "a";
     backend.keyed_ = backend.service_ == settings_.keyedService_;
     backend.address_ = At(i, 6);
     backend.heartbeats_ = Heartbeats(i);
@@ -470,9 +389,9 @@
     { "machineClass", "sidecar" },
     { "serves", { "sidecar" } },
     { "ipAddress", Ip(aIndex) },
-    { "zone", ZoneOf(aIndex) },
+    { "zone", "a" },
     { "region", "north" },
-    { "zones", { { "a", "north" }, { "b", "north" } } },
+    { "zones", { { "a", "north" } } },
     { "listenAddresses",
       { { "outbound", at(0) },
         { "ready", at(1) },
@@ -503,9 +422,7 @@
     { "applicationAddress", at(6) },
     { "service", settings_.services_[aIndex] },
     { "platformConfig",
-      { { "address",
-          (settings_.proxied_ == aIndex ? At(aIndex, 7) : Address{ network_ + "1", port_ })
-            .ToString() },
+      { { "address", Address{ network_ + "1", port_ }.ToString() },
         { "form", "kv" },
         { "writesPerS", 400 },
         { "readsPerS", 2000 },
@@ -515,24 +432,6 @@
   };
 }
 
-std::string
-World::ZoneOf(std::size_t aIndex) const
-{
-  return settings_.zones_.empty() ? "a" : settings_.zones_[aIndex];
-}
-
-void
-World::Operate(const std::string& aKey, const std::string& aValue)
-{
-  std::promise<void> done;
-  boost::asio::post(io_, [&] {
-    store_->Put(aKey, aValue);
-    done.set_value();
-  });
-  done.get_future().wait();
-  record_.Write("the operator writes " + aKey);
-}
-
 void
 World::StartInstance(std::size_t aIndex)
 {
--- a/review/standins/World.hpp
+++ b/review/standins/World.hpp
@@ -7,7 +7,6 @@
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
@@ -18,7 +17,6 @@
 #include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <string>
 #include <sys/types.h>
 #include <thread>
@@ -60,6 +58,8 @@
   std::string id_;
   double at_ = 0;
   bool ran_ = false;
+  /// Whether the server was cold then.
+  bool cold_ = false;
 };
 
 struct BackendSettings
@@ -142,28 +142,6 @@
   std::thread thread_;
 };
 
-/// Passes connections on to the store of the platform. Used on the thread of the servers.
-class StoreProxy
-{
-public:
-  StoreProxy(boost::asio::io_context& aIo, const Address& aFrom, Address aTo);
-
-  /// Loses the answers that come from now on; a connection on which one is lost returns nothing
-  /// further.
-  void LoseAnswers(bool aLose) { lose_ = aLose; }
-  int Lost() const { return lost_; }
-
-private:
-  struct Pipe;
-  void Accept();
-
-  boost::asio::io_context& io_;
-  Address to_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::atomic<bool> lose_{ false };
-  std::atomic<int> lost_{ 0 };
-};
-
 struct WorldSettings
 {
   /// Service of the backend server beside each instance.
@@ -171,10 +149,6 @@
   std::string keyedService_;
   Json manifest_;
   std::string directory_;
-  /// Zone of each instance; all in zone a if empty.
-  std::vector<std::string> zones_{};
-  /// Instance that reaches the store through the proxy.
-  std::optional<std::size_t> proxied_{};
 };
 
 /// All processes and stand-ins of one run.
@@ -189,9 +163,6 @@
   std::size_t Size() const { return backends_.size(); }
   Backend& Server(std::size_t aIndex) { return *backends_[aIndex]; }
   Record& Log() { return record_; }
-  StoreProxy& Proxy() { return *proxy_; }
-  /// Writes a key of the store as the operator does.
-  void Operate(const std::string& aKey, const std::string& aValue);
 
   /// Starts the process of an instance with the command of the deploy file.
   void StartInstance(std::size_t aIndex);
@@ -216,7 +187,6 @@
 private:
   Address At(std::size_t aIndex, int aOffset) const;
   std::string Ip(std::size_t aIndex) const;
-  std::string ZoneOf(std::size_t aIndex) const;
   Json InstanceSettings(std::size_t aIndex) const;
 
   WorldSettings settings_;
@@ -225,7 +195,6 @@
   std::uint16_t port_ = 0;
   boost::asio::io_context io_;
   std::unique_ptr<redwing::standins::PlatformStore> store_;
-  std::unique_ptr<StoreProxy> proxy_;
   std::vector<std::unique_ptr<Backend>> backends_;
   std::vector<pid_t> processes_;
   std::atomic<std::uint64_t> ids_{ 0 };
