Show a request that crashes its servers again and again

A request that crashes its servers, sent eight times at once to four instances, crashes nearly all servers of the service, and does so twice more: three crashes within a second count as one, and each instance runs a trial of its own.

--- a/review/standins/Cases.cpp
+++ b/review/standins/Cases.cpp
@@ -3,6 +3,7 @@
 
 #include "World.hpp"
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <random>
@@ -214,6 +215,54 @@
   return foreign > 0 ? kBroken : kHeld;
 }
 
+/// A request that crashes the servers that run it comes again, eight times at four machines.
+int
+CrashingRequest(const std::string& aDirectory, bool aTrouble)
+{
+  World world({ std::vector<std::string>(4, "desk"), "", Manifest(false), aDirectory });
+  if (!world.AwaitStart()) {
+    return kCannotRun;
+  }
+  std::mutex mutex;
+  std::vector<double> crashes;
+  for (std::size_t i = 0; i < world.Size(); ++i) {
+    Backend& server = world.Server(i);
+    server.SetReaction([&, aTrouble](const redwing::standins::HttpExchangePtr& aExchange) {
+      if (!aTrouble || aExchange->Request().path_ != "/look/crashes") {
+        return false;
+      }
+      std::lock_guard lock(mutex);
+      crashes.push_back(world.Log().Now());
+      server.Crash(2500ms);
+      return true;
+    });
+  }
+  std::this_thread::sleep_for(4s);
+  for (int round = 0; round < 6; ++round) {
+    std::vector<std::thread> copies;
+    const auto start = Clock::now() + 20ms;
+    // Two requesters that repeat three more times, at once.
+    for (std::size_t i = 0; i < 8; ++i) {
+      copies.emplace_back([&world, i, start] {
+        std::this_thread::sleep_until(start);
+        world.Request(i % world.Size(), "GET", "/look/crashes", {}, { { "X-Key", kKey } }, 1000);
+      });
+    }
+    for (std::thread& copy : copies) {
+      copy.join();
+    }
+    std::this_thread::sleep_for(6s);
+  }
+  // contactTimeoutMs after the third crash
+  std::lock_guard lock(mutex);
+  const double from = crashes.size() < 3 ? 1e9 : crashes[2] + 3;
+  const auto late =
+    std::count_if(crashes.begin(), crashes.end(), [from](double aTime) { return aTime > from; });
+  world.Log().Write("crashes: " + std::to_string(crashes.size()) +
+                    "; later than 3 s after the third: " + std::to_string(late));
+  return late > 3 ? kBroken : kHeld;
+}
+
 } // namespace
 
 int
@@ -234,6 +283,9 @@
     if (name == "foreign-heartbeat") {
       return ForeignHeartbeat(directory, troubled);
     }
+    if (name == "crashing-request") {
+      return CrashingRequest(directory, troubled);
+    }
     if (name == "repeated-action") {
       return RepeatedAction(directory, troubled);
     }
--- a/review/standins/World.cpp
+++ b/review/standins/World.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t kKeys = 65536;
 /// Time after which an unanswered heartbeat counts as failed.
 constexpr int kBeatTimeoutMs = 1000;
+/// coldStartS of the manifest.
+constexpr std::uint64_t kColdStartMs = 3000;
 /// Pause before the heartbeat that tells of released rows.
 constexpr std::chrono::milliseconds kReleasePause{ 50 };
 
@@ -60,15 +62,43 @@
   , settings_(std::move(aSettings))
   , record_(aRecord)
   , born_(UnixMs())
-  , server_(std::make_unique<redwing::standins::HttpServer>(
-      aIo,
-      settings_.address_,
-      [this](const HttpExchangePtr& aExchange) { Handle(aExchange); }))
 {
-  server_->Listen();
+  Listen();
   thread_ = std::thread([this] { Beats(); });
 }
 
+void
+Backend::Listen()
+{
+  server_ = std::make_unique<redwing::standins::HttpServer>(
+    io_, settings_.address_, [this](const HttpExchangePtr& aExchange) { Handle(aExchange); });
+  server_->Listen();
+}
+
+void
+Backend::Crash(std::chrono::milliseconds aDownTime)
+{
+  if (!up_.exchange(false)) {
+    return;
+  }
+  record_.Write(settings_.id_ + " crashes");
+  // The server is on the stack.
+  boost::asio::post(io_, [this] { server_->Close(); });
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, aDownTime);
+  timer->async_wait([this, timer](const boost::system::error_code&) {
+    Listen();
+    {
+      std::lock_guard lock(mutex_);
+      rows_.clear();
+      freed_.clear();
+    }
+    born_ = UnixMs();
+    sequence_ = 0;
+    up_ = true;
+    record_.Write(settings_.id_ + " is back");
+  });
+}
+
 Backend::~Backend()
 {
   ended_ = true;
@@ -105,6 +135,13 @@
   nextBeat_ = Clock::now() + (released ? kReleasePause : settings_.interval_);
 }
 
+std::uint64_t
+Backend::ColdRemainingMs() const
+{
+  const std::uint64_t age = UnixMs() - born_;
+  return age < kColdStartMs ? kColdStartMs - age : 0;
+}
+
 bool
 Backend::Beat()
 {
@@ -114,8 +151,8 @@
              { "version", "v1" },
              { "slots", settings_.slots_ },
              { "state", "ready" },
-             { "coldRemainingMs", 0 },
-             { "born", born_ },
+             { "coldRemainingMs", ColdRemainingMs() },
+             { "born", born_.load() },
              { "seq", ++sequence_ } };
   std::vector<std::pair<HeldRow, std::string>> freed;
   if (settings_.keyed_) {
--- a/review/standins/World.hpp
+++ b/review/standins/World.hpp
@@ -95,10 +95,10 @@
   bool SendDelete();
   /// Ends, as the process of a server does.
   void Exit();
+  /// Ends and starts again after aDownTime. Called on the thread of the servers.
+  void Crash(std::chrono::milliseconds aDownTime);
 
   const BackendSettings& Settings() const { return settings_; }
-  std::uint64_t Born() const { return born_; }
-  std::uint64_t LastSequence() const { return sequence_; }
   /// Returns the rows that are held now.
   std::vector<HeldRow> Holds() const;
   std::vector<SeenRequest> Seen() const;
@@ -106,6 +106,8 @@
 
 private:
   void Beats();
+  void Listen();
+  std::uint64_t ColdRemainingMs() const;
   /// Returns whether rows were released, so that the next heartbeat has to follow soon.
   bool Beat();
   bool TakeReply(const std::string& aBody, Clock::time_point aSentAt);
@@ -116,7 +118,7 @@
   boost::asio::io_context& io_;
   BackendSettings settings_;
   Record& record_;
-  std::uint64_t born_;
+  std::atomic<std::uint64_t> born_;
   std::atomic<std::uint64_t> sequence_{ 0 };
   std::atomic<int> workMs_{ 20 };
   std::atomic<bool> beats_{ true };
