Keep what a server may hold while a restarted process has not heard it

The process beside it was killed and started again; 2.5 s later it registered with a record that names no run of the server, and the leader gave the keys away while the server held them for another 1.4 to 1.8 s.

Cause: UpdateSelf took "this process knows of no run" for "no run holds anything". The same cause acted where a heartbeat comes before the entries are read, and where the first heartbeat is a delayed one of an earlier run.

Now the record goes on naming the run that the stored one names until the server is heard or the lease of the earlier process must have ended. An earlier process never grants beyond its lease, so nothing is held after that. earlier_grants_assumed says when this happens.

--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -136,8 +136,11 @@
 void
 FleetService::UpdateSelf()
 {
+  // The entries tell what the server may hold by grants of an earlier process of this instance.
   // Registering before the server's first heartbeat would soon require a second write.
-  if (serverIncarnation_.empty() && clock_.Now() - startedAt_ < kFirstHeartbeatWait) {
+  const TimePoint now = clock_.Now();
+  if (!session_.Loaded() ||
+      (serverIncarnation_.empty() && now - startedAt_ < kFirstHeartbeatWait)) {
     return;
   }
   MemberRecord record;
@@ -151,15 +154,36 @@
   } else if (backendState_ != BackendState::Down) {
     record.member_.state_ = BackendState::Ready;
   }
-  const bool silent = backendState_ == BackendState::Down && clock_.Now() >= holds_.HoldsUntil();
-  const bool holdsNothing = serverCrashed_ || silent;
-  record.serverIncarnation_ = holdsNothing ? std::string() : serverIncarnation_;
-  if (holdsNothing) {
+  record.serverIncarnation_ = IncarnationWithHolds(now);
+  if (record.serverIncarnation_ != serverIncarnation_) {
     WithdrawGrants();
   }
   session_.SetSelf(record);
 }
 
+std::string
+FleetService::IncarnationWithHolds(TimePoint aNow)
+{
+  // An earlier process granted nothing beyond its lease, which was renewed before this one started.
+  const bool earlierGrantsRun = aNow < startedAt_ + settings_.session_.leaseTime_;
+  const auto stored = members_.find(session_.MemberKey(settings_.self_.ref_.id_));
+  if (earlierGrantsRun && stored != members_.end()) {
+    const std::string& earlier = stored->second.record_.serverIncarnation_;
+    const bool unheard = serverIncarnation_.empty() && !earlier.empty();
+    if (unheard || IsLaterIncarnation(earlier, serverIncarnation_)) {
+      if (std::exchange(assumedIncarnation_, earlier) != earlier) {
+        LogLine(LogLevel::Warning, "earlier_grants_assumed")
+          .With("life", earlier)
+          .With("heard_life", serverIncarnation_);
+      }
+      return earlier;
+    }
+  }
+  const bool silent =
+    backendState_ == BackendState::Down && !earlierGrantsRun && aNow >= holds_.HoldsUntil();
+  return serverCrashed_ || silent ? std::string() : serverIncarnation_;
+}
+
 void
 FleetService::WithdrawGrants()
 {
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -110,6 +110,7 @@
   UpdateEpoch();
   ReadMembers();
   ReadTables();
+  UpdateSelf();
   confirmedInEpoch_ = session_.Confirmed() && TablesAreCurrent();
   LogStart();
   UpdateLease();
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -197,6 +197,8 @@
 
   // Local server and member record of this instance (FleetLocal.cpp).
   void UpdateSelf();
+  /// Returns the incarnation of the local server that may hold shards; empty if none does.
+  std::string IncarnationWithHolds(TimePoint aNow);
   void Announce(const ServerHeartbeat& aHeartbeat);
   void AnswerDelayedHeartbeat();
   void UpdateLease();
@@ -338,6 +340,8 @@
   /// Incarnation of the local server that sent the last heartbeat.
   std::string serverIncarnation_;
   std::string serverId_;
+  /// Incarnation that may hold shards by grants of an earlier process, as logged last.
+  std::string assumedIncarnation_;
   std::uint64_t serverStartedAt_ = 0;
   std::uint64_t lastSequence_ = 0;
   std::uint32_t slots_ = 0;
--- a/tests/unit/fleet/FleetFixture.hpp
+++ b/tests/unit/fleet/FleetFixture.hpp
@@ -7,7 +7,10 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <set>
+#include <utility>
+#include <vector>
 
 namespace redwing::test {
 
@@ -31,14 +34,16 @@
                  store_,
                  view_,
                  counters_,
-                 Settings(aId, aProcessors),
+                 Settings(aId, aProcessors, aFleet.leaseTime_),
                  Hooks())
     {
       service_.Start();
       service_.OnConfiguration(Configured());
     }
 
-    static FleetSettings Settings(const std::string& aId, double aProcessors = 0)
+    static FleetSettings Settings(const std::string& aId,
+                                  double aProcessors = 0,
+                                  std::chrono::seconds aLeaseTime = 2s)
     {
       FleetSettings settings;
       settings.processors_ = aProcessors;
@@ -46,7 +51,7 @@
       settings.self_.peersAddress_ = { "127.0.0.1", 1 };
       settings.self_.dataCentre_ = "here";
       settings.self_.service_ = "desk";
-      settings.session_.leaseTime_ = 2s;
+      settings.session_.leaseTime_ = aLeaseTime;
       settings.session_.renewInterval_ = 400ms;
       settings.leader_.leaseTime_ = 1s;
       settings.leader_.renewInterval_ = 300ms;
@@ -169,6 +174,20 @@
     FleetService service_;
   };
 
+  /// Ends the process of an instance without notice and starts another one, which its server does
+  /// not know of yet.
+  Node& Restart(const std::string& aId)
+  {
+    Node& earlier = *ended_.emplace_back(std::move(nodes_.at(aId)));
+    nodes_.erase(aId);
+    earlier.store_.Cut(true);
+    earlier.answered_ = false;
+    Node& node = Add(aId);
+    node.startedAt_ = earlier.startedAt_;
+    node.sequence_ = earlier.sequence_;
+    return node;
+  }
+
   Node& Add(const std::string& aId, double aProcessors = 0)
   {
     return *nodes_.emplace(aId, std::make_unique<Node>(*this, aId, aProcessors)).first->second;
@@ -243,7 +262,10 @@
   boost::asio::io_context context_;
   SteadyClock clock_;
   MemoryStore store_{ context_, clock_ };
+  std::chrono::seconds leaseTime_{ 2 };
   std::map<std::string, std::unique_ptr<Node>> nodes_;
+  /// Earlier processes. They reach nobody.
+  std::vector<std::unique_ptr<Node>> ended_;
 };
 
 } // namespace redwing::test
