Assume grants of an earlier process beyond a delayed heartbeat

A process that starts assumes that the server holds every shard until the longest hold has passed. If its first heartbeat was a delayed one of an earlier run, the next run cleared that assumption, and shards with a successor were released while the server held them.

Cause: a change of the run was taken as the end of all holds, also when this process had granted nothing to the run before.

GrantsOfAnEarlierProcessOutlastADelayedHeartbeat failed before (two of its checks) and passes now.

--- a/src/fleet/ShardHolds.cpp
+++ b/src/fleet/ShardHolds.cpp
@@ -35,6 +35,7 @@
     service_ = aService;
     // An earlier process of this instance may have granted any of the shards.
     holdsUntil_ = clock_.Now() + Scaled(settings_.longestHold_, 1 + settings_.clockDrift_);
+    earlierHoldsUntil_ = holdsUntil_;
     for (Shard& shard : shards_) {
       shard.held_ = true;
     }
@@ -61,11 +62,15 @@
   if (first) {
     return;
   }
+  // The first heartbeat may be a delayed one. The run that comes after it may then be the one to
+  // which an earlier process has granted shards.
+  const bool granted = grantEnd_ != TimePoint{};
   for (Shard& shard : shards_) {
     shard = {};
+    shard.held_ = !granted;
   }
   grantEnd_ = {};
-  holdsUntil_ = {};
+  holdsUntil_ = granted ? TimePoint{} : earlierHoldsUntil_;
 }
 
 bool
--- a/src/fleet/ShardHolds.hpp
+++ b/src/fleet/ShardHolds.hpp
@@ -60,7 +60,7 @@
   void SetLeaseDeadline(TimePoint aDeadline);
 
   /// Sets the incarnation of the local server that may be granted shards. A new incarnation does
-  /// not hold the shards of the previous one.
+  /// not hold what this process has granted to the previous one.
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
   void SetServerIncarnation(const std::string& aServerIncarnation);
@@ -141,6 +141,8 @@
   /// Earliest and latest end of the last grant by the server's clock.
   TimePoint grantEnd_{};
   TimePoint holdsUntil_{};
+  /// Latest end of grants of an earlier process of this instance.
+  TimePoint earlierHoldsUntil_{};
   std::vector<Shard> shards_;
 };
 
--- a/tests/unit/fleet/ShardHoldsTest.cpp
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -229,4 +229,29 @@
   BOOST_TEST(Beat().grants_->size() == 1U);
 }
 
+// Guards against two holders of a key: the first heartbeat after a restart of the process is a
+// delayed one of an earlier run, and the run after it holds what the earlier process has granted.
+BOOST_AUTO_TEST_CASE(GrantsOfAnEarlierProcessOutlastADelayedHeartbeat)
+{
+  holds_.SetServerIncarnation("s2");
+  table_.Assign(0, 15, { "a", "s2" });
+  table_.SetSuccessor(0, 15, "b");
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(holds_.TakeReleased().empty());
+  (void)Beat({ { 0, 65535, 1 } });
+  (void)Beat({ { 0, 65535, 1 } });
+  BOOST_TEST(holds_.TakeReleased().empty());
+  (void)Beat();
+  BOOST_TEST(holds_.TakeReleased().size() == 1U);
+  // A run that this process has granted shards to has ended when another one begins.
+  table_.Assign(0, 15, { "a", "s2" });
+  holds_.SetTable("desk", table_);
+  (void)Beat();
+  holds_.SetServerIncarnation("s3");
+  table_.Assign(0, 15, { "a", "s3" });
+  table_.SetSuccessor(0, 15, "b");
+  holds_.SetTable("desk", table_);
+  BOOST_TEST(holds_.TakeReleased().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
