--- a/src/store/HttpCall.cpp
+++ b/src/store/HttpCall.cpp
@@ -95,6 +95,12 @@
   state_->stream_.close();
 }
 
+bool
+HttpCall::Receives() const
+{
+  return state_->headAt_ != TimePoint{};
+}
+
 void
 HttpCall::Connect()
 {
--- a/src/store/HttpCall.hpp
+++ b/src/store/HttpCall.hpp
@@ -23,6 +23,9 @@
   /// Closes the connection; the callback does not run.
   void Cancel();
 
+  /// Returns whether the head of the reply was received.
+  bool Receives() const;
+
 private:
   struct State;
 
--- a/src/store/HttpClient.cpp
+++ b/src/store/HttpClient.cpp
@@ -27,24 +27,25 @@
   boost::asio::post(
     context_,
     [self = shared_from_this(), request = std::move(aRequest), done = std::move(aDone)]() mutable {
-      self->Start(std::move(request), std::move(done));
+      self->Begin(std::move(request), std::move(done));
     });
 }
 
-void
-HttpClient::Start(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone)
+std::shared_ptr<HttpCall>
+HttpClient::Begin(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone)
 {
   if (closed_) {
-    return;
+    return nullptr;
   }
   if (!budget_.TryAcquire()) {
     aDone(tl::unexpected(BudgetError()));
-    return;
+    return nullptr;
   }
   auto call = std::make_shared<HttpCall>(shared_from_this(), std::move(aRequest), std::move(aDone));
   std::erase_if(calls_, [](const auto& aItem) { return aItem.expired(); });
   calls_.push_back(call);
   call->Start();
+  return call;
 }
 
 void
--- a/src/store/HttpClient.hpp
+++ b/src/store/HttpClient.hpp
@@ -80,6 +80,10 @@
 
   // The methods below run on the store thread.
 
+  /// Like Post, but sends at once. Returns the call, which can be canceled, or nothing if it could
+  /// not be sent.
+  std::shared_ptr<HttpCall> Begin(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone);
+
   TimePoint Now() const { return clock_.Now(); }
 
   /// Drops all connections and callbacks.
@@ -102,8 +106,6 @@
   void ReportCall(bool aAnswered);
 
 private:
-  void Start(HttpStoreRequest aRequest, StoreCallback<HttpStoreReply> aDone);
-
   boost::asio::io_context& context_;
   const Clock& clock_;
   HttpClientSettings settings_;
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -108,9 +108,25 @@
   AnswerWatches();
 }
 
+void
+PlatformStore::SetTrouble(StoreTrouble aTrouble)
+{
+  trouble_ = aTrouble;
+  if (trouble_ == StoreTrouble::Silent) {
+    for (const Watch& watch : watches_) {
+      unanswered_.push_back(watch.exchange_);
+    }
+    watches_.clear();
+  }
+}
+
 void
 PlatformStore::Handle(const HttpExchangePtr& aExchange)
 {
+  if (trouble_ == StoreTrouble::Silent) {
+    unanswered_.push_back(aExchange);
+    return;
+  }
   if (trouble_ == StoreTrouble::Reset) {
     aExchange->Close();
     return;
--- a/standins/platform/PlatformStore.hpp
+++ b/standins/platform/PlatformStore.hpp
@@ -22,6 +22,8 @@
   Reset,
   /// Does what is asked and closes the connection without an answer.
   LosesAnswers,
+  /// Takes calls and never answers them, nor those that wait; nothing is done.
+  Silent,
 };
 
 /// Serves the key-value calls of the users' platform. Not thread-safe.
@@ -33,7 +35,7 @@
   /// Sets what happens to calls from now on.
   ///
   /// Preconditions: none. Thread safety: the context's thread only.
-  void SetTrouble(StoreTrouble aTrouble) { trouble_ = aTrouble; }
+  void SetTrouble(StoreTrouble aTrouble);
 
   /// Writes a key as the operator does.
   ///
@@ -94,6 +96,8 @@
   HttpServer server_;
   boost::asio::steady_timer timer_;
   std::list<Watch> watches_;
+  /// Calls that are never answered.
+  std::list<HttpExchangePtr> unanswered_;
   StoreTrouble trouble_ = StoreTrouble::None;
   std::int64_t compacted_ = 0;
 };
--- a/tests/unit/platform/KvStoreTest.cpp
+++ b/tests/unit/platform/KvStoreTest.cpp
@@ -5,6 +5,7 @@
 #include "platform/PlatformStore.hpp"
 #include "support/ScriptedHttpServer.hpp"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -196,6 +197,46 @@
   BOOST_TEST(read->entries_.size() == 1U);
 }
 
+// Guards against changes that are not seen for as long as a watch may wait: the store was silent for
+// a time, and never answers what was sent to it before it answers again.
+BOOST_AUTO_TEST_CASE(WatchesAreAskedAgainAfterASilentStore)
+{
+  KvStoreSettings settings = Settings();
+  settings.client_.timeout_ = std::chrono::milliseconds(200);
+  KvStore store(context_, clock_, 1, settings);
+  std::vector<std::string> seen;
+  const auto watch = [&](const std::string& aPrefix, std::uint64_t aFrom) {
+    store.Watch(aPrefix, aFrom, [&](StoreResult<std::vector<StoreWatchEvent>> aEvents) {
+      for (const StoreWatchEvent& event : aEvents.value_or(std::vector<StoreWatchEvent>())) {
+        seen.push_back(event.key_);
+      }
+    });
+  };
+  const auto read = [&] {
+    return Await<StoreRange>([&](auto aDone) { store.Range("t/", false, std::move(aDone)); });
+  };
+  // One watch waits when the store turns silent, the other one begins then.
+  const std::uint64_t from = read().value().revision_ + 1;
+  watch("a/", from);
+  BOOST_REQUIRE(read().has_value());
+  standin_.SetTrouble(StoreTrouble::Silent);
+  watch("b/", from);
+  BOOST_REQUIRE(!read().has_value());
+  standin_.SetTrouble(StoreTrouble::None);
+  standin_.Put("a/1", "v");
+  standin_.Put("b/1", "v");
+  BOOST_REQUIRE(read().has_value());
+  const TimePoint end = clock_.Now() + std::chrono::seconds(1);
+  RunUntil([&] { return seen.size() >= 2 || clock_.Now() >= end; });
+  BOOST_TEST(seen.size() == 2U);
+  // Nothing is seen twice, and the watches go on.
+  standin_.Put("a/2", "v");
+  standin_.Put("b/2", "v");
+  RunUntil([&] { return seen.size() >= 4; });
+  std::sort(seen.begin(), seen.end());
+  BOOST_TEST((seen == std::vector<std::string>{ "a/1", "a/2", "b/1", "b/2" }));
+}
+
 // Guards against changes that a watch misses or reports twice.
 BOOST_AUTO_TEST_CASE(WatchesChangesInOrder)
 {
