Notice the loss of a watch without a failed call

The leader, and an instance without replies from a leader for 3 s, now notices the loss of its watches within 1.5 s (Store::SetWatchInterval). Reports and replies carry the revision of the newest change of the operator's entries in place of the version, so that withdrawals count, and an instance whose watch does not deliver it in 400 ms reads the entries. The cost does not grow with the fleet: up to 2 calls a second. A short wait for everybody was ruled out, as it costs that for each instance.

ReadsWithdrawalsThatOthersReport fails if only the version is compared. The other tests guard new functions.

--- a/src/config/Configuration.hpp
+++ b/src/config/Configuration.hpp
@@ -199,6 +199,8 @@
   std::uint64_t revision_ = 0;
   std::string operationId_;
   Configuration configuration_;
+  /// Revision of the newest change in the store that this includes, data centres too; 0 if unknown.
+  std::uint64_t change_ = 0;
 };
 
 } // namespace redwing
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -89,7 +89,7 @@
                          const Clock& aClock,
                          Store& aStore,
                          FleetDaemonSettings aSettings,
-                         std::function<void()> aRefreshConfiguration)
+                         ConfigurationHooks aConfiguration)
   : context_(aContext)
   , clock_(aClock)
   , settings_(std::move(aSettings))
@@ -100,7 +100,7 @@
   , stopTimer_(aContext)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  BuildFleet(aStore, std::move(aRefreshConfiguration));
+  BuildFleet(aStore, std::move(aConfiguration));
   BuildPeer();
   BuildBackend();
   BuildIntake();
@@ -110,7 +110,7 @@
 FleetDaemon::~FleetDaemon() = default;
 
 void
-FleetDaemon::BuildFleet(Store& aStore, std::function<void()> aRefreshConfiguration)
+FleetDaemon::BuildFleet(Store& aStore, ConfigurationHooks aConfiguration)
 {
   FleetHooks hooks;
   hooks.call_ = [this](const std::string& aId,
@@ -135,7 +135,7 @@
     const double stated = status.statedRate_;
     return stated > 0 && (rate <= 0 || stated < rate) ? stated : rate;
   };
-  hooks.refreshConfiguration_ = std::move(aRefreshConfiguration);
+  hooks.configuration_ = std::move(aConfiguration);
   hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
   hooks.mergeQuarantine_ = [this](std::vector<QuarantineEntry> aEntries) {
     backend_->MergeQuarantine(std::move(aEntries));
--- a/src/daemon/FleetDaemon.hpp
+++ b/src/daemon/FleetDaemon.hpp
@@ -54,7 +54,7 @@
               const Clock& aClock,
               Store& aStore,
               FleetDaemonSettings aSettings,
-              std::function<void()> aRefreshConfiguration);
+              ConfigurationHooks aConfiguration);
   ~FleetDaemon();
 
   /// Binds all addresses and starts; returns the reason if that fails.
@@ -80,7 +80,7 @@
   void SetReload(std::function<void()> aReload) { reload_ = std::move(aReload); }
 
 private:
-  void BuildFleet(Store& aStore, std::function<void()> aRefreshConfiguration);
+  void BuildFleet(Store& aStore, ConfigurationHooks aConfiguration);
   void BuildPeer();
   void BuildBackend();
   void BuildIntake();
--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.hpp"
 #include "store/StoreRevision.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwing {
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRetryInterval{ 200 };
+/// Time that the watch has to deliver a change that other instances have.
+constexpr std::chrono::milliseconds kWatchPatience{ 400 };
 
 } // namespace
 
@@ -27,6 +30,7 @@
   , dataCentres_(settings_.dataCentres_)
   , adopt_(std::move(aAdopt))
   , keepTimer_(aContext)
+  , lag_(kWatchPatience)
 {
 }
 
@@ -49,6 +53,24 @@
   }
 }
 
+void
+ConfigurationFeed::OnReported(std::uint64_t aChange)
+{
+  if (lag_.OnReported(aChange, revision_, clock_.Now())) {
+    LogLine(LogLevel::Warning, "configuration_behind")
+      .With("known", revision_)
+      .With("reported", aChange)
+      .With("in_force", document_ ? document_->revision_ : 0);
+    Refresh();
+  }
+}
+
+void
+ConfigurationFeed::SetWatchInterval(std::optional<std::chrono::milliseconds> aInterval)
+{
+  store_.SetWatchInterval(format_.prefix_, aInterval);
+}
+
 void
 ConfigurationFeed::LoadLater()
 {
@@ -142,7 +164,8 @@
     }
     if (kept_.contains(dataCentre.id_)) {
       LogLine(LogLevel::Info, "withdrawal_kept").With("data_centre", dataCentre.id_);
-    } else {
+    } else if (dataCentre.withdrawn_) {
+      newestChange_ = revision_;
       OnWithdrawal(dataCentre.id_, false);
     }
   }
@@ -204,7 +227,9 @@
 {
   if (aKey == format_.configurationKey_) {
     OnDocument(aValue, aRevision);
+    newestChange_ = std::max(newestChange_, aRevision);
   } else if (aKey.starts_with(format_.withdrawalPrefix_)) {
+    newestChange_ = std::max(newestChange_, aRevision);
     const std::string id = aKey.substr(format_.withdrawalPrefix_.size());
     kept_.erase(id);
     OnWithdrawal(id, aValue.has_value());
@@ -269,6 +294,7 @@
   }
   auto revision = std::make_shared<ConfigurationRevision>(*document_);
   revision->configuration_.dataCentres_ = dataCentres_;
+  revision->change_ = newestChange_;
   adopt_(std::move(revision));
 }
 
--- a/src/fleet/ConfigurationFeed.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -3,6 +3,7 @@
 #include "config/Configuration.hpp"
 #include "core/Clock.hpp"
 #include "core/Finding.hpp"
+#include "fleet/ConfigurationLag.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -68,7 +69,19 @@
   /// Preconditions: called once. Thread safety: the context's thread only.
   void Start();
 
-  /// Reads all entries again, for example because another instance reported a newer configuration.
+  /// Takes the revision of a change that another instance knows of. Reads all entries again if the
+  /// watch does not deliver it in time.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void OnReported(std::uint64_t aChange);
+
+  /// Sets the time in which the loss of the watch is noticed; without a value the store's own time
+  /// applies.
+  ///
+  /// Preconditions: aInterval is above 0. Thread safety: the context's thread only.
+  void SetWatchInterval(std::optional<std::chrono::milliseconds> aInterval);
+
+  /// Reads all entries again.
   ///
   /// Preconditions: none. Thread safety: the context's thread only.
   void Refresh();
@@ -104,7 +117,11 @@
   /// Data centres that remain withdrawn although the store lacks their entry.
   std::set<std::string> kept_;
   boost::asio::steady_timer keepTimer_;
+  /// All changes up to this revision are known.
   std::uint64_t revision_ = 0;
+  /// Revision of the newest change itself; for one that was found by a read, that of the read.
+  std::uint64_t newestChange_ = 0;
+  ConfigurationLag lag_;
   bool loading_ = false;
   /// The last read failed; further failures in a row are not logged.
   bool readFailed_ = false;
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -214,7 +214,7 @@
   report.runningMs_ = static_cast<std::uint32_t>(
     std::min<std::int64_t>(std::chrono::duration_cast<milliseconds>(now - startedAt_).count(),
                            std::numeric_limits<std::uint32_t>::max()));
-  report.configurationRevision_ = configuration_->revision_;
+  report.configurationChange_ = configuration_->change_;
   report.memberRevision_ = session_.NewestChange();
   report.epoch_ = session_.Epoch();
   return report;
@@ -365,9 +365,9 @@
   FleetReply reply;
   reply.leads_ = leads_;
   reply.epoch_ = session_.Epoch();
-  reply.configurationRevision_ = configuration_->revision_;
+  reply.configurationChange_ = configuration_->change_;
   reply.memberRevision_ = session_.NewestChange();
-  OnConfigurationReported(aReport.configurationRevision_);
+  hooks_.configuration_.reported_(aReport.configurationChange_);
   const InstanceRef& from = aReport.from_;
   if (!leads_ || !contacts_.OnReport(from.id_,
                                      from.incarnation_,
@@ -440,7 +440,7 @@
       answeredTerms_[grant.workspace_] = aTerm;
     }
   }
-  OnConfigurationReported(aReply.configurationRevision_);
+  hooks_.configuration_.reported_(aReply.configurationChange_);
   staleReplies_ = aReply.memberRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
   if (staleReplies_ >= kMaxStaleReplies) {
     staleReplies_ = 0;
@@ -448,16 +448,4 @@
   }
 }
 
-void
-FleetService::OnConfigurationReported(std::uint64_t aRevision)
-{
-  if (!configurationLag_.OnReported(aRevision, configuration_->revision_, clock_.Now())) {
-    return;
-  }
-  LogLine(LogLevel::Warning, "configuration_behind")
-    .With("in_force", configuration_->revision_)
-    .With("reported", aRevision);
-  hooks_.refreshConfiguration_();
-}
-
 } // namespace redwing
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -41,8 +41,9 @@
   bool inContactWithLeader_ = false;
   /// Uptime of the sender's process in milliseconds.
   std::uint32_t runningMs_ = 0;
-  /// Newest revisions of the configuration and of the member records that the sender knows.
-  std::uint64_t configurationRevision_ = 0;
+  /// Revisions of the newest changes of the configuration and of the member records that the sender
+  /// knows.
+  std::uint64_t configurationChange_ = 0;
   std::uint64_t memberRevision_ = 0;
   /// Revision of the sender's copy of each shard table, by service.
   std::vector<std::pair<std::string, std::uint64_t>> tables_;
@@ -69,7 +70,7 @@
              sequence_,
              inContactWithLeader_,
              runningMs_,
-             configurationRevision_,
+             configurationChange_,
              memberRevision_,
              tables_,
              uses_,
@@ -194,7 +195,7 @@
 {
   /// False if the replying instance is not the leader, or if it ignored an outdated report.
   bool leads_ = false;
-  std::uint64_t configurationRevision_ = 0;
+  std::uint64_t configurationChange_ = 0;
   std::uint64_t memberRevision_ = 0;
   std::vector<WorkspaceGrant> grants_;
   std::vector<TableNotice> tables_;
@@ -206,7 +207,7 @@
   template<typename Archive>
   void serialize(Archive& aArchive)
   {
-    aArchive(leads_, configurationRevision_, memberRevision_, grants_, tables_, epoch_, wanted_);
+    aArchive(leads_, configurationChange_, memberRevision_, grants_, tables_, epoch_, wanted_);
   }
 };
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -26,8 +26,10 @@
 /// Margin between the end of the leases of an earlier epoch and the time from which their shards
 /// may be assigned to others.
 constexpr milliseconds kEpochMargin{ 300 };
-/// Time that the watch has to deliver a configuration that other instances have.
-constexpr milliseconds kConfigurationPatience{ 400 };
+/// Time in which an instance that nobody can tell of a change notices the loss of its watches.
+constexpr milliseconds kWatchInterval{ 1500 };
+/// Time without a reply of the leader after which an instance watches on its own account.
+constexpr milliseconds kUnledAfter{ 3000 };
 
 } // namespace
 
@@ -59,7 +61,6 @@
   , timer_(aContext)
   , startedAt_(aClock.Now())
   , configuration_(std::make_shared<const ConfigurationRevision>())
-  , configurationLag_(kConfigurationPatience)
   , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
   , contention_(aClock, settings_.seed_ + 1)
   , leaderLease_(aContext, aClock, leaderCalls_, settings_.leader_)
@@ -276,6 +277,7 @@
     CommitReleases();
     AdoptOwnShards();
     UpdateLeadership();
+    UpdateWatches(now);
     if (now >= nextProbe_) {
       nextProbe_ = now + kProbeInterval;
       ProbeLostPeers();
@@ -291,6 +293,19 @@
   });
 }
 
+void
+FleetService::UpdateWatches(TimePoint aNow)
+{
+  // The others learn of a change that their watch has lost from the leader's replies.
+  const bool closely = leads_ || aNow - std::max(startedAt_, answeredReportAt_) > kUnledAfter;
+  if (std::exchange(watchesClosely_, closely) == closely) {
+    return;
+  }
+  const auto interval = closely ? std::optional(kWatchInterval) : std::nullopt;
+  session_.SetWatchInterval(interval);
+  hooks_.configuration_.setWatchInterval_(interval);
+}
+
 void
 FleetService::OnPeerDown(const std::string& aInstanceId)
 {
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -7,7 +7,6 @@
 #include "core/Random.hpp"
 #include "exchange/ServerHeartbeat.hpp"
 #include "fleet/AllowancePools.hpp"
-#include "fleet/ConfigurationLag.hpp"
 #include "fleet/EpochRecovery.hpp"
 #include "fleet/FleetMessages.hpp"
 #include "fleet/LeaderContacts.hpp"
@@ -67,6 +66,16 @@
   }
 };
 
+/// Callbacks into the source of the configuration.
+struct ConfigurationHooks
+{
+  /// Takes the revision of a change of the configuration that another instance knows of.
+  std::function<void(std::uint64_t aChange)> reported_;
+  /// Sets the time in which the loss of the watch must be noticed; without a value the default of
+  /// the store applies.
+  std::function<void(std::optional<std::chrono::milliseconds> aInterval)> setWatchInterval_;
+};
+
 /// Callbacks into the other parts of the instance.
 struct FleetHooks
 {
@@ -80,8 +89,7 @@
   std::function<void()> serverLeaves_;
   /// Returns the requests per second that the local server can process; 0 if unknown.
   std::function<double()> serviceRate_;
-  /// Called when another instance reports a newer configuration.
-  std::function<void()> refreshConfiguration_;
+  ConfigurationHooks configuration_;
   /// Returns the time of day, which may jump at any time and differ between machines.
   AllowancePools::TimeOfDay timeOfDay_;
   /// Takes what other instances know of requests that crash servers; may be empty.
@@ -230,6 +238,7 @@
   void PublishView();
   void Tick();
   void ProbeLostPeers();
+  void UpdateWatches(TimePoint aNow);
   void RelayRenewal(std::int64_t aLease, const std::function<void(bool)>& aDone);
   void RenewForPeer(const LeaseRenewal& aRenewal, const CallReply& aReply);
 
@@ -279,7 +288,6 @@
   void SendQuarantine(const std::string& aTo, const std::string& aPayload, int aTries);
   void SendSuspects(const std::string& aTo);
   void OnQuarantine(const QuarantineNotice& aNotice);
-  void OnConfigurationReported(std::uint64_t aRevision);
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
 
@@ -313,7 +321,6 @@
   TimePoint startedAt_;
 
   std::shared_ptr<const ConfigurationRevision> configuration_;
-  ConfigurationLag configurationLag_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
   /// Revisions of entries that cannot be read, by key; each is logged once.
@@ -322,6 +329,8 @@
   /// Epoch that recovery_ was told of.
   std::uint64_t epoch_ = 0;
   bool startLogged_ = false;
+  /// The watches have a short interval.
+  bool watchesClosely_ = false;
   /// Time until which shards may be granted, and the epoch of the lease that it is based on.
   TimePoint grantDeadline_{};
   std::uint64_t grantEpoch_ = 0;
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -68,6 +68,13 @@
   /// Records an epoch of the store that another instance has seen.
   void OnEpochSeen(std::uint64_t aEpoch);
 
+  /// Sets the time in which the loss of the watch is noticed; without a value the store's own time
+  /// applies.
+  void SetWatchInterval(std::optional<std::chrono::milliseconds> aInterval)
+  {
+    store_.SetWatchInterval(membersPrefix_, aInterval);
+  }
+
   /// Returns the newest epoch of the store that this instance knows of.
   std::uint64_t Epoch() const { return epoch_; }
 
--- a/src/store/CountedStore.hpp
+++ b/src/store/CountedStore.hpp
@@ -3,6 +3,8 @@
 #include "core/Counters.hpp"
 #include "store/Store.hpp"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +30,11 @@
   void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<std::int64_t> aDone) override;
   void KeepAlive(std::int64_t aLease, StoreCallback<std::chrono::seconds> aDone) override;
   void Watch(std::string aPrefix, std::uint64_t aFromRevision, WatchCallback aEvents) override;
+  void SetWatchInterval(const std::string& aPrefix,
+                        std::optional<std::chrono::milliseconds> aInterval) override
+  {
+    store_.SetWatchInterval(aPrefix, aInterval);
+  }
 
 private:
   Store& store_;
--- a/src/store/Store.hpp
+++ b/src/store/Store.hpp
@@ -130,6 +130,16 @@
   ///
   /// Preconditions: none. Thread safety: callable from any thread.
   virtual void Watch(std::string aPrefix, std::uint64_t aFromRevision, WatchCallback aEvents) = 0;
+
+  /// Sets the time in which the loss of a watch of aPrefix is noticed, for the watches that run and
+  /// those that begin later; without a value the store's own time applies. A short one costs calls.
+  /// A store that does not offer this ignores it.
+  ///
+  /// Preconditions: aInterval is above 0. Thread safety: callable from any thread.
+  virtual void SetWatchInterval(const std::string& /*aPrefix*/,
+                                std::optional<std::chrono::milliseconds> /*aInterval*/)
+  {
+  }
 };
 
 } // namespace redwing
--- a/tests/support/CutStore.hpp
+++ b/tests/support/CutStore.hpp
@@ -2,6 +2,8 @@
 
 #include "store/Store.hpp"
 
+#include <chrono>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -71,6 +73,15 @@
     }
   }
 
+  void SetWatchInterval(const std::string& /*aPrefix*/,
+                        std::optional<std::chrono::milliseconds> aInterval) override
+  {
+    watchInterval_ = aInterval;
+  }
+
+  /// Returns the interval of watches that was set last.
+  std::optional<std::chrono::milliseconds> WatchInterval() const { return watchInterval_; }
+
 private:
   template<typename Callback>
   bool Refuse(const Callback& aDone)
@@ -86,6 +97,7 @@
   Store& store_;
   std::uint64_t epoch_ = 0;
   bool cut_ = false;
+  std::optional<std::chrono::milliseconds> watchInterval_;
   int calls_ = 0;
 };
 
--- a/tests/unit/fleet/ConfigurationFeedTest.cpp
+++ b/tests/unit/fleet/ConfigurationFeedTest.cpp
@@ -1,6 +1,7 @@
 #include "fleet/ConfigurationFeed.hpp"
 
 #include "core/SteadyClock.hpp"
+#include "support/CutStore.hpp"
 #include "support/MemoryStore.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <optional>
 
 using namespace redwing;
+using redwing::test::CutStore;
 using redwing::test::MemoryStore;
 
 namespace {
@@ -28,12 +30,14 @@
 
 struct Fixture
 {
-  std::unique_ptr<ConfigurationFeed> MakeFeed()
+  std::unique_ptr<ConfigurationFeed> MakeFeed() { return MakeFeed(store_); }
+
+  std::unique_ptr<ConfigurationFeed> MakeFeed(Store& aStore)
   {
     return std::make_unique<ConfigurationFeed>(
       context_,
       clock_,
-      store_,
+      aStore,
       ConfigurationFormat{ "op/",
                            "op/config",
                            "op/withdrawn/",
@@ -190,4 +194,35 @@
   BOOST_TEST(adopted_.empty());
 }
 
+// Guards against a withdrawal, or its end, that an instance does not apply because its watch has
+// lost it: other instances know of it.
+BOOST_AUTO_TEST_CASE(ReadsWithdrawalsThatOthersReport)
+{
+  CutStore cut(store_);
+  Write("op/config", "7");
+  const auto feed = MakeFeed(cut);
+  feed->Start();
+  Run();
+  const auto other = MakeFeed();
+  other->Start();
+  Run();
+  for (const bool withdrawn : { true, false }) {
+    cut.Cut(true);
+    Write("op/withdrawn/porto", withdrawn ? std::optional<std::string>("") : std::nullopt);
+    cut.Cut(false);
+    BOOST_REQUIRE(Withdrawn() == withdrawn);
+    const std::uint64_t change = adopted_.back()->change_;
+    const std::size_t before = adopted_.size();
+    feed->OnReported(change);
+    RunUntil([&] {
+      feed->OnReported(change);
+      return adopted_.size() > before;
+    });
+    BOOST_TEST(Withdrawn() == withdrawn);
+    const int calls = cut.Calls();
+    feed->OnReported(change);
+    BOOST_TEST(cut.Calls() == calls);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/fleet_explorer/World.cpp
+++ b/tests/unit/fleet_explorer/World.cpp
@@ -145,7 +145,7 @@
   };
   hooks.serverLeaves_ = [] {};
   hooks.serviceRate_ = [] { return 0.0; };
-  hooks.refreshConfiguration_ = [] {};
+  hooks.configuration_ = { [](std::uint64_t) {}, [](auto) {} };
   hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
   return hooks;
 }
--- a/tests/unit/platform/KvStoreTest.cpp
+++ b/tests/unit/platform/KvStoreTest.cpp
@@ -197,8 +197,8 @@
   BOOST_TEST(read->entries_.size() == 1U);
 }
 
-// Guards against changes that are not seen for as long as a watch may wait: the store was silent for
-// a time, and never answers what was sent to it before it answers again.
+// Guards against changes that are not seen for as long as a watch may wait: the store was silent
+// for a time, and never answers what was sent to it before it answers again.
 BOOST_AUTO_TEST_CASE(WatchesAreAskedAgainAfterASilentStore)
 {
   KvStoreSettings settings = Settings();
@@ -237,6 +237,48 @@
   BOOST_TEST((seen == std::vector<std::string>{ "a/1", "a/2", "b/1", "b/2" }));
 }
 
+// Guards against a watch that waits on a silent connection, beside calls that the store answers.
+BOOST_AUTO_TEST_CASE(ALostAnswerToAWatchIsNoticedWithinItsInterval)
+{
+  int asked = 0;
+  std::string waits;
+  test::ScriptedHttpServer server(context_, [&](const test::ScriptedHttpServer::Request& aRequest) {
+    if (!aRequest.target_.starts_with("/-/kv-watch")) {
+      return test::ScriptedHttpServer::Json(R"({"at":7,"items":[],"hasMore":false})");
+    }
+    waits = aRequest.target_;
+    return ++asked == 1
+             ? test::ScriptedHttpServer::Reply{}
+             : test::ScriptedHttpServer::Json(
+                 R"({"at":8,"events":[{"key":"t/a","lease":0,"revision":8,"created":8,"value":""}]})");
+  });
+  KvStoreSettings settings = Settings();
+  settings.client_.address_ = server.Where();
+  KvStore store(context_, clock_, 1, settings);
+  std::size_t events = 0;
+  bool ended = false;
+  const auto watch = [&] {
+    store.Watch("t/", 8, [&](StoreResult<std::vector<StoreWatchEvent>> aEvents) {
+      ended = !aEvents;
+      events += aEvents ? aEvents->size() : 0;
+    });
+  };
+  watch();
+  RunUntil([&] { return asked == 1; });
+  BOOST_TEST(waits.ends_with("waitMs=25000"));
+  const TimePoint begin = clock_.Now();
+  store.SetWatchInterval("t/", std::chrono::milliseconds(300));
+  RunUntil([&] { return events > 0; });
+  BOOST_TEST(waits.ends_with("waitMs=200"));
+  BOOST_TEST((clock_.Now() - begin < std::chrono::milliseconds(600)));
+  asked = 0;
+  RunUntil([&] { return ended; });
+  store.SetWatchInterval("t/", std::nullopt);
+  watch();
+  RunUntil([&] { return asked > 1; });
+  BOOST_TEST(waits.ends_with("waitMs=25000"));
+}
+
 // Guards against changes that a watch misses or reports twice.
 BOOST_AUTO_TEST_CASE(WatchesChangesInOrder)
 {
