Show that bytes without end are not kept

Operators report a faulty backend server that sent bytes without end, in a head or a body, until the machine that had called it ran out of memory. Heads, chunk sizes, interim and foreign responses without end were covered before (EndlessResponseFailsTheRequest). These tests add a proper body without end that the caller does not take, which is read as far as its window and ends at the deadline, and answers to the instance's own calls.

--- a/tests/unit/backend/DamagedAnswersTest.cpp
+++ b/tests/unit/backend/DamagedAnswersTest.cpp
@@ -1,4 +1,7 @@
 #include "BackendBench.hpp"
+#include "backend/ControlClient.hpp"
+
+#include <optional>
 
 using namespace redwing;
 using namespace std::chrono_literals;
@@ -74,3 +77,73 @@
     BOOST_TEST((bench.clock_.Now() - begin < 5s));
   }
 }
+
+namespace {
+
+/// Returns the number of bytes of bodies that the service has passed on.
+std::size_t
+BodyBytes(Bench& aBench)
+{
+  std::size_t bytes = 0;
+  for (const ResponseEvent& event : aBench.responses_.Await(0)) {
+    if (const auto* start = std::get_if<ResponseStart>(&event)) {
+      bytes += start->body_.size();
+    } else if (const auto* body = std::get_if<ResponseBody>(&event)) {
+      bytes += body->bytes_.size();
+    }
+  }
+  return bytes;
+}
+
+} // namespace
+
+// Guards against a process that runs out of memory: a body without end must not be read beyond what
+// the caller takes, and its connection must end with the request.
+BOOST_AUTO_TEST_CASE(EndlessBodyIsReadOnlyAsFarAsItIsTaken)
+{
+  Bench bench([](const FakeRequest&) {
+    return FakeServer::Response{ "HTTP/1.1 200 OK\r\n\r\n", false, true };
+  });
+  auto request = bench.Make(1);
+  request.deadline_ = bench.clock_.Now() + 1500ms;
+  const auto response = bench.Run(std::move(request));
+  BOOST_REQUIRE(std::holds_alternative<ResponseStart>(response));
+  std::this_thread::sleep_for(500ms);
+  BOOST_TEST(BodyBytes(bench) <= kBodyWindowBytes);
+  // Credit lets as much more be read, and the deadline ends the response.
+  bench.service_.Handle(ResponseCredit{ { kLocalLink, 1 }, 1000 });
+  const auto ended = [&] {
+    const auto events = bench.responses_.Await(0);
+    return std::holds_alternative<ResponseAbort>(events.back());
+  };
+  const auto limit = bench.clock_.Now() + 10s;
+  while (!ended() && bench.clock_.Now() < limit) {
+    std::this_thread::sleep_for(10ms);
+  }
+  BOOST_TEST(ended());
+  BOOST_TEST(BodyBytes(bench) <= kBodyWindowBytes + 1000);
+}
+
+// Guards against answers to the instance's own calls that are kept without limit.
+BOOST_AUTO_TEST_CASE(EndlessAnswersToControlCallsAreGivenUp)
+{
+  for (const char* text : { "", "HTTP/1.1 200 OK\r\nX-Filler: ", "HTTP/1.1 200 OK\r\n\r\n" }) {
+    FakeServer server([&](const FakeRequest&) {
+      return FakeServer::Response{ text, false, true };
+    });
+    boost::asio::io_context context;
+    const SteadyClock clock;
+    const auto client = std::make_shared<ControlClient>(context, clock);
+    std::optional<ControlReply> reply;
+    client->Call({ "127.0.0.1", server.Port() },
+                 "GET",
+                 "/redwing/health",
+                 {},
+                 500ms,
+                 [&](const ControlReply& aReply) { reply = aReply; });
+    context.run_for(5s);
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->status_ == 0);
+    BOOST_TEST(reply->body_.empty());
+  }
+}
