Read heartbeats whole or not at all

Cause: DecodeHeartbeat took missing fields for empty ones. Service, zone, version and cold time are now required, the lists of keys come together or not at all, and a heartbeat without them says nothing of what is held: it was taken for a report that everything is released.

IsReadWholeOrNotAtAll failed before (16 of its checks) and passes now, as does AHeartbeatWithoutListsReleasesNothing.

--- a/src/exchange/ServerHeartbeat.hpp
+++ b/src/exchange/ServerHeartbeat.hpp
@@ -55,6 +55,8 @@
   std::uint32_t slots_ = 0;
   bool draining_ = false;
   std::chrono::milliseconds coldFor_{ 0 };
+  /// The lists below are the server's. Without them nothing is known of what it holds.
+  bool reportsHolds_ = true;
   /// Keys that the server holds or still works on.
   std::vector<HeldKeys> holds_;
   /// Keys released since the last acknowledged heartbeat.
--- a/src/fleet/ShardHolds.cpp
+++ b/src/fleet/ShardHolds.cpp
@@ -129,6 +129,9 @@
 void
 ShardHolds::ApplyReport(const ServerHeartbeat& aHeartbeat)
 {
+  if (!aHeartbeat.reportsHolds_) {
+    return;
+  }
   const std::vector<bool> held = ShardsIn(aHeartbeat.holds_);
   for (std::size_t i = 0; i < shards_.size(); ++i) {
     Shard& shard = shards_[i];
--- a/tests/unit/fleet/ShardHoldsTest.cpp
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -254,4 +254,22 @@
   BOOST_TEST(holds_.TakeReleased().size() == 1U);
 }
 
+// Guards against a release that the server did not report: its heartbeat has no lists.
+BOOST_AUTO_TEST_CASE(AHeartbeatWithoutListsReleasesNothing)
+{
+  (void)Beat();
+  table_.SetSuccessor(0, 15, "b");
+  holds_.SetTable("desk", table_);
+  (void)Beat({ { 0, 65535, 1 } });
+  ServerHeartbeat heartbeat;
+  heartbeat.reportsHolds_ = false;
+  for (int i = 0; i < 3; ++i) {
+    heartbeat.sequence_ = ++sequence_;
+    (void)holds_.OnHeartbeat(heartbeat, clock_.Now());
+  }
+  BOOST_TEST(holds_.TakeReleased().empty());
+  (void)Beat();
+  BOOST_TEST(holds_.TakeReleased().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/platform/HeartbeatCodecTest.cpp
+++ b/tests/unit/platform/HeartbeatCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/HeartbeatCodec.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace redwing;
 using namespace redwing::platform;
@@ -31,23 +32,24 @@
 // Guards against a heartbeat of another writer that is taken for the local server's.
 BOOST_AUTO_TEST_CASE(RejectsOtherWriters)
 {
-  for (const char* body :
-       { "",
-         "[]",
-         "null",
-         "{\"service\":",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":"12","state":"ready","seq":1})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"asleep","seq":1})",
-         R"({"service":"desk","address":"nowhere","slots":12,"state":"ready","seq":1})",
-         R"({"service":7,"address":"10.0.0.9:8080","slots":12,"state":"ready","seq":1})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"ready"})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":12,"state":"ready","seq":-1})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
-             "holds":[[5,4,1]]})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
-             "holds":[[0,65536,1]]})",
-         R"({"service":"desk","address":"10.0.0.9:8080","slots":1,"state":"ready","seq":1,
-             "freed":[[0,5,1]]})" }) {
+  for (
+    const char* body :
+    { "",
+      "[]",
+      "null",
+      "{\"service\":",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":"12","state":"ready","seq":1})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":12,"state":"asleep","seq":1})",
+      R"({"service":"desk","address":"nowhere","zone":"z","version":"v1","coldRemainingMs":0,"slots":12,"state":"ready","seq":1})",
+      R"({"service":7,"address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":12,"state":"ready","seq":1})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":12,"state":"ready"})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":12,"state":"ready","seq":-1})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":1,"state":"ready","seq":1,
+             "holds":[[5,4,1]],"freed":[]})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":1,"state":"ready","seq":1,
+             "holds":[[0,65536,1]],"freed":[]})",
+      R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","coldRemainingMs":0,"slots":1,"state":"ready","seq":1,
+             "holds":[],"freed":[[0,5,1]]})" }) {
     const auto heartbeat = DecodeHeartbeat("i-1", body);
     BOOST_TEST(!heartbeat.has_value(), body);
   }
@@ -70,7 +72,7 @@
   const auto decode = [](const std::string& aColdTime) {
     return DecodeHeartbeat("i-1",
                            R"({"service":"desk","address":"10.0.0.1:80","slots":4,"state":"ready",)"
-                           R"("seq":1,"coldRemainingMs":)" +
+                           R"("zone":"z","version":"v1","seq":1,"coldRemainingMs":)" +
                              aColdTime + "}");
   };
   BOOST_TEST(decode("86400000").has_value());
@@ -86,7 +88,8 @@
 BOOST_AUTO_TEST_CASE(RejectsOddNamesAndNumbers)
 {
   const auto body = [](const std::string& aSlots) {
-    return R"({"service":"desk","address":"10.0.0.1:80","state":"ready","seq":1,"slots":)" +
+    return R"({"service":"desk","address":"10.0.0.1:80","state":"ready","seq":1,)"
+           R"("zone":"z","version":"v1","coldRemainingMs":0,"slots":)" +
            aSlots + "}";
   };
   BOOST_TEST(DecodeHeartbeat("i-1", body("4294967295")).has_value());
@@ -100,4 +103,44 @@
   BOOST_TEST(!DecodeHeartbeat("i-1", deep).has_value());
 }
 
+// Guards against two holders of a key: a heartbeat of another writer, in which fields are missing
+// or of another type, was taken for a new run of the server that holds nothing.
+BOOST_AUTO_TEST_CASE(IsReadWholeOrNotAtAll)
+{
+  const auto whole = nlohmann::json::parse(
+    R"({"service":"desk","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":12,
+        "state":"ready","coldRemainingMs":250,"seq":4,"born":1789395282487,
+        "holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})");
+  const auto accepted = [](const nlohmann::json& aBody) {
+    return DecodeHeartbeat("i-1", aBody.dump()).has_value();
+  };
+  BOOST_TEST(accepted(whole));
+  for (const auto& [name, value] : whole.items()) {
+    // Only the time of the start may be missing; another run then has another id.
+    const bool optional = name == "born";
+    nlohmann::json cut = whole;
+    cut.erase(name);
+    BOOST_TEST(accepted(cut) == optional, name << " is missing");
+    const nlohmann::json others[] = { true, -1, nlohmann::json::object(), "", { 1 } };
+    for (const nlohmann::json& other : others) {
+      cut[name] = other;
+      BOOST_TEST(!accepted(cut), name << " is " << other);
+    }
+  }
+  const std::string text = whole.dump();
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    BOOST_TEST(!DecodeHeartbeat("i-1", text.substr(0, size)).has_value(), size << " bytes");
+  }
+  nlohmann::json more = whole;
+  more["added"] = "later";
+  BOOST_TEST(accepted(more));
+  // Servers of services without keys send no lists.
+  nlohmann::json pooled = whole;
+  pooled.erase("holds");
+  pooled.erase("freed");
+  const auto heartbeat = DecodeHeartbeat("i-1", pooled.dump());
+  BOOST_REQUIRE(heartbeat.has_value());
+  BOOST_TEST(!heartbeat->reportsHolds_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
