--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=build/review-2
 mkdir -p "$out"
 pids=()
-for program in LogReader LateHeartbeat EvacuatedQuiet QuotaAfterCrash; do
+for program in Releases LogReader LateHeartbeat EvacuatedQuiet QuotaAfterCrash; do
   g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "$out/$program" \
     review/play-2/Stage.cpp "review/play-2/$program.cpp" &
   pids+=($!)
--- a/review/play-2/Stage.cpp
+++ b/review/play-2/Stage.cpp
@@ -17,6 +17,9 @@
 
 namespace {
 
+/// Number of routing keys of a service.
+constexpr int kKeys = 65536;
+
 std::string
 Lower(std::string aText)
 {
@@ -381,6 +384,14 @@
   Write(aKey, aValue, 0);
 }
 
+std::string
+Store::Get(const std::string& aKey)
+{
+  std::lock_guard lock(mutex_);
+  const auto item = items_.find(aKey);
+  return item == items_.end() ? std::string() : item->second.value_;
+}
+
 void
 Store::Write(const std::string& aKey, const std::string& aValue, std::int64_t aLease)
 {
@@ -691,6 +702,7 @@
   , born_(
       std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
         .count())
+  , keys_(kKeys)
 {
 }
 
@@ -708,30 +720,52 @@
   coldUntil_ = SteadyClock::now() + aTime;
 }
 
+void
+Backend::Expire()
+{
+  if (SteadyClock::now() >= holdsUntil_) {
+    for (Key& key : keys_) {
+      key.held_ = false;
+    }
+  }
+}
+
 Request
 Backend::NextHeartbeat(bool aKeyed)
 {
   std::lock_guard lock(mutex_);
   const auto cold = std::max<std::int64_t>(
     0, std::chrono::duration_cast<milliseconds>(coldUntil_ - SteadyClock::now()).count());
-  Json beat{ { "service", service_ },
-             { "address", address_.Text() },
-             { "zone", zone_ },
-             { "version", "v1" },
-             { "slots", slots_ },
-             { "state", state_ },
-             { "coldRemainingMs", cold },
-             { "seq", ++sequence_ },
-             { "born", born_ } };
+  Json beat{ { "service", service_ },    { "address", address_.Text() },
+             { "zone", zone_ },          { "version", "v1" },
+             { "slots", slots_ },        { "state", state_ },
+             { "born", born_ },          { "seq", ++sequence_ },
+             { "coldRemainingMs", cold } };
   if (aKeyed) {
-    if (SteadyClock::now() >= holdsUntil_) {
-      rows_.clear();
-    }
-    beat["holds"] = Json::array();
-    for (const Row& row : rows_) {
-      beat["holds"].push_back({ row.first_, row.last_, row.fence_ });
+    Expire();
+    Json holds = Json::array();
+    Json freed = Json::array();
+    for (int first = 0; first < kKeys;) {
+      const Key& key = keys_[first];
+      const bool has = key.held_ || key.working_ > 0;
+      int last = first;
+      while (last + 1 < kKeys) {
+        const Key& next = keys_[last + 1];
+        if ((next.held_ || next.working_ > 0) != has || next.freed_ != key.freed_ ||
+            (has && next.fence_ != key.fence_)) {
+          break;
+        }
+        ++last;
+      }
+      if (has) {
+        holds.push_back({ first, last, key.fence_ });
+      } else if (key.freed_) {
+        freed.push_back({ first, last, "5c0e7a21d94b36f8" });
+      }
+      first = last + 1;
     }
-    beat["freed"] = freed_;
+    beat["holds"] = std::move(holds);
+    beat["freed"] = std::move(freed);
   }
   return { "PUT", "/-/instances/" + id_, { { "Content-Type", "application/json" } }, beat.dump() };
 }
@@ -740,23 +774,32 @@
 Backend::Take(const Json& aReply, SteadyClock::time_point aSentAt)
 {
   std::lock_guard lock(mutex_);
-  freed_ = Json::array();
+  Expire();
+  releases_ = false;
+  for (Key& key : keys_) {
+    key.freed_ = false;
+  }
   if (!aReply.contains("holds")) {
     return;
   }
-  std::vector<Row> next;
+  std::vector<std::int64_t> granted(kKeys, 0);
   for (const Json& row : aReply["holds"]) {
-    next.push_back({ row[0].get<int>(), row[1].get<int>(), row[2].get<std::int64_t>() });
+    for (int key = row[0].get<int>(); key <= row[1].get<int>(); ++key) {
+      granted[key] = row[2].get<std::int64_t>();
+    }
   }
-  for (const Row& row : rows_) {
-    const bool kept = std::any_of(next.begin(), next.end(), [&](const Row& aNext) {
-      return aNext.first_ <= row.first_ && aNext.last_ >= row.last_;
-    });
-    if (!kept) {
-      freed_.push_back({ row.first_, row.last_, "5c0e7a21d94b36f8" });
+  for (int i = 0; i < kKeys; ++i) {
+    Key& key = keys_[i];
+    if (granted[i] > 0 && granted[i] >= key.seen_) {
+      key.held_ = true;
+      key.fence_ = granted[i];
+      key.seen_ = granted[i];
+      continue;
     }
+    key.freed_ = key.held_ && key.working_ == 0;
+    releases_ = releases_ || key.held_;
+    key.held_ = false;
   }
-  rows_ = std::move(next);
   holdsUntil_ = aSentAt + milliseconds(aReply["holdDurationMs"].get<std::int64_t>());
 }
 
@@ -764,19 +807,57 @@
 Backend::Holds(int aKey) const
 {
   std::lock_guard lock(mutex_);
-  return SteadyClock::now() < holdsUntil_ &&
-         std::any_of(rows_.begin(), rows_.end(), [&](const Row& aRow) {
-           return aRow.first_ <= aKey && aKey <= aRow.last_;
-         });
+  return SteadyClock::now() < holdsUntil_ && keys_[aKey].held_;
+}
+
+bool
+Backend::Begin(int aKey)
+{
+  std::lock_guard lock(mutex_);
+  Key& key = keys_[aKey];
+  const bool held = SteadyClock::now() < holdsUntil_ && key.held_;
+  key.working_ += held ? 1 : 0;
+  return held;
+}
+
+void
+Backend::End(int aKey)
+{
+  std::lock_guard lock(mutex_);
+  Key& key = keys_[aKey];
+  if (--key.working_ == 0 && !key.held_) {
+    key.freed_ = true;
+    releases_ = true;
+  }
+}
+
+bool
+Backend::Releases() const
+{
+  std::lock_guard lock(mutex_);
+  return releases_;
+}
+
+std::size_t
+Backend::LargestReply() const
+{
+  std::lock_guard lock(mutex_);
+  return largestReply_;
 }
 
 bool
 Backend::Beat(const Address& aTo, bool aKeyed)
 {
+  constexpr std::size_t kLargest = 4096;
   const Request beat = NextHeartbeat(aKeyed);
   const auto sentAt = SteadyClock::now();
   const Response reply = Call(aTo, beat, milliseconds(1000));
-  const bool acknowledged = reply.status_ / 100 == 2 && reply.body_.size() <= 4096;
+  {
+    std::lock_guard lock(mutex_);
+    largestReply_ = std::max(largestReply_, reply.body_.size());
+  }
+  const bool acknowledged = reply.status_ / 100 == 2 && reply.body_.size() <= kLargest &&
+                            SteadyClock::now() - sentAt <= milliseconds(1000);
   if (acknowledged) {
     Take(Json::parse(reply.body_), sentAt);
   }
@@ -793,12 +874,14 @@
 Beats::Beats(Backend& aBackend, Address aTo, bool aKeyed)
   : thread_([this, &aBackend, to = std::move(aTo), aKeyed] {
     constexpr milliseconds kInterval{ 870 };
+    constexpr milliseconds kWhileReleasing{ 100 };
     std::unique_lock lock(mutex_);
     while (!stopped_) {
       lock.unlock();
       aBackend.Beat(to, aKeyed);
       lock.lock();
-      wake_.wait_for(lock, kInterval, [this] { return stopped_; });
+      wake_.wait_for(
+        lock, aBackend.Releases() ? kWhileReleasing : kInterval, [this] { return stopped_; });
     }
   })
 {
--- a/review/play-2/Stage.hpp
+++ b/review/play-2/Stage.hpp
@@ -121,6 +121,8 @@
 
   /// Writes as the operator does.
   void Put(const std::string& aKey, const std::string& aValue);
+  /// Returns the value of a key; empty if there is none.
+  std::string Get(const std::string& aKey);
   const Address& At() const { return server_->At(); }
 
 private:
@@ -201,7 +203,7 @@
                 const Address& aServer,
                 const Address& aStore);
 
-/// What a backend server says of itself, and the keys that it holds.
+/// What a backend server says of itself, and the keys that it holds. Thread-safe.
 class Backend
 {
 public:
@@ -217,18 +219,30 @@
   /// Takes the grants of a reply to a heartbeat sent at aSentAt.
   void Take(const Json& aReply, SteadyClock::time_point aSentAt);
   bool Holds(int aKey) const;
+  /// Begins to work on a request for a key; returns whether the key is held.
+  bool Begin(int aKey);
+  void End(int aKey);
   /// Sends a heartbeat; returns whether it was acknowledged within a second.
   bool Beat(const Address& aTo, bool aKeyed);
+  /// Returns whether keys were taken away that have not been reported as released yet.
+  bool Releases() const;
+  /// Returns the size of the largest reply to a heartbeat so far.
+  std::size_t LargestReply() const;
   bool Leave(const Address& aTo) const;
 
 private:
-  struct Row
+  struct Key
   {
-    int first_ = 0;
-    int last_ = 0;
+    bool held_ = false;
+    bool freed_ = false;
+    int working_ = 0;
     std::int64_t fence_ = 0;
+    /// Highest generation number that was ever granted.
+    std::int64_t seen_ = 0;
   };
 
+  void Expire();
+
   std::string id_;
   std::string service_;
   std::string zone_;
@@ -239,12 +253,14 @@
   std::string state_ = "ready";
   SteadyClock::time_point coldUntil_{};
   std::int64_t sequence_ = 0;
-  std::vector<Row> rows_;
+  std::vector<Key> keys_;
   SteadyClock::time_point holdsUntil_{};
-  Json freed_ = Json::array();
+  bool releases_ = false;
+  std::size_t largestReply_ = 0;
 };
 
-/// Sends the heartbeats of a backend server, one each heartbeatIntervalMs.
+/// Sends the heartbeats of a backend server, one each heartbeatIntervalMs, and within 100 ms while
+/// it releases keys.
 class Beats
 {
 public:
