--- a/review/play-2/Releases.cpp
+++ b/review/play-2/Releases.cpp
@@ -9,20 +9,20 @@
 
 namespace {
 
-constexpr int kMachines = 8;
+constexpr int kMachines = 6;
 /// The last machine is the only one of zone b.
 constexpr int kLeft = kMachines - 1;
 constexpr int kKeys = 65536;
 constexpr milliseconds kTimeBudget{ 1000 };
 /// Time between two replacements, and how long they go on.
 constexpr milliseconds kGap{ 1000 };
-constexpr std::chrono::seconds kReleases{ 68 };
+constexpr std::chrono::seconds kReleases{ 74 };
 /// A leaving server goes on for the drain time and a little longer.
 constexpr milliseconds kDrains{ 2200 };
 constexpr milliseconds kCold{ 3000 };
 constexpr milliseconds kDown{ 1000 };
 constexpr std::chrono::seconds kRecovery{ 15 };
-constexpr std::chrono::seconds kMeasured{ 5 };
+constexpr std::chrono::seconds kMeasured{ 4 };
 
 /// A machine: an instance and the backend server beside it.
 class Machine
