Begin the grace period of a withdrawal with the withdrawal

Cause: RequestChecks took the time in Refresh, which only an arriving request calls. Ruled out by the record: a late adoption (data_centre_changed comes at once), and shards that stay (the requests stop 3.5 s after the first one).

Change: WithdrawalStart records the time where the configuration is adopted, and the view carries it. A process that finds its data centre withdrawn in its first configuration can't tell since when and gives no grace period.

--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -118,7 +118,7 @@
 void
 BackendService::Drain()
 {
-  if (checks_.ConsumeChange(clock_.Now()) && announcement_) {
+  if (checks_.ConsumeChange() && announcement_) {
     ApplyConfiguration();
   }
   // A cancellation that is in the mailbox already must find its request in the queue.
--- a/src/backend/RequestChecks.cpp
+++ b/src/backend/RequestChecks.cpp
@@ -2,7 +2,6 @@
 
 #include "core/Hash.hpp"
 
-#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -16,7 +15,7 @@
 }
 
 void
-RequestChecks::Refresh(TimePoint aNow)
+RequestChecks::Refresh()
 {
   const auto& view = view_.Get();
   if (view->configuration_ == configuration_) {
@@ -25,34 +24,24 @@
   configuration_ = view->configuration_;
   changed_ = true;
   keys_.clear();
-  bool withdrawn = false;
   if (configuration_) {
     for (const auto& key : configuration_->configuration_.keys_) {
       keys_.insert(key.id_);
     }
-    const auto& centres = configuration_->configuration_.dataCentres_;
-    withdrawn = std::any_of(centres.begin(), centres.end(), [&](const DataCentre& aCentre) {
-      return aCentre.id_ == view->selfDataCentre_ && aCentre.withdrawn_;
-    });
-  }
-  if (!withdrawn) {
-    withdrawnSince_.reset();
-  } else if (!withdrawnSince_) {
-    withdrawnSince_ = aNow;
   }
 }
 
 bool
-RequestChecks::ConsumeChange(TimePoint aNow)
+RequestChecks::ConsumeChange()
 {
-  Refresh(aNow);
+  Refresh();
   return std::exchange(changed_, false);
 }
 
 std::optional<ErrorCode>
 RequestChecks::CheckRequest(const RequestStart& aStart, TimePoint aNow)
 {
-  Refresh(aNow);
+  Refresh();
   if (!configuration_ || configuration_->revision_ == 0) {
     // Neither the valid keys nor the server's limits are known without a configuration.
     return ErrorCode::ConfigurationStale;
@@ -60,7 +49,8 @@
   if (aNow >= aStart.deadline_) {
     return ErrorCode::DeadlineExceeded;
   }
-  if (withdrawnSince_ && (!aStart.shard_ || aNow - *withdrawnSince_ >= withdrawalGrace_)) {
+  const auto& withdrawnSince = view_.Get()->selfWithdrawnSince_;
+  if (withdrawnSince && (!aStart.shard_ || aNow >= *withdrawnSince + withdrawalGrace_)) {
     return ErrorCode::Draining;
   }
   if (aStart.keyId_.empty() || keys_.contains(aStart.keyId_)) {
--- a/src/backend/RequestChecks.hpp
+++ b/src/backend/RequestChecks.hpp
@@ -34,7 +34,7 @@
   /// Applies the current configuration; returns whether it has changed since the last call.
   ///
   /// Preconditions: none. Thread safety: backend thread only.
-  bool ConsumeChange(TimePoint aNow);
+  bool ConsumeChange();
 
   /// Returns the configuration of aService, or the defaults if the service is unknown.
   ///
@@ -42,14 +42,13 @@
   Service ServiceOf(const std::string& aService);
 
 private:
-  void Refresh(TimePoint aNow);
+  void Refresh();
 
   PublishedReader<RoutingView> view_;
   std::chrono::milliseconds withdrawalGrace_;
   std::shared_ptr<const ConfigurationRevision> configuration_;
   bool changed_ = false;
   std::unordered_set<std::string> keys_;
-  std::optional<TimePoint> withdrawnSince_;
 };
 
 } // namespace redwing
--- a/src/control/ControlMessages.cpp
+++ b/src/control/ControlMessages.cpp
@@ -360,6 +360,7 @@
 void
 ControlService::OnConfiguration(const ConfigurationRevision& aRevision)
 {
+  withdrawalStart_.OnConfiguration(aRevision, clock_.Now());
   std::map<std::string, WorkspaceLimit, std::less<>> limits;
   for (const Workspace& workspace : aRevision.configuration_.workspaces_) {
     limits[workspace.id_] = { workspace.rate_, workspace.burst_ };
--- a/src/control/ControlService.cpp
+++ b/src/control/ControlService.cpp
@@ -59,6 +59,7 @@
             [this](const std::shared_ptr<const ConfigurationRevision>& aRevision) {
               OnConfiguration(*aRevision);
             })
+  , withdrawalStart_(settings_.self_.dataCentre_)
   , gossip_(
       aClock,
       random_,
@@ -350,6 +351,7 @@
   next->members_ = fleet_.Members();
   next->self_ = self_;
   next->selfDataCentre_ = settings_.self_.dataCentre_;
+  next->selfWithdrawnSince_ = withdrawalStart_.Earliest();
   for (const Service& service : keeper_.Current()->configuration_.services_) {
     if (service.mode_ == ServiceMode::Keyed) {
       next->shards_[service.id_].rows_.resize(service.shards_);
--- a/src/control/ControlService.hpp
+++ b/src/control/ControlService.hpp
@@ -19,6 +19,7 @@
 #include "limits/ShareOwner.hpp"
 #include "ownership/OwnershipTable.hpp"
 #include "routing/RoutingView.hpp"
+#include "routing/WithdrawalStart.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -231,6 +232,7 @@
   ThreadedStore store_;
   FleetState fleet_;
   ConfigurationKeeper keeper_;
+  WithdrawalStart withdrawalStart_;
   GossipLoop gossip_;
   OwnershipDriver driver_;
   PlanningLoop planning_;
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -61,6 +61,7 @@
   , timer_(aContext)
   , startedAt_(aClock.Now())
   , configuration_(std::make_shared<const ConfigurationRevision>())
+  , withdrawalStart_(settings_.self_.dataCentre_)
   , recovery_(settings_.self_.ref_.id_, settings_.session_.leaseTime_ + kEpochMargin)
   , contention_(aClock, settings_.seed_ + 1)
   , leaderLease_(aContext, aClock, leaderCalls_, settings_.leader_)
@@ -93,6 +94,7 @@
     .With("revision", aConfiguration->revision_)
     .With("previous", configuration_->revision_)
     .With("routes", aConfiguration->configuration_.routes_.size());
+  withdrawalStart_.OnConfiguration(*aConfiguration, clock_.Now());
   configuration_ = std::move(aConfiguration);
   // Takes effect at once for requests that arrive from now on.
   PublishView();
@@ -218,6 +220,7 @@
   next->configurationCurrent_ = configuration_->revision_ != 0;
   next->self_ = settings_.self_.ref_;
   next->selfDataCentre_ = settings_.self_.dataCentre_;
+  next->selfWithdrawnSince_ = withdrawalStart_.Earliest();
   std::map<std::string, std::string> serverIncarnations;
   for (const auto& [key, known] : members_) {
     Member member = known.record_.member_;
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -18,6 +18,7 @@
 #include "intake/IntakeDependencies.hpp"
 #include "limits/WindowBudget.hpp"
 #include "routing/RoutingView.hpp"
+#include "routing/WithdrawalStart.hpp"
 #include "store/CountedStore.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -321,6 +322,7 @@
   TimePoint startedAt_;
 
   std::shared_ptr<const ConfigurationRevision> configuration_;
+  WithdrawalStart withdrawalStart_;
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
   /// Revisions of entries that cannot be read, by key; each is logged once.
--- a/src/routing/RoutingView.hpp
+++ b/src/routing/RoutingView.hpp
@@ -2,11 +2,13 @@
 
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
+#include "core/Clock.hpp"
 #include "ownership/ShardRow.hpp"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +58,9 @@
   /// Shards that this instance owns now, with their lease deadline checked by LeaseView.
   InstanceRef self_;
   std::string selfDataCentre_;
+  /// Earliest time at which the withdrawal of selfDataCentre_ may have begun; no value while it is
+  /// not withdrawn.
+  std::optional<TimePoint> selfWithdrawnSince_{};
 };
 
 } // namespace redwing
