Remember the leave of a server that the process has not heard

Cause: OnServerLeaves dropped the word of any server but the one heard last, and the reply did not depend on it. Ruled out by the log: a leave that is recorded and undone (there is no server_leaves). Same cause: a new process did not read from the store's record that its server is leaving, and an ignored heartbeat that says draining was answered 200.

Change: DepartedServers keeps what a server said, for the runs that had started by then. A process takes the leave over from the record and keeps it there; DELETE is answered once the record tells of it, or after 0.5 s. The drain time counts from the leave.

--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -204,11 +204,11 @@
   }
   announcedAt_ = now;
   coldRate_.SetColdUntil(now + std::exchange(aAnnouncement.coldFor_, milliseconds::zero()));
-  const bool draining = std::exchange(aAnnouncement.draining_, false);
-  if (!draining) {
+  const auto leavingSince = std::exchange(aAnnouncement.leavingSince_, std::nullopt);
+  if (!leavingSince) {
     leaving_ = false;
   } else if (!leaving_) {
-    BeginLeaving(now);
+    BeginLeaving(*leavingSince);
   }
   if (announcement_ == aAnnouncement) {
     if (down_ && announcement_->reportsState_) {
@@ -270,10 +270,11 @@
 }
 
 void
-BackendService::BeginLeaving(TimePoint aNow)
+BackendService::BeginLeaving(TimePoint aSince)
 {
   leaving_ = true;
-  leavingSince_ = aNow;
+  leavingSince_ = aSince;
+  const auto now = clock_.Now();
   if (announcement_) {
     LogLine(LogLevel::Info, "backend_leaves").With("service", announcement_->service_);
   }
@@ -289,17 +290,17 @@
   }
   for (auto& item : keyed) {
     const ExchangePtr exchange = exchanges_[item.key_];
-    if (queue_.Push(std::move(item), Rate(aNow), aNow) != QueueVerdict::Queued) {
+    if (queue_.Push(std::move(item), Rate(now), now) != QueueVerdict::Queued) {
       RefuseNotRun(exchange, ErrorCode::Draining);
     }
   }
 }
 
 void
-BackendService::Leave()
+BackendService::Leave(TimePoint aSince)
 {
   if (!leaving_) {
-    BeginLeaving(clock_.Now());
+    BeginLeaving(aSince);
   }
   PublishStatus();
 }
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -148,9 +148,9 @@
 }
 
 void
-BackendService::OnLeave()
+BackendService::OnLeave(TimePoint aSince)
 {
-  Post([this] { Leave(); });
+  Post([this, aSince] { Leave(aSince); });
 }
 
 void
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -70,10 +70,11 @@
   /// Preconditions: none. Thread safety: any thread.
   void OnAnnounce(BackendAnnouncement aAnnouncement);
 
-  /// Marks the backend server as leaving: running requests finish, new ones are refused.
+  /// Marks the backend server as leaving since aSince: running requests finish, new ones are
+  /// refused.
   ///
   /// Preconditions: none. Thread safety: any thread.
-  void OnLeave();
+  void OnLeave(TimePoint aSince);
 
   /// Refuses requests that are not running and cannot be answered by aAnswerBy.
   ///
@@ -208,8 +209,8 @@
   void OnProgressProbe(const HealthReport& aReport);
   void Announce(BackendAnnouncement&& aAnnouncement);
   void ApplyConfiguration();
-  void Leave();
-  void BeginLeaving(TimePoint aNow);
+  void Leave(TimePoint aSince);
+  void BeginLeaving(TimePoint aSince);
   void OnNewServer(TimePoint aNow);
   void OnHealth(const HealthReport& aReport);
   void OnHealthFailed(bool aRefused);
--- a/src/backend/BackendStated.cpp
+++ b/src/backend/BackendStated.cpp
@@ -57,7 +57,7 @@
   }
   LogLine(LogLevel::Info, "server_leaves_by_answer").With("server", announcement_->serverId_);
   const bool held = std::exchange(pumpHeld_, true);
-  Leave();
+  Leave(clock_.Now());
   pumpHeld_ = held;
   if (hooks_.onServerLeaves_) {
     hooks_.onServerLeaves_(announcement_->serverId_);
--- a/src/daemon/DaemonOperator.cpp
+++ b/src/daemon/DaemonOperator.cpp
@@ -158,7 +158,7 @@
     aReply(JsonReply("{}"));
   };
   handlers.leave_ = [this](const LocalReplyCallback& aReply) {
-    backend_->OnLeave();
+    backend_->OnLeave(clock_.Now());
     aReply(JsonReply("{}"));
   };
   handlers.metrics_ = [this](const LocalReplyCallback& aReply) {
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -127,7 +127,7 @@
   hooks.announce_ = [this](BackendAnnouncement aAnnouncement) {
     backend_->OnAnnounce(std::move(aAnnouncement));
   };
-  hooks.serverLeaves_ = [this] { backend_->OnLeave(); };
+  hooks.serverLeaves_ = [this](TimePoint aSince) { backend_->OnLeave(aSince); };
   hooks.serviceRate_ = [this] {
     const BackendStatus status = backend_->Status();
     const double seconds = std::chrono::duration<double>(status.serviceTime_).count();
--- a/src/exchange/BackendAnnouncement.hpp
+++ b/src/exchange/BackendAnnouncement.hpp
@@ -2,9 +2,11 @@
 
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
+#include "core/Clock.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace redwing {
@@ -25,7 +27,8 @@
   std::string life_;
   /// The announcement itself says that the server is up; it is not asked for its health.
   bool reportsState_ = false;
-  bool draining_ = false;
+  /// Since when the server has been leaving; no value if it does not.
+  std::optional<TimePoint> leavingSince_{};
   /// Time for which the server stays cold.
   std::chrono::milliseconds coldFor_{ 0 };
 
--- a/src/exchange/ServerHeartbeat.hpp
+++ b/src/exchange/ServerHeartbeat.hpp
@@ -70,6 +70,8 @@
   std::optional<std::vector<GrantedKeys>> grants_;
   /// Time from the sending of the heartbeat for which the server holds them.
   std::chrono::milliseconds holdFor_{ 0 };
+  /// False if the heartbeat was ignored and its server must not rely on it.
+  bool accepted_ = true;
 };
 
 } // namespace redwing
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -14,6 +14,9 @@
 /// Time to wait for the server's first heartbeat before registering without a server. The first
 /// heartbeat usually arrives within this time.
 constexpr std::chrono::milliseconds kFirstHeartbeatWait{ 2500 };
+/// Longest wait for the store before a leave is confirmed; the server expects the reply within a
+/// second.
+constexpr std::chrono::milliseconds kMaxLeaveRecordTime{ 500 };
 
 } // namespace
 
@@ -36,7 +39,9 @@
       .With("service", aHeartbeat.service_)
       .With("present_life", serverIncarnation_)
       .With("last_sequence", lastSequence_);
-    aDone({});
+    HeartbeatReply reply;
+    reply.accepted_ = !aHeartbeat.draining_ || serverLeavingSince_;
+    aDone(reply);
     return;
   }
   if (serverIncarnation != serverIncarnation_) {
@@ -46,14 +51,19 @@
     serverIncarnation_ = serverIncarnation;
     serverId_ = aHeartbeat.serverId_;
     serverStartedAt_ = aHeartbeat.startedAt_;
-    serverLeaves_ = false;
+    serverLeavingSince_ = departedServers_.LeavingSince(serverIncarnation);
+    if (serverLeavingSince_) {
+      LogLine(LogLevel::Warning, "departed_server_heard").With("life", serverIncarnation);
+    }
     serverCrashed_ = false;
     WithdrawGrants();
     holds_.SetServerIncarnation(serverIncarnation_);
   }
   lastSequence_ = aHeartbeat.sequence_;
   slots_ = aHeartbeat.slots_;
-  serverLeaves_ = serverLeaves_ || aHeartbeat.draining_;
+  if (aHeartbeat.draining_ && !serverLeavingSince_) {
+    serverLeavingSince_ = clock_.Now();
+  }
   Announce(aHeartbeat);
   UpdateSelf();
   if (serverCrashed_) {
@@ -66,7 +76,7 @@
   delayedHeartbeatAt_ = clock_.Now();
   // The reply is delayed only while shards are expected and none have to be released. The reported
   // holds are evaluated together with the reply, which is harmless then.
-  if (serverLeaves_ || !holds_.AwaitsShards() || holds_.HasNewShards()) {
+  if (serverLeavingSince_ || !holds_.AwaitsShards() || holds_.HasNewShards()) {
     AnswerDelayedHeartbeat();
   }
 }
@@ -95,24 +105,95 @@
   announcement.serverId_ = aHeartbeat.serverId_;
   announcement.life_ = serverIncarnation_;
   announcement.reportsState_ = true;
-  announcement.draining_ = serverLeaves_;
+  announcement.leavingSince_ = serverLeavingSince_;
   announcement.coldFor_ = aHeartbeat.coldFor_;
   hooks_.announce_(std::move(announcement));
 }
 
 void
-FleetService::OnServerLeaves(const std::string& aServerId)
+FleetService::OnServerLeaves(const std::string& aServerId, std::function<void()> aConfirm)
 {
-  if (aServerId != serverId_ || serverLeaves_) {
+  const TimePoint now = clock_.Now();
+  if (aServerId == serverId_) {
+    BeginServerLeave(now);
+  } else {
+    const auto timeOfDay = hooks_.timeOfDay_().time_since_epoch();
+    departedServers_.Add(
+      aServerId, std::chrono::duration_cast<std::chrono::milliseconds>(timeOfDay).count(), now);
+    LogLine(LogLevel::Info, "unheard_server_leaves")
+      .With("server", aServerId)
+      .With("present_life", serverIncarnation_);
+    UpdateSelf();
+  }
+  if (aConfirm) {
+    unconfirmedLeaves_.emplace_back(std::move(aConfirm), now + kMaxLeaveRecordTime);
+    ConfirmLeaves();
+  }
+}
+
+void
+FleetService::BeginServerLeave(TimePoint aSince)
+{
+  if (serverLeavingSince_) {
     return;
   }
   LogLine(LogLevel::Info, "server_leaves").With("life", serverIncarnation_);
-  serverLeaves_ = true;
-  hooks_.serverLeaves_();
+  serverLeavingSince_ = aSince;
+  hooks_.serverLeaves_(aSince);
   UpdateSelf();
   viewDirty_ = true;
 }
 
+void
+FleetService::AdoptEarlierLeave()
+{
+  const MemberRecord* stored = StoredSelf();
+  if (stored == nullptr || stored->member_.state_ != BackendState::Draining) {
+    return;
+  }
+  // An earlier process confirmed it before this one started.
+  departedServers_.AddIncarnation(stored->serverIncarnation_, startedAt_);
+  if (const auto since = departedServers_.LeavingSince(serverIncarnation_)) {
+    BeginServerLeave(*since);
+  }
+}
+
+bool
+FleetService::EarlierServerLeaves() const
+{
+  const MemberRecord* stored = StoredSelf();
+  return stored != nullptr && departedServers_.LeavingSince(stored->serverIncarnation_);
+}
+
+const MemberRecord*
+FleetService::StoredSelf() const
+{
+  const auto stored = members_.find(session_.MemberKey(settings_.self_.ref_.id_));
+  return stored == members_.end() ? nullptr : &stored->second.record_;
+}
+
+void
+FleetService::ConfirmLeaves()
+{
+  if (unconfirmedLeaves_.empty()) {
+    return;
+  }
+  const MemberRecord* stored = StoredSelf();
+  const bool told = stored != nullptr && stored->member_.state_ == BackendState::Draining;
+  const TimePoint now = clock_.Now();
+  std::vector<std::function<void()>> confirmed;
+  std::erase_if(unconfirmedLeaves_, [&](auto& aLeave) {
+    if (!told && now < aLeave.second) {
+      return false;
+    }
+    confirmed.push_back(std::move(aLeave.first));
+    return true;
+  });
+  for (const auto& confirm : confirmed) {
+    confirm();
+  }
+}
+
 void
 FleetService::OnBackendStatus(const BackendStatus& aStatus)
 {
@@ -120,7 +201,7 @@
   backendState_ = aStatus.state_;
   // A leaving server may refuse connections before it releases its shards, so this is no crash.
   const bool gone =
-    aStatus.crashed_ && aStatus.announcement_.life_ == serverIncarnation_ && !serverLeaves_;
+    aStatus.crashed_ && aStatus.announcement_.life_ == serverIncarnation_ && !serverLeavingSince_;
   if (gone && !serverCrashed_) {
     LogLine(LogLevel::Warning, "server_gone").With("life", serverIncarnation_);
     serverCrashed_ = true;
@@ -139,8 +220,8 @@
   // The entries tell what the server may hold by grants of an earlier process of this instance.
   // Registering before the server's first heartbeat would soon require a second write.
   const TimePoint now = clock_.Now();
-  if (!session_.Loaded() ||
-      (serverIncarnation_.empty() && now - startedAt_ < kFirstHeartbeatWait)) {
+  if (!session_.Loaded() || (serverIncarnation_.empty() && now - startedAt_ < kFirstHeartbeatWait &&
+                             !EarlierServerLeaves())) {
     return;
   }
   MemberRecord record;
@@ -149,12 +230,12 @@
   record.member_.leaving_ = leaving_;
   record.carried_ = recovery_.Carried();
   record.processors_ = settings_.processors_;
-  if (serverLeaves_) {
+  record.serverIncarnation_ = IncarnationWithHolds(now);
+  if (serverLeavingSince_ || departedServers_.LeavingSince(record.serverIncarnation_)) {
     record.member_.state_ = BackendState::Draining;
   } else if (backendState_ != BackendState::Down) {
     record.member_.state_ = BackendState::Ready;
   }
-  record.serverIncarnation_ = IncarnationWithHolds(now);
   if (record.serverIncarnation_ != serverIncarnation_) {
     WithdrawGrants();
   }
@@ -166,9 +247,9 @@
 {
   // An earlier process granted nothing beyond its lease, which was renewed before this one started.
   const bool earlierGrantsRun = aNow < startedAt_ + settings_.session_.leaseTime_;
-  const auto stored = members_.find(session_.MemberKey(settings_.self_.ref_.id_));
-  if (earlierGrantsRun && stored != members_.end()) {
-    const std::string& earlier = stored->second.record_.serverIncarnation_;
+  const MemberRecord* stored = StoredSelf();
+  if (earlierGrantsRun && stored != nullptr) {
+    const std::string& earlier = stored->serverIncarnation_;
     const bool unheard = serverIncarnation_.empty() && !earlier.empty();
     if (unheard || IsLaterIncarnation(earlier, serverIncarnation_)) {
       if (std::exchange(assumedIncarnation_, earlier) != earlier) {
@@ -259,8 +340,9 @@
   const auto member = members_.find(session_.MemberKey(self));
   KnownTable* known = nullptr;
   // The record must name the current server incarnation before shards are assigned to it.
-  if (serverIncarnation_.empty() || serverLeaves_ || serverCrashed_ || member == members_.end() ||
-      member->second.record_.serverIncarnation_ != serverIncarnation_ || !OwnTable(known)) {
+  if (serverIncarnation_.empty() || serverLeavingSince_ || serverCrashed_ ||
+      member == members_.end() || member->second.record_.serverIncarnation_ != serverIncarnation_ ||
+      !OwnTable(known)) {
     return;
   }
   ShardTable next = known->table_;
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -113,7 +113,9 @@
   UpdateEpoch();
   ReadMembers();
   ReadTables();
+  AdoptEarlierLeave();
   UpdateSelf();
+  ConfirmLeaves();
   confirmedInEpoch_ = session_.Confirmed() && TablesAreCurrent();
   LogStart();
   UpdateLease();
@@ -229,7 +231,7 @@
     member.reachable_ = self || !unreachable_.contains(id);
     if (self) {
       // This instance knows its own state before its record in the store shows it.
-      member.state_ = serverLeaves_ ? BackendState::Draining : backendState_;
+      member.state_ = serverLeavingSince_ ? BackendState::Draining : backendState_;
     }
     serverIncarnations[id] = known.record_.serverIncarnation_;
     next->members_[id] = std::move(member);
@@ -274,6 +276,7 @@
     const TimePoint now = clock_.Now();
     session_.CheckEpoch();
     UpdateSelf();
+    ConfirmLeaves();
     if (now - delayedHeartbeatAt_ >= kMaxReplyDelay) {
       AnswerDelayedHeartbeat();
     }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -7,6 +7,7 @@
 #include "core/Random.hpp"
 #include "exchange/ServerHeartbeat.hpp"
 #include "fleet/AllowancePools.hpp"
+#include "fleet/DepartedServers.hpp"
 #include "fleet/EpochRecovery.hpp"
 #include "fleet/FleetMessages.hpp"
 #include "fleet/LeaderContacts.hpp"
@@ -32,6 +33,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace redwing {
@@ -87,7 +89,7 @@
     void(const std::string& aInstanceId, std::string aPayload, Duration aTimeout, CallDone aDone)>
     call_;
   std::function<void(BackendAnnouncement)> announce_;
-  std::function<void()> serverLeaves_;
+  std::function<void(TimePoint aSince)> serverLeaves_;
   /// Returns the requests per second that the local server can process; 0 if unknown.
   std::function<double()> serviceRate_;
   ConfigurationHooks configuration_;
@@ -133,12 +135,15 @@
   using HeartbeatDone = std::function<void(const HeartbeatReply&)>;
 
   /// Answers a heartbeat of the local server. A heartbeat for another service, or older than one
-  /// received before, changes nothing. While shards are being handed over to the server, the reply
-  /// is delayed for part of the server's reply timeout, so that it can grant them at once.
+  /// received before, changes nothing, and is not accepted if it says that its server leaves. While
+  /// shards are being handed over to the server, the reply is delayed for part of the server's
+  /// reply timeout, so that it can grant them at once.
   void OnHeartbeat(const ServerHeartbeat& aHeartbeat, const HeartbeatDone& aDone);
 
-  /// Records that the local server aServerId is about to leave.
-  void OnServerLeaves(const std::string& aServerId);
+  /// Records that the server aServerId is about to leave, whether or not this process has heard it.
+  /// aConfirm is called once a later process of this instance would know of it, or after a time in
+  /// which the store has not taken it; it may be empty.
+  void OnServerLeaves(const std::string& aServerId, std::function<void()> aConfirm = {});
 
   /// Applies the state of the local server as seen by the health checks.
   void OnBackendStatus(const BackendStatus& aStatus);
@@ -209,6 +214,15 @@
   /// Returns the incarnation of the local server that may hold shards; empty if none does.
   std::string IncarnationWithHolds(TimePoint aNow);
   void Announce(const ServerHeartbeat& aHeartbeat);
+  void BeginServerLeave(TimePoint aSince);
+  /// Takes over what the store tells of a leave that an earlier process confirmed.
+  void AdoptEarlierLeave();
+  /// Returns whether the server that an earlier process registered has said that it leaves.
+  bool EarlierServerLeaves() const;
+  /// Returns the store's record of this instance, maybe that of an earlier process; null if there
+  /// is none.
+  const MemberRecord* StoredSelf() const;
+  void ConfirmLeaves();
   void AnswerDelayedHeartbeat();
   void UpdateLease();
   void CommitReleases();
@@ -360,7 +374,11 @@
   std::optional<ServerHeartbeat> delayedHeartbeat_;
   HeartbeatDone delayedHeartbeatDone_;
   TimePoint delayedHeartbeatAt_{};
-  bool serverLeaves_ = false;
+  /// Since when the local server has been leaving.
+  std::optional<TimePoint> serverLeavingSince_;
+  DepartedServers departedServers_;
+  /// Leaves that are confirmed once the store's record of this instance tells of them, or then.
+  std::vector<std::pair<std::function<void()>, TimePoint>> unconfirmedLeaves_;
   bool serverCrashed_ = false;
   BackendState backendState_ = BackendState::Down;
   bool leaving_ = false;
--- a/src/fleet/ServerIncarnation.cpp
+++ b/src/fleet/ServerIncarnation.cpp
@@ -1,7 +1,6 @@
 #include "fleet/ServerIncarnation.hpp"
 
 #include <charconv>
-#include <optional>
 
 namespace redwing {
 
@@ -9,22 +8,23 @@
 
 constexpr char kSeparator = '@';
 
-std::optional<std::uint64_t>
-StartOf(std::string_view aIncarnation)
+} // namespace
+
+std::optional<ServerIncarnationParts>
+SplitServerIncarnation(std::string_view aIncarnation)
 {
   const std::size_t separator = aIncarnation.rfind(kSeparator);
   if (separator == std::string_view::npos) {
     return std::nullopt;
   }
+  ServerIncarnationParts parts{ aIncarnation.substr(0, separator), 0 };
   const std::string_view text = aIncarnation.substr(separator + 1);
-  std::uint64_t start = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), start);
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), parts.startedAt_);
   const bool read = error == std::errc() && end == text.data() + text.size();
-  return read ? std::optional(start) : std::nullopt;
+  return read ? std::optional(parts) : std::nullopt;
 }
 
-} // namespace
-
 std::string
 MakeServerIncarnation(std::string_view aServerId, std::uint64_t aStartedAt)
 {
@@ -34,9 +34,9 @@
 bool
 IsLaterIncarnation(std::string_view aOne, std::string_view aOther)
 {
-  const auto one = StartOf(aOne);
-  const auto other = StartOf(aOther);
-  return one && other && *one > *other;
+  const auto one = SplitServerIncarnation(aOne);
+  const auto other = SplitServerIncarnation(aOther);
+  return one && other && one->startedAt_ > other->startedAt_;
 }
 
 } // namespace redwing
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -305,7 +305,9 @@
     BackendAnnouncement announcement{ "svc", { "127.0.0.1", bench.server_.Port() }, 4, 32, {} };
     announcement.serverId_ = aRun;
     announcement.life_ = aRun;
-    announcement.draining_ = aDraining;
+    if (aDraining) {
+      announcement.leavingSince_ = bench.clock_.Now();
+    }
     bench.service_.OnAnnounce(std::move(announcement));
   };
   const auto serve = [&](std::uint64_t aId) {
--- a/tests/unit/fleet/FleetFixture.hpp
+++ b/tests/unit/fleet/FleetFixture.hpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -105,8 +106,10 @@
             aPayload, [aDone](const std::string& aReply) { aDone(true, aReply); });
         });
       };
-      hooks.announce_ = [](const BackendAnnouncement&) {};
-      hooks.serverLeaves_ = [] {};
+      hooks.announce_ = [this](const BackendAnnouncement& aAnnouncement) {
+        announced_ = aAnnouncement;
+      };
+      hooks.serverLeaves_ = [](TimePoint) {};
       hooks.serviceRate_ = [] { return 0.0; };
       hooks.configuration_ = { [](std::uint64_t) {}, [](auto) {} };
       hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
@@ -142,6 +145,7 @@
       }
       const TimePoint sentAt = fleet_.clock_.Now();
       service_.OnHeartbeat(heartbeat, [this, sentAt](const HeartbeatReply& aReply) {
+        accepted_ = aReply.accepted_;
         if (!aReply.grants_) {
           return;
         }
@@ -171,6 +175,10 @@
     std::vector<HeldKeys> granted_;
     /// Time until which the server may hold granted_.
     TimePoint grantedUntil_{};
+    /// What the last heartbeat made this instance announce of the server.
+    std::optional<BackendAnnouncement> announced_;
+    /// The last heartbeat that was answered was accepted.
+    bool accepted_ = false;
     FleetService service_;
   };
 
--- a/tests/unit/fleet_explorer/World.cpp
+++ b/tests/unit/fleet_explorer/World.cpp
@@ -139,11 +139,11 @@
   };
   hooks.announce_ = [this](const BackendAnnouncement& aAnnouncement) {
     BackendStatus status;
-    status.state_ = aAnnouncement.draining_ ? BackendState::Draining : BackendState::Ready;
+    status.state_ = aAnnouncement.leavingSince_ ? BackendState::Draining : BackendState::Ready;
     status.announcement_ = aAnnouncement;
     boost::asio::post(fleet_.Context(), [this, status] { service_->OnBackendStatus(status); });
   };
-  hooks.serverLeaves_ = [] {};
+  hooks.serverLeaves_ = [](TimePoint) {};
   hooks.serviceRate_ = [] { return 0.0; };
   hooks.configuration_ = { [](std::uint64_t) {}, [](auto) {} };
   hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
--- a/tests/unit/fleet_restart/RestartedInstanceTest.cpp
+++ b/tests/unit/fleet_restart/RestartedInstanceTest.cpp
@@ -85,4 +85,87 @@
   BOOST_TEST(RunWithLeasesUntil([&] { return Taken("a"); }, 8s));
 }
 
+// Guards against a server in use again that has left: a process that had not heard it confirmed
+// that, and a heartbeat sent before arrives late.
+BOOST_AUTO_TEST_CASE(ALateHeartbeatDoesNotBringBackAServerThatHasLeft)
+{
+  Settle(Add("a"), Add("b"));
+  Node& restarted = Restart("a");
+  bool confirmed = false;
+  restarted.service_.OnServerLeaves("server-a", [&] { confirmed = true; });
+  const TimePoint leftAt = clock_.Now();
+  BOOST_TEST(RunWithLeasesUntil([&] { return confirmed; }, 2s));
+  restarted.Beat();
+  BOOST_REQUIRE(restarted.announced_.has_value());
+  BOOST_REQUIRE(restarted.announced_->leavingSince_.has_value());
+  BOOST_TEST((*restarted.announced_->leavingSince_ <= leftAt));
+  const auto accepts = [&] {
+    return MemberRecord::Parse(store_.Entries().at("redwing/members/record/a").value_)->Accepts();
+  };
+  BOOST_TEST(!RunWithLeasesUntil(accepts, 500ms));
+}
+
+// Guards against a server that leaves for good because an earlier run had its id.
+BOOST_AUTO_TEST_CASE(AServerThatStartsAgainUnderItsIdIsUsed)
+{
+  Settle(Add("a"), Add("b"));
+  Node& restarted = Restart("a");
+  restarted.service_.OnServerLeaves("server-a");
+  const auto timeOfDay = std::chrono::system_clock::now().time_since_epoch();
+  restarted.startedAt_ =
+    std::chrono::duration_cast<std::chrono::milliseconds>(timeOfDay + 2s).count();
+  restarted.Beat();
+  BOOST_REQUIRE(restarted.announced_.has_value());
+  BOOST_TEST(!restarted.announced_->leavingSince_.has_value());
+}
+
+// Guards against a leave that was confirmed by a process which ended right after it.
+BOOST_AUTO_TEST_CASE(AConfirmedLeaveOutlastsTheProcess)
+{
+  Node& one = Add("a");
+  Settle(one, Add("b"));
+  bool confirmed = false;
+  one.service_.OnServerLeaves("server-a", [&] { confirmed = true; });
+  BOOST_REQUIRE(RunUntil([&] { return confirmed; }));
+  Node& restarted = Restart("a");
+  restarted.Beat();
+  BOOST_TEST(RunUntil([&] { return restarted.service_.Ready(); }));
+  restarted.Beat();
+  BOOST_REQUIRE(restarted.announced_.has_value());
+  BOOST_TEST(restarted.announced_->leavingSince_.has_value());
+}
+
+// Guards against a leave that is forgotten by the second process after the one that confirmed it.
+BOOST_AUTO_TEST_CASE(AConfirmedLeaveOutlastsTwoProcesses)
+{
+  Node& one = Add("a");
+  Settle(one, Add("b"));
+  bool confirmed = false;
+  one.service_.OnServerLeaves("server-a", [&] { confirmed = true; });
+  BOOST_REQUIRE(RunUntil([&] { return confirmed; }));
+  const auto writtenBy = [&] { return store_.Entries().at("redwing/members/record/a").lease_; };
+  const auto earlier = writtenBy();
+  Restart("a");
+  BOOST_REQUIRE(RunUntil([&] { return writtenBy() != earlier; }));
+  Node& restarted = Restart("a");
+  BOOST_REQUIRE(RunUntil([&] { return restarted.service_.Ready(); }));
+  restarted.Beat();
+  BOOST_REQUIRE(restarted.announced_.has_value());
+  BOOST_TEST(restarted.announced_->leavingSince_.has_value());
+}
+
+// Guards against confirming to a server that it is drained by a heartbeat that is ignored.
+BOOST_AUTO_TEST_CASE(AnIgnoredHeartbeatThatSaysDrainingIsNotAccepted)
+{
+  Node& one = Add("a");
+  one.startedAt_ = 2;
+  Settle(one, Add("b"));
+  one.startedAt_ = 1;
+  one.Beat(true);
+  BOOST_TEST(!one.accepted_);
+  one.startedAt_ = 2;
+  one.Beat(true);
+  BOOST_TEST(one.accepted_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
