Keep the budgets of workspaces current without requests

Callers of a workspace were refused although its allowance had room: an instance went on reserving its share of an allowance that had been lowered since its last request.

Change: reports and waiting requests refresh the budget, and a configuration is applied to the budgets in use.

Measured: ALowerAllowanceBindsInstancesWithoutRequests fails without the refresh and passes with it; unit.fleet_allowances passes.

--- a/src/fleet/FleetAllowances.cpp
+++ b/src/fleet/FleetAllowances.cpp
@@ -70,11 +70,27 @@
 {
   WindowBudget& budget =
     budgets_.try_emplace(aWorkspace.id_, settings_.budget_, startedAt_).first->second;
-  budget.SetAllowance(AllowanceOf(aWorkspace), std::max<std::size_t>(1, members_.size()));
-  budget.SetTimeSinceReply(clock_.Now() - std::max(startedAt_, answeredReportAt_));
+  Refresh(budget, AllowanceOf(aWorkspace));
   return budget;
 }
 
+void
+FleetService::Refresh(WindowBudget& aBudget, double aAllowance) const
+{
+  aBudget.SetAllowance(aAllowance, std::max<std::size_t>(1, members_.size()));
+  aBudget.SetTimeSinceReply(clock_.Now() - std::max(startedAt_, answeredReportAt_));
+}
+
+void
+FleetService::ApplyAllowances()
+{
+  for (const Workspace& workspace : configuration_->configuration_.workspaces_) {
+    if (const auto budget = budgets_.find(workspace.id_); budget != budgets_.end()) {
+      Refresh(budget->second, AllowanceOf(workspace));
+    }
+  }
+}
+
 bool
 FleetService::QueueForAllowance(const Workspace& aWorkspace, const RateDecision& aDecide)
 {
@@ -167,6 +183,7 @@
   AllowanceRequests& pending = allowanceRequests_[aWorkspace];
   pending.open_ = false;
   WindowBudget& budget = budgets_.at(aWorkspace);
+  Refresh(budget, budget.Allowance());
   // A callback may admit the next request of the workspace, which may be added to waiting_.
   for (AllowanceRequests::Waiting& waiting : std::exchange(pending.waiting_, {})) {
     const TimePoint now = clock_.Now();
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -254,6 +254,7 @@
       // back.
       break;
     }
+    Refresh(budget, budget.Allowance());
     // A newer report would make the budget ignore the reply to the request that is in progress.
     if (budget.InUse(now) && !allowanceRequests_[workspace].open_) {
       report.uses_.push_back({ workspace, UseOf(workspace, budget, 0) });
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -96,6 +96,7 @@
     .With("routes", aConfiguration->configuration_.routes_.size());
   withdrawalStart_.OnConfiguration(*aConfiguration, clock_.Now());
   configuration_ = std::move(aConfiguration);
+  ApplyAllowances();
   // Takes effect at once for requests that arrive from now on.
   PublishView();
   nextPlan_ = {};
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -310,6 +310,10 @@
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
   WindowBudget& BudgetOf(const Workspace& aWorkspace);
+  /// Sets what a budget depends on beside its own use.
+  void Refresh(WindowBudget& aBudget, double aAllowance) const;
+  /// Applies the allowances of the configuration to the budgets in use.
+  void ApplyAllowances();
   bool QueueForAllowance(const Workspace& aWorkspace, const RateDecision& aDecide);
   bool LeaderIsReachable() const;
   bool MayRequestAllowance(const AllowanceRequests& aPending, TimePoint aNow) const;
--- a/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
+++ b/tests/unit/fleet_allowances/FleetAllowancesTest.cpp
@@ -143,6 +143,50 @@
   BOOST_TEST(!decide().value_or(true));
 }
 
+// Guards against an instance that keeps the share of an allowance that was lowered since its last
+// request: the others could use none of what is left.
+BOOST_AUTO_TEST_CASE(ALowerAllowanceBindsInstancesWithoutRequests)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  RunUntil([] { return false; }, Node::Settings("a").budget_.window_);
+  Node& leader = LeaderInStore() == "a" ? one : other;
+  Node& follower = LeaderInStore() == "a" ? other : one;
+  const auto admit = [](Node& aNode, const Workspace& aWorkspace, int& aAdmitted) {
+    aNode.service_.Admit(aWorkspace, [&](const RateAnswer& aAnswer) {
+      aAdmitted += aAnswer.admitted_ ? 1 : 0;
+      return true;
+    });
+  };
+  auto revision = std::make_shared<ConfigurationRevision>(*Node::Configured());
+  Workspace& workspace = revision->configuration_.workspaces_.front();
+  int admitted = 0;
+  admit(follower, workspace, admitted);
+  RunUntil([] { return false; }, 600ms);
+  BOOST_REQUIRE(admitted == 1);
+  revision->revision_ = 2;
+  // 20 requests in a window.
+  workspace.rate_ = 4;
+  workspace.burst_ = 0;
+  leader.service_.OnConfiguration(revision);
+  follower.service_.OnConfiguration(revision);
+  RunUntil([] { return false; }, 1100ms);
+  // The leader has 4 of its own, and 4 are the minimum of the other instance.
+  constexpr int kHalf = 10;
+  admitted = 0;
+  TimePoint next = clock_.Now();
+  BOOST_TEST(RunUntil(
+    [&] {
+      if (clock_.Now() >= next) {
+        next += 20ms;
+        admit(leader, workspace, admitted);
+      }
+      return admitted >= kHalf;
+    },
+    2s));
+}
+
 // Guards against tokens that are lost with requests that ended before they were admitted.
 BOOST_AUTO_TEST_CASE(ATokenThatIsNotTakenIsFree)
 {
