Apply changed limits of a service without waiting for a request

Requests that waited for a cold server stayed under a rate that the configuration had already raised, and new limits of connections and of cold servers came into force with the next request only.

Change: the timer reads it as well.

Measured: AChangedColdRateAppliesToWaitingRequestsWithoutTraffic fails without the change and passes with it; unit.backend passes.

--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -49,6 +49,7 @@
       return;
     }
     const auto now = clock_.Now();
+    ConsumeConfiguration();
     if (announcement_ && now - announcedAt_ > settings_.announcementExpiry_) {
       LogLine(LogLevel::Warning, "backend_announcement_expired")
         .With("service", announcement_->service_);
@@ -231,6 +232,14 @@
   PublishStatus();
 }
 
+void
+BackendService::ConsumeConfiguration()
+{
+  if (checks_.ConsumeChange() && announcement_) {
+    ApplyConfiguration();
+  }
+}
+
 void
 BackendService::ApplyConfiguration()
 {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -118,9 +118,7 @@
 void
 BackendService::Drain()
 {
-  if (checks_.ConsumeChange() && announcement_) {
-    ApplyConfiguration();
-  }
+  ConsumeConfiguration();
   // A cancellation that is in the mailbox already must find its request in the queue.
   pumpHeld_ = true;
   mailbox_.Drain([this](RequestEvent&& aEvent) {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -208,6 +208,8 @@
   void CheckLeases(TimePoint aNow);
   void OnProgressProbe(const HealthReport& aReport);
   void Announce(BackendAnnouncement&& aAnnouncement);
+  /// Applies the configuration if it has changed.
+  void ConsumeConfiguration();
   void ApplyConfiguration();
   void Leave(TimePoint aSince);
   void BeginLeaving(TimePoint aSince);
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -397,6 +397,31 @@
   }
 }
 
+// Guards against limits of a service that change with the next request only.
+BOOST_AUTO_TEST_CASE(AChangedColdRateAppliesToWaitingRequestsWithoutTraffic)
+{
+  Bench bench(Echo);
+  const auto configure = [&](std::uint64_t aRevision, double aPerSecond) {
+    auto revision = std::make_shared<ConfigurationRevision>(*bench.view_.Get()->configuration_);
+    revision->revision_ = aRevision;
+    revision->configuration_.services_.front().coldStart_.perSecond_ = aPerSecond;
+    auto view = std::make_shared<RoutingView>(*bench.view_.Get());
+    view->configuration_ = revision;
+    bench.view_.Set(view);
+  };
+  configure(6, 0.5);
+  BackendAnnouncement announcement{ "svc", { "127.0.0.1", bench.server_.Port() }, 4, 32, {} };
+  announcement.coldFor_ = 60s;
+  bench.service_.OnAnnounce(announcement);
+  BOOST_REQUIRE(bench.service_.TryStart(bench.Make(1)));
+  std::promise<void> queued;
+  bench.service_.ImportEntries({}, [&] { queued.set_value(); });
+  queued.get_future().wait();
+  BOOST_TEST(bench.serverRequests_.Size() == 0U);
+  configure(7, 100);
+  BOOST_TEST(std::holds_alternative<ResponseStart>(bench.responses_.Await(1).front()));
+}
+
 // Guards against sending requests to a server whose limits are unknown: an instance that restarts
 // while the store is down receives its server's announcement, but no configuration. In a randomised
 // run of a scenario (halvorsen-ducts mix --seed 641191912554), 44 requests were sent to a cold
