Accept no releases before the shard table is known

Keys that a server released to a restarted instance moved without their handover, so that their next holder served them slowly at first.

The server repeats them only until they are acknowledged.

Change: such a heartbeat is not accepted if it reports releases.

Measured: ReleasesAreNotAcceptedBeforeTheTableIsKnown fails without the change and passes with it; unit.fleet passes. Not played in whole processes.

--- a/src/fleet/ShardHolds.cpp
+++ b/src/fleet/ShardHolds.cpp
@@ -156,6 +156,8 @@
   std::lock_guard lock(mutex_);
   HeartbeatReply reply;
   if (!table_ || serverIncarnation_.empty()) {
+    // The server repeats its releases until a heartbeat with them is accepted.
+    reply.accepted_ = aHeartbeat.released_.empty();
     return reply;
   }
   const TimePoint now = clock_.Now();
--- a/tests/unit/fleet/ShardHoldsTest.cpp
+++ b/tests/unit/fleet/ShardHoldsTest.cpp
@@ -272,4 +272,19 @@
   BOOST_TEST(holds_.TakeReleased().size() == 1U);
 }
 
+// Guards against releases that are confirmed and lost before the table is known, so that the next
+// holder starts without the handover.
+BOOST_AUTO_TEST_CASE(ReleasesAreNotAcceptedBeforeTheTableIsKnown)
+{
+  ShardHolds holds(clock_, "a", {});
+  holds.SetServerIncarnation("s1");
+  ServerHeartbeat heartbeat;
+  heartbeat.sequence_ = 1;
+  BOOST_TEST(holds.OnHeartbeat(heartbeat, clock_.Now()).accepted_);
+  heartbeat.released_ = { { 0, 4095, "handover" } };
+  BOOST_TEST(!holds.OnHeartbeat(heartbeat, clock_.Now()).accepted_);
+  holds.SetTable("desk", table_);
+  BOOST_TEST(holds.OnHeartbeat(heartbeat, clock_.Now()).accepted_);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
