Count a withdrawal from the last contact before it

An instance that was frozen or cut off while its data centre was withdrawn began the full grace period when it was back, up to 3.5 s of which at most 3 s lie before it counts as in contact again.

Found by reading; no run of whole processes shows it.

Change: FleetService keeps the last time at which the leader knew of no newer configuration. If that is longer ago than the time allowed for learning of a withdrawal, the grace period begins that much earlier. In contact nothing changes.

Measured: AWithdrawalDuringALossOfContactMayBeAsOldAsTheLoss fails without the change; AWithdrawalBeginsAtOnceForAnInstanceInContact holds with and without it. unit.fleet passes.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -75,6 +75,7 @@
   backend_.enforcesTargetTimes_ = true;
   backend_.bodiesNeedCredit_ = true;
   backend_.withdrawalGrace_ = aEvacuationTimeout * 7 / 10;
+  fleet_.withdrawalLag_ = aEvacuationTimeout - backend_.withdrawalGrace_;
   backend_.leaveGrace_ = aDrainTimeout * 3 / 4;
   backend_.quarantine_ = kQuarantine;
   backend_.trialsAnywhere_ = true;
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -442,6 +442,9 @@
     }
   }
   hooks_.configuration_.reported_(aReply.configurationChange_);
+  if (aReply.configurationChange_ <= configuration_->change_) {
+    ConfirmConfiguration(aSentAt);
+  }
   staleReplies_ = aReply.memberRevision_ > session_.NewestChange() ? staleReplies_ + 1 : 0;
   if (staleReplies_ >= kMaxStaleReplies) {
     staleReplies_ = 0;
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -94,7 +94,13 @@
     .With("revision", aConfiguration->revision_)
     .With("previous", configuration_->revision_)
     .With("routes", aConfiguration->configuration_.routes_.size());
-  withdrawalStart_.OnConfiguration(*aConfiguration, clock_.Now());
+  const TimePoint now = clock_.Now();
+  if (configuration_->revision_ == 0) {
+    configurationCurrentAt_ = now;
+  }
+  // An instance that was out of contact may learn of a withdrawal long after its begin.
+  withdrawalStart_.OnConfiguration(
+    *aConfiguration, std::min(now, configurationCurrentAt_ + settings_.withdrawalLag_));
   configuration_ = std::move(aConfiguration);
   ApplyAllowances();
   // Takes effect at once for requests that arrive from now on.
@@ -102,6 +108,15 @@
   nextPlan_ = {};
 }
 
+void
+FleetService::ConfirmConfiguration(TimePoint aSentAt)
+{
+  // The leader itself knows what its watch has delivered, whose loss it notices after a time.
+  const TimePoint currentAt =
+    leads_ ? leaderLease_.Deadline() - settings_.leader_.leaseTime_ - kWatchInterval : aSentAt;
+  configurationCurrentAt_ = std::max(configurationCurrentAt_, currentAt);
+}
+
 bool
 FleetService::Ready() const
 {
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -55,6 +55,8 @@
   double allowanceOvershoot_ = 0;
   double allowanceSlack_ = 0;
   std::chrono::milliseconds reportInterval_{ 500 };
+  /// Time within which an instance in contact with the others learns of a withdrawal.
+  std::chrono::milliseconds withdrawalLag_{ 1500 };
   std::uint64_t seed_ = 0;
 
   /// Sets by how much workspaces may exceed their allowance. Only a part of it is used; the rest is
@@ -254,6 +256,8 @@
   void Tick();
   void ProbeLostPeers();
   void UpdateWatches(TimePoint aNow);
+  /// Records that the leader knew of no newer configuration at aSentAt.
+  void ConfirmConfiguration(TimePoint aSentAt);
   void RelayRenewal(std::int64_t aLease, const std::function<void(bool)>& aDone);
   void RenewForPeer(const LeaseRenewal& aRenewal, const CallReply& aReply);
 
@@ -343,6 +347,8 @@
 
   std::shared_ptr<const ConfigurationRevision> configuration_;
   WithdrawalStart withdrawalStart_;
+  /// Latest time at which this instance is known to have had the newest configuration.
+  TimePoint configurationCurrentAt_ = TimePoint::min();
   std::map<std::string, KnownMember, std::less<>> members_;
   std::map<std::string, KnownTable, std::less<>> tables_;
   /// Revisions of entries that cannot be read, by key; each is logged once.
--- a/tests/unit/fleet/WithdrawalTest.cpp
+++ b/tests/unit/fleet/WithdrawalTest.cpp
@@ -60,4 +60,37 @@
   BOOST_TEST((*view.Get()->selfWithdrawnSince_ == TimePoint::min()));
 }
 
+// Guards against a withdrawal that begins for an instance only when it is in contact again.
+BOOST_AUTO_TEST_CASE(AWithdrawalDuringALossOfContactMayBeAsOldAsTheLoss)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  Node& leader = LeaderInStore() == "a" ? one : other;
+  Node& follower = LeaderInStore() == "a" ? other : one;
+  follower.answered_ = false;
+  const TimePoint lostAt = clock_.Now();
+  RunUntil([&] { return clock_.Now() > lostAt + 2500ms; });
+  follower.service_.OnConfiguration(Configured(2, true));
+  leader.service_.OnConfiguration(Configured(2, true));
+  BOOST_REQUIRE(Since(follower).has_value());
+  BOOST_TEST((*Since(follower) <= lostAt + Node::Settings("a").withdrawalLag_));
+  BOOST_REQUIRE(Since(leader).has_value());
+  BOOST_TEST((*Since(leader) > clock_.Now() - 1s));
+}
+
+// Guards against a shorter grace period for instances that are in contact.
+BOOST_AUTO_TEST_CASE(AWithdrawalBeginsAtOnceForAnInstanceInContact)
+{
+  Node& one = Add("a");
+  Node& other = Add("b");
+  Settle(one, other);
+  RunUntil([] { return false; }, 2500ms);
+  Node& follower = LeaderInStore() == "a" ? other : one;
+  const TimePoint before = clock_.Now();
+  follower.service_.OnConfiguration(Configured(2, true));
+  BOOST_REQUIRE(Since(follower).has_value());
+  BOOST_TEST((*Since(follower) >= before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
