Decode bounds by contract, downloads, limits and versions

Deployments without allowances could not start: /bounds/quotaWindowS and two more bounds were required of all. A configuration with a route of kind download was rejected. Bounds are now required with the contract that they belong to; limits of the machine and of callers, the version of a server and the bounds of rollouts are decoded for the parts that use them.

--- a/src/config/Configuration.hpp
+++ b/src/config/Configuration.hpp
@@ -165,6 +165,8 @@
   std::uint32_t maxAttempts_ = 2;
   /// Time within which a response is of full use to the caller; 0: the whole timeout.
   std::chrono::milliseconds targetLatency_{ 0 };
+  /// The answers are large, so that the link of a backend server's machine may be short of room.
+  bool largeAnswers_ = false;
 
   bool operator==(const Route&) const = default;
 };
@@ -179,6 +181,17 @@
   bool operator==(const DataCentre&) const = default;
 };
 
+/// What callers may send, and how long they may take; 0 if the operator states no limit.
+struct CallerLimits
+{
+  std::uint64_t headerBytes_ = 0;
+  std::uint64_t bodyBytes_ = 0;
+  std::chrono::milliseconds headerTimeout_{ 0 };
+  std::chrono::milliseconds idleTimeout_{ 0 };
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 /// The whole configuration document.
 struct Configuration
 {
@@ -188,6 +201,7 @@
   std::vector<Service> services_;
   std::vector<Route> routes_;
   std::vector<DataCentre> dataCentres_;
+  CallerLimits callerLimits_;
 
   bool operator==(const Configuration&) const = default;
 };
--- a/src/exchange/ServerHeartbeat.hpp
+++ b/src/exchange/ServerHeartbeat.hpp
@@ -51,6 +51,8 @@
   /// Rises with each heartbeat of a run.
   std::uint64_t sequence_ = 0;
   std::string service_;
+  /// Version of the server's software.
+  std::string version_;
   Address address_;
   std::uint32_t slots_ = 0;
   bool draining_ = false;
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -65,6 +65,9 @@
   }
   lastSequence_ = aHeartbeat.sequence_;
   slots_ = aHeartbeat.slots_;
+  if (settings_.rollouts_.enabled_) {
+    serverVersion_ = aHeartbeat.version_;
+  }
   if (aHeartbeat.draining_ && !serverLeavingSince_) {
     serverLeavingSince_ = clock_.Now();
   }
@@ -249,6 +252,7 @@
   }
   MemberRecord record;
   record.member_ = settings_.self_;
+  record.member_.version_ = serverVersion_;
   record.member_.slots_ = slots_;
   record.member_.leaving_ = leaving_;
   record.carried_ = recovery_.Carried();
--- a/src/fleet/FleetMessages.hpp
+++ b/src/fleet/FleetMessages.hpp
@@ -4,6 +4,7 @@
 #include "fleet/ShardTable.hpp"
 #include "limits/WindowBudget.hpp"
 #include "ownership/ShardRow.hpp"
+#include "rollout/RolloutTypes.hpp"
 
 #include <cereal/types/utility.hpp>
 #include <cereal/types/variant.hpp>
@@ -191,7 +192,8 @@
 };
 
 /// Any request that one instance sends to another.
-using FleetRequest = std::variant<FleetReport, TableNotice, LeaseRenewal, QuarantineNotice>;
+using FleetRequest = std::
+  variant<FleetReport, TableNotice, LeaseRenewal, QuarantineNotice, RolloutReport, RolloutNotice>;
 
 /// The leader's reply to a FleetReport.
 struct FleetReply
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -429,8 +429,10 @@
   } else if (const auto* quarantine = std::get_if<QuarantineNotice>(&request)) {
     OnQuarantine(*quarantine);
     aReply({});
+  } else if (const auto* report = std::get_if<FleetReport>(&request)) {
+    aReply(WriteWire(OnReport(*report)));
   } else {
-    aReply(WriteWire(OnReport(std::get<FleetReport>(request))));
+    aReply({});
   }
 }
 
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -55,6 +55,7 @@
   /// requests.
   double allowanceOvershoot_ = 0;
   double allowanceSlack_ = 0;
+  RolloutBounds rollouts_;
   std::chrono::milliseconds reportInterval_{ 500 };
   /// Time within which an instance in contact with the others learns of a withdrawal.
   std::chrono::milliseconds withdrawalLag_{ 1500 };
@@ -383,6 +384,8 @@
   /// Incarnation of the local server that sent the last heartbeat.
   std::string serverIncarnation_;
   std::string serverId_;
+  /// Version of the local server's software; empty where roll-outs are off.
+  std::string serverVersion_;
   bool earlierHoldRead_ = false;
   /// Incarnation that may hold shards by grants of an earlier process, as logged last.
   std::string assumedIncarnation_;
--- a/src/fleet/MemberRecord.cpp
+++ b/src/fleet/MemberRecord.cpp
@@ -77,6 +77,7 @@
     member.dataCentre_ = json.at("dataCentre").get<std::string>();
     member.region_ = json.at("region").get<std::string>();
     member.service_ = json.at("service").get<std::string>();
+    member.version_ = json.value("version", std::string());
     member.slots_ = *slots;
     member.state_ = *state;
     member.leaving_ = json.at("leaving").get<bool>();
@@ -98,22 +99,24 @@
 std::string
 MemberRecord::ToText() const
 {
-  return Json{
-    { "id", member_.ref_.id_ },
-    { "incarnation", member_.ref_.incarnation_ },
-    { "peers", member_.peersAddress_.ToString() },
-    { "dataCentre", member_.dataCentre_ },
-    { "region", member_.region_ },
-    { "service", member_.service_ },
-    { "slots", member_.slots_ },
-    { "state", redwing::ToText(member_.state_) },
-    { "leaving", member_.leaving_ },
-    { "life", serverIncarnation_ },
-    { "epoch", epoch_ },
-    { "carried", carried_ },
-    { "holdMs", longestHold_.count() },
-    { "processors", processors_ }
-  }.dump(-1, ' ', false, Json::error_handler_t::replace);
+  Json json{ { "id", member_.ref_.id_ },
+             { "incarnation", member_.ref_.incarnation_ },
+             { "peers", member_.peersAddress_.ToString() },
+             { "dataCentre", member_.dataCentre_ },
+             { "region", member_.region_ },
+             { "service", member_.service_ },
+             { "slots", member_.slots_ },
+             { "state", redwing::ToText(member_.state_) },
+             { "leaving", member_.leaving_ },
+             { "life", serverIncarnation_ },
+             { "epoch", epoch_ },
+             { "carried", carried_ },
+             { "holdMs", longestHold_.count() },
+             { "processors", processors_ } };
+  if (!member_.version_.empty()) {
+    json["version"] = member_.version_;
+  }
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 bool
--- a/src/routing/RoutingView.hpp
+++ b/src/routing/RoutingView.hpp
@@ -4,6 +4,7 @@
 #include "core/Address.hpp"
 #include "core/Clock.hpp"
 #include "ownership/ShardRow.hpp"
+#include "rollout/RolloutTypes.hpp"
 
 #include <cstdint>
 #include <map>
@@ -33,6 +34,8 @@
   Address peersAddress_;
   /// Service of the backend server; empty when none is announced.
   std::string service_;
+  /// Version of the backend server's software; empty where roll-outs are off.
+  std::string version_;
   std::uint32_t slots_ = 0;
   Labels labels_;
   BackendState state_ = BackendState::Down;
@@ -61,6 +64,8 @@
   /// Earliest time at which the withdrawal of selfDataCentre_ may have begun; no value while it is
   /// not withdrawn.
   std::optional<TimePoint> selfWithdrawnSince_{};
+  /// Roll-outs by service.
+  std::map<std::string, RolloutRouting, std::less<>> rollouts_{};
 };
 
 } // namespace redwing
--- a/tests/unit/platform/HeartbeatCodecTest.cpp
+++ b/tests/unit/platform/HeartbeatCodecTest.cpp
@@ -18,6 +18,7 @@
         "holds":[[0,4095,7]],"freed":[[4096,8191,"5c0e"]]})");
   BOOST_REQUIRE(heartbeat.has_value());
   BOOST_TEST(heartbeat->serverId_ == "i-1");
+  BOOST_TEST(heartbeat->version_ == "v1");
   BOOST_TEST(heartbeat->startedAt_ == 1789395282487U);
   BOOST_TEST(heartbeat->sequence_ == 4U);
   BOOST_TEST(heartbeat->slots_ == 12U);
--- a/tests/unit/platform/ManifestDecoderTest.cpp
+++ b/tests/unit/platform/ManifestDecoderTest.cpp
@@ -66,6 +66,30 @@
 
 BOOST_AUTO_TEST_SUITE(Manifests)
 
+// Guards against a manifest without tenants that is rejected, and against routes with large answers
+// that are taken for ones that must not be repeated.
+BOOST_AUTO_TEST_CASE(DownloadsWithoutTenants)
+{
+  Json manifest = Manifest();
+  manifest.erase("tenants");
+  manifest["routes"][0]["kind"] = "download";
+  manifest["limits"] = { { "maxHeaderBytes", 16384 },
+                         { "maxBodyBytes", 67108864 },
+                         { "headerTimeoutMs", 3000 },
+                         { "idleTimeoutMs", 15000 } };
+  const auto decoded = DecodeManifest(manifest.dump());
+  BOOST_REQUIRE(decoded.has_value());
+  const Configuration& configuration = decoded->configuration_;
+  BOOST_TEST(configuration.routes_[0].largeAnswers_);
+  BOOST_TEST(configuration.routes_[0].idempotent_);
+  BOOST_TEST(configuration.routes_[0].open_);
+  BOOST_TEST(!configuration.routes_[1].largeAnswers_);
+  BOOST_TEST(configuration.callerLimits_.headerBytes_ == 16384U);
+  BOOST_TEST(configuration.callerLimits_.bodyBytes_ == 67108864U);
+  BOOST_TEST(configuration.callerLimits_.headerTimeout_.count() == 3000);
+  BOOST_TEST(configuration.callerLimits_.idleTimeout_.count() == 15000);
+}
+
 // Guards against a manifest whose meaning changes on its way into the product's configuration.
 BOOST_AUTO_TEST_CASE(BecomesAConfiguration)
 {
--- a/tests/unit/platform/PlatformSettingsTest.cpp
+++ b/tests/unit/platform/PlatformSettingsTest.cpp
@@ -49,6 +49,51 @@
   BOOST_TEST(!DecodeSettings(limited.dump()).has_value());
 }
 
+// Guards against deployments that cannot start because bounds are required that belong to contracts
+// which they do not have, and against missing bounds that go unnoticed where the contract is there.
+BOOST_AUTO_TEST_CASE(BoundsFollowTheContracts)
+{
+  const Json allowances{ { "quotaWindowS", 4 }, { "quotaOvershoot", 0.1 }, { "quotaSlack", 20 } };
+  const Json rollouts{ { "exposureShare", 0.1 }, { "exposureSlack", 50 }, { "rollbackMs", 5000 } };
+  for (const bool hasAllowances : { false, true }) {
+    for (const bool hasRollouts : { false, true }) {
+      Json settings = Settings();
+      settings["contracts"] = { "base", "drain", "own", "pressure", "platform" };
+      for (const char* name : { "quotaWindowS", "quotaOvershoot", "quotaSlack" }) {
+        settings["bounds"].erase(name);
+      }
+      if (hasAllowances) {
+        settings["contracts"].push_back("quota");
+        BOOST_TEST(!DecodeSettings(settings.dump()).has_value());
+        settings["bounds"].update(allowances);
+      }
+      if (hasRollouts) {
+        settings["contracts"].push_back("rollout");
+        BOOST_TEST(!DecodeSettings(settings.dump()).has_value());
+        settings["bounds"].update(rollouts);
+      }
+      const auto decoded = DecodeSettings(settings.dump());
+      BOOST_REQUIRE(decoded.has_value());
+      BOOST_TEST(decoded->allowanceWindow_.count() == (hasAllowances ? 4000 : 5000));
+      BOOST_TEST(decoded->rollouts_.enabled_ == hasRollouts);
+      BOOST_TEST(decoded->rollouts_.exposureSlack_ == (hasRollouts ? 50 : 0));
+      BOOST_TEST(decoded->rollouts_.rollbackTime_.count() == (hasRollouts ? 5000 : 0));
+    }
+  }
+}
+
+// Guards against limits of the machine that are read in the wrong unit.
+BOOST_AUTO_TEST_CASE(LimitsOfTheMachine)
+{
+  Json settings = Settings();
+  settings["limits"] = { { "memoryMb", 160 }, { "fileDescriptors", 4100 }, { "linkMbps", 12.5 } };
+  const auto decoded = DecodeSettings(settings.dump());
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST(decoded->memoryBytes_ == 160U * 1024 * 1024);
+  BOOST_TEST(decoded->descriptors_ == 4100U);
+  BOOST_TEST(decoded->linkBitsPerSecond_ == 12.5e6);
+}
+
 // Guards against settings of which only the first fault is reported.
 BOOST_AUTO_TEST_CASE(ReportsAllFindingsTogether)
 {
