--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -104,6 +104,12 @@
   /// Passes what an instance that has just joined must know of such requests to the callback; may
   /// be empty.
   std::function<void(std::function<void(std::vector<QuarantineEntry>)>)> exportQuarantine_;
+  /// Takes what the leader tells of a roll-out; aSentAt is when the report that it answers was
+  /// sent, the start of time if it answers none and so permits nothing. May be empty.
+  std::function<void(const RolloutDirective&, TimePoint aSentAt)> rollout_{};
+  /// Returns what the local server of aService did since the order of aOrderRevision; may be empty.
+  std::function<ServerCounts(const std::string& aService, std::uint64_t aOrderRevision)>
+    serverCounts_{};
 };
 
 /// Manages membership, shard ownership and shares of allowances for a fleet that keeps its state in
