Tell calls of servers by their origin where there are no workspaces

Where the configuration has no workspaces, no request has one, so that all of them passed for calls: they got the highest priority, and no target time was enforced. CallOrigins learns at the serving instance which routes are calls: those whose requests all come from instances of one service.

Deployments with workspaces take none of the new paths.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -43,17 +43,17 @@
   if (CheckExistingEntry(exchange, now)) {
     return;
   }
+  const bool call = IsCall(start, now);
   QueueItem item{ start.key_,
                   start.workspace_,
                   start.weight_,
-                  start.priority_,
+                  call && settings_.enforcesTargetTimes_ ? std::uint8_t{ 0 } : start.priority_,
                   AnswerBy(start),
                   TimePoint::max(),
                   estimator_.Of(start.class_, now) };
-  // Requests without a workspace come from other servers, whose own work fails if they are refused,
-  // so their target time is not enforced.
-  if (settings_.enforcesTargetTimes_ && !start.workspace_.empty() &&
-      start.targetTime_ != TimePoint{}) {
+  // The work of the servers that make calls fails if these are refused, so their target time is not
+  // enforced.
+  if (settings_.enforcesTargetTimes_ && !call && start.targetTime_ != TimePoint{}) {
     item.targetTime_ = start.targetTime_;
   }
   switch (queue_.Push(std::move(item), Rate(now), now)) {
@@ -68,6 +68,26 @@
   }
 }
 
+bool
+BackendService::IsCall(const RequestStart& aStart, TimePoint aNow)
+{
+  if (!aStart.workspace_.empty()) {
+    return false;
+  }
+  if (!settings_.enforcesTargetTimes_ || checks_.HasWorkspaces()) {
+    return true;
+  }
+  const std::string& header = settings_.protocol_.originHeader_;
+  const auto origin = std::find_if(aStart.headers_.begin(),
+                                   aStart.headers_.end(),
+                                   [&](const Header& aHeader) { return aHeader.name_ == header; });
+  if (header.empty() || origin == aStart.headers_.end()) {
+    return true;
+  }
+  callOrigins_.OnArrival(aStart.class_, origin->value_, aNow);
+  return callOrigins_.IsCall(aStart.class_);
+}
+
 std::optional<ErrorCode>
 BackendService::CheckArrival(const RequestStart& aStart, TimePoint aNow)
 {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/CallOrigins.hpp"
 #include "admission/ColdRateLimit.hpp"
 #include "admission/ColdStartRamp.hpp"
 #include "admission/FairQueue.hpp"
@@ -140,6 +141,8 @@
 
   // Admission, implemented in BackendAdmission.cpp.
   void Admit(RequestStart&& aStart);
+  /// Returns whether a request is a call of a server, as far as is known.
+  bool IsCall(const RequestStart& aStart, TimePoint aNow);
   std::optional<ErrorCode> CheckArrival(const RequestStart& aStart, TimePoint aNow);
   bool IsLeaving(const RequestStart& aStart, TimePoint aNow) const;
   /// Returns the latest time at which an answer can reach the caller.
@@ -240,6 +243,7 @@
   std::unique_ptr<ServerControl> monitor_;
   SlotLimiter limiter_;
   FairQueue queue_;
+  CallOrigins callOrigins_;
   ColdStartRamp ramp_;
   ColdRateLimit coldRate_;
   StatedRateLimit statedRate_;
--- a/src/backend/RequestChecks.cpp
+++ b/src/backend/RequestChecks.cpp
@@ -85,6 +85,13 @@
   return chosen == view.self_.id_;
 }
 
+bool
+RequestChecks::HasWorkspaces()
+{
+  Refresh();
+  return configuration_ && !configuration_->configuration_.workspaces_.empty();
+}
+
 Service
 RequestChecks::ServiceOf(const std::string& aService)
 {
--- a/src/backend/RequestChecks.hpp
+++ b/src/backend/RequestChecks.hpp
@@ -36,6 +36,11 @@
   /// Preconditions: none. Thread safety: backend thread only.
   bool ConsumeChange();
 
+  /// Returns whether the configuration has workspaces.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  bool HasWorkspaces();
+
   /// Returns the configuration of aService, or the defaults if the service is unknown.
   ///
   /// Preconditions: none. Thread safety: backend thread only.
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -223,7 +223,9 @@
   if (workspace_ != nullptr && workspace_->priority_) {
     start_.priority_ = *workspace_->priority_;
   }
-  const bool call = workspace_ == nullptr;
+  // Without workspaces in the configuration, the serving instance tells calls by their origin.
+  const bool call =
+    workspace_ == nullptr && !routes_->Revision().configuration_.workspaces_.empty();
   constexpr int kLowest = std::numeric_limits<std::uint8_t>::max();
   if (settings.callsFirst_) {
     start_.priority_ =
