Do not take a part of a response, or an invalid status, for a response

A response without a length is whole only if its request was written to the end and no write has failed: the reset may have been reported to the write alone. The same in redwingctl. A connection with a failed write is not used again, and a status below 100 or above 599 ends the connection; 1xx responses remain limited to 1 MiB together.

Looked at and left: replies of the store and of probes follow a request that was written whole; links between instances have frames with a length.

--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -28,7 +28,9 @@
 /// Maximum number of bytes of interim and stale responses that are discarded before the connection
 /// is closed.
 constexpr std::size_t kMaxStaleBytes = 1024 * 1024;
+constexpr std::uint16_t kFirstStatus = 100;
 constexpr std::uint16_t kFirstFinalStatus = 200;
+constexpr std::uint16_t kLastStatus = 599;
 
 bool
 IsHopByHop(http::field aField)
@@ -254,8 +256,9 @@
         return;
       }
       if (aError) {
-        // The server may have stopped reading and still send a response, so the failure is left to
-        // the pending read.
+        // The server may have stopped reading and still send a response, so the connection is left
+        // to the pending read. A socket reports its error once, so the read may see a clean end.
+        self->writeFailed_ = true;
         return;
       }
       self->lastProgress_ = self->clock_.Now();
@@ -308,6 +311,11 @@
     if (error) {
       break;
     }
+    if (reader_->is_header_done() &&
+        (reader_->head_.status_ < kFirstStatus || reader_->head_.status_ > kLastStatus)) {
+      Fail(true);
+      return;
+    }
     if (reader_->is_done() && (reader_->head_.status_ < kFirstFinalStatus || reader_->stale_)) {
       staleBytes_ += parsed;
       reader_ = std::make_unique<Reader>(*this, headMethod_);
@@ -353,7 +361,7 @@
   auto observer = observer_;
   if (last) {
     const bool reusable = reader_->keep_alive() && !reader_->need_eof() && requestComplete_ &&
-                          pending_.empty() && !writeActive_ && inputBytes_ == 0;
+                          pending_.empty() && !writeActive_ && !writeFailed_ && inputBytes_ == 0;
     observer_.reset();
     if (!reusable) {
       Close();
@@ -370,7 +378,11 @@
 void
 HttpConnection::OnEnd(bool aClean)
 {
-  if (observer_ && aClean && reader_->is_header_done() && !reader_->is_done() && !reader_->stale_) {
+  // An end of the connection ends a response without a length only if nothing has gone wrong on the
+  // connection: a server that has not got the whole request may have been reset midway.
+  const bool written = requestComplete_ && pending_.empty() && !writeActive_ && !writeFailed_;
+  if (observer_ && aClean && written && reader_->is_header_done() && !reader_->is_done() &&
+      !reader_->stale_) {
     error_code error;
     reader_->put_eof(error);
     if (!error && reader_->is_done()) {
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -168,6 +168,8 @@
   HttpFailure progress_;
   bool used_ = false;
   bool reading_ = false;
+  /// A write failed, so that an end of the connection says nothing about the response.
+  bool writeFailed_ = false;
   bool writeActive_ = false;
   bool chunked_ = false;
   bool headMethod_ = false;
--- a/src/ctl/HttpTransport.cpp
+++ b/src/ctl/HttpTransport.cpp
@@ -75,7 +75,10 @@
                        buffer_,
                        parser_,
                        [this, aError](boost::system::error_code aReadError, std::size_t) {
-                         error_ = aReadError && aError ? aError : aReadError;
+                         // Without a length the reply ends with the connection, whose end says
+                         // nothing after an error.
+                         const bool cut = aError && !aReadError && parser_.get().need_eof();
+                         error_ = cut || (aReadError && aError) ? aError : aReadError;
                        });
     });
   }
