--- a/src/rollout/RolloutJudge.hpp
+++ b/src/rollout/RolloutJudge.hpp
@@ -25,13 +25,13 @@
   std::size_t bucketMargin_ = 1;
   /// Evidence for "bad": negative logarithm of the probability of the failures, least number of
   /// failures, standard deviations of the times.
-  double badFailureEvidence_ = 10;
+  double badFailureEvidence_ = 7;
   double badFailures_ = 4;
-  double badSlownessEvidence_ = 4.5;
+  double badSlownessEvidence_ = 4;
   double badTimes_ = 8;
   /// Evidence of the same kinds that prevents "good".
-  double suspectFailureEvidence_ = 4.5;
-  double suspectSlownessEvidence_ = 2.5;
+  double suspectFailureEvidence_ = 3;
+  double suspectSlownessEvidence_ = 2.2;
   /// Requests of the target that "good" needs, in total and on each route that has at least
   /// goodRouteShare_ of the old version's requests.
   double goodRequests_ = 20;
@@ -82,7 +82,7 @@
   explicit RolloutJudge(const RolloutJudgeSettings& aSettings);
 
   /// Adds what a server did on a route since its last report, which was at most two slices ago.
-  /// Counts of a cold server are ignored.
+  /// Counts are ignored if the server was cold at any time since its last report.
   ///
   /// Preconditions: aAt does not decrease by more than one slice. Thread safety: not thread-safe.
   void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint aAt, bool aCold = false);
--- a/src/rollout/RolloutRamp.cpp
+++ b/src/rollout/RolloutRamp.cpp
@@ -17,10 +17,12 @@
 constexpr double kBoundedShareOfBound = 0.95;
 constexpr double kBoundedShareOfSlack = 0.9;
 constexpr double kExpectedShareOfFuture = 0.85;
-/// Part of the traffic and of the bound that only cold servers get: what they do is not judged.
+/// Part of the canary's share that goes to cold servers, and most requests that they get together:
+/// what they do is not judged, and the time for a rollback begins with the 50th bad response.
 constexpr double kColdPartOfCanary = 0.25;
+constexpr double kMostColdRequests = 40;
 /// A target server is to have at least 0.8 of the load of an old one, for faults under load.
-constexpr double kLoadOfOldServer = 0.95;
+constexpr double kLoadOfOldServer = 0.9;
 constexpr double kMostLoadOfOldServer = 1.1;
 constexpr double kHalfShare = 0.5;
 constexpr double kMostCanaryShare = 0.3;
@@ -34,8 +36,8 @@
 constexpr double kSlackSeconds = 2;
 /// A step is judged for this long: report, slice and verdict.
 constexpr milliseconds kLeastStep{ 1200 };
-/// Two reports and two writes; without them `completed` is late.
-constexpr milliseconds kLeastClosing{ 1200 };
+/// Two reports, the requests that still run, and two writes; with less `completed` is late.
+constexpr milliseconds kLeastClosing{ 1900 };
 /// Shortest duration with a step of half of the traffic.
 constexpr milliseconds kHalfStepDuration{ 16'000 };
 
@@ -86,7 +88,7 @@
   const Duration duration = order_.duration_;
   end_ = orderedAt_ + duration;
   lastClosing_ = end_ - kLeastClosing;
-  rampEnd_ = end_ - PartOf(duration, 0.15, milliseconds(1600), milliseconds(3000));
+  rampEnd_ = end_ - PartOf(duration, 0.15, milliseconds(2000), milliseconds(3000));
   boundedEnd_ = rampEnd_ - (duration < kHalfStepDuration ? Duration(0) : Duration(kLeastStep));
   canaryEnd_ = boundedEnd_ - PartOf(duration, 0.18, milliseconds(1500), milliseconds(4000));
 }
@@ -263,8 +265,9 @@
   const bool cold = aSituation.coldTargets_ >= aSituation.targetServers_;
   const double part = cold ? kColdPartOfCanary : 1;
   const double share = part * kCanaryShareOfBound * bounds_.exposureShare_;
-  const double limit = share * static_cast<double>(aSituation.serviceRequests_) +
-                       part * kCanaryShareOfSlack * bounds_.exposureSlack_;
+  double limit = share * static_cast<double>(aSituation.serviceRequests_) +
+                 part * kCanaryShareOfSlack * bounds_.exposureSlack_;
+  limit = cold ? std::min(limit, kMostColdRequests) : limit;
   RolloutStep step;
   const double old = std::max<std::uint32_t>(1, aSituation.oldServers_);
   step.targetServers_ = static_cast<std::uint32_t>(
@@ -288,22 +291,24 @@
   const double target = static_cast<double>(aSituation.targetRequests_);
   const double rate = std::max(1.0, aSituation.requestsPerSecond_);
   const double limit = ExposureLimit(aSituation);
-  if (!aSituation.judgement_.suspected_) {
-    const double left = std::max(0.0, limit - target);
-    const double seconds = std::max(0.5, Seconds(boundedEnd_ - aSituation.now_));
-    const double old = std::max<std::uint32_t>(1, aSituation.oldServers_);
-    // At this share one target server has the load of an old one.
-    const double loading = kLoadOfOldServer / (old + kLoadOfOldServer);
-    double share = std::max(step.share_, left / (rate * seconds));
-    if (left > rate * loading * 0.5) {
-      share = std::max(share, loading);
-    }
-    share = std::min(share, kHalfShare);
-    step.targetServers_ = static_cast<std::uint32_t>(
-      std::clamp<double>(std::floor(share * old), 1, aSituation.targetServers_));
-    step.share_ = std::min(share, step.targetServers_ * kMostLoadOfOldServer / old);
-    RespectCold(aSituation, step);
+  if (aSituation.targetServers_ == 0 || aSituation.coldTargets_ >= aSituation.targetServers_) {
+    return step;
+  }
+  // A suspicion does not reduce the share: a fault under load would disappear with the load.
+  const double left = std::max(0.0, limit - target);
+  const double seconds = std::max(0.5, Seconds(boundedEnd_ - aSituation.now_));
+  const double old = std::max<std::uint32_t>(1, aSituation.oldServers_);
+  // At this share one target server has the load of an old one.
+  const double loading = kLoadOfOldServer / old;
+  double share = std::max(step.share_, left / (rate * seconds));
+  if (left > rate * loading * 0.5) {
+    share = std::max(share, loading);
   }
+  share = std::min(share, kHalfShare);
+  step.targetServers_ = static_cast<std::uint32_t>(
+    std::clamp<double>(std::floor(share * old), 1, aSituation.targetServers_));
+  step.share_ = std::min(share, step.targetServers_ * kMostLoadOfOldServer / old);
+  RespectCold(aSituation, step);
   const double soon = target + kLimitMargin * kLimitSeconds * rate * step.share_ + 5;
   step.arrivalLimit_ = Whole(std::min(limit, soon));
   return step;
