Do not judge a version by one broken moment or by a small difference in time

Servers of one version differ in speed, and the rank test alone finds any difference when there are many responses. Change: the evidence of failures must also hold without the slice that has most of them; a slow version must differ by 1.8 latency buckets.

--- a/src/rollout/RolloutJudge.cpp
+++ b/src/rollout/RolloutJudge.cpp
@@ -188,10 +188,11 @@
   Evidence evidence;
   evidence.sums_ = aWindow[0];
   evidence.failures_ = Detail::FailureEvidence(aWindow[0]);
-  evidence.slowness_ = Detail::SlownessEvidence(aWindow[0]);
+  evidence.slowness_ = Detail::SlownessEvidence(aWindow[0], settings_.leastBuckets_);
   for (std::size_t shift = 1; shift < aShifts; ++shift) {
     evidence.failures_ = std::min(evidence.failures_, Detail::FailureEvidence(aWindow[shift]));
-    evidence.slowness_ = std::min(evidence.slowness_, Detail::SlownessEvidence(aWindow[shift]));
+    evidence.slowness_ = std::min(
+      evidence.slowness_, Detail::SlownessEvidence(aWindow[shift], settings_.leastBuckets_));
   }
   return evidence;
 }
@@ -200,13 +201,16 @@
 RolloutJudge::Examine(const Evidence& aEvidence, const Route* aRoute, Finding& aFinding) const
 {
   const bool failing = aEvidence.failures_ >= settings_.badFailureEvidence_ &&
-                       aEvidence.sums_.failures_ >= settings_.badFailures_;
+                       aEvidence.sums_.failures_ >= settings_.badFailures_ &&
+                       aEvidence.failuresElsewhere_ >= settings_.badFailureEvidenceElsewhere_;
   const bool slow = aEvidence.slowness_ >= settings_.badSlownessEvidence_ &&
                     aEvidence.sums_.targetTimes_ >= settings_.badTimes_;
   aFinding.bad_ = aFinding.bad_ || failing || slow;
-  aFinding.suspected_ = aFinding.suspected_ || failing || slow ||
-                        aEvidence.failures_ >= settings_.suspectFailureEvidence_ ||
-                        aEvidence.slowness_ >= settings_.suspectSlownessEvidence_;
+  aFinding.suspected_ =
+    aFinding.suspected_ || failing || slow ||
+    (aEvidence.failures_ >= settings_.suspectFailureEvidence_ &&
+     aEvidence.failuresElsewhere_ >= settings_.suspectFailureEvidenceElsewhere_) ||
+    aEvidence.slowness_ >= settings_.suspectSlownessEvidence_;
   const double byFailures = aEvidence.failures_ / settings_.badFailureEvidence_;
   const double bySlowness = aEvidence.slowness_ / settings_.badSlownessEvidence_;
   // Findings that reach a verdict are described before weaker ones.
@@ -219,6 +223,51 @@
   }
 }
 
+ComparisonSums
+RolloutJudge::PeakOf(const Route* aRoute, std::size_t aSlices) const
+{
+  ComparisonSums peak;
+  for (std::size_t back = 0; back < aSlices; ++back) {
+    ComparisonSums sums;
+    for (const Route& route : routes_) {
+      const std::size_t size = route.closed_.size();
+      if (back < size && (aRoute == nullptr || aRoute == &route)) {
+        const std::size_t slice = size - 1 - back;
+        sums += route.closed_[slice][0];
+        if (slice > 0) {
+          sums -= route.closed_[slice - 1][0];
+        }
+      }
+    }
+    if (sums.failures_ > peak.failures_) {
+      peak = sums;
+    }
+  }
+  return peak;
+}
+
+void
+RolloutJudge::ExamineWindow(const Shifted& aWindow,
+                            std::size_t aSlices,
+                            const Route* aRoute,
+                            Finding& aFinding) const
+{
+  Evidence evidence = Weigh(aWindow, kShifts);
+  if (evidence.failures_ >= settings_.suspectFailureEvidence_) {
+    ComparisonSums elsewhere = aWindow[0];
+    elsewhere -= PeakOf(aRoute, aSlices);
+    evidence.failuresElsewhere_ = Detail::FailureEvidence(elsewhere);
+  }
+  Examine(evidence, aRoute, aFinding);
+}
+
+void
+RolloutJudge::ExamineWhole(Evidence aEvidence, const Route* aRoute, Finding& aFinding) const
+{
+  aEvidence.failuresElsewhere_ = aEvidence.failures_;
+  Examine(aEvidence, aRoute, aFinding);
+}
+
 void
 RolloutJudge::ExamineEarlier(const Route& aRoute, Finding& aFinding) const
 {
@@ -230,7 +279,7 @@
     kEarlierFailureMargin + (kEarlierFailureFactor - 1) * old.failures_ / old.requests_;
   Shifted sums{};
   sums[0] = CompareSides(aRoute.earlierTarget_, old, margin, kEarlierBucketMargin);
-  Examine(Weigh(sums, 1), &aRoute, aFinding);
+  ExamineWhole(Weigh(sums, 1), &aRoute, aFinding);
 }
 
 bool
@@ -264,22 +313,22 @@
   for (const Route& route : routes_) {
     const std::vector<Shifted> windows = Windows(route);
     for (std::size_t i = 0; i < windows.size(); ++i) {
-      Examine(Weigh(windows[i], kShifts), &route, finding);
+      ExamineWindow(windows[i], kWindows[i], &route, finding);
       for (std::size_t shift = 0; shift < kShifts; ++shift) {
         all[i][shift] += windows[i][shift];
       }
     }
     const Shifted recent = Recent(route);
-    Examine(Weigh(recent, 2), &route, recentFinding);
+    ExamineWhole(Weigh(recent, 2), &route, recentFinding);
     for (std::size_t shift = 0; shift < kShifts; ++shift) {
       allRecent[shift] += recent[shift];
     }
     ExamineEarlier(route, finding);
   }
-  for (const Shifted& window : all) {
-    Examine(Weigh(window, kShifts), nullptr, finding);
+  for (std::size_t i = 0; i < all.size(); ++i) {
+    ExamineWindow(all[i], kWindows[i], nullptr, finding);
   }
-  Examine(Weigh(allRecent, 2), nullptr, recentFinding);
+  ExamineWhole(Weigh(allRecent, 2), nullptr, recentFinding);
   // The newest slices may hold an effect on both versions that only one side has reported yet.
   if (!finding.bad_ && recentFinding.bad_) {
     finding = recentFinding;
--- a/src/rollout/RolloutJudge.hpp
+++ b/src/rollout/RolloutJudge.hpp
@@ -23,14 +23,20 @@
   /// Latency buckets by which the target may be slower; one is a factor of 1.4, and slow versions
   /// take 2.5 times as long.
   std::size_t bucketMargin_ = 1;
-  /// Evidence for "bad": negative logarithm of the probability of the failures, least number of
-  /// failures, standard deviations of the times.
+  /// Mean difference in buckets under which a target is not slow, however certain it is; servers of
+  /// one version differ, and few of the target version are compared with many old ones.
+  double leastBuckets_ = 1.8;
+  /// Evidence for "bad": negative logarithm of the probability of the failures, also without the
+  /// slice that has most of them (a server that stops breaks its connections once), least number of
+  /// failures; standard deviations of the times.
   double badFailureEvidence_ = 7;
+  double badFailureEvidenceElsewhere_ = 3;
   double badFailures_ = 4;
   double badSlownessEvidence_ = 4;
   double badTimes_ = 8;
   /// Evidence of the same kinds that prevents "good".
   double suspectFailureEvidence_ = 3;
+  double suspectFailureEvidenceElsewhere_ = 1;
   double suspectSlownessEvidence_ = 2.2;
   /// Requests of the target that "good" needs, in total and on each route that has at least
   /// goodRouteShare_ of the old version's requests.
@@ -127,6 +133,8 @@
   {
     double failures_ = 0;
     double slowness_ = 0;
+    /// Evidence of failures without the slice that has most of them.
+    double failuresElsewhere_ = 0;
     Detail::ComparisonSums sums_;
   };
 
@@ -142,7 +150,14 @@
   Evidence Weigh(const Shifted& aWindow, std::size_t aShifts) const;
   std::vector<Shifted> Windows(const Route& aRoute) const;
   Shifted Recent(const Route& aRoute) const;
+  Detail::ComparisonSums PeakOf(const Route* aRoute, std::size_t aSlices) const;
+  void ExamineWindow(const Shifted& aWindow,
+                     std::size_t aSlices,
+                     const Route* aRoute,
+                     Finding& aFinding) const;
   void Examine(const Evidence& aEvidence, const Route* aRoute, Finding& aFinding) const;
+  /// Examines counts that are not divided into slices.
+  void ExamineWhole(Evidence aEvidence, const Route* aRoute, Finding& aFinding) const;
   void ExamineEarlier(const Route& aRoute, Finding& aFinding) const;
   bool HasEnough() const;
   Judgement Conclude(const Finding& aFinding) const;
--- a/src/rollout/SideCounts.cpp
+++ b/src/rollout/SideCounts.cpp
@@ -19,6 +19,8 @@
   aSums.compared_ += aSign * aOther.compared_;
   aSums.rankSum_ += aSign * aOther.rankSum_;
   aSums.rankVariance_ += aSign * aOther.rankVariance_;
+  aSums.bucketDifference_ += aSign * aOther.bucketDifference_;
+  aSums.bucketWeight_ += aSign * aOther.bucketWeight_;
   aSums.targetTimes_ += aSign * aOther.targetTimes_;
   aSums.targetBuckets_ += aSign * aOther.targetBuckets_;
   aSums.oldTimes_ += aSign * aOther.oldTimes_;
@@ -55,6 +57,9 @@
   const double both = aSums.targetTimes_ + aSums.oldTimes_;
   const double pairs = aSums.targetTimes_ * aSums.oldTimes_;
   aSums.rankSum_ = (slower - 0.5 * pairs) / both;
+  aSums.bucketWeight_ = pairs / both;
+  aSums.bucketDifference_ =
+    (aSums.targetBuckets_ * aSums.oldTimes_ - aSums.oldBuckets_ * aSums.targetTimes_) / both;
   aSums.rankVariance_ = pairs * (both + 1) / (12 * both * both);
 }
 
@@ -126,12 +131,15 @@
 }
 
 double
-SlownessEvidence(const ComparisonSums& aSums)
+SlownessEvidence(const ComparisonSums& aSums, double aLeastBuckets)
 {
   // Differences of large sums leave rounding errors.
   constexpr double kSmallestVariance = 1e-6;
-  return aSums.rankVariance_ < kSmallestVariance ? 0
-                                                 : aSums.rankSum_ / std::sqrt(aSums.rankVariance_);
+  if (aSums.rankVariance_ < kSmallestVariance ||
+      aSums.bucketDifference_ < aLeastBuckets * aSums.bucketWeight_) {
+    return 0;
+  }
+  return aSums.rankSum_ / std::sqrt(aSums.rankVariance_);
 }
 
 } // namespace redwing::Detail
--- a/src/rollout/SideCounts.hpp
+++ b/src/rollout/SideCounts.hpp
@@ -38,6 +38,9 @@
   /// Rank sum of the target's times against those of the old version, and its variance.
   double rankSum_ = 0;
   double rankVariance_ = 0;
+  /// Difference of the mean latency buckets, target less old, weighted, and its weight.
+  double bucketDifference_ = 0;
+  double bucketWeight_ = 0;
   /// Responses with a time and the sum of their latency buckets.
   double targetTimes_ = 0;
   double targetBuckets_ = 0;
@@ -63,9 +66,10 @@
 /// Preconditions: none. Thread safety: callable from any thread.
 double FailureEvidence(const ComparisonSums& aSums);
 
-/// Returns by how many standard deviations the target is slower than allowed.
+/// Returns by how many standard deviations the target is slower than allowed; 0 if the mean
+/// difference is under aLeastBuckets.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-double SlownessEvidence(const ComparisonSums& aSums);
+double SlownessEvidence(const ComparisonSums& aSums, double aLeastBuckets);
 
 } // namespace redwing::Detail
--- a/tests/unit/rollout/RolloutModel.hpp
+++ b/tests/unit/rollout/RolloutModel.hpp
@@ -65,6 +65,8 @@
   double disturbedFromS_ = 0;
   double disturbedForS_ = 0;
   bool disturbanceFails_ = false;
+  /// A target server stops and breaks half of the requests of that moment; not at all if negative.
+  double brokenS_ = -1;
   /// No loss if negative.
   double leaderLostS_ = -1;
 };
