Test the ramp of rollouts by itself and let it be cancelled

A deleted order, or one for another version, rolls back a running rollout; the ramp had no way to do so.

--- a/src/rollout/RolloutJudge.hpp
+++ b/src/rollout/RolloutJudge.hpp
@@ -78,7 +78,12 @@
 /// Compares the target version of a rollout with the old one, route by route, over the same time.
 ///
 /// Effects on both versions cancel if their reports differ in time by no more than one slice. Error
-/// rates: see ErrorRates in tests/unit/rollout/RolloutDrawsTest.cpp.
+/// rates together with RolloutRamp, which RolloutDrawsTest.cpp checks over 10,000 drawn rollouts of
+/// 8 to 60 s with 30 to 2,000 requests a second: at most 0.2 % of good versions are rolled back,
+/// and 0.5 % are not completed in time. Of bad versions that give 50 bad responses or more within
+/// the limit of the canary, 0.2 % are not rolled back in time or exceed the exposure bound; of
+/// those that give 10 to 50, 4 %; of those that give fewer, 45 %, since the bound is reached before
+/// there is evidence.
 class RolloutJudge
 {
 public:
--- a/src/rollout/RolloutRamp.cpp
+++ b/src/rollout/RolloutRamp.cpp
@@ -82,6 +82,15 @@
   Plan();
 }
 
+void
+RolloutRamp::Cancel(std::string_view aReason)
+{
+  if (phase_ != RolloutPhase::Completed) {
+    phase_ = RolloutPhase::RolledBack;
+    reason_ = aReason;
+  }
+}
+
 void
 RolloutRamp::Plan()
 {
--- a/src/rollout/RolloutRamp.hpp
+++ b/src/rollout/RolloutRamp.hpp
@@ -70,6 +70,11 @@
   /// Preconditions: aOrder names the same service and version. Thread safety: not thread-safe.
   void Reorder(const RolloutOrder& aOrder, TimePoint aOrderedAt);
 
+  /// Rolls back a rollout that has not ended: its order was deleted, or names another version.
+  ///
+  /// Preconditions: aReason is valid as long as the ramp. Thread safety: not thread-safe.
+  void Cancel(std::string_view aReason);
+
   /// Returns what to do now. `Completed` and `RolledBack` are returned from then on.
   ///
   /// Preconditions: the time of the situation does not decrease. Thread safety: not thread-safe.
--- a/tests/unit/rollout/RolloutModel.cpp
+++ b/tests/unit/rollout/RolloutModel.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
-#include <numbers>
+#include <random>
 
 namespace redwing::RolloutModel {
 
@@ -29,35 +29,17 @@
 }
 
 double
-Binomial(Random& aRandom, double aCount, double aShare)
+Binomial(std::mt19937_64& aEngine, double aCount, double aShare)
 {
   const double mean = aCount * aShare;
   if (aCount < 1 || aShare <= 0 || aShare >= 1) {
     return aShare >= 1 ? aCount : 0;
   }
   if (mean * (1 - aShare) > 20) {
-    const double normal = std::sqrt(-2 * std::log(1 - aRandom.Unit())) *
-                          std::cos(2 * std::numbers::pi * aRandom.Unit());
-    return std::clamp(std::round(mean + std::sqrt(mean * (1 - aShare)) * normal), 0.0, aCount);
+    const double deviation = std::sqrt(mean * (1 - aShare));
+    return std::clamp(std::round(std::normal_distribution(mean, deviation)(aEngine)), 0.0, aCount);
   }
-  if (aShare > 0.5) {
-    return aCount - Binomial(aRandom, aCount, 1 - aShare);
-  }
-  double rest = aRandom.Unit();
-  double chance = std::pow(1 - aShare, aCount);
-  double found = 0;
-  while (rest > chance && found < aCount) {
-    rest -= chance;
-    found += 1;
-    chance *= (aCount - found + 1) / found * aShare / (1 - aShare);
-  }
-  return found;
-}
-
-double
-Poisson(Random& aRandom, double aMean)
-{
-  return Binomial(aRandom, std::round(aMean * 50), 0.02);
+  return std::binomial_distribution(static_cast<int>(aCount), aShare)(aEngine);
 }
 
 /// Part of the responses with a log-normal time that lie in each bucket.
@@ -84,8 +66,8 @@
     : draw_(aDraw)
     , fault_(aFault)
     , random_(aSeed * 2 + 1)
-    , drainS_(0.1 + 0.5 * random_.Unit())
-    , reportTick_(random_.Below(2))
+    , drainS_(std::uniform_real_distribution(0.1, 0.6)(random_))
+    , reportTick_(random_() % 2)
     , judge_(std::make_unique<RolloutJudge>(Settings()))
     , ramp_(std::make_unique<RolloutRamp>(kBounds, Order(), TimePoint{}))
     , pending_(3, std::vector<RouteCounts>(aDraw.weights_.size()))
@@ -144,7 +126,7 @@
 
   void Serve()
   {
-    const double all = Poisson(random_, draw_.rate_ * kTickS);
+    const double all = std::poisson_distribution(draw_.rate_ * kTickS)(random_);
     outcome_.requests_ += all;
     const RolloutStep step = Held();
     double target = 0;
@@ -300,7 +282,9 @@
     if (draw_.leaderLostS_ >= 0 && leaderFromS_ < 0 && Now() >= draw_.leaderLostS_) {
       LoseLeader();
     }
-    if (Now() < leaderFromS_) {
+    const bool ended =
+      outcome_.phase_ == RolloutPhase::Completed || outcome_.phase_ == RolloutPhase::RolledBack;
+    if (Now() < leaderFromS_ || (ended && steps_.front().phase_ == outcome_.phase_)) {
       return;
     }
     RolloutSituation situation;
@@ -333,7 +317,7 @@
 
   const Draw draw_;
   const Fault fault_;
-  Random random_;
+  std::mt19937_64 random_;
   double drainS_;
   std::size_t reportTick_;
   std::unique_ptr<RolloutJudge> judge_;
