Limit short bursts of the canary and begin the step anew after a change of leader

Cause: with two or three old servers, spare requests gave a target server the load of an old one for less than a second: 50 bad responses in one slice, too little for a verdict, after which the fault was hidden until the ramp. A ramp that was built from the record took its step as judged at once. Change: such bursts stay at less than half of the load; the step begins with the new leader's first permission.

--- a/src/rollout/RolloutRamp.cpp
+++ b/src/rollout/RolloutRamp.cpp
@@ -34,6 +34,10 @@
 constexpr double kLimitMargin = 1.5;
 /// Time in which the canary uses up the slack.
 constexpr double kSlackSeconds = 2;
+/// Shortest time with the load of an old server that is judged, and part of that load at which no
+/// fault under load shows.
+constexpr double kLeastLoadSeconds = 1.5;
+constexpr double kUnloadedPart = 0.45;
 /// A step is judged for this long: report, slice and verdict.
 constexpr milliseconds kLeastStep{ 1200 };
 /// Two reports, the requests that still run, and two writes; with less `completed` is late.
@@ -70,6 +74,7 @@
   , orderedAt_(aOrderedAt)
   , phase_(aPhase)
   , stageSince_(aOrderedAt)
+  , resumed_(aPhase != RolloutPhase::Waiting)
 {
   Plan();
 }
@@ -121,6 +126,9 @@
   } else if (!ended) {
     const bool newLeader = aSituation.leading_ < kLeaderWait || !aSituation.allReported_;
     if (!newLeader) {
+      // What the earlier leader judged of the present step is not known.
+      stageSince_ = resumed_ ? aSituation.now_ : stageSince_;
+      resumed_ = false;
       Advance(aSituation);
     } else if (phase_ != RolloutPhase::Closing && aSituation.now_ >= end_) {
       Enter(RolloutPhase::RolledBack, aSituation.now_, "duration");
@@ -283,9 +291,15 @@
     std::min<double>(aSituation.targetServers_, std::max(1.0, std::round(share * old))));
   // The slack is used at once if it matters, so that few requests suffice for a verdict.
   const double spare = limit - static_cast<double>(aSituation.targetRequests_);
-  const double extra = spare / (kSlackSeconds * std::max(1.0, aSituation.requestsPerSecond_));
-  const double most =
-    std::max(share, std::min(kMostCanaryShare, step.targetServers_ * kMostLoadOfOldServer / old));
+  const double rate = std::max(1.0, aSituation.requestsPerSecond_);
+  const double extra = spare / (kSlackSeconds * rate);
+  const double loaded = step.targetServers_ * kMostLoadOfOldServer / old;
+  double most = std::min(kMostCanaryShare, loaded);
+  // 50 bad responses in one short moment of load would leave too little evidence for a verdict.
+  if (spare < most * rate * kLeastLoadSeconds) {
+    most = std::min(most, kUnloadedPart * loaded);
+  }
+  most = std::max(share, most);
   step.share_ = std::clamp(share + extra, share, most);
   RespectCold(aSituation, step);
   step.arrivalLimit_ = Whole(limit);
--- a/src/rollout/RolloutRamp.hpp
+++ b/src/rollout/RolloutRamp.hpp
@@ -105,7 +105,9 @@
   TimePoint orderedAt_;
   RolloutPhase phase_;
   RampStage stage_ = RampStage::Bounded;
+  /// Begin of the phase or stage; after a change of leader, the first time with a permission.
   TimePoint stageSince_{};
+  bool resumed_;
   std::string_view reason_;
   /// Ends of the canary, of the ramp under the bound, and of the ramp; last times at which the
   /// closing may begin, and end of the duration.
