Coordinate rollouts between the leader, the store and the instances

Nothing moved a service to the version of a rollout order. RolloutCoordinator conducts rollouts without I/O; FleetService takes orders, carries reports, replies and notices, and writes the record and the status in one conditional transaction. ConfigurationFeed passes orders on. What judges a version is behind RolloutDecider, which nothing provides yet, so that no rollout is led.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -232,7 +232,11 @@
   LocalServerSettings settings;
   settings.address_ = settings_.metricsAddress_;
   metrics_ = std::make_unique<LocalServer>(
-    context_, settings, [this](const LocalRequest&, const LocalReplyCallback& aReply) {
+    context_, settings, [this](const LocalRequest& aRequest, const LocalReplyCallback& aReply) {
+      if (aRequest.target_ == "/rollouts") {
+        aReply({ 200, "application/json", fleet_->RolloutStatus() });
+        return;
+      }
       aReply({ 200, "text/plain; version=0.0.4", counters_.RenderText() });
     });
 }
--- a/src/fleet/ConfigurationFeed.cpp
+++ b/src/fleet/ConfigurationFeed.cpp
@@ -31,6 +31,7 @@
   , adopt_(std::move(aAdopt))
   , keepTimer_(aContext)
   , lag_(kWatchPatience)
+  , orders_(format_.rollouts_)
 {
 }
 
@@ -128,6 +129,7 @@
       OnEntry(entry.key_, entry.value_, entry.modRevision_);
     }
     OnWithdrawalsRead(keys);
+    orders_.OnRead(keys);
     Publish();
   }
   if (!watching_) {
@@ -143,15 +145,18 @@
       kept_.insert(dataCentre.id_);
     }
   }
+  orders_.Keep();
   keepTimer_.expires_after(settings_.withdrawalKeepTime_);
   keepTimer_.async_wait(
     [this, alive = std::weak_ptr<bool>(alive_)](const boost::system::error_code& aError) {
       const auto present = alive.lock();
-      if (aError || !present || !*present || kept_.empty()) {
+      if (aError || !present || !*present) {
         return;
       }
-      kept_.clear();
-      Refresh();
+      const bool ordersKept = orders_.EndKeep();
+      if (!std::exchange(kept_, {}).empty() || ordersKept) {
+        Refresh();
+      }
     });
 }
 
@@ -233,6 +238,8 @@
     const std::string id = aKey.substr(format_.withdrawalPrefix_.size());
     kept_.erase(id);
     OnWithdrawal(id, aValue.has_value());
+  } else if (orders_.Owns(aKey)) {
+    orders_.OnEntry(aKey, aValue, aRevision);
   }
 }
 
@@ -289,6 +296,7 @@
 void
 ConfigurationFeed::Publish()
 {
+  orders_.Publish();
   if (!document_ || !std::exchange(changed_, false)) {
     return;
   }
--- a/src/fleet/ConfigurationFeed.hpp
+++ b/src/fleet/ConfigurationFeed.hpp
@@ -4,6 +4,7 @@
 #include "core/Clock.hpp"
 #include "core/Finding.hpp"
 #include "fleet/ConfigurationLag.hpp"
+#include "fleet/RolloutOrderFeed.hpp"
 #include "store/Store.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,7 @@
   /// the key exists.
   std::string withdrawalPrefix_;
   std::function<tl::expected<ConfigurationRevision, Findings>(std::string_view)> decode_;
+  RolloutOrderFormat rollouts_{};
 };
 
 struct ConfigurationFeedSettings
@@ -43,8 +45,9 @@
 };
 
 /// Watches the configuration and the data centre withdrawals that the operator writes to the store,
-/// and delivers them as one ConfigurationRevision. An invalid configuration is logged and the last
-/// valid one stays in force; an older revision is ignored. Runs on the context's thread.
+/// and delivers them as one ConfigurationRevision; orders of rollouts are delivered before it. An
+/// invalid configuration is logged and the last valid one stays in force; an older revision is
+/// ignored. Runs on the context's thread.
 ///
 /// The store may come back from an older copy of itself, in a new epoch. The configuration in force
 /// stays then until there is a newer one: revisions of configurations are the operator's and do not
@@ -122,6 +125,7 @@
   /// Revision of the newest change itself; for one that was found by a read, that of the read.
   std::uint64_t newestChange_ = 0;
   ConfigurationLag lag_;
+  RolloutOrderFeed orders_;
   bool loading_ = false;
   /// The last read failed; further failures in a row are not logged.
   bool readFailed_ = false;
--- a/src/fleet/FleetElection.cpp
+++ b/src/fleet/FleetElection.cpp
@@ -46,6 +46,9 @@
     leads_ = leads;
     if (leads) {
       BeginLeadership();
+      BeginRollouts(now);
+    } else {
+      coordinator_.End();
     }
     LogLine(LogLevel::Info, leads ? "leader_begins" : "leader_ends")
       .With("instance", self)
--- a/src/fleet/FleetLeader.cpp
+++ b/src/fleet/FleetLeader.cpp
@@ -119,6 +119,7 @@
   for (ShardCandidate& candidate : candidates) {
     candidate.capacity_ *= std::pow(candidate.capacity_ / averageRate, preference);
   }
+  LimitToRollout(aService, candidates);
   return candidates;
 }
 
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -75,6 +75,8 @@
   , leaderLease_(aContext, aClock, leaderCalls_, settings_.leader_)
   , contacts_(settings_.budget_)
   , pools_(settings_.budget_, hooks_.timeOfDay_)
+  , coordinator_(hooks_.makeDecider_, hooks_.timeOfDay_)
+  , counters_(aCounters)
   , holdMetrics_(aCounters)
   , heartbeats_(aCounters.GetCounter("redwing_heartbeats_total"))
   , staleHeartbeats_(aCounters.GetCounter("redwing_heartbeats_stale_total"))
@@ -148,6 +150,9 @@
   AdoptOwnShards();
   CommitReleases();
   UpdateLeadership();
+  if (settings_.rollouts_.enabled_ && session_.Loaded()) {
+    ReadRolloutRecords();
+  }
   if (viewDirty_) {
     PublishView();
   }
@@ -288,6 +293,7 @@
       }
     }
   }
+  FillRollouts(*next);
   view_.Set(std::move(next));
 }
 
@@ -315,6 +321,7 @@
       ProbeLostPeers();
     }
     ScheduleReport(now);
+    UpdateRollouts(now);
     PlanAll();
     StoreLedger();
     RetryAllowanceRequests();
@@ -431,6 +438,11 @@
     aReply({});
   } else if (const auto* report = std::get_if<FleetReport>(&request)) {
     aReply(WriteWire(OnReport(*report)));
+  } else if (const auto* rolloutReport = std::get_if<RolloutReport>(&request)) {
+    aReply(WriteWire(coordinator_.OnReport(*rolloutReport, clock_.Now())));
+  } else if (const auto* rolloutNotice = std::get_if<RolloutNotice>(&request)) {
+    OnRolloutNotice(*rolloutNotice);
+    aReply({});
   } else {
     aReply({});
   }
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -13,6 +13,7 @@
 #include "fleet/HoldMetrics.hpp"
 #include "fleet/LeaderContacts.hpp"
 #include "fleet/LeaderLease.hpp"
+#include "fleet/RolloutCoordinator.hpp"
 #include "fleet/ShardHolds.hpp"
 #include "fleet/ShardPlanner.hpp"
 #include "fleet/StoreSession.hpp"
@@ -56,6 +57,9 @@
   double allowanceOvershoot_ = 0;
   double allowanceSlack_ = 0;
   RolloutBounds rollouts_;
+  /// Prefix of the keys of status texts of rollouts, followed by the service; empty if none are
+  /// written.
+  std::string rolloutStatusPrefix_;
   std::chrono::milliseconds reportInterval_{ 500 };
   /// Time within which an instance in contact with the others learns of a withdrawal.
   std::chrono::milliseconds withdrawalLag_{ 1500 };
@@ -81,6 +85,8 @@
   /// Sets the time in which the loss of the watch must be noticed; without a value the default of
   /// the store applies.
   std::function<void(std::optional<std::chrono::milliseconds> aInterval)> setWatchInterval_;
+  /// Returns the operator's text of a rollout's state; may be empty.
+  std::function<std::string(const RolloutRecord&)> encodeStatus_{};
 };
 
 /// Callbacks into the other parts of the instance.
@@ -110,6 +116,8 @@
   /// Returns what the local server of aService did since the order of aOrderRevision; may be empty.
   std::function<ServerCounts(const std::string& aService, std::uint64_t aOrderRevision)>
     serverCounts_{};
+  /// Makes what judges and steps rollouts; without it this instance leads none.
+  RolloutDeciderFactory makeDecider_{};
 };
 
 /// Manages membership, shard ownership and shares of allowances for a fleet that keeps its state in
@@ -142,6 +150,12 @@
   /// Adopts a configuration; a revision older than the current one is ignored.
   void OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration);
 
+  /// Adopts all present rollout orders; ignored where rollouts are off.
+  void OnRolloutOrders(std::vector<RolloutOrder> aOrders);
+
+  /// Returns the rollouts as JSON, with what the leader knows if this instance leads.
+  std::string RolloutStatus() const;
+
   using HeartbeatDone = std::function<void(const HeartbeatReply&)>;
 
   /// Answers a heartbeat of the local server. A heartbeat for another service, or older than one
@@ -323,6 +337,38 @@
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
 
+  /// What this instance was told of a rollout, or has found in its order or record.
+  struct KnownRollout
+  {
+    RolloutDirective directive_;
+    /// When a leader last told of it; no value if none has.
+    std::optional<TimePoint> toldAt_;
+  };
+
+  // Rollouts (FleetRollouts.cpp).
+  void UpdateRollouts(TimePoint aNow);
+  void ReadRolloutRecords();
+  std::vector<RolloutRecord> RolloutRecords();
+  void BeginRollouts(TimePoint aNow);
+  void LeadRollouts(TimePoint aNow);
+  RolloutService RolloutServiceOf(const std::string& aService) const;
+  void LimitToRollout(const std::string& aService, std::vector<ShardCandidate>& aCandidates) const;
+  void WriteRollout(const RolloutRecord& aRecord);
+  /// Returns the newest known revision of a record.
+  std::uint64_t RolloutRevision(const std::string& aKey) const;
+  void SendRolloutNotice(TimePoint aNow);
+  void SendRolloutReport(TimePoint aNow);
+  void OnRolloutReply(const RolloutReply& aReply, TimePoint aSentAt);
+  void OnRolloutNotice(const RolloutNotice& aNotice);
+  void AdoptDirective(const RolloutDirective& aDirective, TimePoint aSentAt, bool aTold);
+  void DirectLocalServer(const RolloutDirective& aDirective, TimePoint aSentAt);
+  bool IsClosedVersion(const std::string& aService, const std::string& aVersion) const;
+  void FillRollouts(RoutingView& aView) const;
+  RolloutRouting RoutingOf(const KnownRollout& aKnown, TimePoint aNow) const;
+  /// Returns whether the published view directs requests as the known directives say.
+  bool RoutingIsCurrent(TimePoint aNow) const;
+  void SetRolloutMetrics();
+
   // Allowances (FleetAllowances.cpp).
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
@@ -460,6 +506,25 @@
   std::map<std::string, WindowBudget> budgets_;
   unsigned staleReplies_ = 0;
 
+  RolloutCoordinator coordinator_;
+  std::vector<RolloutOrder> rolloutOrders_;
+  std::map<std::string, KnownRollout> rollouts_;
+  /// Directives of the last notice that this instance sent as leader.
+  std::string sentNotice_;
+  TimePoint nextNotice_{};
+  TimePoint nextRolloutReport_{};
+  /// Sending of the last rollout report that was answered.
+  TimePoint answeredRolloutReportAt_{};
+  std::uint64_t noticeTerm_ = 0;
+  /// Version of the local server that the last directive was passed on for.
+  std::string directedVersion_;
+  /// Epoch in which the leader last wrote rollout records.
+  std::uint64_t rolloutEpoch_ = 0;
+  TimePoint nextRolloutWrite_{};
+  /// Revisions of records that this instance has written, by key.
+  std::map<std::string, std::uint64_t> rolloutRevisions_;
+  CounterRegistry& counters_;
+
   HoldMetrics holdMetrics_;
   Counter& heartbeats_;
   Counter& staleHeartbeats_;
--- /dev/null
+++ b/src/fleet/RolloutUsage.cpp
@@ -0,0 +1,180 @@
+#include "fleet/RolloutUsage.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace redwing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Time over which the rate of requests is measured; some reports of each instance.
+constexpr milliseconds kRateTime{ 2500 };
+
+std::uint64_t
+SaturatedAdd(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  const std::uint64_t most = std::numeric_limits<std::uint64_t>::max();
+  return aRight > most - aLeft ? most : aLeft + aRight;
+}
+
+std::uint64_t
+SaturatedSubtract(std::uint64_t aLeft, std::uint64_t aRight)
+{
+  return aLeft > aRight ? aLeft - aRight : 0;
+}
+
+/// Returns aCounts less aBefore; aCounts itself if they have started again.
+RouteCounts
+Difference(const RouteCounts& aCounts, const RouteCounts* aBefore)
+{
+  if (aBefore == nullptr || aBefore->requests_ > aCounts.requests_ ||
+      aBefore->failures_ > aCounts.failures_) {
+    return aCounts;
+  }
+  RouteCounts difference = aCounts;
+  difference.requests_ -= aBefore->requests_;
+  difference.failures_ -= aBefore->failures_;
+  for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+    const std::uint32_t before = aBefore->latencies_.at(i);
+    difference.latencies_.at(i) -= std::min(before, difference.latencies_.at(i));
+  }
+  return difference;
+}
+
+} // namespace
+
+void
+RolloutUsage::OnReport(const RolloutReport& aReport, TimePoint aNow, const Sink& aSink)
+{
+  const ServerCounts& counts = aReport.counts_;
+  const auto [found, first] = entries_.try_emplace(aReport.instanceId_);
+  Entry& entry = found->second;
+  if (!first && entry.incarnation_ > aReport.incarnation_) {
+    // A report of an ended process that was delayed.
+    return;
+  }
+  if (!first &&
+      (entry.incarnation_ != aReport.incarnation_ || entry.counts_.arrivals_ > counts.arrivals_)) {
+    Charge(entry, aNow);
+    entry = {};
+  }
+  const std::uint64_t arrived = counts.arrivals_ - entry.counts_.arrivals_;
+  serviceRequests_ += arrived;
+  if (counts.version_ == targetVersion_) {
+    targetRequests_ += arrived;
+  }
+  if (!first) {
+    followed_ += arrived;
+  }
+  recent_.emplace_back(aNow, followed_);
+  while (recent_.size() > 1 && recent_.front().first < aNow - kRateTime) {
+    recent_.pop_front();
+  }
+  AddRoutes(counts, entry.counts_, aSink);
+  entry.incarnation_ = aReport.incarnation_;
+  entry.counts_ = counts;
+  entry.reportedAt_ = aNow;
+}
+
+void
+RolloutUsage::AddRoutes(const ServerCounts& aCounts, const ServerCounts& aBefore, const Sink& aSink)
+{
+  const RolloutSide side =
+    aCounts.version_ == targetVersion_ ? RolloutSide::Target : RolloutSide::Old;
+  for (const RouteCounts& route : aCounts.routes_) {
+    const auto before =
+      std::find_if(aBefore.routes_.begin(), aBefore.routes_.end(), [&](const RouteCounts& aRoute) {
+        return aRoute.route_ == route.route_;
+      });
+    const RouteCounts delta =
+      Difference(route, before == aBefore.routes_.end() ? nullptr : &*before);
+    if (delta.requests_ == 0 && delta.failures_ == 0) {
+      continue;
+    }
+    RouteCounts& total = routes_[{ side, route.route_ }];
+    total.route_ = route.route_;
+    total.requests_ += delta.requests_;
+    total.failures_ += delta.failures_;
+    for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
+      total.latencies_.at(i) += delta.latencies_.at(i);
+    }
+    aSink(side, delta);
+  }
+}
+
+void
+RolloutUsage::Charge(const Entry& aEntry, TimePoint aNow)
+{
+  if (aEntry.bounded_ && aNow < aEntry.permittedUntil_) {
+    targetRequests_ =
+      SaturatedAdd(targetRequests_, SaturatedSubtract(aEntry.limit_, aEntry.counts_.arrivals_));
+  }
+}
+
+void
+RolloutUsage::Keep(const std::set<std::string>& aMembers, TimePoint aNow)
+{
+  std::erase_if(entries_, [&](const auto& aEntry) {
+    if (aMembers.contains(aEntry.first)) {
+      return false;
+    }
+    Charge(aEntry.second, aNow);
+    return true;
+  });
+}
+
+std::uint64_t
+RolloutUsage::Permit(const std::string& aInstanceId,
+                     std::uint64_t aTotal,
+                     std::size_t aServers,
+                     bool aBounded,
+                     TimePoint aUntil,
+                     TimePoint aNow)
+{
+  // Requests that other servers may get by permissions that still run count as if they had come.
+  std::uint64_t others = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (id != aInstanceId && aNow < entry.permittedUntil_) {
+      others = SaturatedAdd(others, SaturatedSubtract(entry.limit_, entry.counts_.arrivals_));
+    }
+  }
+  Entry& entry = entries_.at(aInstanceId);
+  const std::uint64_t left = SaturatedSubtract(aTotal, targetRequests_);
+  const std::uint64_t part = std::min(left / aServers, SaturatedSubtract(left, others));
+  const std::uint64_t limit = SaturatedAdd(entry.counts_.arrivals_, part);
+  // The reply may be lost, so that an earlier permission goes on.
+  const bool running = aNow < entry.permittedUntil_;
+  entry.limit_ = running ? std::max(entry.limit_, limit) : limit;
+  entry.permittedUntil_ = std::max(entry.permittedUntil_, aUntil);
+  entry.bounded_ = aBounded;
+  return limit;
+}
+
+void
+RolloutUsage::Reopen()
+{
+  for (auto& [id, entry] : entries_) {
+    entry.counts_.closed_ = false;
+  }
+}
+
+const RolloutUsage::Entry*
+RolloutUsage::Find(const std::string& aInstanceId) const
+{
+  const auto found = entries_.find(aInstanceId);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+double
+RolloutUsage::RequestsPerSecond(TimePoint aNow) const
+{
+  if (recent_.empty()) {
+    return 0;
+  }
+  const double seconds = std::chrono::duration<double>(aNow - recent_.front().first).count();
+  return seconds > 0 ? static_cast<double>(followed_ - recent_.front().second) / seconds : 0;
+}
+
+} // namespace redwing
--- /dev/null
+++ b/src/fleet/RolloutUsage.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/Clock.hpp"
+#include "rollout/RolloutTypes.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace redwing {
+
+/// What the servers of one service did since the order of its rollout, by their reports, and what
+/// target servers may do by permissions that still run. Kept by the leader.
+class RolloutUsage
+{
+public:
+  /// What one instance has reported.
+  struct Entry
+  {
+    std::uint64_t incarnation_ = 0;
+    ServerCounts counts_;
+    TimePoint reportedAt_{};
+    /// Highest limit of a permission that may still be used, and the latest end of the permission.
+    std::uint64_t limit_ = 0;
+    TimePoint permittedUntil_{};
+    /// The limit was given while the total was bounded by the exposure.
+    bool bounded_ = false;
+  };
+
+  /// Takes what a server did since its last report.
+  using Sink = std::function<void(RolloutSide aSide, const RouteCounts& aDelta)>;
+
+  explicit RolloutUsage(std::string aTargetVersion)
+    : targetVersion_(std::move(aTargetVersion))
+  {
+  }
+
+  /// Adds a report and passes the counts since the last one to aSink.
+  ///
+  /// Preconditions: the report counts from the order of this rollout. Thread safety: not
+  /// thread-safe, like all functions here.
+  void OnReport(const RolloutReport& aReport, TimePoint aNow, const Sink& aSink);
+
+  /// Drops the instances that are not in aMembers; what they did stays counted.
+  void Keep(const std::set<std::string>& aMembers, TimePoint aNow);
+
+  /// Returns the number of requests that the server of aInstanceId may have got since the order if
+  /// aTotal is the bound for all target servers, of which aServers are in use.
+  ///
+  /// Preconditions: the instance has reported; aServers is at least 1.
+  std::uint64_t Permit(const std::string& aInstanceId,
+                       std::uint64_t aTotal,
+                       std::size_t aServers,
+                       bool aBounded,
+                       TimePoint aUntil,
+                       TimePoint aNow);
+
+  /// Forgets that servers have reported to be closed, because they were opened again.
+  void Reopen();
+
+  /// Returns what an instance has reported; null if it has not.
+  const Entry* Find(const std::string& aInstanceId) const;
+
+  std::uint64_t ServiceRequests() const { return serviceRequests_; }
+  std::uint64_t TargetRequests() const { return targetRequests_; }
+  double RequestsPerSecond(TimePoint aNow) const;
+
+  /// Returns the totals since the order by side and route.
+  const std::map<std::pair<RolloutSide, std::string>, RouteCounts>& Routes() const
+  {
+    return routes_;
+  }
+
+private:
+  /// Counts what an ended process may have got without reporting it.
+  void Charge(const Entry& aEntry, TimePoint aNow);
+  void AddRoutes(const ServerCounts& aCounts, const ServerCounts& aBefore, const Sink& aSink);
+
+  std::string targetVersion_;
+  std::map<std::string, Entry, std::less<>> entries_;
+  std::uint64_t serviceRequests_ = 0;
+  std::uint64_t targetRequests_ = 0;
+  /// Requests that were first reported by an instance that had reported before, and their number at
+  /// recent reports.
+  std::uint64_t followed_ = 0;
+  std::deque<std::pair<TimePoint, std::uint64_t>> recent_;
+  std::map<std::pair<RolloutSide, std::string>, RouteCounts> routes_;
+};
+
+} // namespace redwing
--- a/src/fleet/ShardPlanner.cpp
+++ b/src/fleet/ShardPlanner.cpp
@@ -27,10 +27,11 @@
   {
     double capacity = 0;
     for (const ShardCandidate& candidate : candidates_) {
-      capacity += candidate.accepts_ ? candidate.capacity_ : 0;
+      capacity += SharesFairly(candidate) ? candidate.capacity_ : 0;
     }
     for (std::size_t i = 0; i < candidates_.size(); ++i) {
-      fair_[i] = candidates_[i].accepts_ && capacity > 0 ? candidates_[i].capacity_ / capacity : 0;
+      fair_[i] =
+        SharesFairly(candidates_[i]) && capacity > 0 ? candidates_[i].capacity_ / capacity : 0;
     }
     for (const ShardRun& run : table_.Runs()) {
       const std::size_t target = TargetOf(run);
@@ -64,12 +65,70 @@
       }
     }
     if (aRebalance) {
+      FillLimited();
       Rebalance();
     }
     return std::move(table_);
   }
 
 private:
+  static bool SharesFairly(const ShardCandidate& aCandidate)
+  {
+    return aCandidate.accepts_ && aCandidate.intake_ == ShardIntake::Fair;
+  }
+
+  /// Moves shards to servers with a limit, and away from those that exceed it.
+  void FillLimited()
+  {
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      if (!candidates_[i].accepts_ || candidates_[i].intake_ != ShardIntake::Limited) {
+        continue;
+      }
+      // The traffic of a set of shards is at most its weight divided by the part of the weight that
+      // stands for traffic.
+      const double limit = candidates_[i].limit_ * (1 - settings_.evenShare_);
+      while (load_[i] < limit) {
+        const std::size_t from = MostLoaded();
+        if (from == kNoCandidate || Move(from, i, limit - load_[i]) <= 0) {
+          break;
+        }
+      }
+      while (load_[i] > limit) {
+        // A single shard may weigh more than the excess, so that Move would refuse it.
+        const std::size_t to = MostUnderloaded();
+        if (to == kNoCandidate || Move(i, to, std::max(load_[i] - limit, HeaviestOf(i))) <= 0) {
+          break;
+        }
+      }
+    }
+  }
+
+  /// Returns the most loaded candidate without a limit.
+  std::size_t MostLoaded() const
+  {
+    std::size_t best = kNoCandidate;
+    for (std::size_t i = 0; i < candidates_.size(); ++i) {
+      if (fair_[i] > 0 && (best == kNoCandidate || load_[i] > load_[best])) {
+        best = i;
+      }
+    }
+    return best;
+  }
+
+  /// Returns the weight of the heaviest shard that a candidate holds and does not hand over.
+  double HeaviestOf(std::size_t aCandidate) const
+  {
+    double heaviest = 0;
+    for (const ShardRun& run : table_.Runs()) {
+      if (HolderOf(run) == aCandidate && run.successor_.empty()) {
+        heaviest = std::max(
+          heaviest,
+          *std::max_element(weights_.begin() + run.first_, weights_.begin() + run.last_ + 1));
+      }
+    }
+    return heaviest;
+  }
+
   /// Assigns the shards that nobody holds: to the new incarnation of their last holder's server, or
   /// else to the candidates furthest below their fair shares.
   void AssignShards(std::span<const ShardRun> aRuns)
--- a/src/fleet/ShardPlanner.hpp
+++ b/src/fleet/ShardPlanner.hpp
@@ -9,6 +9,17 @@
 
 namespace redwing {
 
+/// What shards a server may get beside those that it has.
+enum class ShardIntake : std::uint8_t
+{
+  /// Its part by capacity.
+  Fair,
+  /// As many as keep its part of the recent traffic within a limit.
+  Limited,
+  /// None; it keeps those that it has.
+  Frozen,
+};
+
 /// An instance with a backend server of the planned service.
 struct ShardCandidate
 {
@@ -19,6 +30,9 @@
   double capacity_ = 1;
   /// The server accepts new shards; otherwise its shards are moved away.
   bool accepts_ = false;
+  ShardIntake intake_ = ShardIntake::Fair;
+  /// Limit of ShardIntake::Limited, a part of the service's traffic.
+  double limit_ = 0;
 };
 
 struct ShardPlannerSettings
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -128,6 +128,8 @@
   /// Returns the key of the ledger of allowances in use, which the leader writes.
   std::string LedgerKey() const { return settings_.prefix_ + "allowances"; }
   std::string TableKey(const std::string& aService) const;
+  /// Returns the common prefix of the records of rollouts, which the leader writes.
+  std::string RolloutsPrefix() const { return settings_.prefix_ + "rollouts/"; }
 
   /// Returns the revision of the last change of aKey, or 0 if the key does not exist.
   std::uint64_t RevisionOf(const std::string& aKey) const;
--- a/src/rollout/RolloutTypes.hpp
+++ b/src/rollout/RolloutTypes.hpp
@@ -137,6 +137,8 @@
   /// Time from the sending of the report for which the limit holds; afterwards the server gets
   /// nothing.
   std::uint32_t validForMs_ = 0;
+  /// Other versions whose servers get no requests: those that were rolled back before.
+  std::vector<std::string> closedVersions_;
 
   template<typename Archive>
   void serialize(Archive& aArchive)
@@ -148,7 +150,8 @@
              share_,
              targets_,
              arrivalLimit_,
-             validForMs_);
+             validForMs_,
+             closedVersions_);
   }
 };
 
@@ -219,6 +222,11 @@
   RolloutPhase phase_ = RolloutPhase::Waiting;
   /// Why the roll-out ended or waits.
   std::string reason_;
+  /// Revision of the latest order that the roll-out follows. That of order_ stays when the version
+  /// is ordered again, because counts refer to it.
+  std::uint64_t latestRevision_ = 0;
+  /// Versions that were rolled back before and still have servers.
+  std::vector<std::string> closedVersions_;
 
   bool operator==(const RolloutRecord&) const = default;
 };
