--- a/tests/unit/fleet/FleetFixture.hpp
+++ b/tests/unit/fleet/FleetFixture.hpp
@@ -35,7 +35,7 @@
                  store_,
                  view_,
                  counters_,
-                 Settings(aId, aProcessors, aFleet.leaseTime_, aFleet.longestHold_),
+                 Adjusted(Settings(aId, aProcessors, aFleet.leaseTime_, aFleet.longestHold_)),
                  Hooks())
     {
       service_.Start();
@@ -61,6 +61,13 @@
       return settings;
     }
 
+    FleetSettings Adjusted(FleetSettings aSettings) const
+    {
+      aSettings.rollouts_.enabled_ = fleet_.rollouts_;
+      aSettings.rolloutStatusPrefix_ = "status/";
+      return aSettings;
+    }
+
     static std::shared_ptr<const ConfigurationRevision> Configured()
     {
       auto revision = std::make_shared<ConfigurationRevision>();
@@ -91,6 +98,10 @@
         FleetRequest request;
         const auto* report =
           ReadWire(aPayload, request) ? std::get_if<FleetReport>(&request) : nullptr;
+        rolloutCalls_ += std::get_if<RolloutReport>(&request) != nullptr ||
+                             std::get_if<RolloutNotice>(&request) != nullptr
+                           ? 1
+                           : 0;
         // Reports about tables are sent at intervals.
         if (report != nullptr && report->tables_.empty()) {
           ++allowanceCalls_;
@@ -115,6 +126,9 @@
       hooks.serviceRate_ = [] { return 0.0; };
       hooks.configuration_ = { [](std::uint64_t) {}, [](auto) {} };
       hooks.timeOfDay_ = [] { return std::chrono::system_clock::now(); };
+      if (fleet_.adjustHooks_) {
+        fleet_.adjustHooks_(*this, hooks);
+      }
       return hooks;
     }
 
@@ -139,6 +153,7 @@
       heartbeat.service_ = "desk";
       heartbeat.slots_ = 4;
       heartbeat.draining_ = aDraining;
+      heartbeat.version_ = version_;
       if (aKeeps) {
         heartbeat.holds_ = holds_;
       }
@@ -164,6 +179,8 @@
     std::string serverId_ = "server-" + id_;
     std::uint64_t startedAt_ = 1;
     std::uint64_t sequence_ = 0;
+    std::string version_;
+    int rolloutCalls_ = 0;
     int allowanceCalls_ = 0;
     int openCalls_ = 0;
     int mostOpenCalls_ = 0;
@@ -279,6 +296,9 @@
   boost::asio::io_context context_;
   SteadyClock clock_;
   MemoryStore store_{ context_, clock_ };
+  /// Rollouts are on in instances that are added from now on.
+  bool rollouts_ = false;
+  std::function<void(Node&, FleetHooks&)> adjustHooks_;
   std::chrono::seconds leaseTime_{ 2 };
   std::chrono::milliseconds longestHold_ = 10s;
   std::map<std::string, std::unique_ptr<Node>> nodes_;
