Show rollouts to operators, and keep their ends across restored stores

redwingctl rollout status reads the rollouts from the metrics port. A leader that was told of the end of a rollout by its predecessor keeps it where the store, restored from an older copy, lacks the record. The leader steps every 100 ms, each second while nothing runs, since the servers of a service are collected for each step.

--- a/src/ctl/ClusterCommands.cpp
+++ b/src/ctl/ClusterCommands.cpp
@@ -203,4 +203,42 @@
   });
 }
 
+Exit
+ClusterCommands::Rollouts()
+{
+  if (session_.Settings().instances_.size() != 1) {
+    session_.Err() << "redwingctl: rollout status needs exactly one --instance, the one to ask\n";
+    return Exit::Usage;
+  }
+  return session_.Read("/rollouts", [&](const std::string& aBody) {
+    const Json reply = Json::parse(aBody, nullptr, false);
+    if (!reply.is_object() || !reply.contains("rollouts") || !reply["rollouts"].is_array()) {
+      session_.Err() << "redwingctl: the instance has no rollouts\n";
+      return Exit::Refused;
+    }
+    if (session_.Settings().output_ == OutputFormat::Json) {
+      session_.Out() << reply.dump() << "\n";
+      return Exit::Done;
+    }
+    session_.Out() << "leader: " << Cell(reply, "leader") << "\n";
+    PrintArray(session_,
+               reply["rollouts"],
+               { "service",
+                 "version",
+                 "phase",
+                 "share",
+                 "targets",
+                 "reason",
+                 "requests",
+                 "target_requests" });
+    for (const Json& rollout : reply["rollouts"]) {
+      if (rollout.is_object() && rollout.contains("routes") && rollout["routes"].is_array()) {
+        session_.Out() << "\nroutes of " << Cell(rollout, "service") << "\n";
+        PrintArray(session_, rollout["routes"], { "route", "side", "requests", "failures" });
+      }
+    }
+    return Exit::Done;
+  });
+}
+
 } // namespace redwing::ctl
--- a/src/ctl/ClusterCommands.hpp
+++ b/src/ctl/ClusterCommands.hpp
@@ -34,6 +34,10 @@
   /// metrics of the instance.
   Exit Holds();
 
+  /// Shows the rollouts as the one instance that is addressed knows them: all figures if it leads,
+  /// otherwise what it was told, with the name of the leader.
+  Exit Rollouts();
+
 private:
   Session& session_;
 };
--- a/src/ctl/CommandLine.cpp
+++ b/src/ctl/CommandLine.cpp
@@ -281,6 +281,14 @@
              "Show what the server of the instance that --instance names is granted and may hold, "
              "and why holds ended, from the metrics of the instance; exactly one must be given",
              [](Session& aSession) { return ClusterCommands(aSession).Holds(); });
+  CLI::App* rollout = aApp.add_subcommand("rollout", "Rollouts of services");
+  rollout->require_subcommand(1);
+  AddCommand(*rollout,
+             options,
+             "status",
+             "Show share, counts by version and route, and why rollouts wait or went back; exactly "
+             "one --instance must be given, of which the leader knows all figures",
+             [](Session& aSession) { return ClusterCommands(aSession).Rollouts(); });
   AddCommand(aApp, options, "status", "Show the state of the fleet", [](Session& aSession) {
     return ClusterCommands(aSession).Status();
   });
--- a/src/fleet/FleetElection.cpp
+++ b/src/fleet/FleetElection.cpp
@@ -48,6 +48,7 @@
       BeginLeadership();
       BeginRollouts(now);
     } else {
+      SetRolloutMetrics();
       coordinator_.End();
     }
     LogLine(LogLevel::Info, leads ? "leader_begins" : "leader_ends")
--- a/src/fleet/FleetRolloutViews.cpp
+++ b/src/fleet/FleetRolloutViews.cpp
@@ -135,22 +135,24 @@
 void
 FleetService::SetRolloutMetrics()
 {
+  constexpr double kPermille = 1000;
   for (const std::string& service : coordinator_.Services()) {
     const ServiceRollout* rollout = coordinator_.Find(service);
-    if (rollout == nullptr) {
-      continue;
-    }
-    constexpr double kPermille = 1000;
+    // A former leader shows nothing.
+    const bool shown = rollout != nullptr && leads_;
     const std::string label = "service=\"" + service + "\"";
     const auto set = [&](const char* aName, std::int64_t aValue) {
-      counters_.GetGauge(aName, label).Set(aValue);
+      counters_.GetGauge(aName, label).Set(shown ? aValue : 0);
     };
-    set("redwing_rollout_phase", static_cast<std::int64_t>(rollout->Phase()));
-    set("redwing_rollout_share_permille", std::lround(rollout->Decision().share_ * kPermille));
-    set("redwing_rollout_targets", static_cast<std::int64_t>(rollout->Targets().size()));
-    set("redwing_rollout_requests", static_cast<std::int64_t>(rollout->Usage().ServiceRequests()));
+    set("redwing_rollout_phase", shown ? static_cast<std::int64_t>(rollout->Phase()) : 0);
+    set("redwing_rollout_share_permille",
+        shown ? std::lround(rollout->Decision().share_ * kPermille) : 0);
+    set("redwing_rollout_targets",
+        shown ? static_cast<std::int64_t>(rollout->Targets().size()) : 0);
+    set("redwing_rollout_requests",
+        shown ? static_cast<std::int64_t>(rollout->Usage().ServiceRequests()) : 0);
     set("redwing_rollout_target_requests",
-        static_cast<std::int64_t>(rollout->Usage().TargetRequests()));
+        shown ? static_cast<std::int64_t>(rollout->Usage().TargetRequests()) : 0);
   }
 }
 
--- a/src/fleet/FleetRollouts.cpp
+++ b/src/fleet/FleetRollouts.cpp
@@ -21,7 +21,11 @@
 /// Least time between two notices; shares may change in each turn.
 constexpr milliseconds kMinNoticeInterval{ 100 };
 constexpr milliseconds kNoticeTimeout{ 400 };
-constexpr milliseconds kWriteRetryInterval{ 300 };
+/// Least time between a write that failed, or one of a phase that is not final, and the next.
+constexpr milliseconds kWriteInterval{ 300 };
+/// Interval of the leader's steps, with and without a rollout that runs.
+constexpr milliseconds kStepInterval{ 100 };
+constexpr milliseconds kIdleStepInterval{ 1000 };
 
 bool
 Runs(RolloutPhase aPhase)
@@ -63,6 +67,7 @@
   }
   rolloutOrders_ = std::move(aOrders);
   coordinator_.SetOrders(rolloutOrders_, clock_.Now());
+  nextRolloutStep_ = {};
   ReadRolloutRecords();
   // Servers of a version that was just ordered must get nothing before the leader permits it.
   PublishView();
@@ -260,6 +265,7 @@
     }
   }
   rolloutEpoch_ = session_.Epoch();
+  nextRolloutStep_ = {};
   sentNotice_.clear();
   coordinator_.Begin(RolloutRecords(), ended, aNow);
 }
@@ -283,7 +289,9 @@
     }
   }
   std::set<std::string> holders;
-  if (const auto table = tables_.find(aService); table != tables_.end()) {
+  const ServiceRollout* rollout = coordinator_.Find(aService);
+  const bool closing = rollout != nullptr && rollout->Phase() == RolloutPhase::Closing;
+  if (const auto table = tables_.find(aService); closing && table != tables_.end()) {
     for (const ShardRun& run : table->second.table_.Runs()) {
       holders.insert(run.holder_.instanceId_);
     }
@@ -304,7 +312,7 @@
 void
 FleetService::LeadRollouts(TimePoint aNow)
 {
-  if (!leads_ || !coordinator_.Leads()) {
+  if (!leads_ || !coordinator_.Leads() || aNow < nextRolloutStep_) {
     return;
   }
   if (std::exchange(rolloutEpoch_, session_.Epoch()) != session_.Epoch()) {
@@ -319,6 +327,7 @@
       WriteRollout(*record);
     }
   }
+  nextRolloutStep_ = aNow + (coordinator_.Idle() ? kIdleStepInterval : kStepInterval);
   SendRolloutNotice(aNow);
   SetRolloutMetrics();
 }
@@ -357,10 +366,12 @@
               : outcome == RolloutWriteOutcome::Unknown ? "unknown"
               : aResult                                 ? "conflict"
                                                         : "failed");
-      if (outcome != RolloutWriteOutcome::Written) {
-        // The session reads all entries again; the next attempt is on condition of what it finds.
-        nextRolloutWrite_ = clock_.Now() + kWriteRetryInterval;
+      if (outcome != RolloutWriteOutcome::Written || Runs(aRecord.phase_)) {
+        // After a failure the session reads all entries again, and the next attempt is on condition
+        // of what it finds.
+        nextRolloutWrite_ = clock_.Now() + kWriteInterval;
       }
+      nextRolloutStep_ = {};
       if (leads_ && since == leadsSince_) {
         coordinator_.OnWrite(aRecord, outcome);
       }
--- a/src/fleet/RolloutCoordinator.cpp
+++ b/src/fleet/RolloutCoordinator.cpp
@@ -12,6 +12,18 @@
 
 using std::chrono::milliseconds;
 
+/// Returns whether a record is from before the end of a rollout that an earlier leader told of: the
+/// store came back from an older copy, and its entries have the revisions that they had.
+bool
+IsBehind(const RolloutRecord& aStored, const RolloutDirective& aEnded)
+{
+  if (aStored.order_.revision_ == aEnded.orderRevision_) {
+    return aStored.phase_ != aEnded.phase_;
+  }
+  return EpochOf(aStored.latestRevision_) == EpochOf(aEnded.orderRevision_) &&
+         NumberOf(aStored.latestRevision_) < NumberOf(aEnded.orderRevision_);
+}
+
 } // namespace
 
 bool
@@ -54,23 +66,32 @@
   End();
   leads_ = true;
   leadsSince_ = aNow;
-  for (RolloutRecord record : aRecords) {
-    const auto ended =
-      std::find_if(aEnded.begin(), aEnded.end(), [&](const RolloutDirective& aDirective) {
-        return aDirective.service_ == record.order_.service_ &&
-               aDirective.targetVersion_ == record.order_.targetVersion_ &&
-               aDirective.orderRevision_ == record.order_.revision_;
-      });
-    const bool behind = ended != aEnded.end() && ended->phase_ != record.phase_;
-    if (behind) {
-      LogLine(LogLevel::Warning, "rollout_record_behind")
-        .With("service", record.order_.service_)
-        .With("version", record.order_.targetVersion_)
-        .With("stored", NameOf(record.phase_))
-        .With("known", NameOf(ended->phase_));
-      record.phase_ = ended->phase_;
+  for (const RolloutRecord& record : aRecords) {
+    Resume(record, false, aNow);
+  }
+  for (const RolloutDirective& ended : aEnded) {
+    const auto found = rollouts_.find(ended.service_);
+    const RolloutRecord* stored = found == rollouts_.end() ? nullptr : &found->second->Wanted();
+    if (stored != nullptr && !IsBehind(*stored, ended)) {
+      continue;
     }
-    Resume(std::move(record), behind, aNow);
+    LogLine(LogLevel::Warning, "rollout_record_behind")
+      .With("service", ended.service_)
+      .With("version", ended.targetVersion_)
+      .With("stored", stored == nullptr ? "none" : NameOf(stored->phase_))
+      .With("known", NameOf(ended.phase_));
+    RolloutRecord record;
+    const bool same = stored != nullptr && stored->order_.revision_ == ended.orderRevision_;
+    if (same) {
+      record = *stored;
+    } else {
+      record.order_ = { ended.service_, ended.targetVersion_, {}, ended.orderRevision_ };
+      record.latestRevision_ = ended.orderRevision_;
+      record.orderedAt_ = UnixMilliseconds();
+    }
+    record.phase_ = ended.phase_;
+    record.closedVersions_ = ended.closedVersions_;
+    Resume(std::move(record), true, aNow);
   }
 }
 
@@ -290,6 +311,14 @@
   return directives;
 }
 
+bool
+RolloutCoordinator::Idle() const
+{
+  return std::all_of(rollouts_.begin(), rollouts_.end(), [](const auto& aRollout) {
+    return aRollout.second->Ended();
+  });
+}
+
 const ServiceRollout*
 RolloutCoordinator::Find(const std::string& aService) const
 {
--- a/src/fleet/RolloutCoordinator.hpp
+++ b/src/fleet/RolloutCoordinator.hpp
@@ -50,8 +50,8 @@
   /// functions here.
   void SetOrders(const std::vector<RolloutOrder>& aOrders, TimePoint aNow);
 
-  /// Begins to lead with the records of the store. aEnded are final phases that this instance knows
-  /// from earlier leaders; they count where the store, restored from an older copy, lacks them.
+  /// Begins to lead with the records of the store. aEnded are final phases that earlier leaders
+  /// told this instance of; they count where the store, restored from an older copy, lacks them.
   ///
   /// Preconditions: none.
   void Begin(const std::vector<RolloutRecord>& aRecords,
@@ -110,6 +110,11 @@
 
   bool Leads() const { return leads_; }
 
+  /// Returns whether all rollouts have ended and the store knows.
+  ///
+  /// Preconditions: none.
+  bool Idle() const;
+
 private:
   struct SeenOrder
   {
--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -96,10 +96,11 @@
 bool
 ServiceRollout::AllReported() const
 {
-  return std::all_of(
-    service_.servers_.begin(), service_.servers_.end(), [this](const RolloutServer& aServer) {
-      return usage_.Find(aServer.instanceId_) != nullptr;
-    });
+  return service_.complete_ && std::all_of(service_.servers_.begin(),
+                                           service_.servers_.end(),
+                                           [this](const RolloutServer& aServer) {
+                                             return usage_.Find(aServer.instanceId_) != nullptr;
+                                           });
 }
 
 bool
--- a/tests/unit/ctl/CommandLineTest.cpp
+++ b/tests/unit/ctl/CommandLineTest.cpp
@@ -97,6 +97,8 @@
     { "instance", "drain", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
     { "holds" },
     { "holds", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
+    { "rollout" },
+    { "rollout", "status" },
   };
   for (const auto& arguments : cases) {
     Fixture fixture;
@@ -229,6 +231,27 @@
   }
 }
 
+// Guards against rollouts without the figures that an operator decides by, and against a text of
+// another kind that is shown as no rollouts.
+BOOST_AUTO_TEST_CASE(RolloutsAreShownWithTheirRoutes)
+{
+  const std::vector<std::string> command = { "rollout", "status", "--instance", "127.0.0.1:1" };
+  Fixture fixture;
+  fixture.replies_ = { CtlReply{
+    200,
+    R"({"leader":"a","rollouts":[{"service":"desk","version":"v2","phase":"canary","share":0.08,)"
+    R"("targets":["x"],"reason":"evidence","requests":100,"target_requests":8,"routes":)"
+    R"([{"route":"r","side":"target","requests":8,"failures":3}]}]})" } };
+  BOOST_TEST(fixture.Run(command) == 0);
+  BOOST_TEST(fixture.calls_[0] == "GET /rollouts ");
+  for (const char* shown : { "leader: a", "canary", "0.08", "evidence", "100", "target" }) {
+    BOOST_TEST(Contains(fixture.out_.str(), shown));
+  }
+  fixture.replies_ = { CtlReply{ 200, "redwing_retries_total 3\n" } };
+  BOOST_TEST(fixture.Run(command) == 1);
+  BOOST_TEST(Contains(fixture.err_.str(), "the instance has no rollouts"));
+}
+
 // Guards against completion scripts that miss commands.
 BOOST_AUTO_TEST_CASE(CompletionKnowsAllCommands)
 {
--- a/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
@@ -332,6 +332,30 @@
   BOOST_TEST(record_->order_.revision_ == 10U);
 }
 
+// Guards against a completed rollout that begins again because the store lacks its record, or has
+// that of an earlier order.
+BOOST_DATA_TEST_CASE(ARestoredStoreWithoutTheRecordRevertsNoCompletion,
+                     boost::unit_test::data::make({ false, true }),
+                     earlierRecord)
+{
+  Order("v2", 10, 30s);
+  AddTargets();
+  BOOST_REQUIRE(RunToPhase(RolloutPhase::Completed));
+  const RolloutDirective told = leader_->Find(kService)->Announced();
+  record_.reset();
+  if (earlierRecord) {
+    record_.emplace();
+    record_->order_ = { kService, "v1", 10s, 4 };
+    record_->latestRevision_ = 4;
+    record_->phase_ = RolloutPhase::Completed;
+  }
+  NewLeader({ told });
+  Run(2s);
+  BOOST_TEST(Stored() == RolloutPhase::Completed);
+  BOOST_TEST(record_->order_.targetVersion_ == "v2");
+  BOOST_TEST(record_->order_.revision_ == 10U);
+}
+
 // Guards against a record that a later leader can't read.
 BOOST_AUTO_TEST_CASE(RecordsAreReadAsTheyAreWritten)
 {
