Judge a report before it is answered with a permission

The reply to the report that made a version bad still permitted requests for 1,500 ms, because the next step was taken up to 100 ms later.

--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -362,6 +362,10 @@
   if (known && Gathering(aNow)) {
     return;
   }
+  if (known && aReport.counts_.version_ == wanted_.order_.targetVersion_) {
+    // The report may be the evidence against the permission that would answer it.
+    Step(aNow);
+  }
   // A server that counts from another order learns of this one; it had no permission for it.
   RolloutDirective directive = Announced();
   const std::string& id = aReport.instanceId_;
--- a/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
@@ -89,6 +89,21 @@
   BOOST_TEST(record_->reason_ == "failures");
 }
 
+// Guards against a permission that answers the report with the evidence against it.
+BOOST_AUTO_TEST_CASE(TheReportOfABadServerIsAnsweredWithoutAPermission)
+{
+  Order("v2", 10, 15s);
+  AddTargets();
+  BOOST_REQUIRE(RunToPhase(RolloutPhase::Canary));
+  BOOST_REQUIRE(RunUntil([&] { return At("xv2").permittedUntil_ > now_; }));
+  Site& bad = At("xv2");
+  bad.failures_ += 20;
+  bad.arrivals_ += 20;
+  Report(bad);
+  BOOST_TEST((bad.permittedUntil_ <= now_));
+  BOOST_TEST((bad.directive_.phase_ == RolloutPhase::RolledBack));
+}
+
 // Guards against a lost leader that leaves permissions behind, and against a successor that starts
 // again from the beginning or gives permissions before it knows those of its predecessor.
 BOOST_DATA_TEST_CASE(ALostLeaderIsSucceededInEachPhase,
@@ -172,6 +187,18 @@
   BOOST_REQUIRE(RunToPhase(RolloutPhase::Completed));
 }
 
+// Guards against old servers that close while the target servers' permissions would end before a
+// lost leader is replaced.
+BOOST_AUTO_TEST_CASE(OldServersCloseAfterTargetsAreSafe)
+{
+  Order("v2", 10, 60s);
+  AddTargets();
+  BOOST_REQUIRE(RunToPhase(RolloutPhase::Ramp));
+  BOOST_REQUIRE(RunUntil([&] { return At("a").closed_ || At("b").closed_ || At("c").closed_; }));
+  BOOST_TEST((At("xv2").permittedUntil_ > now_ + 4s));
+  BOOST_TEST((At("yv2").permittedUntil_ > now_ + 4s));
+}
+
 // Guards against old servers that stay closed when their version is needed again.
 BOOST_AUTO_TEST_CASE(ARollbackDuringTheClosingOpensOldServersAgain)
 {
