--- a/src/fleet/RolloutCoordinator.cpp
+++ b/src/fleet/RolloutCoordinator.cpp
@@ -296,16 +296,17 @@
 RolloutCoordinator::Announced(TimePoint aNow) const
 {
   std::vector<RolloutDirective> directives;
-  for (const auto& [service, rollout] : rollouts_) {
-    const std::vector<RolloutServer>& servers = rollout->Service().servers_;
-    const RolloutPhase phase = rollout->Phase();
+  for (const auto& entry : rollouts_) {
+    const ServiceRollout& rollout = *entry.second;
+    const std::vector<RolloutServer>& servers = rollout.Service().servers_;
+    const RolloutPhase phase = rollout.Phase();
     const bool remain =
       std::any_of(servers.begin(), servers.end(), [&](const RolloutServer& aServer) {
-        return rollout->IsTarget(aServer) == (phase == RolloutPhase::RolledBack);
+        return rollout.IsTarget(aServer) == (phase == RolloutPhase::RolledBack);
       });
     const bool ended = phase == RolloutPhase::Completed || phase == RolloutPhase::RolledBack;
-    if (!rollout->Gathering(aNow) && (!ended || rollout->MustWrite() || remain)) {
-      directives.push_back(rollout->Announced());
+    if (!rollout.Gathering(aNow) && (!ended || rollout.MustWrite() || remain)) {
+      directives.push_back(rollout.Announced());
     }
   }
   return directives;
--- a/tests/unit/rollout_coordination/FleetRolloutsTest.cpp
+++ b/tests/unit/rollout_coordination/FleetRolloutsTest.cpp
@@ -65,6 +65,7 @@
       [&] {
         if (clock_.Now() >= nextBeat) {
           nextBeat = clock_.Now() + 200ms;
+          store_.Expire();
           for (auto& [id, node] : nodes_) {
             node->Beat();
             node->holds_ = node->granted_;
@@ -81,6 +82,12 @@
     return entry == store_.Entries().end() ? std::string() : entry->second.value_;
   }
 
+  bool PhaseIs(RolloutPhase aPhase) const
+  {
+    const auto record = ParseRolloutRecord(Stored(kRecordKey));
+    return record && record->phase_ == aPhase;
+  }
+
   int Calls() const
   {
     int calls = 0;
@@ -147,12 +154,8 @@
   BOOST_REQUIRE(view->rollouts_.contains("desk"));
   BOOST_TEST(view->rollouts_.at("desk").share_ == 0);
   Start("x", "v2").service_.OnRolloutOrders({ { "desk", "v2", 25s, 5 } });
-  const auto phaseIs = [&](RolloutPhase aPhase) {
-    const auto record = ParseRolloutRecord(Stored(kRecordKey));
-    return record && record->phase_ == aPhase;
-  };
-  BOOST_REQUIRE(RunServersUntil([&] { return phaseIs(RolloutPhase::Canary); }, 10s));
-  BOOST_REQUIRE(RunServersUntil([&] { return phaseIs(RolloutPhase::Completed); }, 20s));
+  BOOST_REQUIRE(RunServersUntil([&] { return PhaseIs(RolloutPhase::Canary); }, 10s));
+  BOOST_REQUIRE(RunServersUntil([&] { return PhaseIs(RolloutPhase::Completed); }, 20s));
   BOOST_TEST(Stored("status/desk") == "completed");
   BOOST_TEST((Holders() == std::set<std::string>{ "x" }));
   BOOST_TEST(gates_.at("a").closed_);
@@ -166,4 +169,27 @@
   BOOST_TEST(nodes_.at("a")->service_.RolloutStatus().find("completed") != std::string::npos);
 }
 
+// Guards against a rollout that ends with the process of its leader, and against a new leader or
+// process that does not find the record.
+BOOST_AUTO_TEST_CASE(ARolloutGoesOnAfterItsLeaderHasRestarted)
+{
+  const std::vector<RolloutOrder> orders{ { "desk", "v2", 40s, 5 } };
+  for (const char* id : { "a", "b" }) {
+    Start(id, "v1");
+  }
+  Start("x", "v2");
+  Order(orders);
+  BOOST_REQUIRE(RunServersUntil([&] { return PhaseIs(RolloutPhase::Canary); }, 10s));
+  const std::int64_t orderedAt = ParseRolloutRecord(Stored(kRecordKey))->orderedAt_;
+  const std::string leader = LeaderInStore();
+  const std::string version = nodes_.at(leader)->version_;
+  Node& restarted = Restart(leader);
+  restarted.version_ = version;
+  restarted.service_.OnRolloutOrders(orders);
+  restarted.Status(BackendState::Ready, false);
+  BOOST_REQUIRE(RunServersUntil([&] { return PhaseIs(RolloutPhase::Completed); }, 30s));
+  BOOST_TEST(ParseRolloutRecord(Stored(kRecordKey))->orderedAt_ == orderedAt);
+  BOOST_TEST((Holders() == std::set<std::string>{ "x" }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
