Let judge and ramp decide on rollouts

JudgedRollout adapts RolloutJudge and RolloutRamp, and FleetDaemon passes it to FleetService. Reports after a gap, and the first ones to a new leader, count as earlier evidence; instances note since when they know members with their versions, so that a new leader knows which servers are cold. A restart is charged its last limit in the ramp too, whose limits are bounded with the real ramp.

The daemon was not built yet.

--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/FleetDaemon.hpp"
 
 #include "core/Log.hpp"
+#include "fleet/JudgedRollout.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -150,6 +151,7 @@
   hooks.exportQuarantine_ = [this](auto aCallback) {
     backend_->ExportQuarantine(std::move(aCallback));
   };
+  hooks.makeDecider_ = MakeJudgedRollouts(settings_.fleet_.rollouts_);
   fleet_ = std::make_unique<FleetService>(
     context_, clock_, aStore, view_, counters_, settings_.fleet_, std::move(hooks));
 }
--- a/src/fleet/FleetRollouts.cpp
+++ b/src/fleet/FleetRollouts.cpp
@@ -172,6 +172,22 @@
          });
 }
 
+void
+FleetService::NoteVersions(TimePoint aNow)
+{
+  if (rollouts_.empty()) {
+    versionsSeen_.clear();
+    return;
+  }
+  for (const auto& [key, known] : members_) {
+    const Member& member = known.record_.member_;
+    const auto [seen, first] = versionsSeen_.try_emplace(member.ref_.id_, member.version_, aNow);
+    if (!first && seen->second.first != member.version_) {
+      seen->second = { member.version_, aNow };
+    }
+  }
+}
+
 void
 FleetService::UpdateRollouts(TimePoint aNow)
 {
@@ -304,7 +320,13 @@
     const std::string& id = member.ref_.id_;
     const bool accepts = known.record_.Accepts() && !withdrawn.contains(member.dataCentre_) &&
                          !unreachable_.contains(id);
-    service.servers_.push_back({ id, member.version_, accepts, holders.contains(id) });
+    const auto seen = versionsSeen_.find(id);
+    const bool noted = seen != versionsSeen_.end() && seen->second.first == member.version_;
+    service.servers_.push_back({ id,
+                                 member.version_,
+                                 noted ? seen->second.second : TimePoint{},
+                                 accepts,
+                                 holders.contains(id) });
   }
   return service;
 }
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -152,6 +152,7 @@
   UpdateLeadership();
   if (settings_.rollouts_.enabled_ && session_.Loaded()) {
     ReadRolloutRecords();
+    NoteVersions(clock_.Now());
   }
   if (viewDirty_) {
     PublishView();
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -268,6 +268,7 @@
 
   // Rollouts (FleetRollouts.cpp).
   void UpdateRollouts(TimePoint aNow);
+  void NoteVersions(TimePoint aNow);
   void ReadRolloutRecords();
   std::vector<RolloutRecord> RolloutRecords();
   void BeginRollouts(TimePoint aNow);
@@ -441,6 +442,9 @@
   std::string directedVersion_;
   /// Epoch in which the leader last wrote rollout records.
   std::uint64_t rolloutEpoch_ = 0;
+  /// Versions of members, and since when they are known, so that a new leader knows which servers
+  /// are cold.
+  std::map<std::string, std::pair<std::string, TimePoint>> versionsSeen_;
   TimePoint nextRolloutStep_{};
   TimePoint nextRolloutWrite_{};
   /// Revisions of records that this instance has written, by key.
--- a/src/fleet/RolloutDecider.hpp
+++ b/src/fleet/RolloutDecider.hpp
@@ -50,6 +50,8 @@
   /// Highest number of requests that all target servers together may have got by the end of the
   /// next lease.
   std::uint64_t arrivalLimit_ = 0;
+  /// Replies may carry permissions; otherwise those that still run stay as they are.
+  bool permits_ = true;
   /// Why the rollout waits or went back.
   std::string reason_;
   /// Route that the verdict is about; empty if none.
@@ -64,10 +66,17 @@
 public:
   virtual ~RolloutDecider() = default;
 
-  /// Takes what one server did on one route since its last report.
+  /// Takes what one server did on one route since its last report; aCold tells that it was cold at
+  /// some time since.
   ///
   /// Preconditions: none. Thread safety: not thread-safe, like all functions here.
-  virtual void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint aAt) = 0;
+  virtual void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint aAt, bool aCold) = 0;
+
+  /// Takes counts of a longer time: those before a change of leader, or of an instance that was cut
+  /// off.
+  ///
+  /// Preconditions: none.
+  virtual void AddEarlier(RolloutSide aSide, const RouteCounts& aCounts) = 0;
 
   /// Returns the next step.
   ///
--- a/src/fleet/RolloutUsage.cpp
+++ b/src/fleet/RolloutUsage.cpp
@@ -11,6 +11,8 @@
 
 /// Time over which the rate of requests is measured; some reports of each instance.
 constexpr milliseconds kRateTime{ 2500 };
+/// Longest time between two reports whose difference is judged as of that time: two intervals.
+constexpr milliseconds kReportGap{ 1000 };
 
 std::uint64_t
 SaturatedAdd(std::uint64_t aLeft, std::uint64_t aRight)
@@ -51,6 +53,7 @@
   const ServerCounts& counts = aReport.counts_;
   const auto [found, first] = entries_.try_emplace(aReport.instanceId_);
   Entry& entry = found->second;
+  const bool earlier = aNow - (first ? orderedAt_ : entry.reportedAt_) > kReportGap;
   if (!first && entry.incarnation_ > aReport.incarnation_) {
     // A report of an ended process that was delayed.
     return;
@@ -72,14 +75,17 @@
   while (recent_.size() > 1 && recent_.front().first < aNow - kRateTime) {
     recent_.pop_front();
   }
-  AddRoutes(counts, entry.counts_, aSink);
+  AddRoutes(counts, entry.counts_, earlier, aSink);
   entry.incarnation_ = aReport.incarnation_;
   entry.counts_ = counts;
   entry.reportedAt_ = aNow;
 }
 
 void
-RolloutUsage::AddRoutes(const ServerCounts& aCounts, const ServerCounts& aBefore, const Sink& aSink)
+RolloutUsage::AddRoutes(const ServerCounts& aCounts,
+                        const ServerCounts& aBefore,
+                        bool aEarlier,
+                        const Sink& aSink)
 {
   const RolloutSide side =
     aCounts.version_ == targetVersion_ ? RolloutSide::Target : RolloutSide::Old;
@@ -100,7 +106,7 @@
     for (std::size_t i = 0; i < kLatencyBuckets; ++i) {
       total.latencies_.at(i) += delta.latencies_.at(i);
     }
-    aSink(side, delta);
+    aSink(side, delta, aEarlier);
   }
 }
 
--- a/src/fleet/RolloutUsage.hpp
+++ b/src/fleet/RolloutUsage.hpp
@@ -33,11 +33,13 @@
     bool bounded_ = false;
   };
 
-  /// Takes what a server did since its last report.
-  using Sink = std::function<void(RolloutSide aSide, const RouteCounts& aDelta)>;
+  /// Takes what a server did since its last report, or in an earlier or longer time.
+  using Sink = std::function<void(RolloutSide aSide, const RouteCounts& aDelta, bool aEarlier)>;
 
-  explicit RolloutUsage(std::string aTargetVersion)
+  /// aOrderedAt is the time from which the first reports count.
+  RolloutUsage(std::string aTargetVersion, TimePoint aOrderedAt)
     : targetVersion_(std::move(aTargetVersion))
+    , orderedAt_(aOrderedAt)
   {
   }
 
@@ -80,9 +82,13 @@
 private:
   /// Counts what an ended process may have got without reporting it.
   void Charge(const Entry& aEntry, TimePoint aNow);
-  void AddRoutes(const ServerCounts& aCounts, const ServerCounts& aBefore, const Sink& aSink);
+  void AddRoutes(const ServerCounts& aCounts,
+                 const ServerCounts& aBefore,
+                 bool aEarlier,
+                 const Sink& aSink);
 
   std::string targetVersion_;
+  TimePoint orderedAt_;
   std::map<std::string, Entry, std::less<>> entries_;
   std::uint64_t serviceRequests_ = 0;
   std::uint64_t targetRequests_ = 0;
--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -18,6 +18,7 @@
 constexpr milliseconds kLease{ 1500 };
 /// The same while old servers are closed and don't take over: longer than a change of leader takes.
 constexpr milliseconds kClosingLease{ 6000 };
+constexpr milliseconds kReportInterval{ 500 };
 /// Time without a report after which a server is not used as a target: three reports.
 constexpr milliseconds kReportLimit{ 1500 };
 
@@ -43,7 +44,7 @@
   , resumed_(aResumed)
   , gathered_(!aResumed)
   , phase_(wanted_.phase_)
-  , usage_(wanted_.order_.targetVersion_)
+  , usage_(wanted_.order_.targetVersion_, aOrderedAt)
   , closingAnnounced_(phase_ == RolloutPhase::Closing)
 {
   decision_.phase_ = phase_;
@@ -84,7 +85,8 @@
   for (const RolloutServer& server : service_.servers_) {
     members.insert(server.instanceId_);
     if (IsTarget(server) && server.accepts_) {
-      seenAt_.try_emplace(server.instanceId_, aNow);
+      seenAt_.try_emplace(server.instanceId_,
+                          server.seenAt_ == TimePoint{} ? aNow : server.seenAt_);
     }
   }
   if (service_.complete_) {
@@ -123,6 +125,13 @@
                      });
 }
 
+bool
+ServiceRollout::WasCold(const std::string& aInstanceId, TimePoint aNow) const
+{
+  const auto seen = seenAt_.find(aInstanceId);
+  return seen != seenAt_.end() && aNow - seen->second < service_.coldTime_ + kReportInterval;
+}
+
 std::vector<std::string>
 ServiceRollout::UsableTargets(TimePoint aNow) const
 {
@@ -180,7 +189,8 @@
     return;
   }
   if (Gathering(aNow)) {
-    if (aNow - orderedAt_ >= wanted_.order_.duration_) {
+    // A closing that is late still ends: the version is good.
+    if (phase_ != RolloutPhase::Closing && aNow - orderedAt_ >= wanted_.order_.duration_) {
       RollBack("reports_missing");
       LogStep(aNow);
     }
@@ -218,14 +228,15 @@
     ChooseTargets({});
     return;
   }
-  if (next == RolloutPhase::Completed) {
+  const bool ends = next == RolloutPhase::Closing || next == RolloutPhase::Completed;
+  if (ends && phase_ != RolloutPhase::Closing) {
+    Want(RolloutPhase::Closing);
+  } else if (next == RolloutPhase::Completed) {
     // Whatever the decider says: no old server may be cut off while it runs requests.
-    if (phase_ == RolloutPhase::Closing && OldClosed()) {
+    if (OldClosed()) {
       wanted_.reason_ = aDecision.reason_;
       Want(RolloutPhase::Completed);
     }
-  } else if (next == RolloutPhase::Closing && phase_ != RolloutPhase::Closing) {
-    Want(RolloutPhase::Closing);
   } else {
     Enter(next);
     Want(next);
@@ -355,9 +366,15 @@
 {
   const bool known = aReport.counts_.orderRevision_ == wanted_.order_.revision_;
   if (known) {
-    usage_.OnReport(aReport, aNow, [&](RolloutSide aSide, const RouteCounts& aDelta) {
-      decider_->Add(aSide, aDelta, aNow);
-    });
+    const bool cold = WasCold(aReport.instanceId_, aNow);
+    usage_.OnReport(
+      aReport, aNow, [&](RolloutSide aSide, const RouteCounts& aDelta, bool aEarlier) {
+        if (aEarlier) {
+          decider_->AddEarlier(aSide, aDelta);
+        } else {
+          decider_->Add(aSide, aDelta, aNow, cold);
+        }
+      });
   }
   if (known && Gathering(aNow)) {
     return;
@@ -366,6 +383,9 @@
     // The report may be the evidence against the permission that would answer it.
     Step(aNow);
   }
+  if (known && !decision_.permits_ && !IsFinal(phase_) && phase_ != RolloutPhase::Waiting) {
+    return;
+  }
   // A server that counts from another order learns of this one; it had no permission for it.
   RolloutDirective directive = Announced();
   const std::string& id = aReport.instanceId_;
@@ -379,7 +399,7 @@
     directive.arrivalLimit_ = usage_.Permit(id,
                                             decision_.arrivalLimit_,
                                             targets_.size(),
-                                            phase_ == RolloutPhase::Canary,
+                                            phase_ != RolloutPhase::Closing,
                                             aNow + lease,
                                             aNow);
     if (closing) {
--- a/src/fleet/ServiceRollout.hpp
+++ b/src/fleet/ServiceRollout.hpp
@@ -22,6 +22,9 @@
   std::string instanceId_;
   /// Version of the server; empty while it has not said so, which counts as an old version.
   std::string version_;
+  /// When the leader first knew of the server with this version; the start of time if it can't
+  /// tell.
+  TimePoint seenAt_{};
   /// The server takes requests: it is up, reachable, and its data centre is not withdrawn.
   bool accepts_ = false;
   /// The shard table names the server as a holder.
@@ -128,6 +131,7 @@
   bool AllReported() const;
   bool OldClosed() const;
   bool PermittedForClosing() const;
+  bool WasCold(const std::string& aInstanceId, TimePoint aNow) const;
   std::vector<std::string> UsableTargets(TimePoint aNow) const;
   RolloutInput InputAt(TimePoint aNow, const std::vector<std::string>& aUsable) const;
   void Apply(const RolloutDecision& aDecision, const std::vector<std::string>& aUsable);
--- a/tests/unit/rollout_coordination/RolloutFixture.hpp
+++ b/tests/unit/rollout_coordination/RolloutFixture.hpp
@@ -28,9 +28,14 @@
   {
   }
 
-  void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint) override
+  void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint, bool) override
   {
-    failures_ += aSide == RolloutSide::Target ? aDelta.failures_ : 0;
+    AddEarlier(aSide, aDelta);
+  }
+
+  void AddEarlier(RolloutSide aSide, const RouteCounts& aCounts) override
+  {
+    failures_ += aSide == RolloutSide::Target ? aCounts.failures_ : 0;
   }
 
   void Extend(const RolloutOrder& aOrder) override { end_ = orderedAt_ + aOrder.duration_; }
@@ -52,7 +57,7 @@
       decision.share_ = kExposureShare;
     } else {
       decision.targets_ = aInput.targetServers_;
-      decision.arrivalLimit_ = 1'000'000'000;
+      decision.arrivalLimit_ = aInput.targetRequests_ + 5000;
       decision.share_ = age < 7s ? 0.5 : 1;
       // Too early, so that the coordinator has to refuse it.
       const bool closing = aInput.phase_ == RolloutPhase::Closing;
@@ -240,7 +245,7 @@
     RolloutService service;
     for (const Site& site : sites_) {
       if (site.member_) {
-        service.servers_.push_back({ site.id_, site.version_, true, false });
+        service.servers_.push_back({ site.id_, site.version_, {}, true, false });
       }
     }
     leader_->SetService(kService, service, now_);
