--- a/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
@@ -398,6 +398,23 @@
   BOOST_TEST(record_->order_.revision_ == 10U);
 }
 
+// Guards against steps of judge and ramp that the coordinator doesn't carry out in time.
+BOOST_DATA_TEST_CASE(JudgeAndRampReachTheirEnds, boost::unit_test::data::make({ false, true }), bad)
+{
+  judged_ = true;
+  NewLeader();
+  Order("v2", 10, 16s);
+  AddTargets("v2", bad);
+  const TimePoint orderedAt = now_;
+  BOOST_REQUIRE(RunToPhase(bad ? RolloutPhase::RolledBack : RolloutPhase::Completed));
+  BOOST_TEST((now_ - orderedAt <= 16s));
+  BOOST_TEST(!completedWhileOpen_);
+  if (bad) {
+    Run(2s);
+    BOOST_TEST(static_cast<double>(Requests("v2")) <= 0.1 * static_cast<double>(served_) + 50);
+  }
+}
+
 // Guards against a record that a later leader can't read.
 BOOST_AUTO_TEST_CASE(RecordsAreReadAsTheyAreWritten)
 {
--- a/tests/unit/rollout_coordination/RolloutFixture.hpp
+++ b/tests/unit/rollout_coordination/RolloutFixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/JudgedRollout.hpp"
 #include "fleet/RolloutCoordinator.hpp"
 
 #include <algorithm>
@@ -132,7 +133,12 @@
   void NewLeader(std::vector<RolloutDirective> aEnded = {})
   {
     leader_ = std::make_unique<RolloutCoordinator>(
-      [](const RolloutRecord& aRecord, TimePoint aOrderedAt) {
+      [this](const RolloutRecord& aRecord,
+             TimePoint aOrderedAt) -> std::unique_ptr<RolloutDecider> {
+        if (judged_) {
+          return std::make_unique<JudgedRollout>(
+            RolloutBounds{ true, 0.1, 50, 5s }, aRecord, aOrderedAt);
+        }
         return std::make_unique<FakeDecider>(aRecord, aOrderedAt);
       },
       [this] { return std::chrono::system_clock::time_point(now_.time_since_epoch()); });
@@ -281,11 +287,15 @@
     counts.arrivals_ = aSite.arrivals_;
     counts.closed_ = aSite.closed_;
     counts.routes_.push_back({ "r", aSite.arrivals_, aSite.failures_, {} });
+    counts.routes_.back().latencies_.at(5) =
+      static_cast<std::uint32_t>(aSite.arrivals_ - aSite.failures_);
     for (const RolloutDirective& directive : leader_->OnReport(report, now_).directives_) {
       aSite.Follow(directive, now_);
     }
   }
 
+  /// The real judge and ramp decide.
+  bool judged_ = false;
   TimePoint now_{ 1000s };
   std::vector<Site> sites_;
   std::vector<RolloutOrder> orders_;
