--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/FleetDaemon.hpp"
 
 #include "core/Log.hpp"
+#include "fleet/JudgedRollout.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -150,6 +151,7 @@
   hooks.exportQuarantine_ = [this](auto aCallback) {
     backend_->ExportQuarantine(std::move(aCallback));
   };
+  hooks.makeDecider_ = MakeJudgedRollouts(settings_.fleet_.rollouts_);
   fleet_ = std::make_unique<FleetService>(
     context_, clock_, aStore, view_, counters_, settings_.fleet_, std::move(hooks));
 }
@@ -232,7 +234,11 @@
   LocalServerSettings settings;
   settings.address_ = settings_.metricsAddress_;
   metrics_ = std::make_unique<LocalServer>(
-    context_, settings, [this](const LocalRequest&, const LocalReplyCallback& aReply) {
+    context_, settings, [this](const LocalRequest& aRequest, const LocalReplyCallback& aReply) {
+      if (aRequest.target_ == "/rollouts") {
+        aReply({ 200, "application/json", fleet_->RolloutStatus() });
+        return;
+      }
       aReply({ 200, "text/plain; version=0.0.4", counters_.RenderText() });
     });
 }
--- a/src/fleet/FleetElection.cpp
+++ b/src/fleet/FleetElection.cpp
@@ -46,6 +46,10 @@
     leads_ = leads;
     if (leads) {
       BeginLeadership();
+      BeginRollouts(now);
+    } else {
+      SetRolloutMetrics();
+      coordinator_.End();
     }
     LogLine(LogLevel::Info, leads ? "leader_begins" : "leader_ends")
       .With("instance", self)
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -10,9 +10,11 @@
 #include "fleet/DepartedServers.hpp"
 #include "fleet/EpochRecovery.hpp"
 #include "fleet/FleetMessages.hpp"
+#include "fleet/FleetSettings.hpp"
 #include "fleet/HoldMetrics.hpp"
 #include "fleet/LeaderContacts.hpp"
 #include "fleet/LeaderLease.hpp"
+#include "fleet/RolloutCoordinator.hpp"
 #include "fleet/ShardHolds.hpp"
 #include "fleet/ShardPlanner.hpp"
 #include "fleet/StoreSession.hpp"
@@ -39,79 +41,6 @@
 
 namespace redwing {
 
-struct FleetSettings
-{
-  /// Id, incarnation, addresses, data centre and region of this instance, and the service of its
-  /// local backend server.
-  Member self_;
-  /// Processors that this instance may use, in parts of one; 0 if unknown.
-  double processors_ = 0;
-  StoreSessionSettings session_;
-  LeaderLeaseSettings leader_;
-  ShardHoldSettings holds_;
-  ShardPlannerSettings planner_;
-  WindowBudgetSettings budget_;
-  /// Workspaces may exceed their allowance in a window by this fraction plus this number of
-  /// requests.
-  double allowanceOvershoot_ = 0;
-  double allowanceSlack_ = 0;
-  RolloutBounds rollouts_;
-  std::chrono::milliseconds reportInterval_{ 500 };
-  /// Time within which an instance in contact with the others learns of a withdrawal.
-  std::chrono::milliseconds withdrawalLag_{ 1500 };
-  std::uint64_t seed_ = 0;
-
-  /// Sets by how much workspaces may exceed their allowance. Only a part of it is used; the rest is
-  /// a reserve for use that instances cannot yet know of each other.
-  ///
-  /// Preconditions: both are at least 0. Thread safety: not thread-safe.
-  void SetAllowanceBounds(double aOvershoot, double aSlack)
-  {
-    constexpr double kUsedPart = 0.9;
-    allowanceOvershoot_ = aOvershoot * kUsedPart;
-    allowanceSlack_ = aSlack * kUsedPart;
-  }
-};
-
-/// Callbacks into the source of the configuration.
-struct ConfigurationHooks
-{
-  /// Takes the revision of a change of the configuration that another instance knows of.
-  std::function<void(std::uint64_t aChange)> reported_;
-  /// Sets the time in which the loss of the watch must be noticed; without a value the default of
-  /// the store applies.
-  std::function<void(std::optional<std::chrono::milliseconds> aInterval)> setWatchInterval_;
-};
-
-/// Callbacks into the other parts of the instance.
-struct FleetHooks
-{
-  using CallDone = std::function<void(bool aAnswered, std::string aReply)>;
-
-  /// Calls another instance over a peer link.
-  std::function<
-    void(const std::string& aInstanceId, std::string aPayload, Duration aTimeout, CallDone aDone)>
-    call_;
-  std::function<void(BackendAnnouncement)> announce_;
-  std::function<void(TimePoint aSince)> serverLeaves_;
-  /// Returns the requests per second that the local server can process; 0 if unknown.
-  std::function<double()> serviceRate_;
-  ConfigurationHooks configuration_;
-  /// Returns the time of day, which may jump at any time and differ between machines.
-  AllowancePools::TimeOfDay timeOfDay_;
-  /// Takes what other instances know of requests that crash servers; may be empty.
-  std::function<void(std::vector<QuarantineEntry>)> mergeQuarantine_;
-  /// Passes what an instance that has just joined must know of such requests to the callback; may
-  /// be empty.
-  std::function<void(std::function<void(std::vector<QuarantineEntry>)>)> exportQuarantine_;
-  /// Takes what the leader tells of a roll-out; aSentAt is when the report that it answers was
-  /// sent, the start of time if it answers none and so permits nothing. May be empty.
-  std::function<void(const RolloutDirective&, TimePoint aSentAt)> rollout_{};
-  /// Returns what the local server of aService did since the order of aOrderRevision; may be empty.
-  std::function<ServerCounts(const std::string& aService, std::uint64_t aOrderRevision)>
-    serverCounts_{};
-};
-
 /// Manages membership, shard ownership and shares of allowances for a fleet that keeps its state in
 /// the store: leased member records, one shard table per keyed service, and an elected leader that
 /// plans shard placement and lends allowances. All functions must be called on the context's
@@ -142,6 +71,12 @@
   /// Adopts a configuration; a revision older than the current one is ignored.
   void OnConfiguration(std::shared_ptr<const ConfigurationRevision> aConfiguration);
 
+  /// Adopts all present rollout orders; ignored where rollouts are off.
+  void OnRolloutOrders(std::vector<RolloutOrder> aOrders);
+
+  /// Returns the rollouts as JSON, with what the leader knows if this instance leads.
+  std::string RolloutStatus() const;
+
   using HeartbeatDone = std::function<void(const HeartbeatReply&)>;
 
   /// Answers a heartbeat of the local server. A heartbeat for another service, or older than one
@@ -323,6 +258,39 @@
   void OnReply(const FleetReply& aReply, std::uint64_t aTerm, TimePoint aSentAt);
   void UpdateInheritanceEnd(const FleetReport& aReport, TimePoint aNow);
 
+  /// What this instance was told of a rollout, or has found in its order or record.
+  struct KnownRollout
+  {
+    RolloutDirective directive_;
+    /// When a leader last told of it; no value if none has.
+    std::optional<TimePoint> toldAt_;
+  };
+
+  // Rollouts (FleetRollouts.cpp).
+  void UpdateRollouts(TimePoint aNow);
+  void NoteVersions(TimePoint aNow);
+  void ReadRolloutRecords();
+  std::vector<RolloutRecord> RolloutRecords();
+  void BeginRollouts(TimePoint aNow);
+  void LeadRollouts(TimePoint aNow);
+  RolloutService RolloutServiceOf(const std::string& aService) const;
+  void LimitToRollout(const std::string& aService, std::vector<ShardCandidate>& aCandidates) const;
+  void WriteRollout(const RolloutRecord& aRecord);
+  /// Returns the newest known revision of a record.
+  std::uint64_t RolloutRevision(const std::string& aKey) const;
+  void SendRolloutNotice(TimePoint aNow);
+  void SendRolloutReport(TimePoint aNow);
+  void OnRolloutReply(const RolloutReply& aReply, TimePoint aSentAt);
+  void OnRolloutNotice(const RolloutNotice& aNotice);
+  void AdoptDirective(const RolloutDirective& aDirective, TimePoint aSentAt, bool aTold);
+  void DirectLocalServer(const RolloutDirective& aDirective, TimePoint aSentAt);
+  bool IsClosedVersion(const std::string& aService, const std::string& aVersion) const;
+  void FillRollouts(RoutingView& aView) const;
+  RolloutRouting RoutingOf(const KnownRollout& aKnown, TimePoint aNow) const;
+  /// Returns whether the published view directs requests as the known directives say.
+  bool RoutingIsCurrent(TimePoint aNow) const;
+  void SetRolloutMetrics();
+
   // Allowances (FleetAllowances.cpp).
   double AllowanceOf(const Workspace& aWorkspace) const;
   const Workspace* FindWorkspace(const std::string& aId) const;
@@ -460,6 +428,29 @@
   std::map<std::string, WindowBudget> budgets_;
   unsigned staleReplies_ = 0;
 
+  RolloutCoordinator coordinator_;
+  std::vector<RolloutOrder> rolloutOrders_;
+  std::map<std::string, KnownRollout> rollouts_;
+  /// Directives of the last notice that this instance sent as leader.
+  std::string sentNotice_;
+  TimePoint nextNotice_{};
+  TimePoint nextRolloutReport_{};
+  /// Sending of the last rollout report that was answered.
+  TimePoint answeredRolloutReportAt_{};
+  std::uint64_t noticeTerm_ = 0;
+  /// Version of the local server that the last directive was passed on for.
+  std::string directedVersion_;
+  /// Epoch in which the leader last wrote rollout records.
+  std::uint64_t rolloutEpoch_ = 0;
+  /// Versions of members, and since when they are known, so that a new leader knows which servers
+  /// are cold.
+  std::map<std::string, std::pair<std::string, TimePoint>> versionsSeen_;
+  TimePoint nextRolloutStep_{};
+  TimePoint nextRolloutWrite_{};
+  /// Revisions of records that this instance has written, by key.
+  std::map<std::string, std::uint64_t> rolloutRevisions_;
+  CounterRegistry& counters_;
+
   HoldMetrics holdMetrics_;
   Counter& heartbeats_;
   Counter& staleHeartbeats_;
