--- /dev/null
+++ b/src/capacity/LinkRate.hpp
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/Clock.hpp"
+
+#include <cstdint>
+
+namespace redwing {
+
+/// Bytes per second that this instance's link carries: as stated, less if less is observed.
+///
+/// A link that is slower than what is sent over it delays everything on it, while a caller that
+/// reads slowly delays its own response only. So the link counts as slower when even the shortest
+/// time from the sending of a part to its credit is long. Then its rate is what has arrived.
+class LinkRate
+{
+public:
+  explicit LinkRate(double aStatedBytesPerSecond);
+
+  /// Records that aBytes, which were sent aTime before, have arrived.
+  ///
+  /// Preconditions: aNow never decreases. Thread safety: not thread-safe.
+  void OnArrived(std::uint64_t aBytes, Duration aTime, TimePoint aNow);
+
+  /// Adapts the rate; without news of arrivals it returns to the stated one.
+  ///
+  /// Preconditions: aNow never decreases. Thread safety: not thread-safe.
+  void Update(TimePoint aNow);
+
+  /// Returns the bytes per second; always above 0.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  double BytesPerSecond() const { return rate_; }
+  double Stated() const { return stated_; }
+
+private:
+  double stated_;
+  double rate_;
+  /// Begin of the present interval and what has arrived in it.
+  TimePoint since_{};
+  std::uint64_t arrived_ = 0;
+  Duration shortest_ = Duration::max();
+};
+
+} // namespace redwing
