--- a/src/capacity/LinkRate.cpp
+++ b/src/capacity/LinkRate.cpp
@@ -7,12 +7,14 @@
 namespace {
 
 constexpr Duration kInterval = std::chrono::milliseconds(500);
-/// The way to the farthest data centre and back takes less than this on a link without a queue.
-constexpr Duration kUsualTime = std::chrono::milliseconds(250);
+/// Queue on the link, as time, from which the link counts as slower than its present rate.
+constexpr Duration kQueueTime = std::chrono::milliseconds(60);
+/// Part of the time without a queue by which it may grow in an interval: routes change.
+constexpr int kBaseGrowth = 64;
 /// Lowest rate as a share of the stated one. If all callers read slowly, the rate falls although
 /// the link is free; this bounds the error.
 constexpr double kLowest = 0.1;
-constexpr double kIncrease = 1.1;
+constexpr double kIncrease = 1.05;
 
 } // namespace
 
@@ -38,7 +40,11 @@
     return;
   }
   const double seconds = std::chrono::duration<double>(passed).count();
-  if (arrived_ > 0 && shortest_ > kUsualTime && passed < 2 * kInterval) {
+  if (arrived_ > 0) {
+    base_ =
+      base_ == Duration::zero() ? shortest_ : std::min(shortest_, base_ + base_ / kBaseGrowth);
+  }
+  if (arrived_ > 0 && shortest_ > base_ + kQueueTime && passed < 2 * kInterval) {
     rate_ = std::clamp(static_cast<double>(arrived_) / seconds, stated_ * kLowest, rate_);
   } else {
     rate_ = std::min(stated_, rate_ * kIncrease);
--- a/src/capacity/LinkRate.hpp
+++ b/src/capacity/LinkRate.hpp
@@ -39,6 +39,8 @@
   TimePoint since_{};
   std::uint64_t arrived_ = 0;
   Duration shortest_ = Duration::max();
+  /// Time from sending to credit on the link without a queue.
+  Duration base_{};
 };
 
 } // namespace redwing
--- a/src/exchange/Events.hpp
+++ b/src/exchange/Events.hpp
@@ -67,6 +67,10 @@
   std::uint32_t slots_ = 0;
   /// Expected time that the server works on a request, in microseconds; 0: not known.
   std::uint32_t serviceTimeUs_ = 0;
+  /// Time that the link of the instance takes for the large responses that are ahead of a further
+  /// one, and for that one, in microseconds; 0: not known or not limited.
+  std::uint32_t byteWaitUs_ = 0;
+  std::uint32_t byteTimeUs_ = 0;
 };
 
 /// First event of a request; small bodies travel inside it.
