Limit and pace large responses at the serving instance

On links of 10 Mbit/s, downloads waited behind each other and small calls behind them. Load reports carry the times of bytes to instances that state in the handshake that they read them, and large routes are placed by them. Off without a stated capacity of the link.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -40,7 +40,7 @@
     }
     gate_.OnArrival(shard);
   }
-  if (CheckExistingEntry(exchange, now)) {
+  if (CheckExistingEntry(exchange, now) || RefuseForBytes(exchange, now)) {
     return;
   }
   const bool call = IsCall(start, now);
@@ -321,7 +321,8 @@
 BackendService::Refuse(const ExchangePtr& aExchange,
                        Outcome aOutcome,
                        ErrorCode aCode,
-                       std::string_view aDetail)
+                       std::string_view aDetail,
+                       std::optional<std::uint32_t> aRetryAfterMs)
 {
   const auto now = clock_.Now();
   const auto& start = aExchange->start_;
@@ -335,7 +336,7 @@
     refusal.detail_ = aDetail;
     refusal.load_ = Load();
     refusal.reachedServer_ = aExchange->reachedServer_;
-    refusal.retryAfterMs_ = StatedRetryAfter(aCode, now);
+    refusal.retryAfterMs_ = aRetryAfterMs ? aRetryAfterMs : StatedRetryAfter(aCode, now);
     if (start.shard_ && aCode == ErrorCode::NotOwner) {
       const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now);
       refusal.ownerHint_ = answer.owner_.id_;
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -162,6 +162,10 @@
     const auto connection = it->second->connection_;
     connection->AddReadCredit(aEvent.bytes_);
   }
+  if (large_) {
+    large_->OnCredit(aEvent.key_, aEvent.bytes_, clock_.Now());
+    ScheduleLarge();
+  }
 }
 
 void
@@ -193,6 +197,7 @@
 BackendService::Detach(const ExchangePtr& aExchange, ErrorCode aCode)
 {
   const auto& start = aExchange->start_;
+  DropLarge(*aExchange);
   if (aExchange->headSent_) {
     hooks_.sendResponse_(ResponseAbort{ start.key_ });
   } else {
@@ -346,13 +351,14 @@
     response.body_ = std::move(aBody);
     response.last_ = aLast;
     response.load_ = Load();
-    if (aLast && aExchange->ownsEntry_) {
+    ReadAhead(*aExchange, response.contentLength_);
+    if (aLast && aExchange->ownsEntry_ && !aExchange->large_) {
       // Completes the entry before the caller can receive the response and send the same key again.
       Complete(aExchange);
       hooks_.sendResponse_(std::move(response));
       return;
     }
-    hooks_.sendResponse_(std::move(response));
+    SendResponse(*aExchange, std::move(response));
   }
   if (aLast) {
     Complete(aExchange);
@@ -373,6 +379,14 @@
   }
   const auto key = aExchange->start_.key_;
   const bool wanted = !aExchange->detached_;
+  if (aExchange->large_ && wanted) {
+    // What is paced is sent by a later task, after the end of the entry.
+    SendResponse(*aExchange, ResponseBody{ key, std::move(aBytes), aLast });
+    if (aLast) {
+      Complete(aExchange);
+    }
+    return;
+  }
   if (aLast) {
     Complete(aExchange);
   }
@@ -430,6 +444,9 @@
 void
 BackendService::FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail)
 {
+  if (!aExchange->detached_) {
+    DropLarge(*aExchange);
+  }
   if (aExchange->headSent_ && !aExchange->detached_) {
     hooks_.sendResponse_(ResponseAbort{ aExchange->start_.key_ });
     aExchange->detached_ = true;
@@ -467,6 +484,9 @@
   if (std::exchange(aExchange->countedByGate_, false)) {
     gate_.EndRequest({ start.service_, start.shard_->shard_ });
   }
+  if (aExchange->large_) {
+    large_->OnEnded(start.key_);
+  }
   exchanges_.erase(start.key_);
   CheckDrained();
   Pump();
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -69,6 +69,7 @@
       ForgetUnexplained(now);
     }
     ExpireRequests(now);
+    ExpireLarge(now);
     if (!settings_.serverReportsState_) {
       CheckLeases(now);
     }
@@ -414,7 +415,7 @@
 void
 BackendService::CheckDrained()
 {
-  if (!draining_ || !exchanges_.empty()) {
+  if (!draining_ || !exchanges_.empty() || (large_ && !large_->Empty())) {
     return;
   }
   for (const auto& drained : std::exchange(drained_, {})) {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -35,6 +35,7 @@
   , checks_(aView, settings_.withdrawalGrace_)
   , mailbox_(settings_.mailboxCapacity_)
   , timer_(aContext)
+  , largeTimer_(aContext)
   , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
   , queue_(settings_.queueCapacity_)
   , coldRate_(aClock.Now())
@@ -47,6 +48,9 @@
   , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
   , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
 {
+  if (settings_.linkBitsPerSecond_ > 0) {
+    large_ = std::make_unique<LargeResponses>(settings_.linkBitsPerSecond_, aCounters);
+  }
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
   if (settings_.serverReportsState_) {
     monitor_ = std::make_unique<AnnouncedServer>(aContext);
@@ -82,6 +86,7 @@
   Post([this] {
     stopped_ = true;
     timer_.cancel();
+    largeTimer_.cancel();
     pool_->Clear();
     for (const auto& [key, exchange] : std::unordered_map(exchanges_)) {
       if (exchange->connection_) {
@@ -131,6 +136,9 @@
     } else if (const auto it = exchanges_.find(KeyOf(aEvent)); it != exchanges_.end()) {
       const ExchangePtr exchange = it->second;
       std::holds_alternative<RequestRecall>(aEvent) ? OnRecall(exchange) : OnCancel(exchange);
+    } else if (large_ && std::holds_alternative<RequestCancel>(aEvent)) {
+      // Its server is done with the request, but the response may still wait to be sent.
+      large_->Drop(KeyOf(aEvent));
     }
   });
   pumpHeld_ = false;
@@ -247,9 +255,13 @@
     const double ahead = limiter_.Limit() * std::min(rounds + 1, kMostRounds);
     queued = std::max(queued, static_cast<std::uint32_t>(ahead));
   }
-  return {
+  LoadReport report{
     limiter_.Running(), queued, limiter_.Limit(), static_cast<std::uint32_t>(serviceTime.count())
   };
+  if (large_) {
+    large_->Report(report);
+  }
+  return report;
 }
 
 ServiceRate
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -13,6 +13,7 @@
 #include "backend/RequestChecks.hpp"
 #include "backend/ServedExchange.hpp"
 #include "backend/ServerControl.hpp"
+#include "capacity/LargeResponses.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
 #include "core/Mailbox.hpp"
@@ -161,7 +162,8 @@
   void Refuse(const ExchangePtr& aExchange,
               Outcome aOutcome,
               ErrorCode aCode,
-              std::string_view aDetail = {});
+              std::string_view aDetail = {},
+              std::optional<std::uint32_t> aRetryAfterMs = {});
 
   // Dispatch and responses, implemented in BackendExchanges.cpp.
   void Dispatch(const ExchangePtr& aExchange, bool aNewConnection);
@@ -196,6 +198,20 @@
   /// depend on a stated limit.
   std::optional<std::uint32_t> StatedRetryAfter(ErrorCode aCode, TimePoint aNow) const;
 
+  // Large responses, implemented in BackendLarge.cpp.
+  /// Refuses a request whose large response would be late; returns whether it did.
+  bool RefuseForBytes(const ExchangePtr& aExchange, TimePoint aNow);
+  /// Sends an event of a response; if the response is large, by a later task and when its turn
+  /// comes.
+  void SendResponse(const ServedExchange& aExchange, ResponseEvent&& aEvent);
+  /// Reads more of a large response ahead of what its caller takes.
+  void ReadAhead(const ServedExchange& aExchange, const std::optional<std::uint64_t>& aLength);
+  /// Discards what waits of a large response; headSent_ then tells whether its head was sent.
+  void DropLarge(ServedExchange& aExchange);
+  void ScheduleLarge();
+  void ReleaseLarge();
+  void ExpireLarge(TimePoint aNow);
+
   // Crashes, implemented in BackendCrashes.cpp.
   void ProbeForCrash();
   /// Uses an announcement of the run that refused a connection if its server accepts one now.
@@ -239,6 +255,7 @@
   RefusalLog refusalLog_;
   Mailbox<RequestEvent> mailbox_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer largeTimer_;
   std::shared_ptr<ConnectionPool> pool_;
   std::unique_ptr<ServerControl> monitor_;
   SlotLimiter limiter_;
@@ -248,7 +265,12 @@
   ColdRateLimit coldRate_;
   StatedRateLimit statedRate_;
   TimePoint nextLimitLog_{};
+  TimePoint nextLinkLog_{};
   ServiceTimes estimator_;
+  /// Nothing without a stated capacity of the link.
+  std::unique_ptr<LargeResponses> large_;
+  /// ReleaseLarge will be called.
+  bool largeScheduled_ = false;
   IdempotencyTable entries_;
   QuarantineRegistry quarantine_;
   std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -65,6 +65,8 @@
   /// A request that is suspected of crashing servers may be tried at any instance, and not only at
   /// the one that all instances choose for it.
   bool trialsAnywhere_ = false;
+  /// Bits per second of the machine's link, by which large answers are limited; 0: no limit.
+  double linkBitsPerSecond_ = 0;
 };
 
 struct BackendHooks
--- a/src/backend/RequestChecks.cpp
+++ b/src/backend/RequestChecks.cpp
@@ -24,10 +24,16 @@
   configuration_ = view->configuration_;
   changed_ = true;
   keys_.clear();
+  large_.clear();
   if (configuration_) {
     for (const auto& key : configuration_->configuration_.keys_) {
       keys_.insert(key.id_);
     }
+    for (const auto& route : configuration_->configuration_.routes_) {
+      if (route.largeAnswers_) {
+        large_.insert(route.id_);
+      }
+    }
   }
 }
 
@@ -92,6 +98,13 @@
   return configuration_ && !configuration_->configuration_.workspaces_.empty();
 }
 
+bool
+RequestChecks::HasLargeAnswers(const std::string& aRoute)
+{
+  Refresh();
+  return large_.contains(aRoute);
+}
+
 Service
 RequestChecks::ServiceOf(const std::string& aService)
 {
--- a/src/backend/RequestChecks.hpp
+++ b/src/backend/RequestChecks.hpp
@@ -41,6 +41,11 @@
   /// Preconditions: none. Thread safety: backend thread only.
   bool HasWorkspaces();
 
+  /// Returns whether the answers of the route with the id aRoute are large.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  bool HasLargeAnswers(const std::string& aRoute);
+
   /// Returns the configuration of aService, or the defaults if the service is unknown.
   ///
   /// Preconditions: none. Thread safety: backend thread only.
@@ -54,6 +59,8 @@
   std::shared_ptr<const ConfigurationRevision> configuration_;
   bool changed_ = false;
   std::unordered_set<std::string> keys_;
+  /// Ids of the routes with large answers.
+  std::unordered_set<std::string> large_;
 };
 
 } // namespace redwing
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -66,6 +66,8 @@
   bool resent_ = false;
   /// The server received the request and reported that it did not run it.
   bool reachedServer_ = false;
+  /// The response is large and was admitted to the link.
+  bool large_ = false;
   bool headSent_ = false;
   /// The caller has received its final event; the rest of the response is discarded.
   bool detached_ = false;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -66,7 +66,7 @@
   LogAttempt(attempt, aReason);
   core_.AddAttempt(id, *this);
   if (attempt.load_ != nullptr) {
-    attempt.load_->OnStart(id, now);
+    attempt.load_->OnStart(id, now, entry_->route_->largeAnswers_);
   }
   const bool local = attempt.local_;
   const std::string instanceId = attempt.instanceId_;
--- a/src/peer/FrameCodec.cpp
+++ b/src/peer/FrameCodec.cpp
@@ -248,14 +248,26 @@
 
 namespace {
 
-using MessageLoader = LinkMessage (*)(WireInput&);
+/// A message that carries a LoadReport.
+template<typename T>
+concept HasLoad = requires(T aMessage)
+{
+  aMessage.load_.byteWaitUs_;
+};
+
+using MessageLoader = LinkMessage (*)(WireInput&, std::uint32_t);
 
 template<std::size_t Index>
 LinkMessage
-LoadMessage(WireInput& aArchive)
+LoadMessage(WireInput& aArchive, std::uint32_t aAdditions)
 {
   std::variant_alternative_t<Index, LinkMessage> message;
   aArchive(message);
+  if constexpr (HasLoad<decltype(message)>) {
+    if ((aAdditions & kByteTimes) != 0) {
+      aArchive(message.load_.byteWaitUs_, message.load_.byteTimeUs_);
+    }
+  }
   return message;
 }
 
@@ -336,8 +348,9 @@
   return std::string(reinterpret_cast<const char*>(digest.data()), kFrameMacBytes);
 }
 
-FrameEncoder::FrameEncoder(std::string_view aKey)
+FrameEncoder::FrameEncoder(std::string_view aKey, std::uint32_t aAdditions)
   : authenticator_(aKey)
+  , additions_(aAdditions)
 {
 }
 
@@ -350,7 +363,7 @@
     const std::int64_t sentAt = aNow.time_since_epoch().count();
     aTarget.append(reinterpret_cast<const char*>(&sentAt), sizeof(sentAt));
     do {
-      EncodeMessage(aMessages[next++], aNow, aTarget);
+      EncodeMessage(aMessages[next++], aNow, aTarget, additions_);
     } while (next < aMessages.size() && aTarget.size() - begin < kFrameTargetBytes);
     const std::string_view payload = std::string_view(aTarget).substr(begin + kFrameLengthBytes);
     const auto length = static_cast<std::uint32_t>(payload.size() + kFrameMacBytes);
@@ -359,8 +372,9 @@
   }
 }
 
-FrameDecoder::FrameDecoder(std::string_view aKey)
+FrameDecoder::FrameDecoder(std::string_view aKey, std::uint32_t aAdditions)
   : authenticator_(aKey)
+  , additions_(aAdditions)
 {
 }
 
@@ -393,7 +407,7 @@
     sentAt = std::clamp(sentAt, -kMaxClock, kMaxClock);
     const Duration delay = delay_.OnFrame(TimePoint(Duration(sentAt)), aNow);
     longestDelay_ = std::max(longestDelay_, delay);
-    auto decoded = DecodeMessages(payload.substr(kFrameTimeBytes), aNow - delay);
+    auto decoded = DecodeMessages(payload.substr(kFrameTimeBytes), aNow - delay, additions_);
     if (!decoded) {
       return tl::unexpected(decoded.error());
     }
@@ -405,15 +419,27 @@
 }
 
 void
-EncodeMessage(const LinkMessage& aMessage, TimePoint aNow, std::string& aTarget)
+EncodeMessage(const LinkMessage& aMessage,
+              TimePoint aNow,
+              std::string& aTarget,
+              std::uint32_t aAdditions)
 {
   WireOutput archive(aTarget, aNow);
   archive(static_cast<std::uint8_t>(aMessage.index()));
-  std::visit([&](const auto& aAlternative) { archive(aAlternative); }, aMessage);
+  std::visit(
+    [&](const auto& aAlternative) {
+      archive(aAlternative);
+      if constexpr (HasLoad<std::decay_t<decltype(aAlternative)>>) {
+        if ((aAdditions & kByteTimes) != 0) {
+          archive(aAlternative.load_.byteWaitUs_, aAlternative.load_.byteTimeUs_);
+        }
+      }
+    },
+    aMessage);
 }
 
 tl::expected<std::vector<LinkMessage>, FrameError>
-DecodeMessages(std::string_view aPayload, TimePoint aNow)
+DecodeMessages(std::string_view aPayload, TimePoint aNow, std::uint32_t aAdditions)
 {
   std::vector<LinkMessage> messages;
   try {
@@ -424,7 +450,7 @@
       if (type >= kLoaders.size()) {
         return tl::unexpected(FrameError::BadMessage);
       }
-      messages.push_back(kLoaders[type](archive));
+      messages.push_back(kLoaders[type](archive, aAdditions));
     }
   } catch (const WireError&) {
     return tl::unexpected(FrameError::BadMessage);
--- a/src/peer/FrameCodec.hpp
+++ b/src/peer/FrameCodec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Clock.hpp"
+#include "peer/Handshake.hpp"
 #include "peer/LinkMessage.hpp"
 #include "peer/TransitDelay.hpp"
 
@@ -63,7 +64,8 @@
 class FrameEncoder
 {
 public:
-  explicit FrameEncoder(std::string_view aKey);
+  /// aAdditions: the LinkAdditions that the receiver reads.
+  explicit FrameEncoder(std::string_view aKey, std::uint32_t aAdditions = kNoAdditions);
 
   /// Appends frames holding aMessages in order to aTarget.
   ///
@@ -72,6 +74,7 @@
 
 private:
   FrameAuthenticator authenticator_;
+  std::uint32_t additions_;
 };
 
 /// Splits received bytes into frames and decodes their messages. Deadlines travel as remaining
@@ -79,7 +82,8 @@
 class FrameDecoder
 {
 public:
-  explicit FrameDecoder(std::string_view aKey);
+  /// aAdditions: the LinkAdditions that the sender writes.
+  explicit FrameDecoder(std::string_view aKey, std::uint32_t aAdditions = kNoAdditions);
 
   /// Adds aBytes and returns the messages of all complete frames. After an error the connection
   /// must be closed.
@@ -94,20 +98,26 @@
 
 private:
   FrameAuthenticator authenticator_;
+  std::uint32_t additions_;
   TransitDelay delay_;
   Duration longestDelay_{};
   std::string buffer_;
 };
 
-/// Appends the type byte and body of aMessage to aTarget.
+/// Appends the type byte and body of aMessage to aTarget, with aAdditions at the end of the
+/// messages that have them.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-void EncodeMessage(const LinkMessage& aMessage, TimePoint aNow, std::string& aTarget);
+void EncodeMessage(const LinkMessage& aMessage,
+                   TimePoint aNow,
+                   std::string& aTarget,
+                   std::uint32_t aAdditions = kNoAdditions);
 
 /// Decodes the messages of one frame from untrusted bytes; also the entry point for fuzzing.
+/// Fields of additions that the sender does not write keep their default.
 ///
 /// Preconditions: none. Thread safety: callable from any thread.
-tl::expected<std::vector<LinkMessage>, FrameError> DecodeMessages(std::string_view aPayload,
-                                                                  TimePoint aNow);
+tl::expected<std::vector<LinkMessage>, FrameError>
+DecodeMessages(std::string_view aPayload, TimePoint aNow, std::uint32_t aAdditions = kNoAdditions);
 
 } // namespace redwing
--- a/src/peer/Handshake.cpp
+++ b/src/peer/Handshake.cpp
@@ -24,12 +24,31 @@
   return nonce;
 }
 
+void
+AppendAdditions(std::string& aText, std::uint32_t aAdditions)
+{
+  if (aAdditions != kNoAdditions) {
+    WireOutput(aText, {})(aAdditions);
+  }
+}
+
+std::uint32_t
+ReadAdditions(WireInput& aArchive)
+{
+  std::uint32_t additions = kNoAdditions;
+  if (aArchive.Left() > 0) {
+    aArchive(additions);
+  }
+  return additions;
+}
+
 } // namespace
 
-Handshake::Handshake(Side aSide, InstanceRef aSelf, std::string aFleetKey)
+Handshake::Handshake(Side aSide, InstanceRef aSelf, std::string aFleetKey, std::uint32_t aAdditions)
   : side_(aSide)
   , self_(std::move(aSelf))
   , fleetKey_(std::move(aFleetKey))
+  , additions_(aAdditions)
   , ownNonce_(MakeNonce())
 {
 }
@@ -39,6 +58,7 @@
 {
   std::string text;
   WireOutput(text, {})(kProtocolVersion, ownNonce_, self_);
+  AppendAdditions(text, additions_);
   return text;
 }
 
@@ -47,7 +67,9 @@
 {
   try {
     std::uint32_t version = 0;
-    WireInput(aHello, {})(version, peerNonce_, peer_);
+    WireInput archive(aHello, {});
+    archive(version, peerNonce_, peer_);
+    peerAdditions_ = ReadAdditions(archive);
     if (version != kProtocolVersion || peerNonce_.size() != kNonceBytes || peer_.Empty()) {
       return std::nullopt;
     }
@@ -56,6 +78,7 @@
   }
   std::string text;
   WireOutput(text, {})(ownNonce_, self_, Digest("acceptor"));
+  AppendAdditions(text, additions_);
   return text;
 }
 
@@ -64,7 +87,9 @@
 {
   std::string digest;
   try {
-    WireInput(aChallenge, {})(peerNonce_, peer_, digest);
+    WireInput archive(aChallenge, {});
+    archive(peerNonce_, peer_, digest);
+    peerAdditions_ = ReadAdditions(archive);
   } catch (const WireError&) {
     return std::nullopt;
   }
@@ -84,7 +109,10 @@
 LinkKeys
 Handshake::Keys() const
 {
-  return { Digest("frames from initiator"), Digest("frames from acceptor") };
+  // An older build derives its keys from the labels alone.
+  const std::string suffix =
+    Additions() == kNoAdditions ? std::string() : " with additions " + std::to_string(Additions());
+  return { Digest("frames from initiator" + suffix), Digest("frames from acceptor" + suffix) };
 }
 
 std::string
--- a/src/peer/Handshake.hpp
+++ b/src/peer/Handshake.hpp
@@ -3,6 +3,7 @@
 #include "ownership/ShardRow.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -19,11 +20,24 @@
   std::string fromAcceptor_;
 };
 
+/// Additions to messages that an instance may read. Messages have no length of their own in a
+/// frame, so an addition is only sent to a peer that has stated that it reads it.
+enum LinkAdditions : std::uint32_t
+{
+  kNoAdditions = 0,
+  /// The times of bytes in a LoadReport.
+  kByteTimes = 1,
+};
+
+constexpr std::uint32_t kOwnAdditions = kByteTimes;
+
 /// Mutual challenge-response with the fleet key, without I/O.
 ///
 /// Initiator: Hello(nonce, ref). Acceptor: Challenge(nonce, ref, HMAC). Initiator: Proof(HMAC).
 /// Each HMAC covers the side's name, both nonces and both refs, so that it can't be reflected or
-/// replayed. The keys of the link are derived from the fleet key and both nonces.
+/// replayed. The keys of the link are derived from the fleet key and both nonces. Hello and
+/// Challenge end with the additions that the side reads; an older build sends none and does not
+/// read them. The additions of both sides are part of the keys.
 class Handshake
 {
 public:
@@ -33,7 +47,10 @@
     Acceptor,
   };
 
-  Handshake(Side aSide, InstanceRef aSelf, std::string aFleetKey);
+  Handshake(Side aSide,
+            InstanceRef aSelf,
+            std::string aFleetKey,
+            std::uint32_t aAdditions = kOwnAdditions);
 
   /// Returns the first message.
   ///
@@ -60,6 +77,11 @@
   /// Preconditions: the other side's ref was received. Thread safety: not thread-safe.
   const InstanceRef& Peer() const { return peer_; }
 
+  /// Returns the LinkAdditions that both sides read.
+  ///
+  /// Preconditions: the handshake succeeded. Thread safety: not thread-safe.
+  std::uint32_t Additions() const { return additions_ & peerAdditions_; }
+
   /// Returns the keys for the frames that follow.
   ///
   /// Preconditions: the handshake succeeded. Thread safety: not thread-safe.
@@ -71,6 +93,8 @@
   Side side_;
   InstanceRef self_;
   std::string fleetKey_;
+  std::uint32_t additions_;
+  std::uint32_t peerAdditions_ = kNoAdditions;
   std::string ownNonce_;
   std::string peerNonce_;
   InstanceRef peer_;
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -174,8 +174,9 @@
 Link::Establish()
 {
   const auto keys = handshake_.Keys();
-  encoder_.emplace(inbound_ ? keys.fromAcceptor_ : keys.fromInitiator_);
-  decoder_.emplace(inbound_ ? keys.fromInitiator_ : keys.fromAcceptor_);
+  const auto additions = handshake_.Additions();
+  encoder_.emplace(inbound_ ? keys.fromAcceptor_ : keys.fromInitiator_, additions);
+  decoder_.emplace(inbound_ ? keys.fromInitiator_ : keys.fromAcceptor_, additions);
   state_ = LinkState::Established;
   lastReceived_ = clock_.Now();
   input_.resize(kReadBufferBytes);
--- a/src/routing/ExpectedTimeChoice.cpp
+++ b/src/routing/ExpectedTimeChoice.cpp
@@ -20,6 +20,9 @@
   double load = 0;
   double slots = 0;
   unsigned reported = 0;
+  double byteWait = 0;
+  double byteTime = 0;
+  unsigned limited = 0;
   for (const auto& option : aOptions) {
     if (option.load_->ServiceTime() > 0) {
       time += option.load_->ServiceTime();
@@ -28,8 +31,22 @@
       slots += option.slots_;
       ++reported;
     }
+    if (option.load_->ByteTime() > 0) {
+      byteWait += option.load_->ByteWait();
+      byteTime += option.load_->ByteTime();
+      ++limited;
+    }
+  }
+  UsualLoad usual;
+  if (reported > 0) {
+    usual.serviceTimeUs_ = time / reported;
+    usual.perSlot_ = load / slots;
+  }
+  if (limited > 0) {
+    usual.byteWaitUs_ = byteWait / limited;
+    usual.byteTimeUs_ = byteTime / limited;
   }
-  return reported > 0 ? UsualLoad{ time / reported, load / slots } : UsualLoad{};
+  return usual;
 }
 
 } // namespace
@@ -38,7 +55,8 @@
 ExpectedTimeChoice::Choose(std::span<const Option> aOptions,
                            double aFarFactor,
                            Random& aRandom,
-                           TimePoint aNow)
+                           TimePoint aNow,
+                           bool aLarge)
 {
   const UsualLoad usual = UsualOf(aOptions);
   std::size_t best = 0;
@@ -46,7 +64,8 @@
   bool found = false;
   const auto consider = [&](std::size_t aIndex) {
     const Option& option = aOptions[aIndex];
-    double time = option.load_->ExpectedTime(option.slots_, usual, aNow);
+    double time = aLarge ? option.load_->ExpectedLargeTime(option.slots_, usual, aNow)
+                         : option.load_->ExpectedTime(option.slots_, usual, aNow);
     time *= option.near_ ? 1 : aFarFactor;
     time *= 1 + kSpread * aRandom.Unit();
     if (!found || time < bestTime) {
--- a/src/routing/ExpectedTimeChoice.hpp
+++ b/src/routing/ExpectedTimeChoice.hpp
@@ -31,14 +31,16 @@
   };
 
   /// Returns the index of the chosen option. A member of another data centre must be expected to
-  /// answer sooner by the factor aFarFactor.
+  /// answer sooner by the factor aFarFactor. aLarge: the response is large, so that the link of the
+  /// member counts too.
   ///
   /// Preconditions: aOptions is not empty, each has a load and at least one slot; aFarFactor >= 1.
   /// Thread safety: not thread-safe.
   std::size_t Choose(std::span<const Option> aOptions,
                      double aFarFactor,
                      Random& aRandom,
-                     TimePoint aNow);
+                     TimePoint aNow,
+                     bool aLarge = false);
 
 private:
   std::size_t Draw(std::span<const Option> aOptions,
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -14,8 +14,9 @@
 } // namespace
 
 void
-MemberLoad::OnStart(std::uint64_t aAttemptId, TimePoint aNow)
+MemberLoad::OnStart(std::uint64_t aAttemptId, TimePoint aNow, bool aLarge)
 {
+  largeSinceReport_ += aLarge ? 1 : 0;
   attempts_.push_back({ aAttemptId, aNow, true });
   ++outstanding_;
   ++waiting_;
@@ -57,6 +58,7 @@
 {
   report_ = aReport;
   reportAt_ = aNow;
+  largeSinceReport_ = 0;
 }
 
 double
@@ -87,6 +89,18 @@
   return service * (1 + rounds + kFullPenalty * fill);
 }
 
+double
+MemberLoad::ExpectedLargeTime(double aSlots, const UsualLoad& aUsual, TimePoint aNow) const
+{
+  const double own = report_.byteTimeUs_ > 0 ? report_.byteTimeUs_ : aUsual.byteTimeUs_;
+  double wait = aUsual.byteWaitUs_;
+  if (HasNews(aNow)) {
+    const double passed = std::chrono::duration<double, std::micro>(aNow - reportAt_).count();
+    wait = std::max(0.0, report_.byteWaitUs_ + largeSinceReport_ * own - passed);
+  }
+  return std::max(ExpectedTime(aSlots, aUsual, aNow), wait) + own;
+}
+
 bool
 MemberLoad::HasNews(TimePoint aNow) const
 {
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -37,17 +37,20 @@
   double serviceTimeUs_ = 1;
   /// Requests that run or wait for each slot.
   double perSlot_ = 0;
+  /// Times that links take for the large responses ahead and for one, in microseconds.
+  double byteWaitUs_ = 0;
+  double byteTimeUs_ = 0;
 };
 
 /// What the ingress knows about the load and speed of one pooled backend server.
 class MemberLoad
 {
 public:
-  /// Records an attempt that was sent.
+  /// Records an attempt that was sent; aLarge: its response is large.
   ///
   /// Preconditions: aAttemptId is greater than that of earlier attempts. Thread safety: not
   /// thread-safe.
-  void OnStart(std::uint64_t aAttemptId, TimePoint aNow);
+  void OnStart(std::uint64_t aAttemptId, TimePoint aNow, bool aLarge = false);
 
   /// Records the first response of an attempt.
   ///
@@ -76,6 +79,13 @@
   /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
   double ExpectedTime(double aSlots, const UsualLoad& aUsual, TimePoint aNow) const;
 
+  /// Returns the time in which a further request with a large response would probably be answered,
+  /// in microseconds: the bytes ahead of it leave while it waits and runs, its own bytes after
+  /// that.
+  ///
+  /// Preconditions: aSlots > 0. Thread safety: not thread-safe.
+  double ExpectedLargeTime(double aSlots, const UsualLoad& aUsual, TimePoint aNow) const;
+
   /// Returns whether the last load report is recent enough to be believed.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
@@ -91,6 +101,12 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   double ServiceTime() const { return report_.serviceTimeUs_; }
 
+  /// Returns the times of bytes at the last report, in microseconds, 0 if they are not known.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  double ByteWait() const { return report_.byteWaitUs_; }
+  double ByteTime() const { return report_.byteTimeUs_; }
+
   /// Returns the age of the oldest attempt without a response, apart from the aSkip oldest; zero if
   /// there is none.
   ///
@@ -136,6 +152,8 @@
   AttemptResult lastResult_;
   LoadReport report_;
   TimePoint reportAt_{};
+  /// Own attempts with large responses since the last report.
+  std::uint32_t largeSinceReport_ = 0;
 };
 
 } // namespace redwing
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -66,6 +66,7 @@
 PoolSelector::Choose(const Route& aRoute, std::span<const std::string> aExcluded, ChoiceBy aChoice)
 {
   choice_ = aChoice;
+  large_ = aRoute.largeAnswers_;
   now_ = clock_.Now();
   Pool& pool = PoolOf(aRoute);
   if (settings_.outlierEjection_ && now_ >= pool.nextEvaluation_) {
@@ -258,7 +259,7 @@
     options_.push_back({ &candidate->tracked_->load_, candidate->slots_, candidate->near_ });
   }
   const double farFactor = choice_ == ChoiceBy::LoadNear ? kFarFactorOfLarge : kFarFactor;
-  return near_[soonest_.Choose(options_, farFactor, random_, now_)];
+  return near_[soonest_.Choose(options_, farFactor, random_, now_, large_)];
 }
 
 const PoolSelector::Candidate*
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -114,6 +114,7 @@
   std::vector<ExpectedTimeChoice::Option> options_;
   TimePoint now_{};
   ChoiceBy choice_ = ChoiceBy::Load;
+  bool large_ = false;
 };
 
 } // namespace redwing
