--- a/src/capacity/LargeResponses.cpp
+++ b/src/capacity/LargeResponses.cpp
@@ -50,12 +50,12 @@
                       Duration aServiceTime,
                       TimePoint aNow)
 {
-  const std::uint64_t bytes = sizes_.Expected(aStart.class_);
+  const ResponseSize size = sizes_.Expected(aStart.class_);
   const bool target = aStart.targetTime_ != TimePoint{};
   const TimePoint by = target ? std::min(aStart.targetTime_, aDeadline) : aDeadline;
-  if (const auto retry = link_.Admit(aStart.key_, bytes, aServiceTime, by, aNow)) {
+  if (const auto retry = link_.Admit(aStart.key_, size, aServiceTime, by, aNow)) {
     refused_.Add();
-    return NoRoom{ *retry, bytes, link_.Wait() };
+    return NoRoom{ *retry, size.mean_, link_.Wait() };
   }
   admitted_.Add();
   open_[aStart.key_] = { aStart.class_, aDeadline };
--- a/src/capacity/LinkCapacity.cpp
+++ b/src/capacity/LinkCapacity.cpp
@@ -40,20 +40,20 @@
 
 std::optional<Duration>
 LinkCapacity::Admit(const ExchangeKey& aKey,
-                    std::uint64_t aBytes,
+                    const ResponseSize& aSize,
                     Duration aServiceTime,
                     TimePoint aBy,
                     TimePoint aNow)
 {
   Update(aNow);
-  const Duration own = TimeOf(aBytes);
-  const TimePoint end = aNow + std::max(Wait(), aServiceTime) + own;
-  const bool fits = end <= aBy && ahead_ + aBytes <= kMaxAheadBytes;
+  const Duration own = TimeOf(aSize.mean_);
+  const TimePoint end = aNow + std::max(Wait(), aServiceTime) + TimeOf(aSize.most_);
+  const bool fits = end <= aBy && ahead_ + aSize.mean_ <= kMaxAheadBytes;
   if (fits || ahead_ == 0) {
     Open& open = open_[aKey];
-    open.expected_ = aBytes;
+    open.expected_ = aSize.mean_;
     open.lastProgress_ = aNow;
-    ahead_ += aBytes;
+    ahead_ += aSize.mean_;
     return std::nullopt;
   }
   const TimePoint room = aNow + std::max(end - aBy, own);
--- a/src/capacity/LinkCapacity.hpp
+++ b/src/capacity/LinkCapacity.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "capacity/LinkRate.hpp"
+#include "capacity/ResponseSizes.hpp"
 #include "core/Clock.hpp"
 #include "exchange/Events.hpp"
 
@@ -23,14 +24,14 @@
   /// Preconditions: aBytesPerSecond > 0. Thread safety: not thread-safe.
   explicit LinkCapacity(double aBytesPerSecond);
 
-  /// Counts a response of about aBytes as admitted if it would be sent completely by aBy when its
-  /// server takes aServiceTime. Otherwise returns after which time it may come back: refused
-  /// responses are given their room in turn, so that they do not come back together. A response is
-  /// always admitted if no other one is open.
+  /// Counts a response as admitted if it would be sent completely by aBy when its server takes
+  /// aServiceTime and the response is as large as few are. Otherwise returns after which time it
+  /// may come back: refused responses are given their room in turn, so that they do not come back
+  /// together. A response is always admitted if no other one is open.
   ///
   /// Preconditions: aKey is not open. Thread safety: not thread-safe.
   std::optional<Duration> Admit(const ExchangeKey& aKey,
-                                std::uint64_t aBytes,
+                                const ResponseSize& aSize,
                                 Duration aServiceTime,
                                 TimePoint aBy,
                                 TimePoint aNow);
--- a/src/capacity/LinkRate.cpp
+++ b/src/capacity/LinkRate.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr Duration kInterval = std::chrono::milliseconds(500);
+constexpr Duration kInterval = std::chrono::milliseconds(200);
 /// Queue on the link, as time, from which the link counts as slower than its present rate.
 constexpr Duration kQueueTime = std::chrono::milliseconds(60);
 /// Part of the time without a queue by which it may grow in an interval: routes change.
@@ -14,7 +14,9 @@
 /// Lowest rate as a share of the stated one. If all callers read slowly, the rate falls although
 /// the link is free; this bounds the error.
 constexpr double kLowest = 0.1;
-constexpr double kIncrease = 1.05;
+/// Share of what arrives that is sent while a queue is left, so that it goes away.
+constexpr double kDrain = 0.85;
+constexpr double kIncrease = 1.02;
 
 } // namespace
 
@@ -45,7 +47,8 @@
       base_ == Duration::zero() ? shortest_ : std::min(shortest_, base_ + base_ / kBaseGrowth);
   }
   if (arrived_ > 0 && shortest_ > base_ + kQueueTime && passed < 2 * kInterval) {
-    rate_ = std::clamp(static_cast<double>(arrived_) / seconds, stated_ * kLowest, rate_);
+    const double arrived = static_cast<double>(arrived_) / seconds;
+    rate_ = std::clamp(arrived * kDrain, stated_ * kLowest, rate_);
   } else {
     rate_ = std::min(stated_, rate_ * kIncrease);
   }
