Take the rate of a link from credits that arrive after the end

Most responses are passed to the link before their first parts arrive, and credits after that were dropped, so that a link half as fast as stated was not noticed for 4 s. They now reach the rate.

--- a/src/capacity/LargeResponses.cpp
+++ b/src/capacity/LargeResponses.cpp
@@ -124,7 +124,7 @@
   sentBytes_.Add(bytes);
   link_.OnSent(key, bytes, aNow);
   if (EndsBody(*event)) {
-    link_.Remove(key);
+    link_.OnAllSent(key);
     open_.erase(key);
   }
   return event;
--- a/src/capacity/LinkCapacity.cpp
+++ b/src/capacity/LinkCapacity.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t kMaxAheadBytes = 32 * 1024 * 1024;
 /// A reader that takes nothing for this long has stopped.
 constexpr Duration kStoppedAfter = std::chrono::seconds(1);
+/// Credit for a response that was sent completely is awaited for this long.
+constexpr Duration kCreditTime = std::chrono::seconds(5);
 constexpr Duration kUpdateInterval = std::chrono::milliseconds(100);
 constexpr Duration kShortestRetry = std::chrono::milliseconds(200);
 constexpr Duration kLongestRetry = std::chrono::seconds(5);
@@ -128,6 +130,16 @@
   With(aKey, [](Open& aOpen) { aOpen.expected_ = 0; });
 }
 
+void
+LinkCapacity::OnAllSent(const ExchangeKey& aKey)
+{
+  With(aKey, [](Open& aOpen) {
+    aOpen.expected_ = 0;
+    aOpen.waiting_ = 0;
+    aOpen.allSent_ = true;
+  });
+}
+
 void
 LinkCapacity::Remove(const ExchangeKey& aKey)
 {
@@ -146,6 +158,11 @@
     return;
   }
   nextUpdate_ = aNow + kUpdateInterval;
+  // The last part of a response is never credited.
+  std::erase_if(open_, [&](const auto& aEntry) {
+    const Open& open = aEntry.second;
+    return open.allSent_ && (open.sent_.size() <= 1 || aNow - open.lastProgress_ > kCreditTime);
+  });
   for (auto& [key, open] : open_) {
     // A response of which nothing was sent yet waits for its server or its turn.
     if (!open.stopped_ && !open.sent_.empty() && aNow - open.lastProgress_ > kStoppedAfter) {
--- a/src/capacity/LinkCapacity.hpp
+++ b/src/capacity/LinkCapacity.hpp
@@ -61,6 +61,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnComplete(const ExchangeKey& aKey);
 
+  /// Records that all of a response was sent. What has not arrived still tells the rate.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  void OnAllSent(const ExchangeKey& aKey);
+
   /// Forgets a response.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
@@ -105,6 +110,7 @@
     TimePoint lastProgress_{};
     /// The reader has stopped: its bytes are not ahead of others.
     bool stopped_ = false;
+    bool allSent_ = false;
 
     std::uint64_t Ahead() const { return stopped_ ? 0 : expected_ + waiting_; }
   };
--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -113,7 +113,9 @@
 void
 PeerService::Receive(LinkEntry& aEntry, Event&& aEvent)
 {
-  if (aEntry.inbound_.contains(aEvent.key_.exchangeId_)) {
+  // Credit for a response whose end was passed to the link tells when its parts arrived.
+  constexpr bool kCredit = std::is_same_v<Event, ResponseCredit>;
+  if (kCredit || aEntry.inbound_.contains(aEvent.key_.exchangeId_)) {
     aEvent.key_.linkId_ = aEntry.link_->Id();
     hooks_.sendRequest_(RequestEvent(std::forward<Event>(aEvent)));
   }
--- a/tests/unit/capacity/LinkLoad.hpp
+++ b/tests/unit/capacity/LinkLoad.hpp
@@ -217,12 +217,14 @@
       const ExchangeKey key = KeyOf(*event);
       const std::uint64_t bytes = BodyBytes(*event);
       const auto download = downloads_.at(key.exchangeId_);
-      At(Send(aLink, bytes), [this, download, bytes, key] {
+      const bool last = EndsBody(*event);
+      At(Send(aLink, bytes), [this, download, bytes, key, last] {
         download->arrived_ += bytes;
         if (download->arrived_ == download->bytes_ && !download->stops_) {
           Count(large_, now_, download->start_.targetTime_);
         }
-        if (!download->stops_) {
+        // A caller's instance gives no credit for the end of a response.
+        if (!download->stops_ && !last) {
           download->link_->large_->OnCredit(key, bytes, now_);
           Pace(*download->link_);
         }
