--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -154,20 +154,6 @@
   }
 }
 
-void
-BackendService::OnCredit(const ResponseCredit& aEvent)
-{
-  const auto it = exchanges_.find(aEvent.key_);
-  if (it != exchanges_.end() && it->second->connection_) {
-    const auto connection = it->second->connection_;
-    connection->AddReadCredit(aEvent.bytes_);
-  }
-  if (large_) {
-    large_->OnCredit(aEvent.key_, aEvent.bytes_, clock_.Now());
-    ScheduleLarge();
-  }
-}
-
 void
 BackendService::OnCancel(const ExchangePtr& aExchange)
 {
--- a/src/backend/BackendLarge.cpp
+++ b/src/backend/BackendLarge.cpp
@@ -1,5 +1,5 @@
 // BackendService: large responses, which are admitted by the capacity of the machine's link and
-// sent at a share of it.
+// sent at a share of it; credit of callers' instances.
 
 #include "backend/BackendService.hpp"
 #include "core/Log.hpp"
@@ -53,6 +53,20 @@
   ScheduleLarge();
 }
 
+void
+BackendService::OnCredit(const ResponseCredit& aEvent)
+{
+  const auto it = exchanges_.find(aEvent.key_);
+  if (it != exchanges_.end() && it->second->connection_) {
+    const auto connection = it->second->connection_;
+    connection->AddReadCredit(aEvent.bytes_);
+  }
+  if (large_) {
+    large_->OnCredit(aEvent.key_, aEvent.bytes_, clock_.Now());
+    ScheduleLarge();
+  }
+}
+
 void
 BackendService::ReadAhead(const ServedExchange& aExchange,
                           const std::optional<std::uint64_t>& aLength)
--- a/tests/unit/backend/BackendBench.hpp
+++ b/tests/unit/backend/BackendBench.hpp
@@ -48,7 +48,8 @@
   explicit Bench(FakeServer::Handler aHandler,
                  std::uint32_t aSlots = 4,
                  Replicate aReplicate = {},
-                 HttpProtocol aProtocol = {})
+                 HttpProtocol aProtocol = {},
+                 double aLinkBitsPerSecond = 0)
     : server_([this, handler = std::move(aHandler)](const FakeRequest& aRequest) {
       if (aRequest.target_.starts_with("/redwing/")) {
         controlRequests_.Add(aRequest);
@@ -64,7 +65,7 @@
         view_,
         gate_,
         counters_,
-        { { "self", 1 }, 1024, 64, std::move(aProtocol) },
+        Settings(std::move(aProtocol), aLinkBitsPerSecond),
         { [this](ResponseEvent&& aEvent) { responses_.Add(std::move(aEvent)); },
           [this](const BackendStatus& aStatus) {
             if (aStatus.state_ != BackendState::Down) {
@@ -81,6 +82,11 @@
     service.id_ = "svc";
     service.coldStart_.initial_ = aSlots;
     revision.configuration_.services_ = { service };
+    Route large;
+    large.id_ = "download";
+    large.service_ = "svc";
+    large.largeAnswers_ = true;
+    revision.configuration_.routes_ = { large };
     auto view = std::make_shared<RoutingView>();
     view->configuration_ = std::make_shared<ConfigurationRevision>(std::move(revision));
     view->self_ = { "self", 1 };
@@ -97,6 +103,13 @@
     thread_.join();
   }
 
+  static BackendSettings Settings(HttpProtocol aProtocol, double aLinkBitsPerSecond)
+  {
+    BackendSettings settings{ { "self", 1 }, 1024, 64, std::move(aProtocol) };
+    settings.linkBitsPerSecond_ = aLinkBitsPerSecond;
+    return settings;
+  }
+
   /// Announces the server; an announcement expires after a few seconds.
   void Announce(std::uint32_t aSlots = 4)
   {
--- a/tests/unit/peer/FrameCodecTest.cpp
+++ b/tests/unit/peer/FrameCodecTest.cpp
@@ -55,6 +55,58 @@
   BOOST_TEST((start.answerBy_ - otherClock == std::chrono::milliseconds(90)));
 }
 
+// Guards against an addition that an older build would take for the next message, and against a
+// changed form of what it reads.
+BOOST_AUTO_TEST_CASE(AdditionsGoOnlyToPeersThatReadThem)
+{
+  Refusal refusal;
+  refusal.load_ = { 1, 2, 3, 4, 5, 6 };
+  const std::vector<LinkMessage> sent{ refusal, Pong{ 7 } };
+  for (const std::uint32_t additions : { std::uint32_t{ kNoAdditions }, kOwnAdditions }) {
+    std::string bytes;
+    FrameEncoder(kKey, additions).Encode(sent, kNow, bytes);
+    const auto messages = FrameDecoder(kKey, additions).Feed(bytes, kNow);
+    BOOST_REQUIRE(messages.has_value());
+    BOOST_REQUIRE(messages->size() == 2);
+    const auto& load = std::get<Refusal>(messages->front()).load_;
+    BOOST_TEST(load.serviceTimeUs_ == 4U);
+    BOOST_TEST(load.byteWaitUs_ == (additions == kNoAdditions ? 0U : 5U));
+    BOOST_TEST(load.byteTimeUs_ == (additions == kNoAdditions ? 0U : 6U));
+    BOOST_TEST(std::get<Pong>(messages->back()).number_ == 7U);
+  }
+  std::string older;
+  EncodeMessage(refusal, kNow, older);
+  std::string newer;
+  EncodeMessage(refusal, kNow, newer, kOwnAdditions);
+  BOOST_TEST(newer.size() == older.size() + 2 * sizeof(std::uint32_t));
+  BOOST_TEST(newer.starts_with(older));
+}
+
+// Guards against links between builds of which only one knows an addition that use it or do not
+// come about, and against a statement that was changed on its way.
+BOOST_AUTO_TEST_CASE(AdditionsAreAgreedInTheHandshake)
+{
+  const auto additionsOf = [](std::uint32_t aInitiator, std::uint32_t aAcceptor) {
+    Handshake initiator(Handshake::Side::Initiator, { "a", 1 }, kKey, aInitiator);
+    Handshake acceptor(Handshake::Side::Acceptor, { "b", 1 }, kKey, aAcceptor);
+    const auto proof = initiator.AnswerChallenge(*acceptor.AnswerHello(initiator.Hello()));
+    BOOST_TEST(acceptor.VerifyProof(*proof));
+    BOOST_TEST(initiator.Additions() == acceptor.Additions());
+    BOOST_TEST(initiator.Keys().fromAcceptor_ == acceptor.Keys().fromAcceptor_);
+    return initiator.Additions();
+  };
+  BOOST_TEST(additionsOf(kOwnAdditions, kOwnAdditions) == kOwnAdditions);
+  BOOST_TEST(additionsOf(kNoAdditions, kOwnAdditions) == kNoAdditions);
+  BOOST_TEST(additionsOf(kOwnAdditions, kNoAdditions) == kNoAdditions);
+
+  Handshake initiator(Handshake::Side::Initiator, { "a", 1 }, kKey);
+  Handshake acceptor(Handshake::Side::Acceptor, { "b", 1 }, kKey);
+  std::string hello = initiator.Hello();
+  hello.resize(hello.size() - sizeof(std::uint32_t));
+  (void)initiator.AnswerChallenge(*acceptor.AnswerHello(hello));
+  BOOST_TEST(initiator.Keys().fromAcceptor_ != acceptor.Keys().fromAcceptor_);
+}
+
 // Guards against requests that run after their callers were told otherwise: on the grown sites,
 // whose links carry 10 Mbit/s, frames were up to a second on their way, and the deadline moved by
 // as much.
--- a/tests/unit/routing_load/ExpectedTimeChoiceTest.cpp
+++ b/tests/unit/routing_load/ExpectedTimeChoiceTest.cpp
@@ -8,6 +8,27 @@
 using namespace redwing;
 using namespace std::chrono_literals;
 
+// Guards against large responses that go to a server whose link is full, and against small ones
+// that avoid it.
+BOOST_AUTO_TEST_CASE(LargeResponsesGoWhereBytesAreFree)
+{
+  test::ManualClock clock;
+  std::array<MemberLoad, 2> loads;
+  loads[0].OnReport({ 1, 0, 4, 10'000, 900'000, 90'000 }, clock.Now());
+  loads[1].OnReport({ 4, 4, 4, 10'000, 0, 90'000 }, clock.Now());
+  const std::array<ExpectedTimeChoice::Option, 2> options{ { { loads.data(), 4, true },
+                                                             { &loads[1], 4, true } } };
+  ExpectedTimeChoice choice;
+  Random random(7);
+  BOOST_TEST(choice.Choose(options, 1, random, clock.Now(), true) == 1U);
+  BOOST_TEST(choice.Choose(options, 1, random, clock.Now(), false) == 0U);
+  // Own requests since the last report count as well.
+  for (std::uint64_t i = 1; i <= 15; ++i) {
+    loads[1].OnStart(i, clock.Now(), true);
+  }
+  BOOST_TEST(choice.Choose(options, 1, random, clock.Now(), true) == 0U);
+}
+
 // Guards against a server that gets nothing more because its last report, of a moment in which it
 // took no requests, is the only one and all others have recent news.
 BOOST_AUTO_TEST_CASE(AMemberWithAnOldReportOfAFullServerIsTriedAgain)
