--- a/src/capacity/ResponsePacer.cpp
+++ b/src/capacity/ResponsePacer.cpp
@@ -68,12 +68,12 @@
   } else {
     bytes = std::move(std::get<ResponseBody>(aEvent).bytes_);
     if (bytes.empty()) {
-      queue.events_.push_back(ResponseBody{ queue.key_, {}, last });
+      queue.events_.emplace_back(ResponseBody{ queue.key_, {}, last });
     }
   }
   for (std::size_t at = 0; at < bytes.size(); at += kPartBytes) {
     const bool end = last && at + kPartBytes >= bytes.size();
-    queue.events_.push_back(ResponseBody{ queue.key_, bytes.substr(at, kPartBytes), end });
+    queue.events_.emplace_back(ResponseBody{ queue.key_, bytes.substr(at, kPartBytes), end });
   }
   waiting_ += queue.events_.size() - before;
 }
--- a/src/peer/FrameCodec.hpp
+++ b/src/peer/FrameCodec.hpp
@@ -64,7 +64,7 @@
 class FrameEncoder
 {
 public:
-  /// aAdditions: the LinkAdditions that the receiver reads.
+  /// aAdditions: the additions that the receiver reads.
   explicit FrameEncoder(std::string_view aKey, std::uint32_t aAdditions = kNoAdditions);
 
   /// Appends frames holding aMessages in order to aTarget.
@@ -82,7 +82,7 @@
 class FrameDecoder
 {
 public:
-  /// aAdditions: the LinkAdditions that the sender writes.
+  /// aAdditions: the additions that the sender writes.
   explicit FrameDecoder(std::string_view aKey, std::uint32_t aAdditions = kNoAdditions);
 
   /// Adds aBytes and returns the messages of all complete frames. After an error the connection
--- a/src/peer/Handshake.hpp
+++ b/src/peer/Handshake.hpp
@@ -21,14 +21,10 @@
 };
 
 /// Additions to messages that an instance may read. Messages have no length of their own in a
-/// frame, so an addition is only sent to a peer that has stated that it reads it.
-enum LinkAdditions : std::uint32_t
-{
-  kNoAdditions = 0,
-  /// The times of bytes in a LoadReport.
-  kByteTimes = 1,
-};
-
+/// frame, so an addition is only sent to a peer that has stated that it reads it. Each has one bit.
+constexpr std::uint32_t kNoAdditions = 0;
+/// The times of bytes in a LoadReport.
+constexpr std::uint32_t kByteTimes = 1;
 constexpr std::uint32_t kOwnAdditions = kByteTimes;
 
 /// Mutual challenge-response with the fleet key, without I/O.
@@ -77,7 +73,7 @@
   /// Preconditions: the other side's ref was received. Thread safety: not thread-safe.
   const InstanceRef& Peer() const { return peer_; }
 
-  /// Returns the LinkAdditions that both sides read.
+  /// Returns the additions that both sides read.
   ///
   /// Preconditions: the handshake succeeded. Thread safety: not thread-safe.
   std::uint32_t Additions() const { return additions_ & peerAdditions_; }
--- a/tests/fuzz/FrameFuzz.cpp
+++ b/tests/fuzz/FrameFuzz.cpp
@@ -14,11 +14,11 @@
 const TimePoint kNow{ std::chrono::hours(1000) };
 
 std::string
-EncodeAll(const std::vector<LinkMessage>& aMessages)
+EncodeAll(const std::vector<LinkMessage>& aMessages, std::uint32_t aAdditions)
 {
   std::string bytes;
   for (const LinkMessage& message : aMessages) {
-    EncodeMessage(message, kNow, bytes);
+    EncodeMessage(message, kNow, bytes, aAdditions);
   }
   return bytes;
 }
@@ -56,10 +56,13 @@
     const auto second = decoder.Feed(std::string_view(frame).substr(half), kNow);
     Require(second.has_value() == decoded.has_value(), "a split frame decodes alike");
   }
-  if (decoded) {
-    const std::string encoded = EncodeAll(*decoded);
-    const auto again = DecodeMessages(encoded, kNow);
-    Require(again.has_value() && EncodeAll(*again) == encoded, "messages survive a round trip");
+  for (const std::uint32_t additions : { kNoAdditions, kOwnAdditions }) {
+    if (const auto messages = DecodeMessages(bytes, kNow, additions)) {
+      const std::string encoded = EncodeAll(*messages, additions);
+      const auto again = DecodeMessages(encoded, kNow, additions);
+      Require(again.has_value() && EncodeAll(*again, additions) == encoded,
+              "messages survive a round trip");
+    }
   }
 
   // A peer without the fleet key.
--- a/tests/unit/peer/FrameCodecTest.cpp
+++ b/tests/unit/peer/FrameCodecTest.cpp
@@ -62,7 +62,7 @@
   Refusal refusal;
   refusal.load_ = { 1, 2, 3, 4, 5, 6 };
   const std::vector<LinkMessage> sent{ refusal, Pong{ 7 } };
-  for (const std::uint32_t additions : { std::uint32_t{ kNoAdditions }, kOwnAdditions }) {
+  for (const std::uint32_t additions : { kNoAdditions, kOwnAdditions }) {
     std::string bytes;
     FrameEncoder(kKey, additions).Encode(sent, kNow, bytes);
     const auto messages = FrameDecoder(kKey, additions).Feed(bytes, kNow);
