--- a/src/fleet/RolloutCoordinator.cpp
+++ b/src/fleet/RolloutCoordinator.cpp
@@ -85,7 +85,10 @@
     if (same) {
       record = *stored;
     } else {
-      record.order_ = { ended.service_, ended.targetVersion_, {}, ended.orderRevision_ };
+      // Deciders need a duration above 0; that of a rollout that has ended has no effect.
+      record.order_ = {
+        ended.service_, ended.targetVersion_, milliseconds(1), ended.orderRevision_
+      };
       record.latestRevision_ = ended.orderRevision_;
       record.orderedAt_ = UnixMilliseconds();
     }
--- a/src/fleet/RolloutUsage.hpp
+++ b/src/fleet/RolloutUsage.hpp
@@ -29,7 +29,7 @@
     /// Highest limit of a permission that may still be used, and the latest end of the permission.
     std::uint64_t limit_ = 0;
     TimePoint permittedUntil_{};
-    /// The limit was given while the total was bounded by the exposure.
+    /// The limit was given before the closing, while the total was bounded.
     bool bounded_ = false;
   };
 
