Enforce rollouts at the serving instance and route by their share

Cause: nothing bounded what a server of the target version gets, and the routing did not tell versions apart. Change: RolloutGate and RouteCounter; BackendService asks the gate on arrival, when a request leaves the queue and at each dispatch, resends included, and counts arrivals, failures and times by route; a connection that opens after the permission has ended writes nothing; PoolSelector gives the target version its share by a remainder for each route, and later attempts to the old version; the announcement of a server has its version where rollouts are on. Not run: sanitizers, real processes.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -31,6 +31,9 @@
     RefuseNotRun(exchange, *code);
     return;
   }
+  if (RefusedByRollout(exchange, queue_.Size(), now)) {
+    return;
+  }
   if (start.shard_) {
     const ShardId shard{ start.service_, start.shard_->shard_ };
     const auto answer = gate_.Check(shard, now);
@@ -212,6 +215,9 @@
     RefuseNotRun(aExchange, ErrorCode::Draining);
     return;
   }
+  if (RefusedByRollout(aExchange, 0, now)) {
+    return;
+  }
   const Duration serviceTime = estimator_.Of(aExchange->start_.class_, now);
   const TimePoint expected = now + serviceTime;
   const bool late = limiter_.Running() > 1 && expected > aExchange->start_.deadline_;
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -86,6 +86,11 @@
 void
 BackendService::Dispatch(const ExchangePtr& aExchange, bool aNewConnection)
 {
+  // Every request that is written to the server passes here, resends and those whose idempotency
+  // entry was being replicated included.
+  if (RefusedByRollout(aExchange, 0, clock_.Now())) {
+    return;
+  }
   auto& start = aExchange->start_;
   auto connection = pool_->Acquire(aNewConnection || refusedIds_.contains(start.requestId_));
   const auto fail = [&](ErrorCode aCode, std::string_view aDetail) {
@@ -115,12 +120,14 @@
   request->body_ = mayResend ? start.body_ : std::move(start.body_);
   request->body_.append(aExchange->pendingBody_);
   request->last_ = aExchange->bodyComplete_;
+  request->writeBy_ = rolloutGate_.PermittedUntil();
   aExchange->pendingBody_.clear();
   aExchange->phase_ = ServedPhase::Running;
   aExchange->dispatchedAt_ = now;
   aExchange->connection_ = connection;
   coldRate_.OnSent(now);
   statedRate_.OnSent(now);
+  CountSent(*aExchange);
   if (settings_.bodiesNeedCredit_ && !aExchange->bodyComplete_ && !aExchange->bodyCreditSent_) {
     aExchange->bodyCreditSent_ = true;
     hooks_.sendResponse_(RequestCredit{ start.key_, static_cast<std::uint32_t>(kBodyWindowBytes) });
@@ -206,6 +213,7 @@
     hooks_.sendResponse_(std::move(refusal));
     (sent ? unknown_ : notRun_).Add();
   }
+  CountDetached(*aExchange, aCode);
   aExchange->detached_ = true;
   aExchange->detachedAt_ = clock_.Now();
   const auto connection = aExchange->connection_;
@@ -326,7 +334,9 @@
     return;
   }
   ReadLoadHeader(aHead);
-  if (const auto fault = FindFault(aHead); !fault.empty()) {
+  const auto fault = FindFault(aHead);
+  CountAnswer(*aExchange, aHead, !fault.empty());
+  if (!fault.empty()) {
     std::exchange(aExchange->connection_, nullptr)->Close();
     if (aExchange->phase_ != ServedPhase::Ended) {
       FailUnknown(aExchange, fault);
@@ -403,6 +413,12 @@
     return;
   }
   aExchange->connection_.reset();
+  const bool noResponse = aFailure.closedByServer_ && !aFailure.responseStarted_;
+  const bool resends = aFailure.wrote_ && noResponse && aFailure.reused_ &&
+                       aExchange->start_.idempotent_ && aExchange->start_.last_ &&
+                       !aExchange->resent_ && !aExchange->detached_ && !aExchange->trial_ &&
+                       !stopped_;
+  CountFailed(*aExchange, aFailure, resends);
   if (!aFailure.wrote_ && !aExchange->resent_) {
     if (aFailure.refused_) {
       ProbeForCrash();
@@ -410,9 +426,7 @@
     RefuseNotRun(aExchange, ErrorCode::BackendFailed, "connect_failed");
     return;
   }
-  const bool noResponse = aFailure.closedByServer_ && !aFailure.responseStarted_;
-  if (noResponse && aFailure.reused_ && aExchange->start_.idempotent_ && aExchange->start_.last_ &&
-      !aExchange->resent_ && !aExchange->detached_ && !aExchange->trial_ && !stopped_) {
+  if (resends) {
     aExchange->resent_ = true;
     Dispatch(aExchange, true);
     return;
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -69,6 +69,7 @@
       ForgetUnexplained(now);
     }
     ExpireRequests(now);
+    CheckRollout(now);
     if (!settings_.serverReportsState_) {
       CheckLeases(now);
     }
@@ -205,7 +206,8 @@
     RecordCrash(now);
   }
   announcedAt_ = now;
-  coldRate_.SetColdUntil(now + std::exchange(aAnnouncement.coldFor_, milliseconds::zero()));
+  coldUntil_ = now + std::exchange(aAnnouncement.coldFor_, milliseconds::zero());
+  coldRate_.SetColdUntil(coldUntil_);
   const auto leavingSince = std::exchange(aAnnouncement.leavingSince_, std::nullopt);
   if (!leavingSince) {
     leaving_ = false;
@@ -222,6 +224,7 @@
   const bool moved = !announcement_ || announcement_->address_ != aAnnouncement.address_ ||
                      announcement_->life_ != aAnnouncement.life_;
   announcement_ = std::move(aAnnouncement);
+  routeCounter_.SetServer(announcement_->service_, announcement_->version_);
   ApplyConfiguration();
   if (moved) {
     LogLine(LogLevel::Info, "backend_announced")
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -46,6 +46,12 @@
   , sheds_(aCounters.GetCounter("redwing_backend_sheds_total"))
   , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
   , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
+  , rolloutPermitted_(aCounters.GetCounter("redwing_rollout_permitted_requests_total"))
+  , rolloutUnpermitted_(
+      aCounters.GetCounter("redwing_rollout_refused_total", "reason=\"no-permission\""))
+  , rolloutLimited_(aCounters.GetCounter("redwing_rollout_refused_total", "reason=\"limit\""))
+  , rolloutClosed_(aCounters.GetCounter("redwing_rollout_refused_total", "reason=\"closed\""))
+  , rolloutGauge_(aCounters.GetGauge("redwing_rollout_gate"))
 {
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
   if (settings_.serverReportsState_) {
@@ -247,6 +253,9 @@
     const double ahead = limiter_.Limit() * std::min(rounds + 1, kMostRounds);
     queued = std::max(queued, static_cast<std::uint32_t>(ahead));
   }
+  if (rolloutShut_) {
+    queued = std::max(queued, static_cast<std::uint32_t>(limiter_.Limit() * kMostRounds));
+  }
   return {
     limiter_.Running(), queued, limiter_.Limit(), static_cast<std::uint32_t>(serviceTime.count())
   };
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -18,6 +18,8 @@
 #include "core/Mailbox.hpp"
 #include "core/Published.hpp"
 #include "ownership/OwnershipGate.hpp"
+#include "rollout/RolloutGate.hpp"
+#include "rollout/RouteCounter.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -126,6 +128,18 @@
   /// Preconditions: none. Thread safety: any thread.
   void ExportQuarantine(std::function<void(std::vector<QuarantineEntry>)> aCallback);
 
+  /// Applies what the leader tells of a rollout; aSentAt is when the report that it answers was
+  /// sent, or the start of time for a notice, which permits nothing.
+  ///
+  /// Preconditions: none. Thread safety: any thread.
+  void OnRollout(const RolloutDirective& aDirective, TimePoint aSentAt);
+
+  /// Returns what the server did since the order of aOrderRevision; empty counts if the server
+  /// belongs to another service than aService.
+  ///
+  /// Preconditions: none. Thread safety: on the thread of the io_context.
+  ServerCounts CountsSince(const std::string& aService, std::uint64_t aOrderRevision);
+
 private:
   class Observer;
   using ExchangePtr = std::shared_ptr<ServedExchange>;
@@ -196,6 +210,20 @@
   /// depend on a stated limit.
   std::optional<std::uint32_t> StatedRetryAfter(ErrorCode aCode, TimePoint aNow) const;
 
+  // Rollouts, implemented in BackendRollouts.cpp.
+  /// Returns whether the server may get one request more than aWaiting ones.
+  RolloutAnswer AskRollout(std::size_t aWaiting, TimePoint aNow);
+  /// Refuses the request and returns true if the server may not get it.
+  bool RefusedByRollout(const ExchangePtr& aExchange, std::size_t aWaiting, TimePoint aNow);
+  void RefuseForRollout(const ExchangePtr& aExchange, RolloutAnswer aAnswer);
+  /// Refuses the queued requests if the server may get none.
+  void CheckRollout(TimePoint aNow);
+  bool IsColdStart(TimePoint aNow);
+  void CountSent(ServedExchange& aExchange);
+  void CountAnswer(ServedExchange& aExchange, const HttpHead& aHead, bool aFault);
+  void CountDetached(ServedExchange& aExchange, ErrorCode aCode);
+  void CountFailed(ServedExchange& aExchange, const HttpFailure& aFailure, bool aResent);
+
   // Crashes, implemented in BackendCrashes.cpp.
   void ProbeForCrash();
   /// Uses an announcement of the run that refused a connection if its server accepts one now.
@@ -244,6 +272,13 @@
   SlotLimiter limiter_;
   FairQueue queue_;
   CallOrigins callOrigins_;
+  RouteCounter routeCounter_;
+  RolloutGate rolloutGate_{ routeCounter_ };
+  RolloutAnswer rolloutState_ = RolloutAnswer::Open;
+  /// The last answer of the gate was not Open.
+  bool rolloutShut_ = false;
+  /// Until when the server is cold by its own word.
+  TimePoint coldUntil_{};
   ColdStartRamp ramp_;
   ColdRateLimit coldRate_;
   StatedRateLimit statedRate_;
@@ -298,6 +333,11 @@
   Counter& sheds_;
   Counter& stalls_;
   Counter& crashCount_;
+  Counter& rolloutPermitted_;
+  Counter& rolloutUnpermitted_;
+  Counter& rolloutLimited_;
+  Counter& rolloutClosed_;
+  Gauge& rolloutGauge_;
 };
 
 } // namespace redwing
--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -159,6 +159,10 @@
       self->Fail(true);
       return;
     }
+    if (self->observer_ && self->clock_.Now() >= self->writeBy_) {
+      self->Fail(false);
+      return;
+    }
     error_code ignored;
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -187,6 +191,7 @@
   chunked_ = aRequest.chunked_;
   idHeader_ = std::move(aRequest.idHeader_);
   id_ = std::move(aRequest.id_);
+  writeBy_ = aRequest.writeBy_;
   staleBytes_ = 0;
   requestComplete_ = false;
   headDelivered_ = false;
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -31,6 +31,8 @@
   /// id once the server has echoed an id on the connection.
   std::string idHeader_;
   std::string id_;
+  /// Nothing of the request is written if the connection opens only at this time or later.
+  TimePoint writeBy_ = TimePoint::max();
 };
 
 struct HttpHead
@@ -160,6 +162,7 @@
   std::size_t writingBody_ = 0;
   std::size_t readCredit_ = kBodyWindowBytes;
   TimePoint lastProgress_;
+  TimePoint writeBy_ = TimePoint::max();
   std::string idHeader_;
   std::string id_;
   /// The server has echoed an id on this connection.
--- a/src/backend/RequestChecks.cpp
+++ b/src/backend/RequestChecks.cpp
@@ -106,4 +106,12 @@
   return {};
 }
 
+const RolloutRouting*
+RequestChecks::RolloutOf(const std::string& aService)
+{
+  const auto& rollouts = view_.Get()->rollouts_;
+  const auto found = rollouts.find(aService);
+  return found == rollouts.end() ? nullptr : &found->second;
+}
+
 } // namespace redwing
--- a/src/backend/RequestChecks.hpp
+++ b/src/backend/RequestChecks.hpp
@@ -46,6 +46,12 @@
   /// Preconditions: none. Thread safety: backend thread only.
   Service ServiceOf(const std::string& aService);
 
+  /// Returns what the routing follows during a rollout of aService, or null if there is none; valid
+  /// until the next call.
+  ///
+  /// Preconditions: none. Thread safety: backend thread only.
+  const RolloutRouting* RolloutOf(const std::string& aService);
+
 private:
   void Refresh();
 
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -74,6 +74,11 @@
   bool leaseLost_ = false;
   /// Response collected for the idempotency table.
   std::optional<StoredResponse> storedResponse_;
+  /// Number of the server at RouteCounter, once the request was passed to a connection.
+  std::optional<std::uint64_t> countedServer_;
+  /// What the request did at the server is not counted, or was counted by an answer or a deadline.
+  bool uncounted_ = false;
+  bool answerCounted_ = false;
 };
 
 } // namespace redwing
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -150,6 +150,12 @@
   hooks.exportQuarantine_ = [this](auto aCallback) {
     backend_->ExportQuarantine(std::move(aCallback));
   };
+  hooks.rollout_ = [this](const RolloutDirective& aDirective, TimePoint aSentAt) {
+    backend_->OnRollout(aDirective, aSentAt);
+  };
+  hooks.serverCounts_ = [this](const std::string& aService, std::uint64_t aOrderRevision) {
+    return backend_->CountsSince(aService, aOrderRevision);
+  };
   fleet_ = std::make_unique<FleetService>(
     context_, clock_, aStore, view_, counters_, settings_.fleet_, std::move(hooks));
 }
--- a/src/exchange/BackendAnnouncement.hpp
+++ b/src/exchange/BackendAnnouncement.hpp
@@ -31,6 +31,8 @@
   std::optional<TimePoint> leavingSince_{};
   /// Time for which the server stays cold.
   std::chrono::milliseconds coldFor_{ 0 };
+  /// Version of the server's software; empty where rollouts are off.
+  std::string version_{};
 
   bool operator==(const BackendAnnouncement&) const = default;
 };
--- a/src/fleet/FleetLocal.cpp
+++ b/src/fleet/FleetLocal.cpp
@@ -122,6 +122,7 @@
   announcement.reportsState_ = true;
   announcement.leavingSince_ = serverLeavingSince_;
   announcement.coldFor_ = aHeartbeat.coldFor_;
+  announcement.version_ = serverVersion_;
   hooks_.announce_(std::move(announcement));
 }
 
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -43,6 +43,36 @@
          (aDataCentre == nullptr || !aDataCentre->withdrawn_);
 }
 
+RolloutSide
+SideOf(const Member& aMember, const RolloutRouting* aRollout)
+{
+  return aRollout != nullptr && aMember.version_ == aRollout->targetVersion_ ? RolloutSide::Target
+                                                                             : RolloutSide::Old;
+}
+
+/// Returns whether the leader lets requests go to aMember. What it does not know of the rollout is
+/// left to the instance beside the server, which refuses what it must not send.
+bool
+MayServe(const Member& aMember, const RolloutRouting& aRollout)
+{
+  if (SideOf(aMember, &aRollout) == RolloutSide::Old) {
+    return aRollout.phase_ != RolloutPhase::Completed;
+  }
+  switch (aRollout.phase_) {
+    case RolloutPhase::Waiting:
+    case RolloutPhase::RolledBack:
+      return false;
+    case RolloutPhase::Completed:
+      return true;
+    default:
+      break;
+  }
+  const bool named =
+    std::find(aRollout.targets_.begin(), aRollout.targets_.end(), aMember.ref_.id_) !=
+    aRollout.targets_.end();
+  return named && (aRollout.share_ > 0 || aRollout.phase_ == RolloutPhase::Closing);
+}
+
 } // namespace
 
 PoolSelector::PoolSelector(const Clock& aClock, std::uint64_t aSeed, RoutingSettings aSettings)
@@ -72,18 +102,33 @@
     pool.detector_.Evaluate(pool.outliers_, now_);
     pool.nextEvaluation_ = now_ + kEvaluationInterval;
   }
-  if (pool.groups_.size() == 1) {
-    return ChooseInGroup(pool, pool.groups_.front(), aExcluded);
+  side_.reset();
+  if (pool.rollout_ == nullptr) {
+    return ChooseInPool(pool, aExcluded);
+  }
+  side_ = FirstSide(aRoute, *pool.rollout_, !aExcluded.empty());
+  if (const Member* member = ChooseInPool(pool, aExcluded)) {
+    return member;
+  }
+  side_ = side_ == RolloutSide::Old ? RolloutSide::Target : RolloutSide::Old;
+  return ChooseInPool(pool, aExcluded);
+}
+
+const Member*
+PoolSelector::ChooseInPool(Pool& aPool, std::span<const std::string> aExcluded)
+{
+  if (aPool.groups_.size() == 1) {
+    return ChooseInGroup(aPool, aPool.groups_.front(), aExcluded);
   }
   std::uint64_t total = 0;
-  for (const Group& group : pool.groups_) {
+  for (const Group& group : aPool.groups_) {
     total += group.weight_;
   }
   if (total > 0) {
     std::uint64_t ticket = random_.Below(total);
-    for (const Group& group : pool.groups_) {
+    for (const Group& group : aPool.groups_) {
       if (ticket < group.weight_) {
-        if (const Member* member = ChooseInGroup(pool, group, aExcluded)) {
+        if (const Member* member = ChooseInGroup(aPool, group, aExcluded)) {
           return member;
         }
         break;
@@ -91,14 +136,37 @@
       ticket -= group.weight_;
     }
   }
-  for (const Group& group : pool.groups_) {
-    if (const Member* member = ChooseInGroup(pool, group, aExcluded)) {
+  for (const Group& group : aPool.groups_) {
+    if (const Member* member = ChooseInGroup(aPool, group, aExcluded)) {
       return member;
     }
   }
   return nullptr;
 }
 
+RolloutSide
+PoolSelector::FirstSide(const Route& aRoute, const RolloutRouting& aRollout, bool aRetry)
+{
+  if (aRollout.phase_ == RolloutPhase::Closing || aRollout.phase_ == RolloutPhase::Completed) {
+    return RolloutSide::Target;
+  }
+  if (aRetry || aRollout.share_ <= 0) {
+    return RolloutSide::Old;
+  }
+  const auto [due, first] = shareDue_.try_emplace(aRoute.id_, 0.0);
+  if (first) {
+    // Many instances with few requests each would otherwise all begin with the old version.
+    constexpr std::uint64_t kSteps = 1'000'000;
+    due->second = static_cast<double>(random_.Below(kSteps)) / kSteps;
+  }
+  due->second += std::min(aRollout.share_, 1.0);
+  if (due->second < 1) {
+    return RolloutSide::Old;
+  }
+  due->second -= 1;
+  return RolloutSide::Target;
+}
+
 bool
 PoolSelector::IsEjected(const std::string& aInstanceId) const
 {
@@ -126,6 +194,10 @@
 PoolSelector::BuildPool(const Route& aRoute)
 {
   auto pool = std::make_unique<Pool>();
+  pool->rollout_ = RolloutOf(aRoute.service_);
+  if (pool->rollout_ == nullptr) {
+    shareDue_.erase(aRoute.id_);
+  }
   std::vector<Candidate> members = EligibleMembers(aRoute.service_);
   for (const Candidate& candidate : members) {
     pool->outliers_.push_back(&candidate.tracked_->outlier_);
@@ -154,21 +226,33 @@
 PoolSelector::EligibleMembers(const std::string& aService)
 {
   std::vector<Candidate> members;
+  const RolloutRouting* rollout = RolloutOf(aService);
   for (const auto& [id, member] : view_->members_) {
     if (member.service_ != aService ||
-        !MayServe(member, FindDataCentre(*view_, member.dataCentre_))) {
+        !MayServe(member, FindDataCentre(*view_, member.dataCentre_)) ||
+        (rollout != nullptr && !MayServe(member, *rollout))) {
       continue;
     }
     double slots = member.slots_ == 0 ? kDefaultSlots : member.slots_;
     if (member.state_ == BackendState::Cold) {
       slots = std::max(1.0, slots * kColdShare);
     }
-    members.push_back(
-      { &member, &TrackedOf(id), slots, member.dataCentre_ == view_->selfDataCentre_ });
+    members.push_back({ &member,
+                        &TrackedOf(id),
+                        slots,
+                        member.dataCentre_ == view_->selfDataCentre_,
+                        SideOf(member, rollout) });
   }
   return members;
 }
 
+const RolloutRouting*
+PoolSelector::RolloutOf(const std::string& aService) const
+{
+  const auto found = view_->rollouts_.find(aService);
+  return found == view_->rollouts_.end() ? nullptr : &found->second;
+}
+
 PoolSelector::Tracked&
 PoolSelector::TrackedOf(const std::string& aInstanceId)
 {
@@ -207,7 +291,7 @@
   for (const Candidate& candidate : aGroup.candidates_) {
     const bool excluded =
       std::find(aExcluded.begin(), aExcluded.end(), candidate.member_->ref_.id_) != aExcluded.end();
-    if (excluded ||
+    if (excluded || (side_ && candidate.side_ != *side_) ||
         (aAdmittedOnly &&
          !OutlierDetector::Admits(candidate.tracked_->outlier_, choice_ == ChoiceBy::Load, now_))) {
       continue;
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -8,6 +8,7 @@
 #include "routing/RoutingView.hpp"
 
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <unordered_map>
@@ -72,6 +73,7 @@
     Tracked* tracked_;
     double slots_;
     bool near_;
+    RolloutSide side_;
   };
   struct Group
   {
@@ -85,16 +87,22 @@
     OutlierDetector detector_;
     TimePoint nextEvaluation_{};
     std::size_t turn_ = 0;
+    /// Null if the service is not rolled out.
+    const RolloutRouting* rollout_ = nullptr;
   };
 
   Pool& PoolOf(const Route& aRoute);
   std::unique_ptr<Pool> BuildPool(const Route& aRoute);
   std::vector<Candidate> EligibleMembers(const std::string& aService);
+  const RolloutRouting* RolloutOf(const std::string& aService) const;
   Tracked& TrackedOf(const std::string& aInstanceId);
+  const Member* ChooseInPool(Pool& aPool, std::span<const std::string> aExcluded);
   const Member* ChooseInGroup(Pool& aPool,
                               const Group& aGroup,
                               std::span<const std::string> aExcluded);
   void Collect(const Group& aGroup, std::span<const std::string> aExcluded, bool aAdmittedOnly);
+  /// Returns the side whose servers are tried first.
+  RolloutSide FirstSide(const Route& aRoute, const RolloutRouting& aRollout, bool aRetry);
   const Candidate* Balance(Pool& aPool);
   const Candidate* TwoChoices();
   const Candidate* Soonest();
@@ -108,12 +116,17 @@
   std::shared_ptr<const RoutingView> view_;
   std::unordered_map<std::string, std::unique_ptr<Tracked>> tracked_;
   std::unordered_map<const Route*, std::unique_ptr<Pool>> pools_;
+  /// By route whose service is rolled out: the part of a request by which the target version lags
+  /// behind its share.
+  std::unordered_map<std::string, double> shareDue_;
   std::vector<const Candidate*> near_;
   std::vector<const Candidate*> far_;
   ExpectedTimeChoice soonest_;
   std::vector<ExpectedTimeChoice::Option> options_;
   TimePoint now_{};
   ChoiceBy choice_ = ChoiceBy::Load;
+  /// Side that the choice is limited to.
+  std::optional<RolloutSide> side_;
 };
 
 } // namespace redwing
