Test rollouts with real processes and count exposure at the servers

Cause: the bounds of a rollout hold at the servers, where no unit test counts. PlatformFleet and KeyedServer take versions, and the bounds and the contract of rollouts.

--- a/tests/integration/PlatformFleet.hpp
+++ b/tests/integration/PlatformFleet.hpp
@@ -30,6 +30,8 @@
   /// Unix millisecond of its start.
   std::uint64_t startedAt_ = 1789395282487;
   std::string state_ = "ready";
+  std::string version_ = "v1";
+  std::chrono::milliseconds coldFor_{ 0 };
 };
 
 struct PlatformFleetSettings
@@ -50,6 +52,11 @@
   /// Returns the state of a backend server; nothing while it is down and sends no heartbeats.
   /// Called on a thread of the fleet. Empty if the servers of the test send their own heartbeats.
   std::function<std::optional<ServerState>(int aInstance)> serverState_;
+  /// Rolls out versions of services by order; the bounds are below.
+  bool rollouts_ = false;
+  double exposureShare_ = 0.1;
+  double exposureSlack_ = 50;
+  std::chrono::milliseconds rollbackTime_{ 5000 };
 };
 
 /// Instances as processes on a stand-in of the platform's store, with heartbeats for the backend
@@ -186,27 +193,36 @@
   nlohmann::json Settings(int aInstance) const
   {
     const auto at = [&](int aOffset) { return At(aInstance, aOffset).ToString(); };
-    return { { "nodeName", "sidecar-" + std::to_string(aInstance) },
-             { "ipAddress", Ip(aInstance + 1) },
-             { "zone", "a" },
-             { "region", "north" },
-             { "zones", { { "a", "north" } } },
-             { "listenAddresses",
-               { { "outbound", at(1) }, { "ready", at(2) }, { "controlPlane", at(3) } } },
-             { "internalPortRange", { kPort + 4, kPort + 5 } },
-             { "heartbeatIntervalMs", 300 },
-             { "bounds",
-               { { "holdMaxMs", 10000 },
-                 { "drainTimeoutMs", 2000 },
-                 { "evacuationMs", 5000 },
-                 { "gracePeriodS", std::chrono::duration<double>(settings_.grace_).count() },
-                 { "quotaWindowS", 5 },
-                 { "quotaOvershoot", 0.1 },
-                 { "quotaSlack", 20 },
-                 { "retryBudgetRatio", 0.2 } } },
-             { "applicationAddress", ServerAt(aInstance).ToString() },
-             { "service", ServiceOf(aInstance) },
-             { "platformConfig", { { "address", Address{ Ip(0), kPort }.ToString() } } } };
+    nlohmann::json settings{
+      { "nodeName", "sidecar-" + std::to_string(aInstance) },
+      { "ipAddress", Ip(aInstance + 1) },
+      { "zone", "a" },
+      { "region", "north" },
+      { "zones", { { "a", "north" } } },
+      { "listenAddresses",
+        { { "outbound", at(1) }, { "ready", at(2) }, { "controlPlane", at(3) } } },
+      { "internalPortRange", { kPort + 4, kPort + 5 } },
+      { "heartbeatIntervalMs", 300 },
+      { "bounds",
+        { { "holdMaxMs", 10000 },
+          { "drainTimeoutMs", 2000 },
+          { "evacuationMs", 5000 },
+          { "gracePeriodS", std::chrono::duration<double>(settings_.grace_).count() },
+          { "quotaWindowS", 5 },
+          { "quotaOvershoot", 0.1 },
+          { "quotaSlack", 20 },
+          { "retryBudgetRatio", 0.2 } } },
+      { "applicationAddress", ServerAt(aInstance).ToString() },
+      { "service", ServiceOf(aInstance) },
+      { "platformConfig", { { "address", Address{ Ip(0), kPort }.ToString() } } }
+    };
+    if (settings_.rollouts_) {
+      settings["contracts"] = { "quota", "rollout" };
+      settings["bounds"].update({ { "exposureShare", settings_.exposureShare_ },
+                                  { "exposureSlack", settings_.exposureSlack_ },
+                                  { "rollbackMs", settings_.rollbackTime_.count() } });
+    }
+    return settings;
   }
 
   void Beat()
@@ -220,10 +236,10 @@
         const nlohmann::json beat{ { "service", ServiceOf(i) },
                                    { "address", ServerAt(i).ToString() },
                                    { "zone", "a" },
-                                   { "version", "v1" },
+                                   { "version", state->version_ },
                                    { "slots", settings_.slots_ },
                                    { "state", state->state_ },
-                                   { "coldRemainingMs", 0 },
+                                   { "coldRemainingMs", state->coldFor_.count() },
                                    { "born", state->startedAt_ },
                                    { "seq", sequence } };
         bench::Call(At(i, 3), "PUT", "/-/instances/" + state->id_, beat.dump(), {}, 200);
--- a/tests/integration/owner/KeyedServer.cpp
+++ b/tests/integration/owner/KeyedServer.cpp
@@ -204,7 +204,7 @@
     { "service", settings_.service_ },
     { "address", settings_.address_.ToString() },
     { "zone", "a" },
-    { "version", "v1" },
+    { "version", settings_.version_ },
     { "slots", 12 },
     { "state", draining_ ? "draining" : "ready" },
     { "coldRemainingMs", 0 },
@@ -342,6 +342,10 @@
       runs = true;
     }
   }
+  ServerReply reply{ 200, settings_.work_ };
+  if (settings_.begin_) {
+    reply = settings_.begin_(request, runs);
+  }
   if (!runs) {
     response.status_ = 421;
     response.headers_.push_back({ "X-Not-Executed", "1" });
@@ -349,10 +353,14 @@
     return;
   }
   response.headers_.push_back({ "X-Server-Signature", run_ });
-  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, settings_.work_);
-  timer->async_wait([this, timer, alive = alive_, aExchange, response, number](const auto&) {
+  response.status_ = reply.status_;
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, reply.work_);
+  timer->async_wait([this, timer, alive = alive_, aExchange, response, number, reply](const auto&) {
     if (*alive) {
       EndRequest(number);
+      if (settings_.end_) {
+        settings_.end_(reply);
+      }
       aExchange->Respond(response);
     }
   });
--- a/tests/integration/owner/KeyedServer.hpp
+++ b/tests/integration/owner/KeyedServer.hpp
@@ -17,6 +17,13 @@
 
 namespace redwing::test {
 
+/// How a server answers a request.
+struct ServerReply
+{
+  unsigned status_ = 200;
+  std::chrono::milliseconds work_{ 20 };
+};
+
 struct KeyedServerSettings
 {
   std::string id_;
@@ -28,6 +35,12 @@
   std::chrono::milliseconds work_{ 20 };
   /// Factor by which the server's clock runs slow.
   double drift_ = 1;
+  std::string version_ = "v1";
+  /// Returns how a request is answered; a success after work_ if empty. aRuns is false for one that
+  /// the server rejects. Called on the context's thread.
+  std::function<ServerReply(const standins::HttpRequest&, bool aRuns)> begin_{};
+  /// Called on the context's thread when a request ends that ran.
+  std::function<void(const ServerReply&)> end_{};
 };
 
 /// A run of a backend server that serves only the keys that replies to its heartbeats grant to it,
