--- a/tests/integration/rollout/ExposureLog.cpp
+++ b/tests/integration/rollout/ExposureLog.cpp
@@ -124,10 +124,10 @@
   std::lock_guard lock(mutex_);
   const LogTime end = ordered_ + duration_;
   std::ostringstream text;
-  text << "state " << state_ << " after " << Ms(stateAt_ - ordered_) << " ms of "
-       << duration_.count() << ", target version " << CountBetween(target_, ordered_, end)
-       << ", old version " << CountBetween(old_, ordered_, end) << " requests, " << bad_.size()
-       << " bad answers";
+  text << "state " << (state_.empty() ? "unknown" : state_) << " after "
+       << (state_.empty() ? 0 : Ms(stateAt_ - ordered_)) << " ms of " << duration_.count()
+       << ", target version " << CountBetween(target_, ordered_, end) << ", old version "
+       << CountBetween(old_, ordered_, end) << " requests, " << bad_.size() << " bad answers";
   return text.str();
 }
 
