--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/FleetDaemon.hpp"
 
 #include "core/Log.hpp"
+#include "fleet/JudgedRollout.hpp"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -156,6 +157,7 @@
   hooks.serverCounts_ = [this](const std::string& aService, std::uint64_t aOrderRevision) {
     return backend_->CountsSince(aService, aOrderRevision);
   };
+  hooks.makeDecider_ = MakeJudgedRollouts(settings_.fleet_.rollouts_);
   fleet_ = std::make_unique<FleetService>(
     context_, clock_, aStore, view_, counters_, settings_.fleet_, std::move(hooks));
 }
--- a/tests/unit/rollout_coordination/RolloutFixture.hpp
+++ b/tests/unit/rollout_coordination/RolloutFixture.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/JudgedRollout.hpp"
 #include "fleet/RolloutCoordinator.hpp"
 
 #include <algorithm>
@@ -28,9 +29,14 @@
   {
   }
 
-  void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint) override
+  void Add(RolloutSide aSide, const RouteCounts& aDelta, TimePoint, bool) override
   {
-    failures_ += aSide == RolloutSide::Target ? aDelta.failures_ : 0;
+    AddEarlier(aSide, aDelta);
+  }
+
+  void AddEarlier(RolloutSide aSide, const RouteCounts& aCounts) override
+  {
+    failures_ += aSide == RolloutSide::Target ? aCounts.failures_ : 0;
   }
 
   void Extend(const RolloutOrder& aOrder) override { end_ = orderedAt_ + aOrder.duration_; }
@@ -52,7 +58,7 @@
       decision.share_ = kExposureShare;
     } else {
       decision.targets_ = aInput.targetServers_;
-      decision.arrivalLimit_ = 1'000'000'000;
+      decision.arrivalLimit_ = aInput.targetRequests_ + 5000;
       decision.share_ = age < 7s ? 0.5 : 1;
       // Too early, so that the coordinator has to refuse it.
       const bool closing = aInput.phase_ == RolloutPhase::Closing;
@@ -127,7 +133,12 @@
   void NewLeader(std::vector<RolloutDirective> aEnded = {})
   {
     leader_ = std::make_unique<RolloutCoordinator>(
-      [](const RolloutRecord& aRecord, TimePoint aOrderedAt) {
+      [this](const RolloutRecord& aRecord,
+             TimePoint aOrderedAt) -> std::unique_ptr<RolloutDecider> {
+        if (judged_) {
+          return std::make_unique<JudgedRollout>(
+            RolloutBounds{ true, 0.1, 50, 5s }, aRecord, aOrderedAt);
+        }
         return std::make_unique<FakeDecider>(aRecord, aOrderedAt);
       },
       [this] { return std::chrono::system_clock::time_point(now_.time_since_epoch()); });
@@ -240,7 +251,7 @@
     RolloutService service;
     for (const Site& site : sites_) {
       if (site.member_) {
-        service.servers_.push_back({ site.id_, site.version_, true, false });
+        service.servers_.push_back({ site.id_, site.version_, {}, true, false });
       }
     }
     leader_->SetService(kService, service, now_);
@@ -276,11 +287,15 @@
     counts.arrivals_ = aSite.arrivals_;
     counts.closed_ = aSite.closed_;
     counts.routes_.push_back({ "r", aSite.arrivals_, aSite.failures_, {} });
+    counts.routes_.back().latencies_.at(5) =
+      static_cast<std::uint32_t>(aSite.arrivals_ - aSite.failures_);
     for (const RolloutDirective& directive : leader_->OnReport(report, now_).directives_) {
       aSite.Follow(directive, now_);
     }
   }
 
+  /// The real judge and ramp decide.
+  bool judged_ = false;
   TimePoint now_{ 1000s };
   std::vector<Site> sites_;
   std::vector<RolloutOrder> orders_;
