--- a/bench/Process.cpp
+++ b/bench/Process.cpp
@@ -129,4 +129,10 @@
   return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
 }
 
+int
+Process::Id() const
+{
+  return state_->child_.id();
+}
+
 } // namespace redwing::bench
--- a/bench/Process.hpp
+++ b/bench/Process.hpp
@@ -29,6 +29,8 @@
   /// Seconds of processor time used by the threads whose name is aThread; all threads if empty.
   double CpuSeconds(const std::string& aThread = {}) const;
   double RssMb() const;
+  /// Returns the id of the process.
+  int Id() const;
 
 private:
   struct State;
--- a/tests/integration/PlatformFleet.hpp
+++ b/tests/integration/PlatformFleet.hpp
@@ -45,6 +45,8 @@
   std::string program_ = REDWINGD_PLATFORM;
   int slots_ = 2;
   std::chrono::milliseconds grace_{ 6000 };
+  /// Limits of the machine in the settings of each instance; none if null.
+  nlohmann::json limits_{};
   /// Port of the backend server of each instance; 0 for one at an address of its own.
   std::vector<std::uint16_t> serverPorts_;
   /// Returns the state of a backend server; nothing while it is down and sends no heartbeats.
@@ -162,6 +164,7 @@
   boost::asio::io_context& Context() { return storeContext_; }
 
   bench::Process& Instance(int aInstance) { return *instances_[aInstance]; }
+  const bench::Process& Instance(int aInstance) const { return *instances_[aInstance]; }
 
 private:
   static constexpr std::uint16_t kPort = 23600;
@@ -186,27 +189,33 @@
   nlohmann::json Settings(int aInstance) const
   {
     const auto at = [&](int aOffset) { return At(aInstance, aOffset).ToString(); };
-    return { { "nodeName", "sidecar-" + std::to_string(aInstance) },
-             { "ipAddress", Ip(aInstance + 1) },
-             { "zone", "a" },
-             { "region", "north" },
-             { "zones", { { "a", "north" } } },
-             { "listenAddresses",
-               { { "outbound", at(1) }, { "ready", at(2) }, { "controlPlane", at(3) } } },
-             { "internalPortRange", { kPort + 4, kPort + 5 } },
-             { "heartbeatIntervalMs", 300 },
-             { "bounds",
-               { { "holdMaxMs", 10000 },
-                 { "drainTimeoutMs", 2000 },
-                 { "evacuationMs", 5000 },
-                 { "gracePeriodS", std::chrono::duration<double>(settings_.grace_).count() },
-                 { "quotaWindowS", 5 },
-                 { "quotaOvershoot", 0.1 },
-                 { "quotaSlack", 20 },
-                 { "retryBudgetRatio", 0.2 } } },
-             { "applicationAddress", ServerAt(aInstance).ToString() },
-             { "service", ServiceOf(aInstance) },
-             { "platformConfig", { { "address", Address{ Ip(0), kPort }.ToString() } } } };
+    nlohmann::json settings{
+      { "nodeName", "sidecar-" + std::to_string(aInstance) },
+      { "ipAddress", Ip(aInstance + 1) },
+      { "zone", "a" },
+      { "region", "north" },
+      { "zones", { { "a", "north" } } },
+      { "listenAddresses",
+        { { "outbound", at(1) }, { "ready", at(2) }, { "controlPlane", at(3) } } },
+      { "internalPortRange", { kPort + 4, kPort + 5 } },
+      { "heartbeatIntervalMs", 300 },
+      { "bounds",
+        { { "holdMaxMs", 10000 },
+          { "drainTimeoutMs", 2000 },
+          { "evacuationMs", 5000 },
+          { "gracePeriodS", std::chrono::duration<double>(settings_.grace_).count() },
+          { "quotaWindowS", 5 },
+          { "quotaOvershoot", 0.1 },
+          { "quotaSlack", 20 },
+          { "retryBudgetRatio", 0.2 } } },
+      { "applicationAddress", ServerAt(aInstance).ToString() },
+      { "service", ServiceOf(aInstance) },
+      { "platformConfig", { { "address", Address{ Ip(0), kPort }.ToString() } } }
+    };
+    if (!settings_.limits_.is_null()) {
+      settings["limits"] = settings_.limits_;
+    }
+    return settings;
   }
 
   void Beat()
