--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -13,6 +13,8 @@
 /// No request is dispatched when less than this remains of the lease, because sending the request
 /// and the server's own lease check take time.
 constexpr std::chrono::milliseconds kLeaseMargin{ 20 };
+/// A request without its body.
+constexpr std::size_t kRequestBytes = 2 * 1024;
 
 } // namespace
 
@@ -27,6 +29,11 @@
   exchange->arrivedAt_ = now;
   const auto& start = exchange->start_;
   exchanges_[start.key_] = exchange;
+  if (!HoldBody(*exchange)) {
+    hooks_.memory_->Count(MemoryAction::PeerRequestRefused);
+    RefuseNotRun(exchange, ErrorCode::Overloaded, "no_memory");
+    return;
+  }
   if (const auto code = CheckArrival(start, now)) {
     RefuseNotRun(exchange, *code);
     return;
@@ -68,6 +75,19 @@
   }
 }
 
+bool
+BackendService::HoldBody(ServedExchange& aExchange)
+{
+  const RequestStart& start = aExchange.start_;
+  if (hooks_.memory_ == nullptr || start.key_.linkId_ == kLocalLink) {
+    return true;
+  }
+  aExchange.held_ = std::make_unique<HeldMemory>(*hooks_.memory_, MemoryHolder::PeerRequests);
+  // The rest of a body comes within its window.
+  const std::size_t bytes = start.body_.size() + (start.last_ ? 0 : kBodyWindowBytes);
+  return aExchange.held_->TrySet(kRequestBytes + bytes, MemoryUse::SmallRequest);
+}
+
 bool
 BackendService::IsCall(const RequestStart& aStart, TimePoint aNow)
 {
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Window of a response that begins while large bodies wait for memory.
+constexpr std::size_t kSmallWindowBytes = 64 * 1024;
 constexpr std::uint16_t kStatusTimeout = 408;
 constexpr std::uint16_t kStatusTooMany = 429;
 constexpr std::uint16_t kStatusUnavailable = 503;
@@ -115,6 +117,9 @@
   request->body_ = mayResend ? start.body_ : std::move(start.body_);
   request->body_.append(aExchange->pendingBody_);
   request->last_ = aExchange->bodyComplete_;
+  if (hooks_.memory_ != nullptr && !hooks_.memory_->Fits(kBodyWindowBytes, MemoryUse::LargeBody)) {
+    request->responseWindow_ = kSmallWindowBytes;
+  }
   aExchange->pendingBody_.clear();
   aExchange->phase_ = ServedPhase::Running;
   aExchange->dispatchedAt_ = now;
@@ -467,6 +472,7 @@
   if (std::exchange(aExchange->countedByGate_, false)) {
     gate_.EndRequest({ start.service_, start.shard_->shard_ });
   }
+  aExchange->held_.reset();
   exchanges_.erase(start.key_);
   CheckDrained();
   Pump();
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -47,6 +47,7 @@
   , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
   , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
 {
+  pool_->SetBounds(settings_.maxServerConnections_, settings_.socketBufferBytes_);
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
   if (settings_.serverReportsState_) {
     monitor_ = std::make_unique<AnnouncedServer>(aContext);
@@ -67,6 +68,8 @@
   // outstanding.
   for (auto& [key, exchange] : exchanges_) {
     exchange->connection_.reset();
+    // A handler may keep the exchange for longer than the budget lives.
+    exchange->held_.reset();
   }
 }
 
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -141,6 +141,8 @@
 
   // Admission, implemented in BackendAdmission.cpp.
   void Admit(RequestStart&& aStart);
+  /// Accounts for the body of a request of another instance; returns false if it does not fit.
+  bool HoldBody(ServedExchange& aExchange);
   /// Returns whether a request is a call of a server, as far as is known.
   bool IsCall(const RequestStart& aStart, TimePoint aNow);
   std::optional<ErrorCode> CheckArrival(const RequestStart& aStart, TimePoint aNow);
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -4,6 +4,7 @@
 #include "admission/QuarantineRegistry.hpp"
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
+#include "core/MemoryBudget.hpp"
 #include "exchange/BackendAnnouncement.hpp"
 #include "exchange/Events.hpp"
 #include "exchange/HttpProtocol.hpp"
@@ -65,6 +66,9 @@
   /// A request that is suspected of crashing servers may be tried at any instance, and not only at
   /// the one that all instances choose for it.
   bool trialsAnywhere_ = false;
+  /// Most connections to the backend server, and what the system holds for each; 0: no bound.
+  std::size_t maxServerConnections_ = 0;
+  int socketBufferBytes_ = 0;
 };
 
 struct BackendHooks
@@ -81,6 +85,8 @@
   std::function<void(const std::vector<QuarantineEntry>&)> onQuarantine_{};
   /// Called when the backend server says in an answer that it leaves, with its name.
   std::function<void(const std::string& aServerId)> onServerLeaves_{};
+  /// Accounts for the requests of other instances, on the thread of the service; null: no limit.
+  MemoryBudget* memory_ = nullptr;
 };
 
 } // namespace redwing
--- a/src/backend/ConnectionPool.cpp
+++ b/src/backend/ConnectionPool.cpp
@@ -13,13 +13,20 @@
 void
 ConnectionPool::SetTarget(const Address& aAddress, std::size_t aLimit)
 {
-  limit_ = aLimit;
+  limit_ = mostConnections_ == 0 ? aLimit : std::min(aLimit, mostConnections_);
   if (aAddress != address_) {
     Clear();
     address_ = aAddress;
   }
 }
 
+void
+ConnectionPool::SetBounds(std::size_t aConnections, int aSocketBufferBytes)
+{
+  mostConnections_ = aConnections;
+  socketBufferBytes_ = aSocketBufferBytes;
+}
+
 void
 ConnectionPool::Warm(std::size_t aCount)
 {
@@ -52,6 +59,7 @@
 ConnectionPool::CreateConnection()
 {
   auto connection = std::make_shared<HttpConnection>(context_, address_, clock_);
+  connection->SetSocketBuffers(socketBufferBytes_);
   ++open_;
   connection->SetClosedHook([pool = weak_from_this(), raw = connection.get()] {
     if (const auto self = pool.lock()) {
--- a/src/backend/ConnectionPool.hpp
+++ b/src/backend/ConnectionPool.hpp
@@ -21,6 +21,12 @@
   /// Preconditions: none. Thread safety: backend thread only.
   void SetTarget(const Address& aAddress, std::size_t aLimit);
 
+  /// Bounds the number of connections, whatever SetTarget says, and what the system holds for each;
+  /// 0: no bound.
+  ///
+  /// Preconditions: before SetTarget. Thread safety: backend thread only.
+  void SetBounds(std::size_t aConnections, int aSocketBufferBytes);
+
   /// Opens connections until aCount are idle or the limit is reached.
   ///
   /// Preconditions: SetTarget was called. Thread safety: backend thread only.
@@ -57,6 +63,8 @@
   const Clock& clock_;
   Address address_;
   std::size_t limit_ = 0;
+  std::size_t mostConnections_ = 0;
+  int socketBufferBytes_ = 0;
   std::size_t open_ = 0;
   std::vector<std::shared_ptr<HttpConnection>> idle_;
 };
--- a/src/backend/HttpConnection.cpp
+++ b/src/backend/HttpConnection.cpp
@@ -1,5 +1,7 @@
 #include "backend/HttpConnection.hpp"
 
+#include "core/SocketBuffers.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -163,6 +165,7 @@
     using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
     self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
     self->socket_.set_option(UserTimeout(kTcpUserTimeoutMs), ignored);
+    redwing::SetSocketBuffers(self->socket_, self->socketBufferBytes_);
     self->state_ = State::Open;
     self->progress_.connected_ = true;
     self->input_.resize(kInitialInputBytes);
@@ -183,7 +186,7 @@
   progress_.reused_ = used_;
   used_ = true;
   lastProgress_ = clock_.Now();
-  readCredit_ = kBodyWindowBytes;
+  readCredit_ = aRequest.responseWindow_;
   chunked_ = aRequest.chunked_;
   idHeader_ = std::move(aRequest.idHeader_);
   id_ = std::move(aRequest.id_);
--- a/src/backend/HttpConnection.hpp
+++ b/src/backend/HttpConnection.hpp
@@ -26,6 +26,8 @@
   bool chunked_ = false;
   /// The method is HEAD, whose responses have no body even if their head states a length.
   bool headMethod_ = false;
+  /// Bytes of the response's body that are read before AddReadCredit allows more.
+  std::size_t responseWindow_ = kBodyWindowBytes;
   /// Response header that echoes id_; empty if responses carry no id. A response with a different
   /// id is stale, because it belongs to an earlier request, and is discarded. So is one without an
   /// id once the server has echoed an id on the connection.
@@ -84,6 +86,11 @@
   /// Preconditions: no other method was called before. Thread safety: backend thread only.
   void Warm();
 
+  /// Bounds what the system holds for the connection; 0: as the system does by itself.
+  ///
+  /// Preconditions: before Warm and Start. Thread safety: backend thread only.
+  void SetSocketBuffers(int aBytes) { socketBufferBytes_ = aBytes; }
+
   /// Sends aRequest, connecting first if necessary.
   ///
   /// Preconditions: Idle() is true. Thread safety: backend thread only.
@@ -147,6 +154,7 @@
 
   boost::asio::ip::tcp::socket socket_;
   Address address_;
+  int socketBufferBytes_ = 0;
   const Clock& clock_;
   State state_ = State::New;
   std::shared_ptr<HttpObserver> observer_;
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -2,6 +2,7 @@
 
 #include "admission/IdempotencyTable.hpp"
 #include "backend/HttpConnection.hpp"
+#include "core/MemoryBudget.hpp"
 #include "exchange/Events.hpp"
 
 #include <cstdint>
@@ -54,6 +55,8 @@
   bool bodyComplete_ = false;
   bool bodyCreditSent_ = false;
   std::shared_ptr<HttpConnection> connection_;
+  /// Memory of the body; null for requests of this instance's callers, who account for it.
+  std::unique_ptr<HeldMemory> held_;
   TimePoint arrivedAt_{};
   TimePoint dispatchedAt_{};
   std::uint64_t token_ = 0;
--- a/src/ctl/ClusterCommands.cpp
+++ b/src/ctl/ClusterCommands.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <span>
 #include <sstream>
 #include <utility>
 
@@ -64,8 +65,11 @@
   return kColumns;
 }
 
+/// A column and the metric that it shows.
+using MetricColumn = std::pair<const char*, const char*>;
+
 /// Columns of the holds, and the metrics that they show.
-constexpr std::pair<const char*, const char*> kHoldMetrics[] = {
+constexpr MetricColumn kHoldMetrics[] = {
   { "shards_granted", "redwing_shards_granted" },
   { "shards_held", "redwing_shards_held" },
   { "hold_left_ms", "redwing_hold_left_ms" },
@@ -76,23 +80,40 @@
   { "assumed", "redwing_holds_ended_total{reason=\"assumed\"}" },
 };
 
-/// Returns the values of kHoldMetrics in Prometheus text by column, without those that it lacks.
+/// Columns of the memory that is held and of what was done to bound it.
+constexpr MetricColumn kMemoryMetrics[] = {
+  { "limit", "redwing_memory_limit_bytes" },
+  { "callers", "redwing_memory_held_bytes{holder=\"caller_connections\"}" },
+  { "bodies", "redwing_memory_held_bytes{holder=\"request_bodies\"}" },
+  { "responses", "redwing_memory_held_bytes{holder=\"responses\"}" },
+  { "peer_requests", "redwing_memory_held_bytes{holder=\"peer_requests\"}" },
+  { "peer_links", "redwing_memory_held_bytes{holder=\"peer_links\"}" },
+  { "refused", "redwing_memory_actions_total{action=\"request_refused\"}" },
+  { "peers_refused", "redwing_memory_actions_total{action=\"peer_request_refused\"}" },
+  { "too_large", "redwing_memory_actions_total{action=\"body_too_large\"}" },
+  { "stalled", "redwing_memory_actions_total{action=\"stalled_body_closed\"}" },
+  { "largest", "redwing_memory_actions_total{action=\"largest_holder_closed\"}" },
+  { "idle", "redwing_memory_actions_total{action=\"idle_connection_closed\"}" },
+  { "timed_out", "redwing_memory_actions_total{action=\"timed_out\"}" },
+};
+
+/// Returns the values of aColumns in Prometheus text by column, without those that it lacks.
 Json
-ReadHolds(const std::string& aMetrics)
+ReadMetrics(std::span<const MetricColumn> aColumns, const std::string& aMetrics)
 {
-  Json holds = Json::object();
+  Json values = Json::object();
   std::istringstream lines(aMetrics);
   for (std::string line; std::getline(lines, line);) {
     const std::size_t space = line.rfind(' ');
     const Json value =
       space == std::string::npos ? Json() : Json::parse(line.substr(space + 1), nullptr, false);
-    for (const auto& [column, metric] : kHoldMetrics) {
+    for (const auto& [column, metric] : aColumns) {
       if (value.is_number() && line.compare(0, space, metric) == 0) {
-        holds[column] = value;
+        values[column] = value;
       }
     }
   }
-  return holds;
+  return values;
 }
 
 } // namespace
@@ -177,30 +198,53 @@
   });
 }
 
+namespace {
+
+/// Shows aColumns of the one instance that is addressed, unless it lacks aNeeded.
 Exit
-ClusterCommands::Holds()
+ShowMetrics(Session& aSession,
+            const char* aCommand,
+            std::span<const MetricColumn> aColumns,
+            const char* aNeeded,
+            const char* aMissing)
 {
-  if (session_.Settings().instances_.size() != 1) {
-    session_.Err() << "redwingctl: holds needs exactly one --instance, the one to show\n";
+  if (aSession.Settings().instances_.size() != 1) {
+    aSession.Err() << "redwingctl: " << aCommand
+                   << " needs exactly one --instance, the one to show\n";
     return Exit::Usage;
   }
-  return session_.Read("/metrics", [&](const std::string& aBody) {
-    const Json holds = ReadHolds(aBody);
-    if (!holds.contains("shards_held")) {
-      session_.Err() << "redwingctl: the instance keeps no holds\n";
+  return aSession.Read("/metrics", [&](const std::string& aBody) {
+    const Json values = ReadMetrics(aColumns, aBody);
+    if (!values.contains(aNeeded)) {
+      aSession.Err() << "redwingctl: " << aMissing << "\n";
       return Exit::Refused;
     }
-    if (session_.Settings().output_ == OutputFormat::Json) {
-      session_.Out() << holds.dump() << "\n";
+    if (aSession.Settings().output_ == OutputFormat::Json) {
+      aSession.Out() << values.dump() << "\n";
       return Exit::Done;
     }
     Row columns;
-    for (const auto& [column, metric] : kHoldMetrics) {
+    for (const auto& [column, metric] : aColumns) {
       columns.emplace_back(column);
     }
-    PrintArray(session_, Json::array({ holds }), columns);
+    PrintArray(aSession, Json::array({ values }), columns);
     return Exit::Done;
   });
 }
 
+} // namespace
+
+Exit
+ClusterCommands::Holds()
+{
+  return ShowMetrics(session_, "holds", kHoldMetrics, "shards_held", "the instance keeps no holds");
+}
+
+Exit
+ClusterCommands::Memory()
+{
+  return ShowMetrics(
+    session_, "memory", kMemoryMetrics, "limit", "the instance does not account for memory");
+}
+
 } // namespace redwing::ctl
--- a/src/ctl/ClusterCommands.hpp
+++ b/src/ctl/ClusterCommands.hpp
@@ -34,6 +34,10 @@
   /// metrics of the instance.
   Exit Holds();
 
+  /// Shows the bytes that the one instance that is addressed holds for others, and how often it
+  /// refused or closed something to bound them, from its metrics.
+  Exit Memory();
+
 private:
   Session& session_;
 };
--- a/src/ctl/CommandLine.cpp
+++ b/src/ctl/CommandLine.cpp
@@ -281,6 +281,13 @@
              "Show what the server of the instance that --instance names is granted and may hold, "
              "and why holds ended, from the metrics of the instance; exactly one must be given",
              [](Session& aSession) { return ClusterCommands(aSession).Holds(); });
+  AddCommand(aApp,
+             options,
+             "memory",
+             "Show the bytes that the instance that --instance names holds for callers and other "
+             "instances, and how often it refused or closed something to bound them; exactly one "
+             "must be given",
+             [](Session& aSession) { return ClusterCommands(aSession).Memory(); });
   AddCommand(aApp, options, "status", "Show the state of the fleet", [](Session& aSession) {
     return ClusterCommands(aSession).Status();
   });
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon/FleetDaemon.hpp"
 
+#include "core/DescriptorShares.hpp"
 #include "core/Log.hpp"
 
 #include <algorithm>
@@ -45,6 +46,9 @@
 constexpr QuarantineSettings kQuarantine{ 2, 3 };
 constexpr milliseconds kPeerTimeout{ 1200 };
 constexpr milliseconds kPeerPing{ 400 };
+/// What the system holds for a connection to the backend server or another instance where memory
+/// is limited: half of the window of a body.
+constexpr int kSocketBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -100,6 +104,7 @@
   : context_(aContext)
   , clock_(aClock)
   , settings_(std::move(aSettings))
+  , memory_(settings_.memoryBytes_, counters_)
   , view_(std::make_shared<const RoutingView>(
       RoutingView{ std::make_shared<const ConfigurationRevision>(), false, {}, {}, {}, {} }))
   , signals_(aContext, SIGTERM, SIGINT, SIGHUP)
@@ -107,6 +112,7 @@
   , stopTimer_(aContext)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  ApplyLimits();
   BuildFleet(aStore, std::move(aConfiguration));
   BuildPeer();
   BuildBackend();
@@ -116,6 +122,32 @@
 
 FleetDaemon::~FleetDaemon() = default;
 
+void
+FleetDaemon::ApplyLimits()
+{
+  if (settings_.descriptors_ > 0) {
+    const auto shares = DescriptorShares::Of(settings_.descriptors_);
+    settings_.intake_.closesIdleForNew_ = true;
+    settings_.intake_.maxConnections_ =
+      std::min(settings_.intake_.maxConnections_, shares.callers_);
+    settings_.backend_.maxServerConnections_ = shares.server_;
+    settings_.peer_.maxInboundLinks_ = shares.peers_;
+  }
+  if (memory_.Limited()) {
+    settings_.intake_.closesIdleForNew_ = true;
+    settings_.backend_.socketBufferBytes_ = kSocketBufferBytes;
+    settings_.peer_.socketBufferBytes_ = kSocketBufferBytes;
+    settings_.peer_.memory_ = &memory_;
+  }
+  if (settings_.descriptors_ > 0 || memory_.Limited()) {
+    LogLine(LogLevel::Info, "limits")
+      .With("held_bytes", memory_.Limit())
+      .With("caller_connections", settings_.intake_.maxConnections_)
+      .With("server_connections", settings_.backend_.maxServerConnections_)
+      .With("inbound_links", settings_.peer_.maxInboundLinks_);
+  }
+}
+
 void
 FleetDaemon::BuildFleet(Store& aStore, ConfigurationHooks aConfiguration)
 {
@@ -194,6 +226,7 @@
   hooks.onServerLeaves_ = [this](const std::string& aServerId) {
     fleet_->OnServerLeaves(aServerId);
   };
+  hooks.memory_ = &memory_;
   hooks.onQuarantine_ = [this](const std::vector<QuarantineEntry>& aEntries) {
     fleet_->SpreadQuarantine(aEntries);
   };
@@ -223,7 +256,8 @@
     },
     [this](const Workspace& aWorkspace, std::uint64_t aToken) {
       fleet_->ReturnToken(aWorkspace, aToken);
-    } });
+    },
+    &memory_ });
 }
 
 void
--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -1,7 +1,9 @@
 #include "intake/CallerConnection.hpp"
 
+#include "core/SocketBuffers.hpp"
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
+#include "intake/MemoryGuard.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -16,6 +18,9 @@
 constexpr std::size_t kMaxBacklogBytes = kBodyWindowBytes;
 /// Time for a caller to read the last response before the connection is closed for good.
 constexpr Duration kLinger = std::chrono::seconds(1);
+/// Buffers of the system for one connection, where memory is limited. The system doubles them for
+/// its own use. They fill a link of 100 Mbit/s with a round trip of 2.5 ms.
+constexpr int kSocketBufferBytes = 32 * 1024;
 
 bool
 HasObsFold(std::string_view aHead)
@@ -35,7 +40,11 @@
   , buffer_(kFirstBufferBytes)
   , lastRead_(aCore.Now())
   , lastWrite_(lastRead_)
+  , headSince_(lastRead_)
+  , held_(aCore.Memory(), MemoryHolder::CallerConnections)
+  , responses_(aCore.Memory(), MemoryHolder::Responses)
 {
+  UpdateHeld();
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -46,6 +55,7 @@
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   socket_.non_blocking(true, ignored);
+  SetSocketBuffers(socket_, core_.Memory().Limited() ? kSocketBufferBytes : 0);
   ReadMore();
 }
 
@@ -59,6 +69,9 @@
   const IntakeCore::Scope scope(core_);
   closed_ = true;
   DropSlots();
+  // A handler may keep this object for longer than the budget lives.
+  held_.Set(0);
+  responses_.Set(0);
   boost::system::error_code ignored;
   socket_.close(ignored);
   onClosed_(*this);
@@ -79,7 +92,7 @@
 void
 CallerConnection::Sweep(TimePoint aNow)
 {
-  const IntakeSettings& settings = core_.Settings();
+  const CallerBounds& bounds = core_.Bounds();
   const Duration sinceRead = aNow - lastRead_;
   const Duration sinceWrite = aNow - lastWrite_;
   if (closing_ && !writing_) {
@@ -88,14 +101,21 @@
     }
     return;
   }
-  const bool writeStalled = writing_ && sinceWrite > settings.progressTimeout_;
+  const bool writeStalled = writing_ && sinceWrite > bounds.progressTimeout_;
   const bool bodyStalled = !slots_.empty() && !slots_.back()->bodyDone_ &&
-                           slots_.back()->exchange_->WantsBody() &&
-                           sinceRead > settings.progressTimeout_;
+                           slots_.back()->exchange_->WantsBody() && !bodyWaits_ &&
+                           sinceRead > bounds.progressTimeout_;
   const bool headStalled =
-    slots_.empty() && begin_ != end_ && sinceRead > settings.progressTimeout_;
+    slots_.empty() && begin_ != end_ &&
+    (bounds.headerTimeout_.count() > 0 ? aNow - headSince_ > bounds.headerTimeout_
+                                       : sinceRead > bounds.progressTimeout_);
   const bool idle =
-    slots_.empty() && !writing_ && std::min(sinceRead, sinceWrite) > settings.idleTimeout_;
+    slots_.empty() && !writing_ && std::min(sinceRead, sinceWrite) > bounds.idleTimeout_;
+  if (writeStalled || bodyStalled || headStalled) {
+    core_.Guard().Report(MemoryAction::TimedOut,
+                         writeStalled ? "a response was not read"
+                                      : "a request stopped before its end");
+  }
   if (writeStalled || bodyStalled || headStalled || idle) {
     Close();
   }
@@ -126,6 +146,7 @@
 {
   outBody_ += aBodyBytes;
   Write();
+  UpdateHeld();
 }
 
 void
@@ -161,6 +182,7 @@
   } while (pumpAgain_);
   pumping_ = false;
   ReadMore();
+  UpdateHeld();
 }
 
 bool
@@ -175,8 +197,8 @@
   if (slots_.empty() || slots_.back()->bodyDone_) {
     return MayParseHead() && ParseHead();
   }
-  const CallerSlot& last = *slots_.back();
-  return last.begun_ && last.exchange_->WantsBody() && ParseBody();
+  CallerSlot& last = *slots_.back();
+  return last.begun_ && last.exchange_->WantsBody() && MayHoldBody() && ParseBody();
 }
 
 bool
@@ -236,7 +258,7 @@
   constexpr std::string_view kEnd = "\r\n\r\n";
   const std::string_view unread = Unread();
   const std::size_t end = unread.find(kEnd, scanned_);
-  const std::size_t limit = core_.Settings().maxHeaderBytes_;
+  const std::size_t limit = core_.Bounds().headerBytes_;
   const bool tooLarge =
     end == std::string_view::npos ? unread.size() >= limit : end + kEnd.size() > limit;
   if (end == std::string_view::npos && !tooLarge) {
@@ -247,6 +269,7 @@
   scanned_ = 0;
   const std::size_t headBytes = tooLarge ? unread.size() : end + kEnd.size();
   slots_.push_back(std::make_unique<CallerSlot>(core_, *this, Consume(headBytes)));
+  headSince_ = core_.Now();
   CallerSlot& slot = *slots_.back();
   slot.first_ = std::exchange(fresh_, false);
   if (tooLarge) {
@@ -331,7 +354,7 @@
   const std::size_t used =
     slot.parser_.put(boost::asio::buffer(Unread().data(), Unread().size()), error);
   Consume(used);
-  const bool full = end_ - begin_ >= kMaxBufferBytes;
+  const bool full = end_ - begin_ >= MaxBufferBytes();
   if (error == boost::beast::http::error::need_more && !full) {
     error = {};
   }
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "core/Clock.hpp"
+#include "core/MemoryBudget.hpp"
 #include "intake/ArrivalTimes.hpp"
 #include "intake/CallerSlot.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstddef>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +25,9 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
+  /// Bytes that a connection holds at first, with its objects.
+  static constexpr std::size_t kFirstBytes = 8 * 1024;
+
   using OnClosed = std::function<void(CallerConnection&)>;
 
   CallerConnection(IntakeCore& aCore, boost::asio::ip::tcp::socket aSocket, OnClosed aOnClosed);
@@ -41,6 +47,19 @@
   /// Closes the connection unless a request is being served or has begun to arrive.
   void CloseIfIdle();
 
+  /// Goes on with what waited for memory, or refuses a request that has waited too long.
+  void ResumeReading(TimePoint aNow);
+
+  /// Returns the bytes held for the connection and its requests.
+  std::size_t BytesHeld() const;
+  /// Returns the bytes held for a body that has not arrived to its end; 0 if there is none.
+  std::size_t BodyBytesHeld() const;
+  TimePoint LastRead() const { return lastRead_; }
+  TimePoint LastTransfer() const { return std::max(lastRead_, lastWrite_); }
+  bool HasNoRequest() const { return slots_.empty() && !writing_ && !closing_; }
+  /// Returns whether nothing was received yet.
+  bool IsFresh() const { return fresh_ && begin_ == end_; }
+
 private:
   friend class CallerSlot;
 
@@ -67,6 +86,12 @@
   bool CloseIfCallerLeft();
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool MakeRoom();
+  std::size_t MaxBufferBytes() const;
+  /// Returns whether the body that is being received may be held; otherwise the connection waits.
+  bool MayHoldBody();
+  void WaitForMemory();
+  /// Gives back buffers that grew and reports the bytes that are held.
+  void UpdateHeld();
   /// Takes aBytes from the front of the buffer; returns when they had arrived.
   TimePoint Consume(std::size_t aBytes);
   void Write();
@@ -98,6 +123,14 @@
   std::size_t inFlightBody_ = 0;
   TimePoint lastRead_;
   TimePoint lastWrite_;
+  /// When the first byte of the present head arrived.
+  TimePoint headSince_;
+  /// Since when a body waits for memory; only while it does.
+  std::optional<TimePoint> bodyWaits_;
+  /// The guard will call ResumeReading.
+  bool awaitsResume_ = false;
+  HeldMemory held_;
+  HeldMemory responses_;
 };
 
 } // namespace redwing::Detail
--- a/src/intake/CallerConnectionIo.cpp
+++ b/src/intake/CallerConnectionIo.cpp
@@ -35,10 +35,16 @@
     begin_ = 0;
     return true;
   }
-  if (buffer_.size() >= kMaxBufferBytes) {
+  const std::size_t most = MaxBufferBytes();
+  if (buffer_.size() >= most || bodyWaits_) {
     return false;
   }
-  buffer_.resize(std::min(buffer_.size() * 2, kMaxBufferBytes));
+  const std::size_t larger = std::min(buffer_.size() * 2, most);
+  if (!core_.Memory().Fits(larger - buffer_.size(), MemoryUse::SmallRequest)) {
+    WaitForMemory();
+    return false;
+  }
+  buffer_.resize(larger);
   return true;
 }
 
@@ -84,6 +90,9 @@
     return;
   }
   // Bytes in several segments are taken to have arrived with the last of them.
+  if (begin_ == end_) {
+    headSince_ = lastRead_;
+  }
   arrivals_.Add(aBytes, lastRead_ - state.sinceLastBytes_);
   end_ += aBytes;
   Pump();
@@ -151,6 +160,7 @@
     slots_.front()->exchange_->OnResponseWritten(std::exchange(inFlightBody_, 0));
   }
   Write();
+  UpdateHeld();
   if (closing_ && !writing_) {
     boost::system::error_code ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
--- a/src/intake/CallerSlot.cpp
+++ b/src/intake/CallerSlot.cpp
@@ -34,6 +34,7 @@
     connection_.Flush(aBodyBytes);
   } else {
     waitingBody_ += aBodyBytes;
+    connection_.UpdateHeld();
   }
 }
 
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -46,6 +46,7 @@
   , id_(aCore.NextExchangeId())
   , requestId_(aCore.NextRequestId())
   , arrived_(aArrived)
+  , bodyHeld_(aCore.Memory(), MemoryHolder::RequestBodies)
 {
   core_.AddExchange(id_, *this);
 }
@@ -63,6 +64,7 @@
                 bool aBodyDone)
 {
   bodyDone_ = aBodyDone;
+  contentLength_ = aContentLength;
   if (const char* fault = CleanHead(core_.Settings().protocol_,
                                     std::move(aMethod),
                                     std::move(aTarget),
@@ -75,6 +77,7 @@
     requestId_ = head_.requestId_;
   }
   if (aContentLength && BodyTooLarge(*aContentLength)) {
+    core_.Memory().Count(MemoryAction::BodyTooLarge);
     Refuse(ErrorCode::BodyTooLarge, "the request body is too large");
     return;
   }
@@ -130,7 +133,7 @@
 bool
 Exchange::BodyTooLarge(std::uint64_t aBytes) const
 {
-  const std::size_t limit = core_.Settings().maxBodyBytes_;
+  const std::uint64_t limit = core_.Bounds().bodyBytes_;
   return limit > 0 && aBytes > limit;
 }
 
@@ -278,15 +281,16 @@
 Exchange::OnBody(std::string&& aBytes, bool aLast)
 {
   bodyDone_ = aLast;
-  if (pending_.empty()) {
+  bodyBytes_ += aBytes.size();
+  if (BodyTooLarge(bodyBytes_)) {
+    EndTooLarge();
+    return;
+  }
+  if (pending_.empty() && pending_.capacity() < aBytes.size()) {
     pending_ = std::move(aBytes);
   } else {
     pending_.append(aBytes);
   }
-  if (!started_ && BodyTooLarge(pending_.size())) {
-    Refuse(ErrorCode::BodyTooLarge, "the request body is too large");
-    return;
-  }
   if (!started_) {
     BeginWhenReady();
   } else {
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/MemoryBudget.hpp"
 #include "exchange/Events.hpp"
 #include "intake/IntakeDependencies.hpp"
 #include "intake/RequestHead.hpp"
@@ -65,6 +66,14 @@
 
   /// Returns whether more of the request body can be buffered.
   bool WantsBody() const;
+
+  /// Reserves the memory that the body of the request may take, unless that was done before;
+  /// returns false if it does not fit now.
+  bool ReserveBody();
+  std::size_t BodyBytesHeld() const { return bodyHeld_.Bytes(); }
+
+  /// Refuses a request whose body found no memory.
+  void RefuseForMemory();
   bool KeepsConnection() const { return keepsConnection_; }
   bool Uses(const std::string& aInstanceId) const;
 
@@ -83,6 +92,10 @@
   bool FindShard();
   void ChoosePart();
   bool BodyTooLarge(std::uint64_t aBytes) const;
+  /// Ends a request whose body proved to be over the limit while it arrived.
+  void EndTooLarge();
+  /// Returns the most bytes that the body takes on its way.
+  std::size_t BodyBytesNeeded() const;
   void BuildStart(std::optional<std::uint64_t> aContentLength);
   void BeginWhenReady();
   void Refuse(ErrorCode aCode,
@@ -158,6 +171,11 @@
   bool responding_ = false;
   bool keepsConnection_ = false;
 
+  std::optional<std::uint64_t> contentLength_;
+  /// Bytes of the body that have arrived.
+  std::uint64_t bodyBytes_ = 0;
+  bool bodyReserved_ = false;
+  HeldMemory bodyHeld_;
   std::string pending_;
   /// Bytes at the start of pending_ that were sent to the present attempt.
   std::size_t sentBytes_ = 0;
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -34,13 +34,15 @@
     }
     RequestBody body;
     body.key_ = { kLocalLink, attempts_.front().id_ };
-    if (bytes == pending_.size()) {
+    // A buffer with much room that was reserved stays for the rest of the body.
+    if (bytes == pending_.size() && pending_.capacity() <= 2 * kMaxChunkBytes) {
       body.bytes_ = std::move(pending_);
       pending_.clear();
       body.last_ = bodyDone_;
     } else {
       body.bytes_ = pending_.substr(0, bytes);
       pending_.erase(0, bytes);
+      body.last_ = pending_.empty() && bodyDone_;
     }
     bodySent_ = body.last_;
     requestOutstanding_ += bytes;
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -25,6 +25,9 @@
 IntakeCore::IntakeCore(IntakeDependencies aDependencies)
   : dependencies_(std::move(aDependencies))
   , reader_(dependencies_.view_)
+  , memory_(dependencies_.memory_ == nullptr ? &unlimited_.emplace(0, dependencies_.counters_)
+                                             : dependencies_.memory_)
+  , bounds_(CallerBounds::Of(dependencies_.settings_, {}))
   , random_(dependencies_.seed_)
   , selector_(dependencies_.clock_, random_.Bits(), dependencies_.settings_.routing_)
   , retries_(dependencies_.settings_.retryBudget_)
@@ -62,6 +65,7 @@
     routes_ = std::make_shared<const RouteTable>(adopted);
     credentials_ = std::make_unique<CredentialTable>(adopted);
     partClaims_.clear();
+    bounds_ = CallerBounds::Of(Settings(), adopted->configuration_.callerLimits_);
     LogLine(LogLevel::Info, "routes_indexed")
       .With("revision", adopted->revision_)
       .With("routes", adopted->configuration_.routes_.size())
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Random.hpp"
+#include "intake/CallerBounds.hpp"
 #include "intake/CredentialTable.hpp"
 #include "intake/IntakeDependencies.hpp"
 #include "intake/OutcomeCounters.hpp"
@@ -14,6 +15,7 @@
 #include "routing/RouteTable.hpp"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,6 +24,7 @@
 
 class CallerSlot;
 class Exchange;
+class MemoryGuard;
 
 /// State of the intake thread that its connections and exchanges share.
 class IntakeCore
@@ -73,6 +76,14 @@
   {
     return aRouted ? abandonedRouted_ : abandonedUnrouted_;
   }
+  MemoryBudget& Memory() { return *memory_; }
+  /// Returns what callers must keep to under the adopted configuration.
+  const CallerBounds& Bounds() const { return bounds_; }
+  /// Returns what acts on connections when memory is used up.
+  ///
+  /// Preconditions: SetGuard was called.
+  MemoryGuard& Guard() { return *guard_; }
+  void SetGuard(MemoryGuard& aGuard) { guard_ = &aGuard; }
   Random& Randomness() { return random_; }
   bool ShuttingDown() const { return shuttingDown_; }
   /// Returns when the last answer can be passed on; a distant time unless a shutdown has begun.
@@ -116,6 +127,11 @@
   std::shared_ptr<const RoutingView> view_;
   std::shared_ptr<const RouteTable> routes_;
   std::unique_ptr<CredentialTable> credentials_;
+  /// Without a limit; used if the surroundings give none.
+  std::optional<MemoryBudget> unlimited_;
+  MemoryBudget* memory_;
+  MemoryGuard* guard_ = nullptr;
+  CallerBounds bounds_;
   Random random_;
   PoolSelector selector_;
   OwnerDirectory owners_;
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -4,6 +4,7 @@
 #include "core/Address.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
+#include "core/MemoryBudget.hpp"
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
 #include "exchange/HttpProtocol.hpp"
@@ -30,6 +31,8 @@
   std::size_t maxHeaderBytes_ = 16 * 1024;
   std::size_t maxConnections_ = 20'000;
   std::size_t maxExchanges_ = 20'000;
+  /// A connection without a request is closed when another one finds no room.
+  bool closesIdleForNew_ = false;
   std::chrono::milliseconds idleTimeout_{ 75'000 };
   /// Time for a request head to arrive, and for a caller to take response bytes.
   std::chrono::milliseconds progressTimeout_{ 30'000 };
@@ -106,6 +109,8 @@
   RateLimiter rateLimiter_;
   /// Takes back the token of a request that was admitted and did not run; may be empty.
   std::function<void(const Workspace& aWorkspace, std::uint64_t aToken)> returnToken_;
+  /// Accounts for the bytes that are held for callers, on the thread of io_; null: no limit.
+  MemoryBudget* memory_ = nullptr;
 };
 
 } // namespace redwing
--- a/src/intake/IntakeService.cpp
+++ b/src/intake/IntakeService.cpp
@@ -4,6 +4,7 @@
 #include "intake/CallerConnection.hpp"
 #include "intake/Exchange.hpp"
 #include "intake/IntakeCore.hpp"
+#include "intake/MemoryGuard.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -30,9 +31,11 @@
     : core_(std::move(aDependencies))
     , acceptor_(core_.Dependencies().io_,
                 [this](tcp::socket aSocket) { Adopt(std::move(aSocket)); })
+    , guard_(core_, [this] { return Connections(); })
     , sweepTimer_(core_.Dependencies().io_)
     , connectionGauge_(core_.Dependencies().counters_.GetGauge("redwing_caller_connections"))
   {
+    core_.SetGuard(guard_);
   }
 
   ~Impl() { CloseAll(); }
@@ -51,7 +54,9 @@
   std::vector<std::shared_ptr<Detail::CallerConnection>> Connections() const;
   void ArmSweep();
   void StopAccepting();
+  bool HasRoom();
 
+  Detail::MemoryGuard guard_;
   boost::asio::steady_timer sweepTimer_;
   std::unordered_map<Detail::CallerConnection*, std::shared_ptr<Detail::CallerConnection>>
     connections_;
@@ -75,10 +80,17 @@
   return {};
 }
 
+bool
+IntakeService::Impl::HasRoom()
+{
+  return connections_.size() < core_.Settings().maxConnections_ &&
+         core_.Memory().Fits(Detail::CallerConnection::kFirstBytes, MemoryUse::SmallRequest);
+}
+
 void
 IntakeService::Impl::Adopt(tcp::socket aSocket)
 {
-  if (connections_.size() >= core_.Settings().maxConnections_) {
+  if (!HasRoom() && (!core_.Settings().closesIdleForNew_ || !guard_.MakeWay() || !HasRoom())) {
     // Closing at once costs less than an answer, which a flood of connections would exploit.
     core_.Dependencies().counters_.GetCounter("redwing_caller_connections_refused_total").Add();
     return;
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -1,5 +1,7 @@
 #include "peer/Link.hpp"
 
+#include "core/SocketBuffers.hpp"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -19,6 +21,28 @@
 constexpr int kTcpUserTimeoutMs = 1500;
 /// Delay of a frame on its way from which it is reported.
 constexpr std::chrono::milliseconds kReportedDelay{ 100 };
+/// A buffer of messages above this size is given back once they were written.
+constexpr std::size_t kKeptBytes = 64 * 1024;
+/// A message without its body.
+constexpr std::size_t kMessageBytes = 256;
+
+std::size_t
+BytesOf(const LinkMessage& aMessage)
+{
+  return std::visit(
+    [](const auto& aAlternative) {
+      if constexpr (requires { aAlternative.body_.size(); }) {
+        return kMessageBytes + aAlternative.body_.size();
+      } else if constexpr (requires { aAlternative.bytes_.size(); }) {
+        return kMessageBytes + aAlternative.bytes_.size();
+      } else if constexpr (requires { aAlternative.payload_.size(); }) {
+        return kMessageBytes + aAlternative.payload_.size();
+      } else {
+        return kMessageBytes;
+      }
+    },
+    aMessage);
+}
 
 } // namespace
 
@@ -37,6 +61,25 @@
 {
 }
 
+void
+Link::SetBounds(MemoryBudget* aMemory, int aSocketBufferBytes)
+{
+  socketBufferBytes_ = aSocketBufferBytes;
+  if (aMemory != nullptr && aMemory->Limited()) {
+    held_.emplace(*aMemory, MemoryHolder::PeerLinks);
+  } else {
+    held_.reset();
+  }
+}
+
+void
+Link::UpdateHeld()
+{
+  if (held_) {
+    held_->Set(state_ == LinkState::Closed ? 0 : queuedBytes_ + output_.capacity() + input_.size());
+  }
+}
+
 void
 Link::BindSource(const std::string& aSourceIp, const asio::ip::address& aTo)
 {
@@ -123,6 +166,7 @@
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   socket_.set_option(UserTimeout(kTcpUserTimeoutMs), ignored);
+  SetSocketBuffers(socket_, socketBufferBytes_);
 }
 
 void
@@ -219,7 +263,9 @@
 Link::Send(LinkMessage&& aMessage)
 {
   if (state_ != LinkState::Closed) {
+    queuedBytes_ += BytesOf(aMessage);
     queue_.push_back(std::move(aMessage));
+    UpdateHeld();
     ScheduleFlush();
   }
 }
@@ -252,6 +298,8 @@
   output_.clear();
   encoder_->Encode(batch_, clock_.Now(), output_);
   batch_.clear();
+  queuedBytes_ = 0;
+  UpdateHeld();
   asio::async_write(
     socket_, asio::buffer(output_), [self = shared_from_this()](error_code aError, std::size_t) {
       self->writing_ = false;
@@ -259,6 +307,10 @@
         self->Close("write_failed");
         return;
       }
+      if (self->held_ && self->output_.capacity() > kKeptBytes) {
+        self->output_ = {};
+        self->UpdateHeld();
+      }
       self->Flush();
       if (!self->Writes()) {
         self->observer_.OnWritten();
@@ -274,6 +326,8 @@
   }
   state_ = LinkState::Closed;
   queue_.clear();
+  queuedBytes_ = 0;
+  UpdateHeld();
   error_code ignored;
   socket_.close(ignored);
   observer_.OnClosed(shared_from_this(), aReason);
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -2,6 +2,7 @@
 
 #include "core/Address.hpp"
 #include "core/Clock.hpp"
+#include "core/MemoryBudget.hpp"
 #include "peer/FrameCodec.hpp"
 #include "peer/Handshake.hpp"
 
@@ -56,6 +57,12 @@
        const Clock& aClock,
        LinkObserver& aObserver);
 
+  /// Accounts for what waits on the link, and bounds what the system holds for it; aMemory may be
+  /// null and outlives the link otherwise, and 0 bytes leave it to the system.
+  ///
+  /// Preconditions: before Connect and Accept, or with null before aMemory ends. Thread safety: peer thread only.
+  void SetBounds(MemoryBudget* aMemory, int aSocketBufferBytes);
+
   /// Connects as the initiator, from aSourceIp unless that is empty; aExpectedId is empty when any
   /// instance may answer.
   ///
@@ -104,6 +111,7 @@
   void Establish();
   void Read();
   void ScheduleFlush();
+  void UpdateHeld();
   void Flush();
 
   boost::asio::ip::tcp::socket socket_;
@@ -119,6 +127,9 @@
   std::optional<FrameEncoder> encoder_;
   std::optional<FrameDecoder> decoder_;
   std::vector<LinkMessage> queue_;
+  std::size_t queuedBytes_ = 0;
+  std::optional<HeldMemory> held_;
+  int socketBufferBytes_ = 0;
   std::vector<LinkMessage> batch_;
   std::string output_;
   std::string handshakeBuffer_;
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -54,7 +54,13 @@
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
 }
 
-PeerService::~PeerService() = default;
+PeerService::~PeerService()
+{
+  // A handler may keep a link for longer than the budget lives.
+  for (const auto& [id, entry] : links_) {
+    entry.link_->SetBounds(nullptr, 0);
+  }
+}
 
 bool
 PeerService::Start()
@@ -147,6 +153,14 @@
 void
 PeerService::Adopt(asio::ip::tcp::socket aSocket)
 {
+  const auto inbound = std::count_if(links_.begin(), links_.end(), [](const auto& aEntry) {
+    return aEntry.second.link_->Inbound();
+  });
+  if (settings_.maxInboundLinks_ > 0 &&
+      static_cast<std::size_t>(inbound) >= settings_.maxInboundLinks_) {
+    linksRejected_.Add();
+    return;
+  }
   const auto id = nextLinkId_++;
   LinkObserver& observer = *this;
   auto link = std::make_shared<Link>(
@@ -155,6 +169,7 @@
     Handshake(Handshake::Side::Acceptor, settings_.self_, settings_.fleetKey_),
     clock_,
     observer);
+  link->SetBounds(settings_.memory_, settings_.socketBufferBytes_);
   links_[id].link_ = link;
   link->Accept();
 }
@@ -361,6 +376,7 @@
     Handshake(Handshake::Side::Initiator, settings_.self_, settings_.fleetKey_),
     clock_,
     observer);
+  link->SetBounds(settings_.memory_, settings_.socketBufferBytes_);
   links_[id].link_ = link;
   open.push_back(link);
   // Peers and firewalls recognise the instance by the address it is known under.
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -6,6 +6,7 @@
 #include "core/Counters.hpp"
 #include "core/DelayLog.hpp"
 #include "core/Mailbox.hpp"
+#include "core/MemoryBudget.hpp"
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
 #include "peer/Link.hpp"
@@ -49,6 +50,12 @@
   std::chrono::milliseconds progressTimeout_{ 600 };
   /// Silence of a link with open exchanges after which it is asked for a sign of life.
   std::chrono::milliseconds pingInterval_{ 200 };
+  /// Most links that other instances may open; 0: no limit.
+  std::size_t maxInboundLinks_ = 0;
+  /// What the system holds for each link in each direction; 0: as it does by itself.
+  int socketBufferBytes_ = 0;
+  /// Accounts for messages that wait on links, on the thread of the service; null: no limit.
+  MemoryBudget* memory_ = nullptr;
 };
 
 using CallReplyHook = std::function<void(std::string)>;
--- a/tests/unit/ctl/CommandLineTest.cpp
+++ b/tests/unit/ctl/CommandLineTest.cpp
@@ -96,6 +96,7 @@
     { "status", "--operator-token-file", "/nonexistent" },
     { "instance", "drain", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
     { "holds" },
+    { "memory" },
     { "holds", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
   };
   for (const auto& arguments : cases) {
--- a/tests/unit/intake/IntakeFixture.hpp
+++ b/tests/unit/intake/IntakeFixture.hpp
@@ -34,6 +34,7 @@
     auto revision = std::make_shared<ConfigurationRevision>();
     revision->revision_ = ++revisionNumber_;
     Configuration& configuration = revision->configuration_;
+    configuration.callerLimits_ = callerLimits_;
     configuration.workspaces_ = { { "desk", 100, 10, 3 } };
     if (aWithKey) {
       configuration.keys_ = { { "k1", "desk", ToHex(Sha256(kApiKey)) } };
@@ -103,6 +104,7 @@
           }
         },
         [this](const Workspace&, std::uint64_t aToken) { returnedTokens_.push_back(aToken); },
+        memoryBudget_,
       });
       BOOST_REQUIRE_EQUAL(service_->Start(), "");
     }
@@ -171,6 +173,8 @@
   Published<RoutingView> view_{ std::make_shared<RoutingView>() };
   CounterRegistry counters_;
   IntakeSettings settings_;
+  CallerLimits callerLimits_;
+  MemoryBudget* memoryBudget_ = nullptr;
   std::uint64_t revisionNumber_ = 0;
   std::string owner_ = "a";
   std::string successor_ = "b";
@@ -209,6 +213,13 @@
     }
   }
 
+  /// Sends what the connection takes at once, and ignores a connection that has ended.
+  void TrySend(std::string_view aBytes)
+  {
+    boost::system::error_code ignored;
+    socket_.write_some(boost::asio::buffer(aBytes), ignored);
+  }
+
   /// Sends a request head with Host, the API key and aExtra headers.
   void Request(const std::string& aLine, const std::string& aExtra = {}, const char* aBody = "")
   {
--- /dev/null
+++ b/tests/unit/intake/IntakeMemoryTest.cpp
@@ -0,0 +1,175 @@
+#include "IntakeFixture.hpp"
+
+#include <sstream>
+
+using namespace redwing;
+using namespace redwing::test;
+
+namespace {
+
+struct LimitedIntake : IntakeFixture
+{
+  LimitedIntake()
+  {
+    memoryBudget_ = &budget_;
+    settings_.closesIdleForNew_ = true;
+  }
+
+  // The service accounts for its connections until it ends.
+  ~LimitedIntake() { service_.reset(); }
+
+  void Limit(CallerLimits aLimits)
+  {
+    callerLimits_ = aLimits;
+    Publish();
+  }
+
+  std::uint64_t Actions(const std::string& aAction)
+  {
+    return counters_.GetCounter("redwing_memory_actions_total", "action=\"" + aAction + "\"")
+      .Value();
+  }
+
+  static constexpr std::size_t kMegabyte = 1024 * 1024;
+  MemoryBudget budget_{ 40 * kMegabyte, counters_ };
+};
+
+std::string
+Chunk(std::size_t aBytes)
+{
+  std::ostringstream text;
+  text << std::hex << aBytes << "\r\n" << std::string(aBytes, 'x') << "\r\n";
+  return text.str();
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(IntakeMemory, LimitedIntake)
+
+// Guards against bodies over the limit that are passed on, whether their length is stated or not.
+BOOST_AUTO_TEST_CASE(BodiesOverTheLimitGet413)
+{
+  Limit({ 0, 1000, {}, {} });
+  for (const bool announced : { true, false }) {
+    Caller caller(*this);
+    caller.Request("POST /upload/1",
+                   announced ? "Content-Length: 1001\r\n" : "Transfer-Encoding: chunked\r\n",
+                   announced ? "x" : Chunk(1001).c_str());
+    BOOST_TEST(Has(caller.ReadToEnd(), "HTTP/1.1 413 "));
+  }
+  BOOST_TEST(sent_.empty());
+  BOOST_TEST(Actions("body_too_large") == 2U);
+}
+
+// Guards against a 413, which says that a request never runs, for one that was passed on in part.
+BOOST_AUTO_TEST_CASE(ABodyOverTheLimitAfterItWasPassedOnIsReset)
+{
+  Limit({ 0, 100'000, {}, {} });
+  Caller caller(*this);
+  caller.Request("POST /upload/1", "Transfer-Encoding: chunked\r\n", Chunk(70'000).c_str());
+  const RequestStart request = NextSent();
+  BOOST_TEST(!request.last_);
+  caller.Send(Chunk(40'000));
+  const std::string text = caller.ReadToEnd();
+  BOOST_TEST(text.empty());
+  RunUntil([&] { return !EventsOf<RequestCancel>().empty(); });
+}
+
+// Guards against bodies that are held although their memory is taken, against a wait without end,
+// and against a refusal that does not say that the request did not run.
+BOOST_AUTO_TEST_CASE(ABodyWaitsForMemoryAndIsRefused)
+{
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() / 2);
+  Caller large(*this);
+  large.Request("POST /upload/1", "Content-Length: 60000\r\n", "x");
+  Caller small(*this);
+  small.Request("POST /upload/2", "Content-Length: 1\r\n", "x");
+  BOOST_TEST(NextSent().target_ == "/upload/2");
+  const std::string text = large.ReadToEnd();
+  BOOST_TEST(Has(text, "HTTP/1.1 503 "));
+  BOOST_TEST(Has(text, "Redwing-Outcome: not-run"));
+  BOOST_TEST(Actions("request_refused") == 1U);
+  BOOST_TEST(sent_.size() == 1U);
+}
+
+// Guards against a body that waits on although memory was given back.
+BOOST_AUTO_TEST_CASE(ABodyGoesOnOnceThereIsMemory)
+{
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() / 2);
+  Caller caller(*this);
+  caller.Request("POST /upload/1", "Content-Length: 60000\r\n", std::string(60000, 'x').c_str());
+  taken.Set(0);
+  BOOST_TEST(NextSent().body_.size() == 60000U);
+}
+
+// Guards against a body that stopped and keeps its memory from those that wait.
+BOOST_AUTO_TEST_CASE(AStalledBodyGivesWay)
+{
+  Caller stalled(*this);
+  stalled.Request("POST /upload/1", "Content-Length: 1000000\r\n", "x");
+  RunUntil([&] { return budget_.Held() > 500'000; });
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() / 2 - budget_.Held());
+  Caller waiting(*this);
+  waiting.Request("POST /upload/2", "Content-Length: 60000\r\n", std::string(60000, 'x').c_str());
+  BOOST_TEST(NextSent().target_ == "/upload/2");
+  BOOST_TEST(stalled.ReadToEnd().empty());
+  BOOST_TEST(Actions("stalled_body_closed") == 1U);
+}
+
+// Guards against responses that exceed the limit for callers who do not read them.
+BOOST_AUTO_TEST_CASE(TheConnectionThatHoldsMostIsClosed)
+{
+  Caller idle(*this);
+  Caller slow(*this);
+  slow.Request("GET /plant/1");
+  const RequestStart request = NextSent();
+  HeldMemory taken(budget_, MemoryHolder::PeerLinks);
+  taken.Set(budget_.Limit() * 9 / 10 - 100'000);
+  ResponseStart response;
+  response.status_ = 200;
+  response.body_ = std::string(900'000, 'x');
+  response.last_ = false;
+  Respond(request, response);
+  RunUntil([&] { return Actions("largest_holder_closed") == 1U; });
+  BOOST_TEST(!budget_.Exceeded());
+  idle.Request("GET /plant/2");
+  BOOST_TEST(NextSent().target_ == "/plant/2");
+}
+
+// Guards against silent connections that keep ordinary callers out.
+BOOST_AUTO_TEST_CASE(ASilentConnectionGivesWayToANewOne)
+{
+  settings_.maxConnections_ = 2;
+  Caller served(*this);
+  served.Request("GET /plant/1");
+  Answer(NextSent(), "first");
+  served.ReadPast("first");
+  Caller silent(*this);
+  RunUntil([&] { return counters_.GetGauge("redwing_caller_connections").Value() == 2; });
+  const auto later = std::chrono::steady_clock::now() + std::chrono::milliseconds(600);
+  RunUntil([&] { return std::chrono::steady_clock::now() > later; });
+  Caller other(*this);
+  other.Request("GET /plant/2");
+  BOOST_TEST(NextSent().target_ == "/plant/2");
+  BOOST_TEST(silent.ReadToEnd().empty());
+  served.Request("GET /plant/3");
+  BOOST_TEST(NextSent().target_ == "/plant/3");
+}
+
+// Guards against heads that never end and keep their connections by one more byte each moment.
+BOOST_AUTO_TEST_CASE(AHeadHasATimeLimitFromItsFirstByte)
+{
+  Limit({ 0, 0, std::chrono::milliseconds(300), {} });
+  Caller caller(*this);
+  caller.Send("GET /plant/1 HTTP/1.1\r\nX-More: ");
+  RunUntil([&] {
+    caller.TrySend("x");
+    return !caller.Take();
+  });
+  BOOST_TEST(Actions("timed_out") == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
