Account for heads and links, and bound what other instances hold

Change: a head reserves its memory or waits; buffers of links count from their begin; a fresh idle connection gives way to a body that waits; connections that hold less than 32 KiB are not closed for their bytes. Unit tests of links and of requests of other instances.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -265,6 +265,9 @@
     scanned_ = unread.size() < kEnd.size() ? 0 : unread.size() - kEnd.size() + 1;
     return false;
   }
+  if (!MayHoldHead(tooLarge ? 0 : end + kEnd.size())) {
+    return false;
+  }
   core_.RefreshView();
   scanned_ = 0;
   const std::size_t headBytes = tooLarge ? unread.size() : end + kEnd.size();
@@ -272,6 +275,7 @@
   headSince_ = core_.Now();
   CallerSlot& slot = *slots_.back();
   slot.first_ = std::exchange(fresh_, false);
+  slot.exchange_->HoldHead(headBytes * kHeadCopies);
   if (tooLarge) {
     RejectHead(slot, "the request head is too large");
     return false;
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -25,8 +25,8 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  /// Bytes that a connection holds at first, with its objects.
-  static constexpr std::size_t kFirstBytes = 8 * 1024;
+  /// Bytes that a connection holds without its buffer.
+  static constexpr std::size_t kFirstBytes = 4 * 1024;
 
   using OnClosed = std::function<void(CallerConnection&)>;
 
@@ -64,6 +64,8 @@
   friend class CallerSlot;
 
   static constexpr std::size_t kMaxBufferBytes = 32 * 1024;
+  /// A head is held as parsed, as sent to the serving instance and as received there.
+  static constexpr std::size_t kHeadCopies = 3;
 
   void Pump();
   bool Step();
@@ -87,6 +89,8 @@
   void OnRead(const boost::system::error_code& aError, std::size_t aBytes);
   bool MakeRoom();
   std::size_t MaxBufferBytes() const;
+  /// Returns whether a request with a head of aBytes may be held; otherwise the connection waits.
+  bool MayHoldHead(std::size_t aBytes);
   /// Returns whether the body that is being received may be held; otherwise the connection waits.
   bool MayHoldBody();
   void WaitForMemory();
--- a/src/intake/CallerConnectionMemory.cpp
+++ b/src/intake/CallerConnectionMemory.cpp
@@ -36,6 +36,20 @@
   return std::max(kMaxBufferBytes, core_.Bounds().headerBytes_);
 }
 
+bool
+CallerConnection::MayHoldHead(std::size_t aBytes)
+{
+  // A request that is served alone is never held up.
+  if (slots_.empty() && core_.ExchangeCount() == 0) {
+    return true;
+  }
+  if (core_.Memory().Fits(aBytes * kHeadCopies, MemoryUse::SmallRequest)) {
+    return true;
+  }
+  WaitForMemory();
+  return false;
+}
+
 bool
 CallerConnection::MayHoldBody()
 {
@@ -83,7 +97,7 @@
 {
   std::size_t bytes = held_.Bytes() + responses_.Bytes();
   for (const auto& slot : slots_) {
-    bytes += slot->exchange_->BodyBytesHeld();
+    bytes += slot->exchange_->BytesHeld();
   }
   return bytes;
 }
@@ -106,7 +120,7 @@
     GiveBack(inFlight_);
   }
   // A connection that is not read may be filled by its caller.
-  const std::size_t unread = reading_ ? 0 : kSystemBytes;
+  const std::size_t unread = reading_ || pumping_ ? 0 : kSystemBytes;
   held_.Set(kFirstBytes + buffer_.size() + unread);
   std::size_t responses = out_.capacity() + inFlight_.capacity() + (writing_ ? kSystemBytes : 0);
   for (const auto& slot : slots_) {
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -46,6 +46,7 @@
   , id_(aCore.NextExchangeId())
   , requestId_(aCore.NextRequestId())
   , arrived_(aArrived)
+  , headHeld_(aCore.Memory(), MemoryHolder::CallerConnections)
   , bodyHeld_(aCore.Memory(), MemoryHolder::RequestBodies)
 {
   core_.AddExchange(id_, *this);
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -67,10 +67,14 @@
   /// Returns whether more of the request body can be buffered.
   bool WantsBody() const;
 
+  /// Accounts for the head of the request.
+  void HoldHead(std::size_t aBytes) { headHeld_.Set(aBytes); }
+
   /// Reserves the memory that the body of the request may take, unless that was done before;
   /// returns false if it does not fit now.
   bool ReserveBody();
   std::size_t BodyBytesHeld() const { return bodyHeld_.Bytes(); }
+  std::size_t BytesHeld() const { return headHeld_.Bytes() + bodyHeld_.Bytes(); }
 
   /// Refuses a request whose body found no memory.
   void RefuseForMemory();
@@ -175,6 +179,7 @@
   /// Bytes of the body that have arrived.
   std::uint64_t bodyBytes_ = 0;
   bool bodyReserved_ = false;
+  HeldMemory headHeld_;
   HeldMemory bodyHeld_;
   std::string pending_;
   /// Bytes at the start of pending_ that were sent to the present attempt.
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -19,6 +19,8 @@
 /// A connection without a request is closed for another one only after this time, so that a caller
 /// that has just connected can send its request.
 constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(500);
+/// Closing connections that hold less frees too little for the callers that it costs.
+constexpr std::size_t kLeastClosed = 32 * 1024;
 constexpr Duration kLogInterval = std::chrono::seconds(1);
 
 } // namespace
@@ -82,12 +84,14 @@
     }
   }
   if (!waiting_.empty()) {
-    CloseStalledBody(now);
+    if (!CloseStalledBody(now)) {
+      CloseIdle(true);
+    }
     Arm();
   }
 }
 
-void
+bool
 MemoryGuard::CloseStalledBody(TimePoint aNow)
 {
   std::shared_ptr<CallerConnection> worst;
@@ -103,6 +107,7 @@
     Report(MemoryAction::StalledBodyClosed, "a body stopped while others wait for memory");
     worst->Close();
   }
+  return worst != nullptr;
 }
 
 void
@@ -116,9 +121,10 @@
       // Bytes times the time without a transfer: a large transfer that goes on is spared for longer
       // than a smaller one that stands still.
       const Duration silent = now - connection->LastTransfer() + std::chrono::milliseconds(1);
-      const double weight = static_cast<double>(connection->BytesHeld()) *
-                            std::chrono::duration<double>(silent).count();
-      if (weight > most) {
+      const std::size_t held = connection->BytesHeld();
+      const double weight =
+        static_cast<double>(held) * std::chrono::duration<double>(silent).count();
+      if (held >= kLeastClosed && weight > most) {
         most = weight;
         worst = std::move(connection);
       }
@@ -132,12 +138,13 @@
 }
 
 bool
-MemoryGuard::MakeWay()
+MemoryGuard::CloseIdle(bool aOnlyFresh)
 {
   const TimePoint now = core_.Now();
   std::shared_ptr<CallerConnection> oldest;
   for (auto& connection : connections_()) {
-    if (!connection->HasNoRequest() || now - connection->LastTransfer() < kIdleBeforeClose) {
+    if ((aOnlyFresh && !connection->IsFresh()) || !connection->HasNoRequest() ||
+        now - connection->LastTransfer() < kIdleBeforeClose) {
       continue;
     }
     const bool earlier = !oldest || (connection->IsFresh() && !oldest->IsFresh()) ||
@@ -150,7 +157,7 @@
   if (!oldest) {
     return false;
   }
-  Report(MemoryAction::IdleConnectionClosed, "no further connection can be held");
+  Report(MemoryAction::IdleConnectionClosed, "an idle connection gives way");
   oldest->Close();
   return true;
 }
--- a/src/intake/MemoryGuard.hpp
+++ b/src/intake/MemoryGuard.hpp
@@ -39,7 +39,7 @@
   /// sent a byte if there is one, and the one that was silent longest. Returns whether it did.
   ///
   /// Preconditions: none.
-  bool MakeWay();
+  bool MakeWay() { return CloseIdle(false); }
 
   /// Counts aAction, and writes a log line unless one was written within the last second.
   ///
@@ -49,8 +49,10 @@
 private:
   void Arm();
   void Resume();
-  /// Closes the connection that holds most of a body and sent nothing lately.
-  void CloseStalledBody(TimePoint aNow);
+  /// Closes the connection that holds most of a body and sent nothing lately; returns whether there
+  /// is one.
+  bool CloseStalledBody(TimePoint aNow);
+  bool CloseIdle(bool aOnlyFresh);
   void CloseLargest();
 
   IntakeCore& core_;
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -223,6 +223,7 @@
   state_ = LinkState::Established;
   lastReceived_ = clock_.Now();
   input_.resize(kReadBufferBytes);
+  UpdateHeld();
   observer_.OnEstablished(shared_from_this());
   Read();
   ScheduleFlush();
--- a/tests/unit/backend/BackendBench.hpp
+++ b/tests/unit/backend/BackendBench.hpp
@@ -48,7 +48,8 @@
   explicit Bench(FakeServer::Handler aHandler,
                  std::uint32_t aSlots = 4,
                  Replicate aReplicate = {},
-                 HttpProtocol aProtocol = {})
+                 HttpProtocol aProtocol = {},
+                 MemoryBudget* aMemory = nullptr)
     : server_([this, handler = std::move(aHandler)](const FakeRequest& aRequest) {
       if (aRequest.target_.starts_with("/redwing/")) {
         controlRequests_.Add(aRequest);
@@ -72,7 +73,9 @@
             }
           },
           std::move(aReplicate),
-          [this](const std::vector<QuarantineEntry>& aEntries) { quarantine_.Add(aEntries); } })
+          [this](const std::vector<QuarantineEntry>& aEntries) { quarantine_.Add(aEntries); },
+          {},
+          aMemory })
   {
     ConfigurationRevision revision;
     revision.revision_ = 5;
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -439,3 +439,30 @@
   BOOST_CHECK(ExpectRefusal(event).outcome_ == Outcome::NotRun);
   BOOST_TEST(bench.serverRequests_.Size() == 0U);
 }
+
+// Guards against requests of other instances that are taken although there is no memory for them,
+// and against a refusal that does not let the other instance try elsewhere.
+BOOST_AUTO_TEST_CASE(RequestsOfOtherInstancesNeedMemory)
+{
+  CounterRegistry counters;
+  MemoryBudget memory(40 * 1024 * 1024, counters);
+  Bench bench([](const FakeRequest&) { return FakeServer::Response{ FakeServer::Ok("ok") }; },
+              4,
+              {},
+              {},
+              &memory);
+  {
+    HeldMemory taken(memory, MemoryHolder::RequestBodies);
+    taken.Set(memory.Limit());
+    RequestStart start = bench.Make(1);
+    start.key_.linkId_ = 7;
+    const auto refusal = std::get<Refusal>(bench.Run(std::move(start)));
+    BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+    BOOST_TEST((refusal.code_ == ErrorCode::Overloaded));
+    // The callers of this instance are accounted for where their requests arrived.
+    BOOST_TEST(std::holds_alternative<ResponseStart>(bench.Run(bench.Make(2))));
+  }
+  RequestStart start = bench.Make(3);
+  start.key_.linkId_ = 7;
+  BOOST_TEST(std::holds_alternative<ResponseStart>(bench.Run(std::move(start))));
+}
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -25,13 +25,22 @@
 public:
   Node(std::string aId,
        std::string aFleetKey,
-       std::chrono::milliseconds aProgressTimeout = kNoStall)
+       std::chrono::milliseconds aProgressTimeout = kNoStall,
+       std::size_t aMaxInboundLinks = 0)
     : view_(std::make_shared<RoutingView>())
     , service_(context_,
                clock_,
                view_,
                counters_,
-               { { aId, 1 }, { "127.0.0.1", 0 }, std::move(aFleetKey), 1024, aProgressTimeout },
+               { { aId, 1 },
+                 { "127.0.0.1", 0 },
+                 std::move(aFleetKey),
+                 1024,
+                 aProgressTimeout,
+                 200ms,
+                 aMaxInboundLinks,
+                 0,
+                 &memory_ },
                { [this](RequestStart&& aStart) {
                   requests_.Add(std::move(aStart));
                   return accept_.load();
@@ -64,6 +73,7 @@
   asio::executor_work_guard<asio::io_context::executor_type> work_{ context_.get_executor() };
   SteadyClock clock_;
   CounterRegistry counters_;
+  MemoryBudget memory_{ 40 * 1024 * 1024, counters_ };
   Published<RoutingView> view_;
   std::atomic<bool> accept_{ true };
   Inbox<RequestStart> requests_;
@@ -215,6 +225,27 @@
   BOOST_TEST(a.counters_.GetCounter("redwing_peer_links_rejected_total").Value() == 1U);
 }
 
+// Guards against links that take the descriptors of the process, and against bytes on links that
+// nobody counts.
+BOOST_AUTO_TEST_CASE(LinksOfOtherInstancesAreBoundedAndCounted)
+{
+  Node serving("s", "key", kNoStall, 1);
+  Node first("a", "key");
+  Node second("b", "key");
+  for (Node* node : { &first, &second }) {
+    node->Knows("s", serving.service_.Port());
+  }
+  BOOST_REQUIRE(first.service_.TryStart("s", MakeStart(1)));
+  const RequestStart request = serving.requests_.Await(1).front();
+  BOOST_TEST(
+    serving.counters_.GetGauge("redwing_memory_held_bytes", "holder=\"peer_links\"").Value() > 0);
+  BOOST_REQUIRE(second.service_.TryStart("s", MakeStart(2)));
+  const auto refusal = std::get<Refusal>(second.responses_.Await(1).front());
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  serving.service_.Respond(MakeResponse(request));
+  BOOST_TEST(std::holds_alternative<ResponseStart>(first.responses_.Await(1).front()));
+}
+
 // Guards against a false "not run" when the link dies after a request was written, against
 // cancelling a non-idempotent request that runs, and against running one for nobody.
 BOOST_AUTO_TEST_CASE(LostLinkMakesWrittenRequestsUnknown)
