--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+/// Window of a response that begins while large bodies wait for memory.
+constexpr std::size_t kSmallWindowBytes = 64 * 1024;
 constexpr std::uint16_t kStatusTimeout = 408;
 constexpr std::uint16_t kStatusTooMany = 429;
 constexpr std::uint16_t kStatusUnavailable = 503;
@@ -121,6 +123,9 @@
   request->body_.append(aExchange->pendingBody_);
   request->last_ = aExchange->bodyComplete_;
   request->writeBy_ = rolloutGate_.PermittedUntil();
+  if (hooks_.memory_ != nullptr && !hooks_.memory_->Fits(kBodyWindowBytes, MemoryUse::LargeBody)) {
+    request->responseWindow_ = kSmallWindowBytes;
+  }
   aExchange->pendingBody_.clear();
   aExchange->phase_ = ServedPhase::Running;
   aExchange->dispatchedAt_ = now;
@@ -487,6 +492,7 @@
   if (aExchange->large_) {
     large_->OnEnded(start.key_);
   }
+  aExchange->held_.reset();
   exchanges_.erase(start.key_);
   CheckDrained();
   Pump();
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -57,6 +57,7 @@
   if (settings_.linkBitsPerSecond_ > 0) {
     large_ = std::make_unique<LargeResponses>(settings_.linkBitsPerSecond_, aCounters);
   }
+  pool_->SetBounds(settings_.maxServerConnections_, settings_.socketBufferBytes_);
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
   if (settings_.serverReportsState_) {
     monitor_ = std::make_unique<AnnouncedServer>(aContext);
@@ -77,6 +78,8 @@
   // outstanding.
   for (auto& [key, exchange] : exchanges_) {
     exchange->connection_.reset();
+    // A handler may keep the exchange for longer than the budget lives.
+    exchange->held_.reset();
   }
 }
 
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -4,6 +4,7 @@
 #include "admission/QuarantineRegistry.hpp"
 #include "config/Configuration.hpp"
 #include "core/Address.hpp"
+#include "core/MemoryBudget.hpp"
 #include "exchange/BackendAnnouncement.hpp"
 #include "exchange/Events.hpp"
 #include "exchange/HttpProtocol.hpp"
@@ -67,6 +68,9 @@
   bool trialsAnywhere_ = false;
   /// Bits per second of the machine's link, by which large answers are limited; 0: no limit.
   double linkBitsPerSecond_ = 0;
+  /// Most connections to the backend server, and what the system holds for each; 0: no bound.
+  std::size_t maxServerConnections_ = 0;
+  int socketBufferBytes_ = 0;
 };
 
 struct BackendHooks
@@ -83,6 +87,8 @@
   std::function<void(const std::vector<QuarantineEntry>&)> onQuarantine_{};
   /// Called when the backend server says in an answer that it leaves, with its name.
   std::function<void(const std::string& aServerId)> onServerLeaves_{};
+  /// Accounts for the requests of other instances, on the thread of the service; null: no limit.
+  MemoryBudget* memory_ = nullptr;
 };
 
 } // namespace redwing
--- a/src/ctl/ClusterCommands.hpp
+++ b/src/ctl/ClusterCommands.hpp
@@ -38,6 +38,10 @@
   /// otherwise what it was told, with the name of the leader.
   Exit Rollouts();
 
+  /// Shows the bytes that the one instance that is addressed holds for others, and how often it
+  /// refused or closed something to bound them, from its metrics.
+  Exit Memory();
+
 private:
   Session& session_;
 };
--- a/src/ctl/CommandLine.cpp
+++ b/src/ctl/CommandLine.cpp
@@ -289,6 +289,13 @@
              "Show share, counts by version and route, and why rollouts wait or went back; exactly "
              "one --instance must be given, of which the leader knows all figures",
              [](Session& aSession) { return ClusterCommands(aSession).Rollouts(); });
+  AddCommand(aApp,
+             options,
+             "memory",
+             "Show the bytes that the instance that --instance names holds for callers and other "
+             "instances, and how often it refused or closed something to bound them; exactly one "
+             "must be given",
+             [](Session& aSession) { return ClusterCommands(aSession).Memory(); });
   AddCommand(aApp, options, "status", "Show the state of the fleet", [](Session& aSession) {
     return ClusterCommands(aSession).Status();
   });
--- a/tests/integration/PlatformFleet.hpp
+++ b/tests/integration/PlatformFleet.hpp
@@ -47,6 +47,8 @@
   std::string program_ = REDWINGD_PLATFORM;
   int slots_ = 2;
   std::chrono::milliseconds grace_{ 6000 };
+  /// Limits of the machine in the settings of each instance; none if null.
+  nlohmann::json limits_{};
   /// Port of the backend server of each instance; 0 for one at an address of its own.
   std::vector<std::uint16_t> serverPorts_;
   /// Returns the state of a backend server; nothing while it is down and sends no heartbeats.
@@ -169,6 +171,7 @@
   boost::asio::io_context& Context() { return storeContext_; }
 
   bench::Process& Instance(int aInstance) { return *instances_[aInstance]; }
+  const bench::Process& Instance(int aInstance) const { return *instances_[aInstance]; }
 
 private:
   static constexpr std::uint16_t kPort = 23600;
@@ -222,6 +225,9 @@
                                   { "exposureSlack", settings_.exposureSlack_ },
                                   { "rollbackMs", settings_.rollbackTime_.count() } });
     }
+    if (!settings_.limits_.is_null()) {
+      settings["limits"] = settings_.limits_;
+    }
     return settings;
   }
 
--- a/tests/unit/backend/BackendBench.hpp
+++ b/tests/unit/backend/BackendBench.hpp
@@ -49,7 +49,8 @@
                  std::uint32_t aSlots = 4,
                  Replicate aReplicate = {},
                  HttpProtocol aProtocol = {},
-                 double aLinkBitsPerSecond = 0)
+                 double aLinkBitsPerSecond = 0,
+                 MemoryBudget* aMemory = nullptr)
     : server_([this, handler = std::move(aHandler)](const FakeRequest& aRequest) {
       if (aRequest.target_.starts_with("/redwing/")) {
         controlRequests_.Add(aRequest);
@@ -73,7 +74,9 @@
             }
           },
           std::move(aReplicate),
-          [this](const std::vector<QuarantineEntry>& aEntries) { quarantine_.Add(aEntries); } })
+          [this](const std::vector<QuarantineEntry>& aEntries) { quarantine_.Add(aEntries); },
+          {},
+          aMemory })
   {
     ConfigurationRevision revision;
     revision.revision_ = 5;
