Fix what the reviews of rollouts, link capacity and memory found gravest

- A closing without any target server left the service without servers; it is rolled back after 1.5 s.
- An order for the version that all servers run closed the service until the store had taken the end; it stays open.
- An order that was deleted before a leader began it closed its version for good; it is opened again.
- A caller that left while its large response waited to be sent left the exchange open on the links; it gets a last event.
- A body that the instance itself did not read, since its server was slow, was closed as stalled; only bodies that are read can stall.

--- a/src/backend/BackendLarge.cpp
+++ b/src/backend/BackendLarge.cpp
@@ -130,25 +130,41 @@
   }
   large_->Tick(aNow);
   for (const auto& [key, started] : large_->TakeExpired(aNow)) {
-    if (started) {
-      hooks_.sendResponse_(ResponseAbort{ key });
-      continue;
-    }
-    Refusal refusal;
-    refusal.key_ = key;
-    refusal.outcome_ = Outcome::Unknown;
-    refusal.code_ = ErrorCode::DeadlineExceeded;
-    refusal.detail_ = "link_full";
-    refusal.load_ = Load();
-    LogLine(LogLevel::Info, "dispatch_refused")
-      .With("exchange", key.exchangeId_)
-      .With("outcome", ToText(refusal.outcome_))
-      .With("code", ToText(refusal.code_))
-      .With("detail", refusal.detail_);
-    unknown_.Add();
-    hooks_.sendResponse_(std::move(refusal));
+    EndLarge(key, started, ErrorCode::DeadlineExceeded);
   }
   CheckDrained();
 }
 
+void
+BackendService::EndCancelledLarge(const ExchangeKey& aKey)
+{
+  // Its server is done with the request, but the response may still wait to be sent. Without a last
+  // event the links on the way would keep the exchange.
+  if (large_ && large_->Has(aKey)) {
+    EndLarge(aKey, large_->Drop(aKey), ErrorCode::Cancelled);
+  }
+}
+
+void
+BackendService::EndLarge(const ExchangeKey& aKey, bool aStarted, ErrorCode aCode)
+{
+  if (aStarted) {
+    hooks_.sendResponse_(ResponseAbort{ aKey });
+    return;
+  }
+  Refusal refusal;
+  refusal.key_ = aKey;
+  refusal.outcome_ = Outcome::Unknown;
+  refusal.code_ = aCode;
+  refusal.detail_ = "link_full";
+  refusal.load_ = Load();
+  LogLine(LogLevel::Info, "dispatch_refused")
+    .With("exchange", aKey.exchangeId_)
+    .With("outcome", ToText(refusal.outcome_))
+    .With("code", ToText(refusal.code_))
+    .With("detail", refusal.detail_);
+  unknown_.Add();
+  hooks_.sendResponse_(std::move(refusal));
+}
+
 } // namespace redwing
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -146,8 +146,7 @@
       const ExchangePtr exchange = it->second;
       std::holds_alternative<RequestRecall>(aEvent) ? OnRecall(exchange) : OnCancel(exchange);
     } else if (large_ && std::holds_alternative<RequestCancel>(aEvent)) {
-      // Its server is done with the request, but the response may still wait to be sent.
-      large_->Drop(KeyOf(aEvent));
+      EndCancelledLarge(KeyOf(aEvent));
     }
   });
   pumpHeld_ = false;
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -227,6 +227,10 @@
   void ScheduleLarge();
   void ReleaseLarge();
   void ExpireLarge(TimePoint aNow);
+  /// Ends a large response that waits after its caller has left.
+  void EndCancelledLarge(const ExchangeKey& aKey);
+  /// Sends the last event of a large response that is given up.
+  void EndLarge(const ExchangeKey& aKey, bool aStarted, ErrorCode aCode);
 
   // Rollouts, implemented in BackendRollouts.cpp.
   /// Returns whether the server may get one request more than aWaiting ones.
--- a/src/capacity/LargeResponses.hpp
+++ b/src/capacity/LargeResponses.hpp
@@ -73,6 +73,11 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnEnded(const ExchangeKey& aKey);
 
+  /// Returns whether a response waits or may still come.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool Has(const ExchangeKey& aKey) const { return open_.contains(aKey); }
+
   /// Forgets a response and discards what waits of it; returns whether its head was sent.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/src/fleet/FleetRollouts.cpp
+++ b/src/fleet/FleetRollouts.cpp
@@ -66,6 +66,7 @@
     return;
   }
   rolloutOrders_ = std::move(aOrders);
+  ForgetDeletedOrders();
   coordinator_.SetOrders(rolloutOrders_, clock_.Now());
   nextRolloutStep_ = {};
   ReadRolloutRecords();
@@ -76,6 +77,33 @@
   }
 }
 
+void
+FleetService::ForgetDeletedOrders()
+{
+  const auto isOrdered = [this](const std::string& aService) {
+    return std::any_of(rolloutOrders_.begin(), rolloutOrders_.end(), [&](const auto& aOrder) {
+      return aOrder.service_ == aService;
+    });
+  };
+  for (auto known = rollouts_.begin(); known != rollouts_.end();) {
+    // An order that no leader has begun leaves no record, and nobody else opens its version again.
+    const bool begun = known->second.toldAt_ ||
+                       session_.All().contains(session_.RolloutsPrefix() + known->first) ||
+                       known->second.directive_.phase_ != RolloutPhase::Waiting;
+    if (begun || isOrdered(known->first)) {
+      ++known;
+      continue;
+    }
+    RolloutDirective opened = known->second.directive_;
+    opened.phase_ = RolloutPhase::Completed;
+    if (opened.service_ == settings_.self_.service_ && opened.targetVersion_ == serverVersion_) {
+      DirectLocalServer(opened, TimePoint{});
+    }
+    viewDirty_ = true;
+    known = rollouts_.erase(known);
+  }
+}
+
 std::vector<RolloutRecord>
 FleetService::RolloutRecords()
 {
@@ -110,7 +138,7 @@
     const bool other = known == rollouts_.end() ||
                        (known->second.directive_.targetVersion_ != order.targetVersion_ &&
                         !Runs(known->second.directive_.phase_));
-    if (other) {
+    if (other && !AllServersRun(order)) {
       RolloutDirective directive;
       directive.service_ = order.service_;
       directive.targetVersion_ = order.targetVersion_;
@@ -126,6 +154,23 @@
   }
 }
 
+bool
+FleetService::AllServersRun(const RolloutOrder& aOrder) const
+{
+  bool any = false;
+  for (const auto& [key, known] : members_) {
+    const Member& member = known.record_.member_;
+    if (member.service_ != aOrder.service_) {
+      continue;
+    }
+    if (member.version_ != aOrder.targetVersion_) {
+      return false;
+    }
+    any = true;
+  }
+  return any;
+}
+
 void
 FleetService::AdoptDirective(const RolloutDirective& aDirective, TimePoint aSentAt, bool aTold)
 {
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -269,7 +269,12 @@
   // Rollouts (FleetRollouts.cpp).
   void UpdateRollouts(TimePoint aNow);
   void NoteVersions(TimePoint aNow);
+  /// Opens versions whose order was deleted before a leader began its rollout.
+  void ForgetDeletedOrders();
   void ReadRolloutRecords();
+  /// Returns whether all known servers of the service run the ordered version, so that it must not
+  /// be closed until the leader answers.
+  bool AllServersRun(const RolloutOrder& aOrder) const;
   std::vector<RolloutRecord> RolloutRecords();
   void BeginRollouts(TimePoint aNow);
   void LeadRollouts(TimePoint aNow);
--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -19,6 +19,8 @@
 /// The same while old servers are closed and don't take over: longer than a change of leader takes.
 constexpr milliseconds kClosingLease{ 6000 };
 constexpr milliseconds kReportInterval{ 500 };
+/// Two reports of a target server may be lost before a closing without any is rolled back.
+constexpr milliseconds kClosingWithoutTargets{ 1500 };
 /// Time without a report after which a server is not used as a target: three reports.
 constexpr milliseconds kReportLimit{ 1500 };
 
@@ -198,6 +200,11 @@
   }
   gathered_ = true;
   const std::vector<std::string> usable = UsableTargets(aNow);
+  if (ClosesWithoutTargets(usable, aNow)) {
+    RollBack("no_server");
+    LogStep(aNow);
+    return;
+  }
   Apply(decider_->Next(InputAt(aNow, usable)), usable);
   if (phase_ == RolloutPhase::Closing && !closingAnnounced_) {
     closingAnnounced_ = PermittedForClosing();
@@ -205,12 +212,24 @@
   LogStep(aNow);
 }
 
+bool
+ServiceRollout::ClosesWithoutTargets(const std::vector<std::string>& aUsable, TimePoint aNow)
+{
+  if (phase_ != RolloutPhase::Closing || !aUsable.empty()) {
+    targetsLostAt_.reset();
+    return false;
+  }
+  targetsLostAt_ = targetsLostAt_.value_or(aNow);
+  return aNow - *targetsLostAt_ >= kClosingWithoutTargets;
+}
+
 bool
 ServiceRollout::PermittedForClosing() const
 {
-  return std::all_of(targets_.begin(), targets_.end(), [this](const std::string& aId) {
-    return closingPermitted_.contains(aId);
-  });
+  return !targets_.empty() &&
+         std::all_of(targets_.begin(), targets_.end(), [this](const std::string& aId) {
+           return closingPermitted_.contains(aId);
+         });
 }
 
 void
@@ -354,6 +373,11 @@
   const bool prepares = phase_ == RolloutPhase::Closing && !closingAnnounced_;
   directive.phase_ = prepares ? RolloutPhase::Ramp : phase_;
   directive.share_ = decision_.share_;
+  if (phase_ == RolloutPhase::Waiting && wanted_.phase_ == RolloutPhase::Completed) {
+    // All servers run the version already; they must not wait for the store.
+    directive.phase_ = RolloutPhase::Completed;
+    directive.share_ = 1;
+  }
   directive.targets_ = targets_;
   directive.closedVersions_ = ClosedVersions();
   return directive;
--- a/src/fleet/ServiceRollout.hpp
+++ b/src/fleet/ServiceRollout.hpp
@@ -131,6 +131,8 @@
   bool AllReported() const;
   bool OldClosed() const;
   bool PermittedForClosing() const;
+  /// Returns whether a closing must be given up, since no server is left to take the requests.
+  bool ClosesWithoutTargets(const std::vector<std::string>& aUsable, TimePoint aNow);
   bool WasCold(const std::string& aInstanceId, TimePoint aNow) const;
   std::vector<std::string> UsableTargets(TimePoint aNow) const;
   RolloutInput InputAt(TimePoint aNow, const std::vector<std::string>& aUsable) const;
@@ -162,6 +164,8 @@
   std::map<std::string, TimePoint> seenAt_;
   /// Target servers that were given a permission for the closing.
   std::set<std::string> closingPermitted_;
+  /// Since when a closing has had no target server that takes requests.
+  std::optional<TimePoint> targetsLostAt_;
   bool closingAnnounced_ = false;
   std::string logged_;
 };
--- a/src/intake/CallerConnectionMemory.cpp
+++ b/src/intake/CallerConnectionMemory.cpp
@@ -105,7 +105,10 @@
 std::size_t
 CallerConnection::BodyBytesHeld() const
 {
-  return slots_.empty() || slots_.back()->bodyDone_ ? 0 : slots_.back()->exchange_->BodyBytesHeld();
+  // A body that waits for its server is not read, so its caller has not stopped.
+  const bool comes =
+    !slots_.empty() && !slots_.back()->bodyDone_ && slots_.back()->exchange_->WantsBody();
+  return comes ? slots_.back()->exchange_->BodyBytesHeld() : 0;
 }
 
 void
--- a/tests/unit/backend/LargeAnswersTest.cpp
+++ b/tests/unit/backend/LargeAnswersTest.cpp
@@ -134,6 +134,13 @@
   BOOST_REQUIRE(bench_.service_.TryStart(Make(1, "/large", 5s)));
   bench_.responses_.Await(1);
   bench_.service_.Handle(RequestCancel{ { kLocalLink, 1 } });
+  // The links on the way keep the exchange until its last event.
+  bench_.responses_.AwaitUntil([](const auto& aEvents) {
+    return std::any_of(aEvents.begin(), aEvents.end(), [](const ResponseEvent& aEvent) {
+      return KeyOf(aEvent).exchangeId_ == 1 && (std::holds_alternative<ResponseAbort>(aEvent) ||
+                                                std::holds_alternative<Refusal>(aEvent));
+    });
+  });
   const auto begin = bench_.clock_.Now();
   BOOST_REQUIRE(bench_.service_.TryStart(Make(2, "/large", 5s)));
   bench_.responses_.Await(3);
--- a/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
@@ -343,6 +343,7 @@
   Order("v1", 10, 5s);
   Run(100ms);
   BOOST_TEST(Stored() == RolloutPhase::Completed);
+  BOOST_TEST(leader_->Find(kService)->Announced().phase_ == RolloutPhase::Completed);
   Order("v2", 11, 5s);
   Run(4900ms);
   BOOST_TEST(Stored() == RolloutPhase::Waiting);
@@ -350,6 +351,22 @@
   BOOST_TEST(Stored() == RolloutPhase::RolledBack);
 }
 
+// Guards against a service without any server: the old ones are closed, and those of the target
+// version are lost before the rollout is complete.
+BOOST_AUTO_TEST_CASE(ClosingWithoutTargetsRollsBack)
+{
+  Order("v2", 10, 30s);
+  AddTargets();
+  BOOST_REQUIRE(RunToPhase(RolloutPhase::Closing));
+  for (const char* id : { "xv2", "yv2" }) {
+    At(id).member_ = false;
+    At(id).cut_ = true;
+  }
+  Run(8s);
+  BOOST_TEST(Stored() == RolloutPhase::RolledBack);
+  BOOST_TEST(leader_->Find(kService)->Announced().phase_ == RolloutPhase::RolledBack);
+}
+
 // Guards against a rollout that a store restored from an older copy makes begin again.
 BOOST_DATA_TEST_CASE(ARestoredStoreRevertsNoCompletion,
                      boost::unit_test::data::make({ false, true }),
