--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -251,8 +251,9 @@
   if (ends && phase_ != RolloutPhase::Closing) {
     Want(RolloutPhase::Closing);
   } else if (next == RolloutPhase::Completed) {
-    // Whatever the decider says: no old server may be cut off while it runs requests.
-    if (OldClosed()) {
+    // Whatever the decider says: no old server may be cut off while it runs requests, or while
+    // nothing could take its place.
+    if (OldClosed() && !aUsable.empty()) {
       wanted_.reason_ = aDecision.reason_;
       Want(RolloutPhase::Completed);
     }
--- a/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutCoordinatorTest.cpp
@@ -355,6 +355,7 @@
 // version are lost before the rollout is complete.
 BOOST_AUTO_TEST_CASE(ClosingWithoutTargetsRollsBack)
 {
+  judged_ = true;
   Order("v2", 10, 30s);
   AddTargets();
   BOOST_REQUIRE(RunToPhase(RolloutPhase::Closing));
