--- a/src/fleet/FleetRolloutViews.cpp
+++ b/src/fleet/FleetRolloutViews.cpp
@@ -123,11 +123,11 @@
       candidate.intake_ = target ? ShardIntake::Frozen : ShardIntake::Fair;
     } else if (whole) {
       candidate.accepts_ = candidate.accepts_ && target;
-    } else if (target && used) {
-      candidate.intake_ = ShardIntake::Limited;
-      candidate.limit_ = directive.share_ / static_cast<double>(directive.targets_.size());
     } else if (target) {
-      candidate.accepts_ = false;
+      candidate.accepts_ = candidate.accepts_ && used;
+      candidate.intake_ = ShardIntake::Limited;
+      candidate.limit_ =
+        directive.share_ / static_cast<double>(std::max<std::size_t>(1, directive.targets_.size()));
     }
   }
 }
--- a/src/fleet/FleetService.cpp
+++ b/src/fleet/FleetService.cpp
@@ -422,33 +422,38 @@
 void
 FleetService::OnCall(const std::string& aPayload, const CallReply& aReply)
 {
-  // An empty call is a reachability probe.
   FleetRequest request;
-  if (aPayload.empty()) {
-    aReply({});
-  } else if (!ReadWire(aPayload, request)) {
+  if (!aPayload.empty() && !ReadWire(aPayload, request)) {
     LogLine(LogLevel::Warning, "fleet_request_invalid").With("bytes", aPayload.size());
     aReply({});
-  } else if (const auto* notice = std::get_if<TableNotice>(&request)) {
-    OnTable(*notice);
-    aReply({});
-  } else if (const auto* renewal = std::get_if<LeaseRenewal>(&request)) {
+    return;
+  }
+  // An empty call is a reachability probe; the request that was not read is a default FleetReport.
+  if (const auto* renewal = std::get_if<LeaseRenewal>(&request)) {
     RenewForPeer(*renewal, aReply);
-  } else if (const auto* quarantine = std::get_if<QuarantineNotice>(&request)) {
-    OnQuarantine(*quarantine);
-    aReply({});
-  } else if (const auto* report = std::get_if<FleetReport>(&request)) {
+  } else if (const auto* report = std::get_if<FleetReport>(&request);
+             report != nullptr && !aPayload.empty()) {
     aReply(WriteWire(OnReport(*report)));
   } else if (const auto* rolloutReport = std::get_if<RolloutReport>(&request)) {
     aReply(WriteWire(coordinator_.OnReport(*rolloutReport, clock_.Now())));
-  } else if (const auto* rolloutNotice = std::get_if<RolloutNotice>(&request)) {
-    OnRolloutNotice(*rolloutNotice);
-    aReply({});
   } else {
+    OnNotice(request);
     aReply({});
   }
 }
 
+void
+FleetService::OnNotice(const FleetRequest& aRequest)
+{
+  if (const auto* table = std::get_if<TableNotice>(&aRequest)) {
+    OnTable(*table);
+  } else if (const auto* quarantine = std::get_if<QuarantineNotice>(&aRequest)) {
+    OnQuarantine(*quarantine);
+  } else if (const auto* rollout = std::get_if<RolloutNotice>(&aRequest)) {
+    OnRolloutNotice(*rollout);
+  }
+}
+
 void
 FleetService::BeginLeave()
 {
--- a/src/fleet/FleetService.hpp
+++ b/src/fleet/FleetService.hpp
@@ -249,6 +249,8 @@
   bool InContactWithLeader(TimePoint aNow) const;
   std::set<std::string> MemberIds() const;
   FleetReply OnReport(const FleetReport& aReport);
+  /// Takes a message that needs no answer.
+  void OnNotice(const FleetRequest& aRequest);
   void OnTable(const TableNotice& aNotice);
   void ApplyChanges(const TableNotice& aNotice);
   void BroadcastNotice(const TableNotice& aNotice);
