Cross the exposure bound only after the verdict "good"

Cause: in the last 1.9 s of a rollout RolloutRamp went on to the closing without a verdict if nothing pointed against the target. Reports that are missing or late, in a failure, leave no evidence either way, so that a bad version could get all traffic. Change: the verdict is needed, except for a service whose requests are all within the slack. The judge counts the last complete slice toward "enough", since evidence against the target covers it as well; the verdict comes one slice earlier.

--- a/src/rollout/RolloutJudge.cpp
+++ b/src/rollout/RolloutJudge.cpp
@@ -288,7 +288,7 @@
   double target = 0;
   double old = 0;
   for (const Route& route : routes_) {
-    const ComparisonSums sums = route.closed_.empty() ? ComparisonSums{} : route.closed_.back()[0];
+    const ComparisonSums sums = Known(route);
     target += sums.targetRequests_ + route.earlierTarget_.requests_;
     old += sums.oldRequests_ + route.earlierOld_.requests_;
   }
@@ -296,13 +296,20 @@
     return false;
   }
   return std::all_of(routes_.begin(), routes_.end(), [&](const Route& aRoute) {
-    const ComparisonSums sums =
-      aRoute.closed_.empty() ? ComparisonSums{} : aRoute.closed_.back()[0];
+    const ComparisonSums sums = Known(aRoute);
     return sums.oldRequests_ + aRoute.earlierOld_.requests_ < settings_.goodRouteShare_ * old ||
            sums.targetRequests_ + aRoute.earlierTarget_.requests_ >= settings_.goodRouteRequests_;
   });
 }
 
+ComparisonSums
+RolloutJudge::Known(const Route& aRoute) const
+{
+  ComparisonSums sums = aRoute.closed_.empty() ? ComparisonSums{} : aRoute.closed_.back()[0];
+  sums += Compare(aRoute, latest_ - 1, 0);
+  return sums;
+}
+
 Judgement
 RolloutJudge::Evaluate(TimePoint aNow) const
 {
--- a/src/rollout/RolloutJudge.hpp
+++ b/src/rollout/RolloutJudge.hpp
@@ -165,6 +165,9 @@
   void ExamineWhole(Evidence aEvidence, const Route* aRoute, Finding& aFinding) const;
   void ExamineEarlier(const Route& aRoute, Finding& aFinding) const;
   bool HasEnough() const;
+  /// Returns the sums over the closed slices and the last complete one, which evidence against the
+  /// target covers as well (Recent).
+  Detail::ComparisonSums Known(const Route& aRoute) const;
   Judgement Conclude(const Finding& aFinding) const;
 
   RolloutJudgeSettings settings_;
--- a/src/rollout/RolloutRamp.cpp
+++ b/src/rollout/RolloutRamp.cpp
@@ -225,10 +225,16 @@
     return true;
   }
   reason_ = judgement.verdict_ == RolloutVerdict::Good ? "" : "evidence";
-  // Without any evidence only a service whose requests are all within the slack goes on.
-  const bool any = judgement.target_.requests_ > 0 ||
-                   static_cast<double>(aSituation.serviceRequests_) < bounds_.exposureSlack_;
-  return aSituation.now_ >= lastClosing_ && any;
+  return aSituation.now_ >= lastClosing_ && IsWithinSlack(aSituation);
+}
+
+bool
+RolloutRamp::IsWithinSlack(const RolloutSituation& aSituation) const
+{
+  const double rest = std::max(0.0, Seconds(end_ - aSituation.now_));
+  return static_cast<double>(aSituation.serviceRequests_) +
+           kLimitMargin * aSituation.requestsPerSecond_ * rest <=
+         bounds_.exposureSlack_;
 }
 
 void
--- a/src/rollout/RolloutRamp.hpp
+++ b/src/rollout/RolloutRamp.hpp
@@ -53,7 +53,7 @@
 
 /// Plans phases, shares and limits of one rollout. A bad version stays under the bound until the
 /// rollout crosses it, which it does as late as the duration allows, and only after the judge found
-/// the version good or the time is used up without evidence against it.
+/// the version good.
 class RolloutRamp
 {
 public:
@@ -93,6 +93,9 @@
   void AdvanceCanary(const RolloutSituation& aSituation);
   void AdvanceRamp(const RolloutSituation& aSituation);
   bool MayCross(const RolloutSituation& aSituation);
+  /// Returns whether all requests of the service up to the end are within the slack of the exposure
+  /// bound. Such a service needs no verdict, which its few requests could not give.
+  bool IsWithinSlack(const RolloutSituation& aSituation) const;
   void Enter(RolloutPhase aPhase, TimePoint aNow, std::string_view aReason = {});
   RolloutStep CanaryStep(const RolloutSituation& aSituation) const;
   RolloutStep BoundedStep(const RolloutSituation& aSituation) const;
--- a/tests/unit/rollout/RolloutRampTest.cpp
+++ b/tests/unit/rollout/RolloutRampTest.cpp
@@ -118,6 +118,33 @@
   BOOST_CHECK(ramp.Next(closed).phase_ == RolloutPhase::Completed);
 }
 
+// Guards against a bad version that gets all traffic because nothing is known of it at the end.
+BOOST_AUTO_TEST_CASE(TheBoundIsNotCrossedWithoutEvidence)
+{
+  RolloutRamp ramp(kBounds, kOrder, At(0));
+  for (int ms = 0; ms <= 20'000; ms += 250) {
+    const RolloutStep step = ramp.Next(Situation(ms, RolloutVerdict::Undecided));
+    BOOST_REQUIRE(step.phase_ != RolloutPhase::Closing);
+  }
+  const RolloutStep last = ramp.Next(Situation(20'000, RolloutVerdict::Undecided));
+  BOOST_CHECK(last.phase_ == RolloutPhase::RolledBack);
+  BOOST_CHECK_EQUAL(last.reason_, "evidence");
+}
+
+// Guards against a service with too few requests for a verdict that never gets a new version.
+BOOST_AUTO_TEST_CASE(FewRequestsNeedNoEvidence)
+{
+  RolloutRamp ramp(kBounds, kOrder, At(0));
+  RolloutStep step;
+  for (int ms = 0; ms < 20'000; ms += 250) {
+    RolloutSituation situation = Situation(ms, RolloutVerdict::Undecided);
+    situation.serviceRequests_ = static_cast<std::uint64_t>(ms) / 1000;
+    situation.requestsPerSecond_ = 1;
+    step = ramp.Next(situation);
+  }
+  BOOST_CHECK(step.phase_ == RolloutPhase::Closing);
+}
+
 // Guards against a canary that gives cold servers more than they can handle.
 BOOST_AUTO_TEST_CASE(ColdServersGetLittle)
 {
