Count each request of a rollout once, also after failures

Cause: RolloutUsage took a lower number of arrivals for a restart, although a request of which nothing was written is taken back, and a report may arrive after a later one; it then counted everything of the server again. An instance whose member record ended for a moment was counted again too. A target server that was lost was charged only while its permission of 1.5 s ran, and its member record lasts longer. The first reports to a new leader entered the judge as present counts if the time of day had been set back. A new leader announced a recorded closing before target servers had the permissions that it relies on. Change: only another incarnation or version is a restart; older reports are ignored; entries of instances that are gone are kept, and charged whenever the permission ended after the last report; totals for a new leader are always earlier counts; the closing is announced after a change of leader if an old server was closed already, or once the targets are permitted.

--- a/src/fleet/RolloutUsage.cpp
+++ b/src/fleet/RolloutUsage.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace redwing {
 
@@ -27,12 +28,33 @@
   return aLeft > aRight ? aLeft - aRight : 0;
 }
 
-/// Returns aCounts less aBefore; aCounts itself if they have started again.
+const RouteCounts*
+FindRoute(const ServerCounts& aCounts, const std::string& aRoute)
+{
+  const auto found =
+    std::find_if(aCounts.routes_.begin(), aCounts.routes_.end(), [&](const RouteCounts& aEntry) {
+      return aEntry.route_ == aRoute;
+    });
+  return found == aCounts.routes_.end() ? nullptr : &*found;
+}
+
+/// Returns whether aCounts were taken before aLater, of the same process and version. Arrivals do
+/// not tell, because a request of which nothing was written is taken back.
+bool
+IsOlder(const ServerCounts& aCounts, const ServerCounts& aLater)
+{
+  return std::any_of(aLater.routes_.begin(), aLater.routes_.end(), [&](const RouteCounts& aRoute) {
+    const RouteCounts* counts = FindRoute(aCounts, aRoute.route_);
+    return counts == nullptr || counts->requests_ < aRoute.requests_ ||
+           counts->failures_ < aRoute.failures_;
+  });
+}
+
+/// Returns aCounts less aBefore, which may be null.
 RouteCounts
 Difference(const RouteCounts& aCounts, const RouteCounts* aBefore)
 {
-  if (aBefore == nullptr || aBefore->requests_ > aCounts.requests_ ||
-      aBefore->failures_ > aCounts.failures_) {
+  if (aBefore == nullptr) {
     return aCounts;
   }
   RouteCounts difference = aCounts;
@@ -53,20 +75,30 @@
   const ServerCounts& counts = aReport.counts_;
   const auto [found, first] = entries_.try_emplace(aReport.instanceId_);
   Entry& entry = found->second;
-  const bool earlier = aNow - (first ? orderedAt_ : entry.reportedAt_) > kReportGap;
+  const bool earlier = aNow - (first ? countedFrom_ : entry.reportedAt_) > kReportGap;
   if (!first && entry.incarnation_ > aReport.incarnation_) {
     // A report of an ended process that was delayed.
     return;
   }
-  if (!first &&
-      (entry.incarnation_ != aReport.incarnation_ || entry.counts_.arrivals_ > counts.arrivals_)) {
-    Charge(entry, aNow);
+  const bool sameServer =
+    entry.incarnation_ == aReport.incarnation_ && entry.counts_.version_ == counts.version_;
+  if (!first && sameServer && IsOlder(counts, entry.counts_)) {
+    return;
+  }
+  if (!first && !sameServer) {
+    Charge(entry);
     entry = {};
   }
-  const std::uint64_t arrived = counts.arrivals_ - entry.counts_.arrivals_;
+  // Its counts tell what the server got while it was thought to be gone.
+  targetRequests_ -= std::exchange(entry.charged_, 0);
+  const std::uint64_t before = entry.counts_.arrivals_;
+  const std::uint64_t arrived = SaturatedSubtract(counts.arrivals_, before);
+  const std::uint64_t takenBack = SaturatedSubtract(before, counts.arrivals_);
   serviceRequests_ += arrived;
+  serviceRequests_ -= takenBack;
   if (counts.version_ == targetVersion_) {
     targetRequests_ += arrived;
+    targetRequests_ -= takenBack;
   }
   if (!first) {
     followed_ += arrived;
@@ -79,6 +111,7 @@
   entry.incarnation_ = aReport.incarnation_;
   entry.counts_ = counts;
   entry.reportedAt_ = aNow;
+  entry.present_ = true;
 }
 
 void
@@ -90,12 +123,7 @@
   const RolloutSide side =
     aCounts.version_ == targetVersion_ ? RolloutSide::Target : RolloutSide::Old;
   for (const RouteCounts& route : aCounts.routes_) {
-    const auto before =
-      std::find_if(aBefore.routes_.begin(), aBefore.routes_.end(), [&](const RouteCounts& aRoute) {
-        return aRoute.route_ == route.route_;
-      });
-    const RouteCounts delta =
-      Difference(route, before == aBefore.routes_.end() ? nullptr : &*before);
+    const RouteCounts delta = Difference(route, FindRoute(aBefore, route.route_));
     if (delta.requests_ == 0 && delta.failures_ == 0) {
       continue;
     }
@@ -111,24 +139,26 @@
 }
 
 void
-RolloutUsage::Charge(const Entry& aEntry, TimePoint aNow)
+RolloutUsage::Charge(Entry& aEntry)
 {
-  if (aEntry.bounded_ && aNow < aEntry.permittedUntil_) {
-    targetRequests_ =
-      SaturatedAdd(targetRequests_, SaturatedSubtract(aEntry.limit_, aEntry.counts_.arrivals_));
+  if (aEntry.charged_ > 0 || !aEntry.bounded_ || aEntry.permittedUntil_ <= aEntry.reportedAt_) {
+    return;
   }
+  const std::uint64_t most = std::numeric_limits<std::uint64_t>::max() - targetRequests_;
+  aEntry.charged_ = std::min(most, SaturatedSubtract(aEntry.limit_, aEntry.counts_.arrivals_));
+  targetRequests_ += aEntry.charged_;
 }
 
 void
-RolloutUsage::Keep(const std::set<std::string>& aMembers, TimePoint aNow)
+RolloutUsage::Keep(const std::set<std::string>& aMembers)
 {
-  std::erase_if(entries_, [&](const auto& aEntry) {
-    if (aMembers.contains(aEntry.first)) {
-      return false;
+  for (auto& [id, entry] : entries_) {
+    if (entry.present_ && !aMembers.contains(id)) {
+      // A member record outlasts the permissions of a server that is lost, so that they have ended.
+      Charge(entry);
+      entry.present_ = false;
     }
-    Charge(aEntry.second, aNow);
-    return true;
-  });
+  }
 }
 
 std::uint64_t
@@ -142,7 +172,7 @@
   // Requests that other servers may get by permissions that still run count as if they had come.
   std::uint64_t others = 0;
   for (const auto& [id, entry] : entries_) {
-    if (id != aInstanceId && aNow < entry.permittedUntil_) {
+    if (id != aInstanceId && entry.present_ && aNow < entry.permittedUntil_) {
       others = SaturatedAdd(others, SaturatedSubtract(entry.limit_, entry.counts_.arrivals_));
     }
   }
@@ -170,7 +200,7 @@
 RolloutUsage::Find(const std::string& aInstanceId) const
 {
   const auto found = entries_.find(aInstanceId);
-  return found == entries_.end() ? nullptr : &found->second;
+  return found == entries_.end() || !found->second.present_ ? nullptr : &found->second;
 }
 
 double
--- a/src/fleet/RolloutUsage.hpp
+++ b/src/fleet/RolloutUsage.hpp
@@ -31,15 +31,21 @@
     TimePoint permittedUntil_{};
     /// The limit was given before the closing, while the total was bounded.
     bool bounded_ = false;
+    /// The instance is a member and has reported since it became one.
+    bool present_ = false;
+    /// Requests that were counted for the target version without a report, because the instance is
+    /// gone and its server may have got them.
+    std::uint64_t charged_ = 0;
   };
 
   /// Takes what a server did since its last report, or in an earlier or longer time.
   using Sink = std::function<void(RolloutSide aSide, const RouteCounts& aDelta, bool aEarlier)>;
 
-  /// aOrderedAt is the time from which the first reports count.
-  RolloutUsage(std::string aTargetVersion, TimePoint aOrderedAt)
+  /// aCountedFrom is the time from which the first reports count; the start of time if they may
+  /// hold counts of any age, because an earlier leader got the reports before them.
+  RolloutUsage(std::string aTargetVersion, TimePoint aCountedFrom)
     : targetVersion_(std::move(aTargetVersion))
-    , orderedAt_(aOrderedAt)
+    , countedFrom_(aCountedFrom)
   {
   }
 
@@ -49,8 +55,9 @@
   /// thread-safe, like all functions here.
   void OnReport(const RolloutReport& aReport, TimePoint aNow, const Sink& aSink);
 
-  /// Drops the instances that are not in aMembers; what they did stays counted.
-  void Keep(const std::set<std::string>& aMembers, TimePoint aNow);
+  /// Records which instances are members. What the others did stays counted, together with what
+  /// they may have done since their last reports.
+  void Keep(const std::set<std::string>& aMembers);
 
   /// Returns the number of requests that the server of aInstanceId may have got since the order if
   /// aTotal is the bound for all target servers, of which aServers are in use.
@@ -66,7 +73,7 @@
   /// Forgets that servers have reported to be closed, because they were opened again.
   void Reopen();
 
-  /// Returns what an instance has reported; null if it has not.
+  /// Returns what an instance has reported; null if it has not, or is not a member.
   const Entry* Find(const std::string& aInstanceId) const;
 
   std::uint64_t ServiceRequests() const { return serviceRequests_; }
@@ -80,15 +87,15 @@
   }
 
 private:
-  /// Counts what an ended process may have got without reporting it.
-  void Charge(const Entry& aEntry, TimePoint aNow);
+  /// Counts what a process that is gone may have got without reporting it.
+  void Charge(Entry& aEntry);
   void AddRoutes(const ServerCounts& aCounts,
                  const ServerCounts& aBefore,
                  bool aEarlier,
                  const Sink& aSink);
 
   std::string targetVersion_;
-  TimePoint orderedAt_;
+  TimePoint countedFrom_;
   std::map<std::string, Entry, std::less<>> entries_;
   std::uint64_t serviceRequests_ = 0;
   std::uint64_t targetRequests_ = 0;
--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -46,8 +46,7 @@
   , resumed_(aResumed)
   , gathered_(!aResumed)
   , phase_(wanted_.phase_)
-  , usage_(wanted_.order_.targetVersion_, aOrderedAt)
-  , closingAnnounced_(phase_ == RolloutPhase::Closing)
+  , usage_(wanted_.order_.targetVersion_, aResumed ? TimePoint{} : aOrderedAt)
 {
   decision_.phase_ = phase_;
   decision_.share_ = phase_ == RolloutPhase::Completed ? 1 : 0;
@@ -93,7 +92,7 @@
   }
   if (service_.complete_) {
     std::erase_if(seenAt_, [&](const auto& aSeen) { return !members.contains(aSeen.first); });
-    usage_.Keep(members, aNow);
+    usage_.Keep(members);
   }
 }
 
@@ -127,6 +126,16 @@
                      });
 }
 
+bool
+ServiceRollout::AnyOldClosed() const
+{
+  return std::any_of(
+    service_.servers_.begin(), service_.servers_.end(), [this](const RolloutServer& aServer) {
+      const RolloutUsage::Entry* entry = usage_.Find(aServer.instanceId_);
+      return IsOld(aServer) && entry != nullptr && entry->counts_.closed_;
+    });
+}
+
 bool
 ServiceRollout::WasCold(const std::string& aInstanceId, TimePoint aNow) const
 {
@@ -198,7 +207,10 @@
     }
     return;
   }
-  gathered_ = true;
+  if (!std::exchange(gathered_, true)) {
+    // The earlier leader was lost after the record of the closing, and may not have announced it.
+    closingAnnounced_ = phase_ == RolloutPhase::Closing && AnyOldClosed();
+  }
   const std::vector<std::string> usable = UsableTargets(aNow);
   if (ClosesWithoutTargets(usable, aNow)) {
     RollBack("no_server");
--- a/tests/unit/rollout_coordination/RolloutFixture.hpp
+++ b/tests/unit/rollout_coordination/RolloutFixture.hpp
@@ -20,7 +20,7 @@
 constexpr double kExposureSlack = 30;
 
 /// Decider with fixed times: judges by a number of failures of the target version.
-class FakeDecider final : public RolloutDecider
+class FakeDecider : public RolloutDecider
 {
 public:
   FakeDecider(const RolloutRecord& aRecord, TimePoint aOrderedAt)
--- a/tests/unit/rollout_coordination/RolloutUsageTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutUsageTest.cpp
@@ -5,6 +5,22 @@
 
 namespace {
 
+/// Counts the counts that are judged as of the present time.
+class CountingDecider final : public FakeDecider
+{
+public:
+  CountingDecider(const RolloutRecord& aRecord, TimePoint aOrderedAt, int& aPresent)
+    : FakeDecider(aRecord, aOrderedAt)
+    , present_(aPresent)
+  {
+  }
+
+  void Add(RolloutSide, const RouteCounts&, TimePoint, bool) override { ++present_; }
+
+private:
+  int& present_;
+};
+
 struct UsageFixture : RolloutFixture
 {
   void StartCanary()
@@ -98,16 +114,22 @@
 // day was set back.
 BOOST_AUTO_TEST_CASE(ANewLeaderTakesTotalsAsEarlierCounts)
 {
-  int earlier = 0;
-  RolloutUsage usage("v2", TimePoint{});
+  StartCanary();
+  Run(1s);
+  int present = 0;
+  RolloutCoordinator leader(
+    [&](const RolloutRecord& aRecord, TimePoint aOrderedAt) {
+      return std::make_unique<CountingDecider>(aRecord, aOrderedAt, present);
+    },
+    [] { return std::chrono::system_clock::time_point{}; });
+  leader.SetOrders(orders_, now_);
+  leader.Begin({ *record_ }, {}, now_);
   RolloutReport report;
   report.instanceId_ = "a";
-  report.counts_.version_ = "v1";
-  report.counts_.routes_.push_back({ "r", 100, 0, {} });
-  usage.OnReport(report, now_, [&](RolloutSide, const RouteCounts&, bool aEarlier) {
-    earlier += aEarlier ? 1 : 0;
-  });
-  BOOST_TEST(earlier == 1);
+  report.counts_ = leader_->Find(kService)->Usage().Find("a")->counts_;
+  BOOST_REQUIRE(!report.counts_.routes_.empty());
+  leader.OnReport(report, now_);
+  BOOST_TEST(present == 0);
 }
 
 // Guards against old servers that a new leader closes before the target servers may serve in their
