Keep the slots of a server that sheds although it has free ones

Cause: each shed lowers the concurrency limit of a server while most of the limit is in use. Change: the server's statement of its load in the response decides; a shed with free slots does not lower the limit. Without a statement nothing changes.

--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -5,7 +5,6 @@
 #include "core/Log.hpp"
 
 #include <boost/algorithm/string/predicate.hpp>
-#include <charconv>
 #include <utility>
 
 namespace redwing {
@@ -247,33 +246,12 @@
   return valid ? std::string_view() : "invalid_response";
 }
 
-void
-BackendService::ReadLoadHeader(const HttpHead& aHead)
+std::optional<ServerLoad>
+BackendService::LoadIn(const HttpHead& aHead) const
 {
-  const std::string* load = settings_.protocol_.loadHeader_.empty()
-                              ? nullptr
-                              : FindHeader(aHead, settings_.protocol_.loadHeader_);
-  if (load == nullptr) {
-    return;
-  }
-  // The fourth value is the server's slowdown in per cent; servers that do not share their machine
-  // omit it.
-  std::size_t at = 0;
-  for (int comma = 0; comma < 3; ++comma) {
-    at = load->find(',', at);
-    if (at == std::string::npos) {
-      return;
-    }
-    ++at;
-  }
-  double percent = 0;
-  const auto parsed = std::from_chars(load->data() + at, load->data() + load->size(), percent);
-  constexpr double kNormalPercent = 100;
-  constexpr double kMaxPercent = 10'000;
-  if (parsed.ec == std::errc{} && percent > 0 && percent < kMaxPercent) {
-    slowdown_ = percent / kNormalPercent;
-    slowdownAt_ = clock_.Now();
-  }
+  const std::string& name = settings_.protocol_.loadHeader_;
+  const std::string* load = name.empty() ? nullptr : FindHeader(aHead, name);
+  return load == nullptr ? std::nullopt : ParseServerLoad(*load);
 }
 
 bool
@@ -286,9 +264,17 @@
   if (!misdirected) {
     const auto now = clock_.Now();
     sheds_.Add();
-    limiter_.OnShed(now);
+    // A server that sheds although it has free slots is not overloaded: with fewer requests at a
+    // time it would shed as many of them.
+    const auto load = LoadIn(aHead);
+    const bool overloaded = !load || !load->HasFreeSlot();
+    if (overloaded) {
+      limiter_.OnShed(now);
+    } else {
+      shedsWithRoom_.Add();
+    }
     // A server that reports its state also reports whether it is cold.
-    if (!settings_.serverReportsState_) {
+    if (overloaded && !settings_.serverReportsState_) {
       ramp_.OnShed(now);
     }
   }
@@ -329,7 +315,10 @@
   if (OnShed(aExchange, aHead, aLast)) {
     return;
   }
-  ReadLoadHeader(aHead);
+  if (const auto load = LoadIn(aHead); load && load->slowdown_) {
+    slowdown_ = *load->slowdown_;
+    slowdownAt_ = clock_.Now();
+  }
   const auto fault = FindFault(aHead);
   CountAnswer(*aExchange, aHead, !fault.empty());
   if (!fault.empty()) {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -45,6 +45,7 @@
   , notRun_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"not-run\""))
   , unknown_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"unknown\""))
   , sheds_(aCounters.GetCounter("redwing_backend_sheds_total"))
+  , shedsWithRoom_(aCounters.GetCounter("redwing_backend_sheds_with_room_total"))
   , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
   , crashCount_(aCounters.GetCounter("redwing_backend_crashes_total"))
   , rolloutPermitted_(aCounters.GetCounter("redwing_rollout_permitted_requests_total"))
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -13,6 +13,7 @@
 #include "backend/RequestChecks.hpp"
 #include "backend/ServedExchange.hpp"
 #include "backend/ServerControl.hpp"
+#include "backend/ServerLoad.hpp"
 #include "capacity/LargeResponses.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
@@ -194,7 +195,7 @@
   bool OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast);
   /// Returns why the response can't be passed on; empty if it can.
   std::string_view FindFault(const HttpHead& aHead) const;
-  void ReadLoadHeader(const HttpHead& aHead);
+  std::optional<ServerLoad> LoadIn(const HttpHead& aHead) const;
   void FailUnknown(const ExchangePtr& aExchange, std::string_view aDetail);
   void Complete(const ExchangePtr& aExchange);
   void Detach(const ExchangePtr& aExchange, ErrorCode aCode);
@@ -359,6 +360,8 @@
   Counter& notRun_;
   Counter& unknown_;
   Counter& sheds_;
+  /// Those of servers that had free slots.
+  Counter& shedsWithRoom_;
   Counter& stalls_;
   Counter& crashCount_;
   Counter& rolloutPermitted_;
