--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -197,6 +197,8 @@
   std::string ownerHint_;
   TimePoint firstSent_{};
   std::uint32_t attemptCount_ = 0;
+  /// The present attempt follows the refusal of an overloaded member.
+  bool afterOverload_ = false;
   /// Attempts after which it is not known whether the request ran.
   std::uint32_t unknownCount_ = 0;
   std::uint32_t backoffs_ = 0;
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -312,6 +312,13 @@
   if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
     return false;
   }
+  afterOverload_ =
+    aRefusal.code_ == ErrorCode::Overloaded || aRefusal.code_ == ErrorCode::QueueFull;
+  if (afterOverload_ &&
+      !core_.RetriesOfOverload().TryTake(ServiceId(), core_.Selector().Size(*entry_->route_))) {
+    core_.RetryWithheldCounter().Add();
+    return false;
+  }
   if (aRefusal.outcome_ == Outcome::NotRun && CountsAsRetry(aRefusal) &&
       !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
     return false;
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -3,6 +3,7 @@
 #include "intake/IntakeCore.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace redwing::Detail {
 
@@ -103,6 +104,9 @@
     return;
   }
   responding_ = true;
+  if (std::exchange(afterOverload_, false)) {
+    core_.RetriesOfOverload().OnAccepted(ServiceId());
+  }
   const TimePoint now = core_.Now();
   CancelAttempts(aAttemptId);
   core_.Timers().Remove(deadlineTimer_);
--- a/src/intake/IntakeCore.cpp
+++ b/src/intake/IntakeCore.cpp
@@ -31,9 +31,11 @@
   , random_(dependencies_.seed_)
   , selector_(dependencies_.clock_, random_.Bits(), dependencies_.settings_.routing_)
   , retries_(dependencies_.settings_.retryBudget_)
+  , overloadRetries_(dependencies_.settings_.overloadRetries_)
   , outcomes_(dependencies_.counters_)
   , hedgeCounter_(dependencies_.counters_.GetCounter("redwing_hedges_total"))
   , retryCounter_(dependencies_.counters_.GetCounter("redwing_retries_total"))
+  , retryWithheldCounter_(dependencies_.counters_.GetCounter("redwing_retries_withheld_total"))
   , abandonedRouted_(
       dependencies_.counters_.GetCounter("redwing_requests_abandoned_total", "routed=\"yes\""))
   , abandonedUnrouted_(
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -9,6 +9,7 @@
 #include "intake/RouteLog.hpp"
 #include "intake/TimerQueue.hpp"
 #include "routing/HedgePolicy.hpp"
+#include "routing/OverloadRetries.hpp"
 #include "routing/OwnerDirectory.hpp"
 #include "routing/PoolSelector.hpp"
 #include "routing/RetryBudget.hpp"
@@ -62,6 +63,7 @@
   PoolSelector& Selector() { return selector_; }
   OwnerDirectory& Owners() { return owners_; }
   RetryBudget& Retries() { return retries_; }
+  OverloadRetries& RetriesOfOverload() { return overloadRetries_; }
   HedgePolicy& HedgesOf(const std::string& aService) { return hedges_[aService]; }
   OutcomeCounters& Outcomes() { return outcomes_; }
   ReturningCallers& Returning() { return returning_; }
@@ -69,6 +71,8 @@
   TimerQueue& Timers() { return timers_; }
   Counter& HedgeCounter() { return hedgeCounter_; }
   Counter& RetryCounter() { return retryCounter_; }
+  /// Counts refused requests that were not sent to another member, because hardly any accepts.
+  Counter& RetryWithheldCounter() { return retryWithheldCounter_; }
   /// Counts connections that were closed by their callers before bytes sent on them were read.
   Counter& UnreadCounter() { return unread_; }
   /// Counts requests whose callers left, before or after the first attempt was sent.
@@ -136,11 +140,13 @@
   PoolSelector selector_;
   OwnerDirectory owners_;
   RetryBudget retries_;
+  OverloadRetries overloadRetries_;
   std::unordered_map<std::string, HedgePolicy> hedges_;
   OutcomeCounters outcomes_;
   ReturningCallers returning_;
   Counter& hedgeCounter_;
   Counter& retryCounter_;
+  Counter& retryWithheldCounter_;
   Counter& abandonedRouted_;
   Counter& abandonedUnrouted_;
   Counter& unread_;
--- a/src/intake/IntakeDependencies.hpp
+++ b/src/intake/IntakeDependencies.hpp
@@ -8,6 +8,7 @@
 #include "core/Published.hpp"
 #include "exchange/Events.hpp"
 #include "exchange/HttpProtocol.hpp"
+#include "routing/OverloadRetries.hpp"
 #include "routing/RetryBudget.hpp"
 #include "routing/RoutingSettings.hpp"
 #include "routing/RoutingView.hpp"
@@ -45,6 +46,7 @@
   RoutingSettings routing_;
   HttpProtocol protocol_;
   RetryBudgetSettings retryBudget_;
+  OverloadRetrySettings overloadRetries_;
   /// Service of the backend server beside this instance; sent along as the origin of requests.
   std::string originService_;
   /// Larger bodies are sent on before they are complete and cannot be sent again.
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -168,6 +168,16 @@
   return RolloutSide::Target;
 }
 
+std::size_t
+PoolSelector::Size(const Route& aRoute)
+{
+  std::size_t size = 0;
+  for (const Group& group : PoolOf(aRoute).groups_) {
+    size += group.candidates_.size();
+  }
+  return size;
+}
+
 bool
 PoolSelector::IsEjected(const std::string& aInstanceId) const
 {
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -51,6 +51,12 @@
                        std::span<const std::string> aExcluded,
                        ChoiceBy aChoice = ChoiceBy::Load);
 
+  /// Returns the number of members that may serve aRoute.
+  ///
+  /// Preconditions: aRoute is from the configuration of the current view. Thread safety: not
+  /// thread-safe.
+  std::size_t Size(const Route& aRoute);
+
   /// Returns whether aInstanceId is ejected, so that a request sent to it serves as its trial.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/tests/unit/intake/IntakeRetryTest.cpp
+++ b/tests/unit/intake/IntakeRetryTest.cpp
@@ -46,6 +46,30 @@
   caller.ReadPast("booked");
 }
 
+// Guards against requests that are passed to each member of a pool although none accepts, and
+// against a limit on those that another member accepts.
+BOOST_AUTO_TEST_CASE(MembersAreAskedWhileTheyAccept)
+{
+  settings_.overloadRetries_ = { 1, 0, 1 };
+  for (int i = 0; i < 2; ++i) {
+    Caller caller(*this);
+    caller.Request("GET /plant/1");
+    Refuse(NextSent(), ErrorCode::Overloaded, Outcome::NotRun);
+    Answer(NextSent(), "done");
+    caller.ReadPast("done");
+  }
+  for (const std::size_t attempts : { 2U, 1U }) {
+    const std::size_t before = sent_.size();
+    Caller caller(*this);
+    caller.Request("GET /plant/1");
+    for (std::size_t i = 0; i < attempts; ++i) {
+      Refuse(NextSent(), ErrorCode::Overloaded, Outcome::NotRun);
+    }
+    BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Outcome: not-run"));
+    BOOST_TEST(sent_.size() == before + attempts);
+  }
+}
+
 // Guards against a shard without an owner that holds the caller for longer than ownerWait.
 BOOST_AUTO_TEST_CASE(GivesUpOnAShardWithoutOwner)
 {
