--- a/tests/integration/PlatformFleet.hpp
+++ b/tests/integration/PlatformFleet.hpp
@@ -140,6 +140,9 @@
   /// Returns the address at which an instance takes the heartbeats of its server.
   Address Heartbeats(int aInstance) const { return At(aInstance, 3); }
 
+  /// Returns the address at which an instance tells operators of its state.
+  Address Metrics(int aInstance) const { return At(aInstance, 5); }
+
   /// Returns the address of the backend server of an instance.
   Address ServerAt(int aInstance) const
   {
--- a/tests/integration/rollout/RolloutFleet.hpp
+++ b/tests/integration/rollout/RolloutFleet.hpp
@@ -16,6 +16,20 @@
 
 namespace redwing::test {
 
+/// What fails in the system while a rollout runs.
+enum class Trouble
+{
+  None,
+  /// The leader is killed and started again.
+  LeaderKilled,
+  /// The instance beside a target server stands still for 3 s.
+  TargetFrozen,
+  /// The store resets connections for 9 s.
+  StoreDown,
+  /// All instances are killed and started again.
+  AllKilled,
+};
+
 struct RolloutPlan
 {
   std::string name_;
@@ -23,11 +37,16 @@
   bool keyed_ = false;
   std::chrono::milliseconds duration_{ 12'000 };
   std::uint64_t seed_ = 1;
+  Trouble trouble_ = Trouble::None;
+  /// Time from the order until the trouble begins, and its length.
+  std::chrono::milliseconds troubleAt_{ 0 };
+  std::chrono::milliseconds troubleFor_{ 0 };
 
   bool Bad() const { return fault_.fault_ != Fault::None; }
 };
 
-/// Returns the rollout of a seed: all kinds come in turn, their figures are drawn.
+/// Returns the rollout of a seed: all kinds come in turn, their figures are drawn. Each kind comes
+/// without a trouble first and then with each of them.
 RolloutPlan DrawRollout(std::uint64_t aSeed);
 
 /// A fleet of instances beside servers of an old and of a target version, under the load of callers
@@ -48,6 +67,8 @@
 
   const ExposureLog& Log() const { return log_; }
   PlatformFleet& Instances() { return *fleet_; }
+  /// Returns what broke the rule that a key has one holder, a line each.
+  std::vector<std::string> OwnerViolations() const { return judge_.Violations(); }
 
 private:
   static constexpr int kOld = 3;
@@ -64,6 +85,12 @@
   void EndServers(bool aTarget);
   void DrainTargets();
   void WatchStatus();
+  /// Returns the instance that leads; the first one if none says so.
+  int Leader() const;
+  void BeginTrouble();
+  void EndTrouble();
+  /// Waits until aEnd or the end of the rollout; plays the trouble in its time.
+  void PlayUntil(LogTime aOrdered, LogTime aEnd);
   void SendRequests(int aCaller);
   bool SendRequest(int aCaller, int aNumber);
 
@@ -73,6 +100,8 @@
   std::array<std::atomic<bool>, kOld + kTarget> up_{};
   std::array<std::atomic<LogTime>, kOld + kTarget> startedAt_{};
   std::atomic<bool> draining_{ false };
+  /// Instances that the trouble has hit.
+  std::vector<int> hit_;
   std::unique_ptr<PlatformFleet> fleet_;
   std::vector<std::unique_ptr<ServedVersion>> versions_;
   std::vector<std::unique_ptr<standins::HttpServer>> pooled_;
