--- a/tests/integration/rollout/RolloutFleet.cpp
+++ b/tests/integration/rollout/RolloutFleet.cpp
@@ -117,8 +117,9 @@
   };
   plan.name_ += kNames.at(static_cast<std::size_t>(plan.trouble_));
   plan.duration_ += 6s;
-  // From the canary to the closing.
-  plan.troubleAt_ = milliseconds(static_cast<int>(between(0.15, 0.9) * plan.duration_.count()));
+  // From the canary to the closing; a bad version goes back a few seconds after its order.
+  const double last = plan.Bad() ? 4000 : 0.9 * static_cast<double>(plan.duration_.count());
+  plan.troubleAt_ = milliseconds(static_cast<int>(between(500, last)));
   plan.troubleFor_ = plan.trouble_ == Trouble::StoreDown      ? 9000ms
                      : plan.trouble_ == Trouble::TargetFrozen ? 3000ms
                                                               : 500ms;
