Give memory back, and tell slow callers from those that have stopped

Cause, each found by reading and shown by a test: assigning {} to a string keeps its capacity, so that buffers of responses and links were never given back; a read buffer that grew stayed on idle connections; a body kept its whole reservation until its response had ended; the time of the last write was that of a whole buffer, so that a slow reader was cut off; a byte now and then kept the memory of a body for as long as its caller liked; a head that waited for memory was closed without a response; inbound links of instances that are gone counted for ever. Change: buffers are swapped away, reservations fall with what was passed on, responses are written part by part, the slowest body gives way while others wait, a waiting head gets 503, and an unused inbound link that was silent for 10 s gives way to a new one.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr std::size_t kFirstBufferBytes = 4 * 1024;
 /// No further request is begun while this many response bytes wait for a slow caller.
 constexpr std::size_t kMaxBacklogBytes = kBodyWindowBytes;
 /// Time for a caller to read the last response before the connection is closed for good.
@@ -111,6 +110,10 @@
                                        : sinceRead > bounds.progressTimeout_);
   const bool idle =
     slots_.empty() && !writing_ && std::min(sinceRead, sinceWrite) > bounds.idleTimeout_;
+  if (headStalled && headWaits_) {
+    RefuseHead();
+    return;
+  }
   if (writeStalled || bodyStalled || headStalled) {
     core_.Guard().Report(MemoryAction::TimedOut,
                          writeStalled ? "a response was not read"
@@ -273,6 +276,7 @@
   const std::size_t headBytes = tooLarge ? unread.size() : end + kEnd.size();
   slots_.push_back(std::make_unique<CallerSlot>(core_, *this, Consume(headBytes)));
   headSince_ = core_.Now();
+  bodySince_ = headSince_;
   CallerSlot& slot = *slots_.back();
   slot.first_ = std::exchange(fresh_, false);
   slot.exchange_->HoldHead(headBytes * kHeadCopies);
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -57,12 +57,16 @@
   TimePoint LastRead() const { return lastRead_; }
   TimePoint LastTransfer() const { return std::max(lastRead_, lastWrite_); }
   bool HasNoRequest() const { return slots_.empty() && !writing_ && !closing_; }
+  /// Returns the bytes a second at which the body that is being received has come so far; nothing
+  /// if there is none, or it began too short a time ago.
+  std::optional<double> BodyRate(TimePoint aNow) const;
   /// Returns whether nothing was received yet.
   bool IsFresh() const { return fresh_ && begin_ == end_; }
 
 private:
   friend class CallerSlot;
 
+  static constexpr std::size_t kFirstBufferBytes = 4 * 1024;
   static constexpr std::size_t kMaxBufferBytes = 32 * 1024;
   /// A head is held as parsed, as sent to the serving instance and as received there.
   static constexpr std::size_t kHeadCopies = 3;
@@ -91,6 +95,8 @@
   std::size_t MaxBufferBytes() const;
   /// Returns whether a request with a head of aBytes may be held; otherwise the connection waits.
   bool MayHoldHead(std::size_t aBytes);
+  /// Refuses the request whose head waits for memory.
+  void RefuseHead();
   /// Returns whether the body that is being received may be held; otherwise the connection waits.
   bool MayHoldBody();
   void WaitForMemory();
@@ -99,6 +105,8 @@
   /// Takes aBytes from the front of the buffer; returns when they had arrived.
   TimePoint Consume(std::size_t aBytes);
   void Write();
+  /// Writes inFlight_ from aSent on.
+  void WriteRest(std::size_t aSent);
   void OnWritten(const boost::system::error_code& aError);
   void BeginClosing();
   std::string_view Unread() const { return { buffer_.data() + begin_, end_ - begin_ }; }
@@ -129,8 +137,12 @@
   TimePoint lastWrite_;
   /// When the first byte of the present head arrived.
   TimePoint headSince_;
+  /// When the last head was complete.
+  TimePoint bodySince_{};
   /// Since when a body waits for memory; only while it does.
   std::optional<TimePoint> bodyWaits_;
+  /// A complete head waits for memory.
+  bool headWaits_ = false;
   /// The guard will call ResumeReading.
   bool awaitsResume_ = false;
   HeldMemory held_;
--- a/src/intake/CallerConnectionIo.cpp
+++ b/src/intake/CallerConnectionIo.cpp
@@ -6,7 +6,6 @@
 #include "intake/ReceiveState.hpp"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <cstring>
 #include <utility>
 
@@ -25,6 +24,11 @@
   if (begin_ == end_) {
     begin_ = 0;
     end_ = 0;
+    const bool awaitsHead = slots_.empty() || slots_.back()->bodyDone_;
+    if (awaitsHead && buffer_.size() > kFirstBufferBytes) {
+      // A connection may be idle for long after a large head or body.
+      std::vector<char>(kFirstBufferBytes).swap(buffer_);
+    }
   }
   if (end_ < buffer_.size()) {
     return true;
@@ -129,12 +133,7 @@
     lastWrite_ = core_.Now();
     if (sent < inFlight_.size()) {
       writing_ = true;
-      boost::asio::async_write(
-        socket_,
-        boost::asio::buffer(inFlight_.data() + sent, inFlight_.size() - sent),
-        [self = shared_from_this()](const boost::system::error_code& aError, std::size_t) {
-          self->OnWritten(aError);
-        });
+      WriteRest(sent);
       return;
     }
     if (!slots_.empty() && inFlightBody_ > 0) {
@@ -143,6 +142,23 @@
   }
 }
 
+void
+CallerConnection::WriteRest(std::size_t aSent)
+{
+  // Part by part, so that a caller that reads slowly is told from one that has stopped.
+  socket_.async_write_some(boost::asio::buffer(inFlight_.data() + aSent, inFlight_.size() - aSent),
+                           [self = shared_from_this(),
+                            aSent](const boost::system::error_code& aError, std::size_t aBytes) {
+                             const std::size_t sent = aSent + aBytes;
+                             if (aError || self->closed_ || sent >= self->inFlight_.size()) {
+                               self->OnWritten(aError);
+                               return;
+                             }
+                             self->lastWrite_ = self->core_.Now();
+                             self->WriteRest(sent);
+                           });
+}
+
 void
 CallerConnection::OnWritten(const boost::system::error_code& aError)
 {
--- a/src/intake/CallerConnectionMemory.cpp
+++ b/src/intake/CallerConnectionMemory.cpp
@@ -15,6 +15,8 @@
 /// Time for which a body waits for memory before its request is refused, which is less than callers
 /// wait for a response.
 constexpr Duration kLongestWait = std::chrono::seconds(2);
+/// Time after its head from which the rate of a body means something.
+constexpr Duration kRatedBody = std::chrono::seconds(2);
 /// Buffers of responses above this size are given back once they were written.
 constexpr std::size_t kKeptBytes = 16 * 1024;
 /// What the system may hold unread, or not yet acknowledged, for one connection.
@@ -24,7 +26,8 @@
 GiveBack(std::string& aBuffer)
 {
   if (aBuffer.empty() && aBuffer.capacity() > kKeptBytes) {
-    aBuffer = {};
+    // An assignment would keep the capacity.
+    std::string().swap(aBuffer);
   }
 }
 
@@ -40,14 +43,25 @@
 CallerConnection::MayHoldHead(std::size_t aBytes)
 {
   // A request that is served alone is never held up.
-  if (slots_.empty() && core_.ExchangeCount() == 0) {
-    return true;
-  }
-  if (core_.Memory().Fits(aBytes * kHeadCopies, MemoryUse::SmallRequest)) {
-    return true;
+  const bool alone = slots_.empty() && core_.ExchangeCount() == 0;
+  headWaits_ = !alone && !core_.Memory().Fits(aBytes * kHeadCopies, MemoryUse::SmallRequest);
+  if (headWaits_) {
+    WaitForMemory();
   }
-  WaitForMemory();
-  return false;
+  return !headWaits_;
+}
+
+void
+CallerConnection::RefuseHead()
+{
+  const IntakeCore::Scope scope(core_);
+  headWaits_ = false;
+  slots_.push_back(std::make_unique<CallerSlot>(core_, *this, Consume(end_ - begin_)));
+  CallerSlot& slot = *slots_.back();
+  slot.begun_ = true;
+  slot.bodyDone_ = false;
+  core_.Guard().Report(MemoryAction::RequestRefused, "a head waited too long for memory");
+  slot.exchange_->RefuseForMemory();
 }
 
 bool
@@ -111,6 +125,17 @@
   return comes ? slots_.back()->exchange_->BodyBytesHeld() : 0;
 }
 
+std::optional<double>
+CallerConnection::BodyRate(TimePoint aNow) const
+{
+  const Duration age = aNow - bodySince_;
+  if (BodyBytesHeld() == 0 || age < kRatedBody) {
+    return std::nullopt;
+  }
+  return static_cast<double>(slots_.back()->exchange_->BodyBytesReceived()) /
+         std::chrono::duration<double>(age).count();
+}
+
 void
 CallerConnection::UpdateHeld()
 {
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -73,7 +73,10 @@
   /// Reserves the memory that the body of the request may take, unless that was done before;
   /// returns false if it does not fit now.
   bool ReserveBody();
+  /// Gives back what the body takes no more, once all of it was passed on.
+  void ReduceReservation();
   std::size_t BodyBytesHeld() const { return bodyHeld_.Bytes(); }
+  std::uint64_t BodyBytesReceived() const { return bodyBytes_; }
   std::size_t BytesHeld() const { return headHeld_.Bytes() + bodyHeld_.Bytes(); }
 
   /// Refuses a request whose body found no memory.
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -203,6 +203,7 @@
   } else if (auto* credit = std::get_if<RequestCredit>(&aEvent)) {
     requestOutstanding_ -= std::min<std::size_t>(requestOutstanding_, credit->bytes_);
     SendBody();
+    ReduceReservation();
   } else if (auto* refusal = std::get_if<Refusal>(&aEvent)) {
     Attempt attempt = std::move(*found);
     attempts_.erase(found);
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -48,6 +48,7 @@
     requestOutstanding_ += bytes;
     SendToAttempt(attempts_.front(), std::move(body));
   }
+  ReduceReservation();
   if (!bodyDone_) {
     connection_.ResumeBody();
   }
@@ -68,6 +69,7 @@
     requestOutstanding_ += bytes;
     SendToAttempt(attempts_.front(), std::move(body));
   }
+  ReduceReservation();
 }
 
 BodyFraming
@@ -105,6 +107,7 @@
   responding_ = true;
   const TimePoint now = core_.Now();
   CancelAttempts(aAttemptId);
+  ReduceReservation();
   core_.Timers().Remove(deadlineTimer_);
   core_.Timers().Remove(hedgeTimer_);
   if (MemberLoad* load = attempts_.front().load_) {
--- a/src/intake/ExchangeMemory.cpp
+++ b/src/intake/ExchangeMemory.cpp
@@ -52,6 +52,21 @@
   return true;
 }
 
+void
+Exchange::ReduceReservation()
+{
+  if (!bodyReserved_ || !bodySent_) {
+    return;
+  }
+  if (responding_ || streamed_) {
+    // The request is not sent again. An assignment would keep the capacity.
+    std::string().swap(pending_);
+    std::string().swap(start_.body_);
+  }
+  const std::size_t onItsWay = responding_ ? 0 : std::min(2 * requestOutstanding_, kWindows);
+  bodyHeld_.Set(pending_.capacity() + start_.body_.capacity() + onItsWay);
+}
+
 void
 Exchange::RefuseForMemory()
 {
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds kResumeInterval{ 20 };
 /// A body that got no byte for this long gives way to bodies that wait for its memory.
 constexpr Duration kStalledBody = std::chrono::seconds(1);
+/// Bytes a second below which a body gives way too: a byte now and then would keep its memory.
+constexpr double kSlowBody = 4096;
 /// A connection without a request is closed for another one only after this time, so that a caller
 /// that has just connected can send its request.
 constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(500);
@@ -96,11 +98,17 @@
 {
   std::shared_ptr<CallerConnection> worst;
   std::size_t most = 0;
-  for (auto& connection : connections_()) {
+  double slowest = kSlowBody;
+  for (const auto& connection : connections_()) {
     const std::size_t held = connection->BodyBytesHeld();
     if (held > most && aNow - connection->LastRead() > kStalledBody) {
       most = held;
-      worst = std::move(connection);
+      worst = connection;
+    }
+    const auto rate = connection->BodyRate(aNow);
+    if (most == 0 && rate && *rate < slowest) {
+      slowest = *rate;
+      worst = connection;
     }
   }
   if (worst) {
--- a/src/intake/MemoryGuard.hpp
+++ b/src/intake/MemoryGuard.hpp
@@ -49,8 +49,8 @@
 private:
   void Arm();
   void Resume();
-  /// Closes the connection that holds most of a body and sent nothing lately; returns whether there
-  /// is one.
+  /// Closes the connection that holds most of a body and sent nothing lately, or, if there is none,
+  /// the one whose body comes slowest; returns whether there is one.
   bool CloseStalledBody(TimePoint aNow);
   bool CloseIdle(bool aOnlyFresh);
   void CloseLargest();
--- a/src/peer/Link.cpp
+++ b/src/peer/Link.cpp
@@ -310,7 +310,8 @@
         return;
       }
       if (self->held_ && self->output_.capacity() > kKeptBytes) {
-        self->output_ = {};
+        // An assignment would keep the capacity.
+        std::string().swap(self->output_);
         self->UpdateHeld();
       }
       self->Flush();
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -157,7 +157,7 @@
     return aEntry.second.link_->Inbound();
   });
   if (settings_.maxInboundLinks_ > 0 &&
-      static_cast<std::size_t>(inbound) >= settings_.maxInboundLinks_) {
+      static_cast<std::size_t>(inbound) >= settings_.maxInboundLinks_ && !CloseSilentLink()) {
     linksRejected_.Add();
     return;
   }
@@ -174,6 +174,24 @@
   link->Accept();
 }
 
+bool
+PeerService::CloseSilentLink()
+{
+  std::shared_ptr<Link> oldest;
+  for (const auto& [id, entry] : links_) {
+    const bool unused = entry.link_->Inbound() && entry.link_->State() == LinkState::Established &&
+                        entry.inbound_.empty() && entry.outboundOpen_ == 0;
+    if (unused && (!oldest || entry.link_->LastReceived() < oldest->LastReceived())) {
+      oldest = entry.link_;
+    }
+  }
+  if (!oldest || clock_.Now() - oldest->LastReceived() < settings_.silentLink_) {
+    return false;
+  }
+  oldest->Close("silent");
+  return true;
+}
+
 void
 PeerService::Tick()
 {
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -56,6 +56,9 @@
   int socketBufferBytes_ = 0;
   /// Accounts for messages that wait on links, on the thread of the service; null: no limit.
   MemoryBudget* memory_ = nullptr;
+  /// An unused inbound link that was silent for this long gives way to a new one. The instance at
+  /// its other end may be gone without a word, or opens another link when it needs one.
+  std::chrono::milliseconds silentLink_{ 10'000 };
 };
 
 using CallReplyHook = std::function<void(std::string)>;
@@ -186,6 +189,9 @@
   void OnClosed(const std::shared_ptr<Link>& aLink, std::string_view aReason) override;
 
   void Adopt(boost::asio::ip::tcp::socket aSocket);
+  /// Closes the unused inbound link that was silent longest, if it was for long; returns whether it
+  /// did.
+  bool CloseSilentLink();
   void Tick();
   void CheckProgress(TimePoint aNow);
   void ExpireCalls(TimePoint aNow);
--- a/tests/unit/intake/IntakeFixture.hpp
+++ b/tests/unit/intake/IntakeFixture.hpp
@@ -227,12 +227,20 @@
          "\r\n" + aBody);
   }
 
-  /// Takes what has arrived; returns false once the connection has ended.
-  bool Take()
+  /// Lets the system take few bytes before they are read.
+  void LimitReceiveBuffer()
+  {
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  }
+
+  std::size_t Received() const { return received_.size(); }
+
+  /// Takes what has arrived, aMost bytes at most; returns false once the connection has ended.
+  bool Take(std::size_t aMost = 16384)
   {
     char bytes[16384];
     boost::system::error_code error;
-    const std::size_t count = socket_.read_some(boost::asio::buffer(bytes), error);
+    const std::size_t count = socket_.read_some(boost::asio::buffer(bytes, aMost), error);
     received_.append(bytes, count);
     if (error && error != boost::asio::error::would_block) {
       ended_ = true;
--- a/tests/unit/intake/IntakeMemoryTest.cpp
+++ b/tests/unit/intake/IntakeMemoryTest.cpp
@@ -1,6 +1,8 @@
 #include "IntakeFixture.hpp"
 
+#include <memory>
 #include <sstream>
+#include <vector>
 
 using namespace redwing;
 using namespace redwing::test;
@@ -139,6 +141,100 @@
   BOOST_TEST(NextSent().target_ == "/plant/2");
 }
 
+// Guards against a response that is cut off because its reader is slow, though it never stops.
+BOOST_AUTO_TEST_CASE(ASlowReaderThatGoesOnGetsTheWholeResponse)
+{
+  Limit({ 0, 0, {}, std::chrono::milliseconds(2000) });
+  Caller slow(*this);
+  slow.LimitReceiveBuffer();
+  slow.Request("GET /plant/1");
+  // The buffers of the system take a part at once.
+  constexpr std::size_t kBody = 500'000;
+  Answer(NextSent(), std::string(kBody, 'x'));
+  auto next = std::chrono::steady_clock::now();
+  bool open = true;
+  RunUntil([&] {
+    if (std::chrono::steady_clock::now() >= next) {
+      next += std::chrono::milliseconds(100);
+      open = slow.Take(10'000);
+    }
+    return !open || slow.Received() > kBody;
+  });
+  BOOST_TEST(slow.Received() > kBody);
+}
+
+// Guards against buffers of large heads and responses that idle connections keep.
+BOOST_AUTO_TEST_CASE(IdleConnectionsHoldLittle)
+{
+  Caller caller(*this);
+  RunUntil([&] { return budget_.Held() > 0; });
+  const std::size_t idle = budget_.Held();
+  caller.Request("GET /plant/1", "X-Long: " + std::string(12'000, 'x') + "\r\n");
+  Answer(NextSent(), std::string(200'000, 'x') + "end");
+  caller.ReadPast("end");
+  RunUntil([&] { return budget_.Held() <= 2 * idle; });
+}
+
+// Guards against the reservation of a body that lasts until the response has ended.
+BOOST_AUTO_TEST_CASE(ABodyThatWasPassedOnIsGivenBack)
+{
+  Caller caller(*this);
+  RunUntil([&] { return budget_.Held() > 0; });
+  const std::size_t before = budget_.Held();
+  caller.Request("POST /upload/1", "Content-Length: 60000\r\n", std::string(60000, 'x').c_str());
+  const RequestStart request = NextSent();
+  BOOST_TEST(budget_.Held() >= before + 60000);
+  ResponseStart response;
+  response.status_ = 200;
+  response.body_ = "part";
+  response.last_ = false;
+  Respond(request, response);
+  caller.ReadPast("part");
+  RunUntil([&] { return budget_.Held() < before + 60000; });
+}
+
+// Guards against a caller that keeps the memory of a body by a byte now and then while others wait.
+BOOST_AUTO_TEST_CASE(ATricklingBodyGivesWay)
+{
+  Caller trickling(*this);
+  trickling.Request("POST /upload/1", "Content-Length: 1000000\r\n", "x");
+  RunUntil([&] { return budget_.Held() > 500'000; });
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() / 2 - budget_.Held());
+  std::vector<std::unique_ptr<Caller>> waiting;
+  RunUntil([&] {
+    trickling.TrySend("x");
+    if (waiting.empty() || !waiting.back()->Take()) {
+      // A body that waits for 2 s is refused; its caller comes back.
+      waiting.push_back(std::make_unique<Caller>(*this));
+      waiting.back()->Request(
+        "POST /upload/2", "Content-Length: 60000\r\n", std::string(60000, 'x').c_str());
+    }
+    return sent_.size() > taken_;
+  });
+  BOOST_TEST(NextSent().target_ == "/upload/2");
+  trickling.ReadToEnd();
+  BOOST_TEST(Actions("stalled_body_closed") == 1U);
+}
+
+// Guards against a request that ends without a response because its head waits for memory.
+BOOST_AUTO_TEST_CASE(AHeadThatWaitsForMemoryIsRefused)
+{
+  Limit({ 0, 0, std::chrono::milliseconds(300), {} });
+  Caller first(*this);
+  first.Request("GET /plant/1");
+  NextSent();
+  Caller caller(*this);
+  RunUntil([&] { return counters_.GetGauge("redwing_caller_connections").Value() == 2; });
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() * 8 / 10);
+  caller.Request("GET /plant/2");
+  const std::string text = caller.ReadToEnd();
+  BOOST_TEST(Has(text, "HTTP/1.1 503 "));
+  BOOST_TEST(Has(text, "Redwing-Outcome: not-run"));
+  BOOST_TEST(sent_.size() == 1U);
+}
+
 // Guards against silent connections that keep ordinary callers out.
 BOOST_AUTO_TEST_CASE(ASilentConnectionGivesWayToANewOne)
 {
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -26,7 +26,8 @@
   Node(std::string aId,
        std::string aFleetKey,
        std::chrono::milliseconds aProgressTimeout = kNoStall,
-       std::size_t aMaxInboundLinks = 0)
+       std::size_t aMaxInboundLinks = 0,
+       std::chrono::milliseconds aSilentLink = 10s)
     : view_(std::make_shared<RoutingView>())
     , service_(context_,
                clock_,
@@ -40,7 +41,8 @@
                  200ms,
                  aMaxInboundLinks,
                  0,
-                 &memory_ },
+                 &memory_,
+                 aSilentLink },
                { [this](RequestStart&& aStart) {
                   requests_.Add(std::move(aStart));
                   return accept_.load();
@@ -293,6 +295,26 @@
   BOOST_TEST(rejected.Value() == 2U);
 }
 
+// Guards against links of instances that are gone without a word and that keep others out for ever,
+// and against the loss of a link that is in use.
+BOOST_AUTO_TEST_CASE(ASilentInboundLinkGivesWay)
+{
+  Node serving("s", "key", kNoStall, 1, 1ms);
+  Node a("a", "key");
+  Node b("b", "key");
+  a.Knows("s", serving.service_.Port());
+  b.Knows("s", serving.service_.Port());
+  BOOST_REQUIRE(a.service_.TryStart("s", MakeStart(1)));
+  serving.requests_.Await(1);
+  BOOST_REQUIRE(b.service_.TryStart("s", MakeStart(2)));
+  BOOST_TEST((std::get<Refusal>(b.responses_.Await(1).back()).outcome_ == Outcome::NotRun));
+  serving.service_.Respond(MakeResponse(serving.requests_.Await(1).back()));
+  a.responses_.Await(1);
+  std::this_thread::sleep_for(50ms);
+  BOOST_REQUIRE(b.service_.TryStart("s", MakeStart(3)));
+  serving.requests_.Await(2);
+}
+
 // Guards against requests that hang on a link which stays open but delivers nothing.
 BOOST_AUTO_TEST_CASE(StalledLinkIsReplaced)
 {
