Take a link for slow on the evidence of several responses only

Cause: one part of a response that was credited late, in an interval in which little else arrived, lowered the rate of the link to a tenth of the stated one, from which it took 23 s to return; a caller that reads slowly does that. Bytes that were granted as read-ahead were not counted until they came. The time that a large response waits for its turn on the link counted as slowness of its server at the ingress. Change: the rate falls on four parts of two responses, by 0.3 at most in an interval; granted bytes count; responses that are limited by bytes are no samples of speed. Result: the three new cases of LinkCapacityTest.cpp pass; not run before the change, since their interfaces are new.

--- a/src/backend/BackendLarge.cpp
+++ b/src/backend/BackendLarge.cpp
@@ -74,7 +74,7 @@
   if (!aExchange.large_ || !aExchange.connection_) {
     return;
   }
-  if (const std::size_t bytes = large_->ReadAhead(aLength); bytes > 0) {
+  if (const std::size_t bytes = large_->ReadAhead(aExchange.start_.key_, aLength); bytes > 0) {
     aExchange.connection_->AddReadCredit(bytes);
   }
 }
--- a/src/capacity/LargeResponses.cpp
+++ b/src/capacity/LargeResponses.cpp
@@ -93,6 +93,9 @@
   }
   const std::uint64_t bytes = BodyBytes(aEvent);
   open.bytes_ += bytes;
+  const std::uint64_t granted = std::min(open.granted_, bytes);
+  open.granted_ -= granted;
+  granted_ -= granted;
   link_.OnTaken(key, bytes);
   if (EndsBody(aEvent)) {
     if (open.learns_) {
@@ -104,12 +107,27 @@
 }
 
 std::size_t
-LargeResponses::ReadAhead(std::optional<std::uint64_t> aLength) const
+LargeResponses::ReadAhead(const ExchangeKey& aKey, std::optional<std::uint64_t> aLength)
 {
-  if (!aLength || *aLength <= kBodyWindowBytes || link_.Held() >= kMaxHeldBytes) {
+  const auto found = open_.find(aKey);
+  if (found == open_.end() || !aLength || *aLength <= kBodyWindowBytes ||
+      link_.Held() + granted_ >= kMaxHeldBytes) {
     return 0;
   }
-  return std::min(*aLength - kBodyWindowBytes, kMaxReadAhead);
+  const std::uint64_t bytes = std::min(*aLength - kBodyWindowBytes, kMaxReadAhead);
+  found->second.granted_ += bytes;
+  granted_ += bytes;
+  return bytes;
+}
+
+void
+LargeResponses::Forget(const ExchangeKey& aKey)
+{
+  const auto found = open_.find(aKey);
+  if (found != open_.end()) {
+    granted_ -= found->second.granted_;
+    open_.erase(found);
+  }
 }
 
 std::optional<ResponseEvent>
@@ -125,7 +143,7 @@
   link_.OnSent(key, bytes, aNow);
   if (EndsBody(*event)) {
     link_.OnAllSent(key);
-    open_.erase(key);
+    Forget(key);
   }
   return event;
 }
@@ -155,7 +173,7 @@
 LargeResponses::Drop(const ExchangeKey& aKey)
 {
   link_.Remove(aKey);
-  open_.erase(aKey);
+  Forget(aKey);
   return pacer_.Drop(aKey);
 }
 
--- a/src/capacity/LargeResponses.hpp
+++ b/src/capacity/LargeResponses.hpp
@@ -47,11 +47,12 @@
   /// safety: not thread-safe.
   void Push(ResponseEvent&& aEvent);
 
-  /// Returns how many bytes of a response, beyond the usual window, may be read ahead from the
-  /// server, so that it is done with the request while the bytes wait here.
+  /// Returns how many bytes of a response, beyond the usual window, are to be read ahead from the
+  /// server, so that it is done with the request while the bytes wait here; they count as held from
+  /// now on.
   ///
-  /// Preconditions: none. Thread safety: not thread-safe.
-  std::size_t ReadAhead(std::optional<std::uint64_t> aLength) const;
+  /// Preconditions: called once for a response. Thread safety: not thread-safe.
+  std::size_t ReadAhead(const ExchangeKey& aKey, std::optional<std::uint64_t> aLength);
 
   /// Returns the next event that is to be sent now, if there is one.
   ///
@@ -110,6 +111,8 @@
     std::string route_;
     TimePoint deadline_{};
     std::uint64_t bytes_ = 0;
+    /// Bytes that may be read ahead and have not come.
+    std::uint64_t granted_ = 0;
     /// The status shows success and the length was not stated, so that the size is learnt at the
     /// end.
     bool learns_ = false;
@@ -117,11 +120,15 @@
   };
 
   void OnHead(Open& aOpen, const ResponseStart& aStart);
+  /// Forgets a response that was sent or is not to be sent.
+  void Forget(const ExchangeKey& aKey);
 
   ResponseSizes sizes_;
   LinkCapacity link_;
   ResponsePacer pacer_;
   std::unordered_map<ExchangeKey, Open, ExchangeKeyHash> open_;
+  /// Sum of granted_ of the open responses.
+  std::uint64_t granted_ = 0;
   double loggedRate_;
   TimePoint nextLog_{};
   Counter& admitted_;
--- a/src/capacity/LinkRate.cpp
+++ b/src/capacity/LinkRate.cpp
@@ -17,6 +17,13 @@
 /// Share of what arrives that is sent while a queue is left, so that it goes away.
 constexpr double kDrain = 0.85;
 constexpr double kIncrease = 1.02;
+/// Part by which the rate falls at most in one interval.
+constexpr double kMostDecrease = 0.7;
+/// Parts, and responses they are of, without which an interval tells nothing of the link: a caller
+/// that reads slowly delays all parts of its response. It is extended until then, up to kLongest.
+constexpr std::uint32_t kLeastParts = 4;
+constexpr std::size_t kLeastResponses = 2;
+constexpr Duration kLongest = std::chrono::seconds(1);
 
 } // namespace
 
@@ -27,13 +34,24 @@
 }
 
 void
-LinkRate::OnArrived(std::uint64_t aBytes, Duration aTime, TimePoint aNow)
+LinkRate::OnArrived(std::uint64_t aResponse, std::uint64_t aBytes, Duration aTime, TimePoint aNow)
 {
   Update(aNow);
   arrived_ += aBytes;
+  ++parts_;
+  if (responses_.size() < kLeastResponses &&
+      std::find(responses_.begin(), responses_.end(), aResponse) == responses_.end()) {
+    responses_.push_back(aResponse);
+  }
   shortest_ = std::min(shortest_, aTime);
 }
 
+bool
+LinkRate::HasEvidence() const
+{
+  return parts_ >= kLeastParts && responses_.size() >= kLeastResponses;
+}
+
 void
 LinkRate::Update(TimePoint aNow)
 {
@@ -41,19 +59,25 @@
   if (passed < kInterval) {
     return;
   }
+  const bool slow = arrived_ > 0 && shortest_ > base_ + kQueueTime;
+  if (slow && !HasEvidence() && passed < kLongest) {
+    return;
+  }
   const double seconds = std::chrono::duration<double>(passed).count();
   if (arrived_ > 0) {
     base_ =
       base_ == Duration::zero() ? shortest_ : std::min(shortest_, base_ + base_ / kBaseGrowth);
   }
-  if (arrived_ > 0 && shortest_ > base_ + kQueueTime && passed < 2 * kInterval) {
-    const double arrived = static_cast<double>(arrived_) / seconds;
-    rate_ = std::clamp(arrived * kDrain, stated_ * kLowest, rate_);
-  } else {
+  if (!slow) {
     rate_ = std::min(stated_, rate_ * kIncrease);
+  } else if (HasEvidence() && passed < kLongest + kInterval) {
+    const double arrived = static_cast<double>(arrived_) / seconds * kDrain;
+    rate_ = std::clamp(std::max(arrived, rate_ * kMostDecrease), stated_ * kLowest, rate_);
   }
   since_ = aNow;
   arrived_ = 0;
+  parts_ = 0;
+  responses_.clear();
   shortest_ = Duration::max();
 }
 
--- a/src/routing/MemberLoad.cpp
+++ b/src/routing/MemberLoad.cpp
@@ -17,7 +17,7 @@
 MemberLoad::OnStart(std::uint64_t aAttemptId, TimePoint aNow, bool aLarge)
 {
   largeSinceReport_ += aLarge ? 1 : 0;
-  attempts_.push_back({ aAttemptId, aNow, true });
+  attempts_.push_back({ aAttemptId, aNow, true, aLarge });
   ++outstanding_;
   ++waiting_;
 }
@@ -26,7 +26,9 @@
 MemberLoad::OnResponse(std::uint64_t aAttemptId, TimePoint aNow)
 {
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
-    AddSample(aNow - attempt->start_);
+    if (TellsSpeed(*attempt)) {
+      AddSample(aNow - attempt->start_);
+    }
     lastResult_ = { attempt->start_, aNow - attempt->start_, true };
     overtaken_ = 0;
     StopWaiting(*attempt);
@@ -41,7 +43,7 @@
   }
   if (Attempt* attempt = Find(aAttemptId); attempt != nullptr && attempt->waiting_) {
     const Duration age = aNow - attempt->start_;
-    if (aEnd != AttemptEnd::Answered && age > recent_) {
+    if (aEnd != AttemptEnd::Answered && age > recent_ && TellsSpeed(*attempt)) {
       AddSample(age);
     }
     overtaken_ += aEnd == AttemptEnd::Overtaken ? 1 : 0;
@@ -132,6 +134,13 @@
   return found != attempts_.end() && found->id_ == aAttemptId ? &*found : nullptr;
 }
 
+bool
+MemberLoad::TellsSpeed(const Attempt& aAttempt) const
+{
+  // A large response waits for its turn on the member's link.
+  return !aAttempt.large_ || report_.byteTimeUs_ == 0;
+}
+
 void
 MemberLoad::AddSample(Duration aLatency)
 {
--- a/src/routing/MemberLoad.hpp
+++ b/src/routing/MemberLoad.hpp
@@ -137,9 +137,12 @@
     std::uint64_t id_;
     TimePoint start_;
     bool waiting_;
+    bool large_;
   };
 
   Attempt* Find(std::uint64_t aAttemptId);
+  /// Returns whether the time of an attempt is that of the server.
+  bool TellsSpeed(const Attempt& aAttempt) const;
   void AddSample(Duration aLatency);
   void StopWaiting(Attempt& aAttempt);
 
--- a/tests/unit/capacity/LinkCapacityTest.cpp
+++ b/tests/unit/capacity/LinkCapacityTest.cpp
@@ -1,4 +1,6 @@
 #include "capacity/LinkCapacity.hpp"
+#include "capacity/LargeResponses.hpp"
+#include "capacity/LinkRate.hpp"
 #include "capacity/ResponsePacer.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -94,3 +96,70 @@
   BOOST_TEST(pacer.Drop(Key(1)));
   BOOST_TEST(pacer.Empty());
 }
+
+// Guards against a link that counts as slow because one caller reads slowly, or because one part of
+// a response was late, and whose other responses are refused for many seconds.
+BOOST_AUTO_TEST_CASE(OneSlowReaderIsNoSlowLink)
+{
+  LinkRate rate(kLink);
+  TimePoint now = kStart;
+  const auto arrive = [&](std::uint64_t aResponse, Duration aTime) {
+    now += 50ms;
+    rate.OnArrived(aResponse, 16'384, aTime, now);
+  };
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    arrive(i % 5, 10ms);
+  }
+  for (int i = 0; i < 40; ++i) {
+    arrive(7, 400ms);
+  }
+  BOOST_TEST(rate.BytesPerSecond() == kLink);
+  now += 1s;
+  arrive(8, 400ms);
+  now += 300ms;
+  rate.Update(now);
+  BOOST_TEST(rate.BytesPerSecond() == kLink);
+}
+
+// Guards against a slow link that is never found, or that is taken for far slower than it is.
+BOOST_AUTO_TEST_CASE(ASlowLinkIsFound)
+{
+  LinkRate rate(kLink);
+  TimePoint now = kStart;
+  for (std::uint64_t i = 0; i < 200; ++i) {
+    now += 13ms;
+    rate.OnArrived(i % 5, 16'384, 10ms, now);
+  }
+  // Half of the stated rate, with a queue of 200 ms.
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    now += 26ms;
+    rate.OnArrived(i % 5, 16'384, 200ms, now);
+  }
+  BOOST_TEST(rate.BytesPerSecond() < 0.6 * kLink);
+  BOOST_TEST(rate.BytesPerSecond() > 0.35 * kLink);
+}
+
+// Guards against many responses that are read ahead at once into the same room.
+BOOST_AUTO_TEST_CASE(ReadAheadCountsFromItsGrant)
+{
+  CounterRegistry counters;
+  LargeResponses large(1e9, counters);
+  std::uint64_t granted = 0;
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    RequestStart start;
+    start.key_ = Key(id);
+    start.class_ = "download";
+    if (!large.Admit(start, kStart + 60s, 10ms, kStart)) {
+      granted += large.ReadAhead(Key(id), 1'000'000);
+    }
+  }
+  BOOST_TEST(granted > 0U);
+  BOOST_TEST(granted <= 17U * 1024 * 1024);
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    large.Drop(Key(id));
+  }
+  RequestStart start;
+  start.key_ = Key(300);
+  BOOST_REQUIRE(!large.Admit(start, kStart + 60s, 10ms, kStart).has_value());
+  BOOST_TEST(large.ReadAhead(Key(300), 1'000'000) > 0U);
+}
