--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -328,6 +328,9 @@
     }
     return;
   }
+  if (aExchange->start_.targetTime_ != TimePoint{}) {
+    loadMetrics_.OnResponse(clock_.Now() <= aExchange->start_.targetTime_);
+  }
   if (aExchange->ownsEntry_) {
     aExchange->storedResponse_ = StoredResponse{ aHead.status_, aHead.headers_, aBody };
   }
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -59,6 +59,7 @@
     }
     if (now >= nextPoll_) {
       nextPoll_ = now + kHealthInterval;
+      loadMetrics_.Show(Load(), limiter_.Limit());
       monitor_->Poll();
     }
     if (now >= nextSweep_) {
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -44,6 +44,7 @@
   , answered_(aCounters.GetCounter("redwing_backend_answered_total"))
   , notRun_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"not-run\""))
   , unknown_(aCounters.GetCounter("redwing_backend_refused_total", "outcome=\"unknown\""))
+  , loadMetrics_(aCounters)
   , sheds_(aCounters.GetCounter("redwing_backend_sheds_total"))
   , shedsWithRoom_(aCounters.GetCounter("redwing_backend_sheds_with_room_total"))
   , stalls_(aCounters.GetCounter("redwing_backend_stalled_connections_total"))
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -9,6 +9,7 @@
 #include "admission/StatedRateLimit.hpp"
 #include "backend/BackendTypes.hpp"
 #include "backend/ConnectionPool.hpp"
+#include "backend/LoadMetrics.hpp"
 #include "backend/RefusalLog.hpp"
 #include "backend/RequestChecks.hpp"
 #include "backend/ServedExchange.hpp"
@@ -359,6 +360,7 @@
   Counter& answered_;
   Counter& notRun_;
   Counter& unknown_;
+  LoadMetrics loadMetrics_;
   Counter& sheds_;
   /// Those of servers that had free slots.
   Counter& shedsWithRoom_;
--- a/src/ctl/ClusterCommands.cpp
+++ b/src/ctl/ClusterCommands.cpp
@@ -97,6 +97,24 @@
   { "timed_out", "redwing_memory_actions_total{action=\"timed_out\"}" },
 };
 
+/// Columns of the load of the server beside the instance, and of what was refused.
+constexpr MetricColumn kLoadMetrics[] = {
+  { "slots", "redwing_backend_slots" },
+  { "limit", "redwing_backend_slot_limit" },
+  { "running", "redwing_backend_running" },
+  { "queued", "redwing_backend_queued" },
+  { "wait_ms", "redwing_backend_wait_ms" },
+  { "requests", "redwing_backend_requests_total" },
+  { "met", "redwing_backend_responses_total{target=\"met\"}" },
+  { "missed", "redwing_backend_responses_total{target=\"missed\"}" },
+  { "refused", "redwing_backend_refused_total{outcome=\"not-run\"}" },
+  { "shed", "redwing_backend_sheds_total" },
+  { "shed_with_room", "redwing_backend_sheds_with_room_total" },
+  { "withheld", "redwing_retries_withheld_total" },
+  { "link_ahead", "redwing_link_ahead_bytes" },
+  { "link_refused", "redwing_link_responses_total{admitted=\"no\"}" },
+};
+
 /// Returns the values of aColumns in Prometheus text by column, without those that it lacks.
 Json
 ReadMetrics(std::span<const MetricColumn> aColumns, const std::string& aMetrics)
@@ -278,6 +296,13 @@
   return ShowMetrics(session_, "holds", kHoldMetrics, "shards_held", "the instance keeps no holds");
 }
 
+Exit
+ClusterCommands::Load()
+{
+  return ShowMetrics(
+    session_, "load", kLoadMetrics, "slots", "the instance does not tell the load of its server");
+}
+
 Exit
 ClusterCommands::Memory()
 {
--- a/src/ctl/ClusterCommands.hpp
+++ b/src/ctl/ClusterCommands.hpp
@@ -40,6 +40,7 @@
 
   /// Shows the bytes that the one instance that is addressed holds for others, and how often it
   /// refused or closed something to bound them, from its metrics.
+  Exit Load();
   Exit Memory();
 
 private:
--- a/src/ctl/CommandLine.cpp
+++ b/src/ctl/CommandLine.cpp
@@ -289,6 +289,13 @@
              "Show share, counts by version and route, and why rollouts wait or went back; exactly "
              "one --instance must be given, of which the leader knows all figures",
              [](Session& aSession) { return ClusterCommands(aSession).Rollouts(); });
+  AddCommand(aApp,
+             options,
+             "load",
+             "Show the load of the server beside the instance that --instance names, how many of "
+             "its responses met their target times, and what was refused; exactly one must be "
+             "given",
+             [](Session& aSession) { return ClusterCommands(aSession).Load(); });
   AddCommand(aApp,
              options,
              "memory",
--- a/tests/unit/ctl/CommandLineTest.cpp
+++ b/tests/unit/ctl/CommandLineTest.cpp
@@ -1,4 +1,5 @@
 #include "ctl/CommandLine.hpp"
+#include "backend/LoadMetrics.hpp"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -97,6 +98,7 @@
     { "instance", "drain", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
     { "holds" },
     { "memory" },
+    { "load" },
     { "holds", "--instance", "127.0.0.1:1", "--instance", "127.0.0.1:2" },
     { "rollout" },
     { "rollout", "status" },
@@ -232,6 +234,33 @@
   }
 }
 
+// Guards against metrics of the load that an operator looks for by names that no instance has.
+BOOST_AUTO_TEST_CASE(LoadIsShownByTheMetricsOfAnInstance)
+{
+  redwing::CounterRegistry counters;
+  redwing::LoadMetrics load(counters);
+  redwing::LoadReport report;
+  report.slots_ = 8;
+  report.running_ = 6;
+  report.queued_ = 12;
+  report.serviceTimeUs_ = 100'000;
+  load.Show(report, 6);
+  load.OnResponse(true);
+  load.OnResponse(false);
+  Fixture fixture;
+  fixture.replies_ = { CtlReply{ 200, counters.RenderText() } };
+  BOOST_TEST(fixture.Run({ "load", "--instance", "127.0.0.1:1", "--output", "json" }) == 0);
+  for (const char* text : { "\"slots\":8",
+                            "\"limit\":6",
+                            "\"running\":6",
+                            "\"queued\":12",
+                            "\"wait_ms\":200",
+                            "\"met\":1",
+                            "\"missed\":1" }) {
+    BOOST_TEST(Contains(fixture.out_.str(), text), text);
+  }
+}
+
 // Guards against rollouts without the figures that an operator decides by, and against a text of
 // another kind that is shown as no rollouts.
 BOOST_AUTO_TEST_CASE(RolloutsAreShownWithTheirRoutes)
--- a/tests/unit/routing_load/OverloadRetriesTest.cpp
+++ b/tests/unit/routing_load/OverloadRetriesTest.cpp
@@ -1,5 +1,5 @@
-#include "core/Random.hpp"
 #include "routing/OverloadRetries.hpp"
+#include "core/Random.hpp"
 
 #include <boost/test/unit_test.hpp>
 
