--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -2,9 +2,9 @@
 
 #include "backend/BackendService.hpp"
 #include "backend/RequestText.hpp"
+#include "backend/ResponseHeaders.hpp"
 #include "core/Log.hpp"
 
-#include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 namespace redwing {
@@ -13,45 +13,9 @@
 
 /// Window of a response that begins while large bodies wait for memory.
 constexpr std::size_t kSmallWindowBytes = 64 * 1024;
-constexpr std::uint16_t kStatusTimeout = 408;
-constexpr std::uint16_t kStatusTooMany = 429;
-constexpr std::uint16_t kStatusUnavailable = 503;
-constexpr std::uint16_t kStatusMisdirected = 421;
 constexpr std::uint16_t kFirstSuccess = 200;
 constexpr std::uint16_t kFirstRedirect = 300;
 
-const std::string*
-FindHeader(const HttpHead& aHead, std::string_view aName)
-{
-  for (const auto& header : aHead.headers_) {
-    if (boost::algorithm::iequals(header.name_, aName)) {
-      return &header.value_;
-    }
-  }
-  return nullptr;
-}
-
-/// Returns whether the response states that the server did not run the request.
-bool
-ReportsNotRun(const HttpProtocol& aProtocol, const HttpHead& aHead)
-{
-  const std::string* notRun = FindHeader(aHead, aProtocol.notRunHeader_);
-  if (aProtocol.notRunValue_.empty()) {
-    return notRun != nullptr || aHead.status_ == kStatusMisdirected;
-  }
-  return aHead.status_ == kStatusUnavailable && notRun != nullptr &&
-         *notRun == aProtocol.notRunValue_;
-}
-
-/// Returns whether callers take the status alone as a promise that the request did not run.
-bool
-PromisesNotRun(const HttpProtocol& aProtocol, std::uint16_t aStatus)
-{
-  return aProtocol.statusTellsOutcome_ &&
-         (aStatus == kStatusUnavailable || aStatus == kStatusTooMany || aStatus == kStatusTimeout ||
-          aStatus == kStatusMisdirected);
-}
-
 } // namespace
 
 /// Passes the events of a connection to the service, together with the exchange that uses the
@@ -246,62 +210,6 @@
   return valid ? std::string_view() : "invalid_response";
 }
 
-std::optional<ServerLoad>
-BackendService::LoadIn(const HttpHead& aHead) const
-{
-  const std::string& name = settings_.protocol_.loadHeader_;
-  const std::string* load = name.empty() ? nullptr : FindHeader(aHead, name);
-  return load == nullptr ? std::nullopt : ParseServerLoad(*load);
-}
-
-bool
-BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
-{
-  if (!ReportsNotRun(settings_.protocol_, aHead) || !aHead.identified_) {
-    return false;
-  }
-  const bool misdirected = aHead.status_ == kStatusMisdirected;
-  if (!misdirected) {
-    const auto now = clock_.Now();
-    sheds_.Add();
-    // A server that sheds although it has free slots is not overloaded: with fewer requests at a
-    // time it would shed as many of them.
-    const auto load = LoadIn(aHead);
-    const bool overloaded = !load || !load->HasFreeSlot();
-    if (overloaded) {
-      limiter_.OnShed(now);
-    } else {
-      shedsWithRoom_.Add();
-    }
-    // A server that reports its state also reports whether it is cold.
-    if (overloaded && !settings_.serverReportsState_) {
-      ramp_.OnShed(now);
-    }
-  }
-  const auto connection = std::exchange(aExchange->connection_, nullptr);
-  if (aLast) {
-    pool_->Release(connection);
-  }
-  aExchange->reachedServer_ = true;
-  if (aExchange->start_.shard_ && settings_.protocol_.serverEchoesId_) {
-    refusedIds_[aExchange->start_.requestId_] = aExchange->start_.deadline_;
-  }
-  if (aExchange->resent_) {
-    // The server may have run the first copy of the request.
-    FailUnknown(aExchange, "shed_when_resent");
-  } else if (misdirected) {
-    RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
-  } else {
-    RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
-  }
-  if (!aLast) {
-    // A connection with an unread response is never reused. Its later callbacks are ignored,
-    // because the exchange has ended.
-    connection->Close();
-  }
-  return true;
-}
-
 void
 BackendService::OnResponse(const ExchangePtr& aExchange,
                            HttpHead&& aHead,
--- a/src/backend/BackendRollouts.cpp
+++ b/src/backend/BackendRollouts.cpp
@@ -1,6 +1,7 @@
 // BackendService: rollouts of the service, what the server may get and what it did.
 
 #include "backend/BackendService.hpp"
+#include "backend/ResponseHeaders.hpp"
 #include "core/Log.hpp"
 
 #include <utility>
@@ -9,8 +10,6 @@
 
 namespace {
 
-constexpr std::uint16_t kStatusMisdirected = 421;
-constexpr std::uint16_t kStatusTooMany = 429;
 constexpr std::uint16_t kFirstServerError = 500;
 
 } // namespace
--- a/src/backend/BackendStated.cpp
+++ b/src/backend/BackendStated.cpp
@@ -1,7 +1,8 @@
-// BackendService: what the backend server states of itself in its answers: a limit, or that it
-// leaves.
+// BackendService: what the backend server states of itself in its answers: a limit, its load, that
+// it leaves, or that it did not run a request.
 
 #include "backend/BackendService.hpp"
+#include "backend/ResponseHeaders.hpp"
 #include "core/Log.hpp"
 
 #include <algorithm>
@@ -155,4 +156,60 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(room).count());
 }
 
+std::optional<ServerLoad>
+BackendService::LoadIn(const HttpHead& aHead) const
+{
+  const std::string& name = settings_.protocol_.loadHeader_;
+  const std::string* load = name.empty() ? nullptr : FindHeader(aHead, name);
+  return load == nullptr ? std::nullopt : ParseServerLoad(*load);
+}
+
+bool
+BackendService::OnShed(const ExchangePtr& aExchange, const HttpHead& aHead, bool aLast)
+{
+  if (!ReportsNotRun(settings_.protocol_, aHead) || !aHead.identified_) {
+    return false;
+  }
+  const bool misdirected = aHead.status_ == kStatusMisdirected;
+  if (!misdirected) {
+    const auto now = clock_.Now();
+    sheds_.Add();
+    // A server that sheds although it has free slots is not overloaded: with fewer requests at a
+    // time it would shed as many of them.
+    const auto load = LoadIn(aHead);
+    const bool overloaded = !load || !load->HasFreeSlot();
+    if (overloaded) {
+      limiter_.OnShed(now);
+    } else {
+      shedsWithRoom_.Add();
+    }
+    // A server that reports its state also reports whether it is cold.
+    if (overloaded && !settings_.serverReportsState_) {
+      ramp_.OnShed(now);
+    }
+  }
+  const auto connection = std::exchange(aExchange->connection_, nullptr);
+  if (aLast) {
+    pool_->Release(connection);
+  }
+  aExchange->reachedServer_ = true;
+  if (aExchange->start_.shard_ && settings_.protocol_.serverEchoesId_) {
+    refusedIds_[aExchange->start_.requestId_] = aExchange->start_.deadline_;
+  }
+  if (aExchange->resent_) {
+    // The server may have run the first copy of the request.
+    FailUnknown(aExchange, "shed_when_resent");
+  } else if (misdirected) {
+    RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
+  } else {
+    RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
+  }
+  if (!aLast) {
+    // A connection with an unread response is never reused. Its later callbacks are ignored,
+    // because the exchange has ended.
+    connection->Close();
+  }
+  return true;
+}
+
 } // namespace redwing
