Correct the change of leader, returning versions and the test of rollouts

Cause, found by a review: a new leader answered the report that completed its gathering before its first step, which opened an old server that an earlier leader had closed, and could then write `completed`; one closed server was taken as proof that the targets are permitted. The exemption of services with few requests held on counts that a restart had lost. A server of another version beside the same process, and one that comes back, had their totals counted again. Reports could carry the version of a heartbeat with the counts of the server before. The test of rollouts allowed 8 s more than the failure lasted, counted exposure up to the duration only, did not check the requests during an outage of the store, and could pass without the failure. Change: the first step precedes the reply, closed servers stay closed while the closing goes on and targets are always permitted first; the exemption ends with a change of leader; counts are kept by version; the test's bounds are those of the requirement, and it requires that the failure began.

--- a/src/fleet/FleetRollouts.cpp
+++ b/src/fleet/FleetRollouts.cpp
@@ -269,7 +269,9 @@
   }
   report.counts_.service_ = directive.service_;
   report.counts_.orderRevision_ = directive.orderRevision_;
-  report.counts_.version_ = serverVersion_;
+  if (report.counts_.version_.empty()) {
+    report.counts_.version_ = serverVersion_;
+  }
   if (leader == settings_.self_.ref_.id_) {
     OnRolloutReply(coordinator_.OnReport(report, aNow), aNow);
     return;
--- a/src/fleet/RolloutUsage.cpp
+++ b/src/fleet/RolloutUsage.cpp
@@ -80,14 +80,19 @@
     // A report of an ended process that was delayed.
     return;
   }
-  const bool sameServer =
-    entry.incarnation_ == aReport.incarnation_ && entry.counts_.version_ == counts.version_;
-  if (!first && sameServer && IsOlder(counts, entry.counts_)) {
-    return;
-  }
-  if (!first && !sameServer) {
+  if (!first && entry.incarnation_ != aReport.incarnation_) {
     Charge(entry);
     entry = {};
+  } else if (!first) {
+    const bool same = entry.counts_.version_ == counts.version_;
+    const auto other = entry.otherVersions_.find(counts.version_);
+    const bool known = same || other != entry.otherVersions_.end();
+    if (known && IsOlder(counts, same ? entry.counts_ : other->second)) {
+      return;
+    }
+    if (!same) {
+      SwitchVersion(entry, counts.version_);
+    }
   }
   // Its counts tell what the server got while it was thought to be gone.
   targetRequests_ -= std::exchange(entry.charged_, 0);
@@ -114,6 +119,21 @@
   entry.present_ = true;
 }
 
+void
+RolloutUsage::SwitchVersion(Entry& aEntry, const std::string& aVersion)
+{
+  Charge(aEntry);
+  Entry next;
+  next.incarnation_ = aEntry.incarnation_;
+  next.otherVersions_ = std::move(aEntry.otherVersions_);
+  next.reportedAt_ = aEntry.reportedAt_;
+  next.otherVersions_[aEntry.counts_.version_] = std::move(aEntry.counts_);
+  if (const auto known = next.otherVersions_.extract(aVersion)) {
+    next.counts_ = std::move(known.mapped());
+  }
+  aEntry = std::move(next);
+}
+
 void
 RolloutUsage::AddRoutes(const ServerCounts& aCounts,
                         const ServerCounts& aBefore,
--- a/src/fleet/RolloutUsage.hpp
+++ b/src/fleet/RolloutUsage.hpp
@@ -36,6 +36,8 @@
     /// Requests that were counted for the target version without a report, because the instance is
     /// gone and its server may have got them.
     std::uint64_t charged_ = 0;
+    /// Last counts of other versions that ran beside the same process.
+    std::map<std::string, ServerCounts> otherVersions_{};
   };
 
   /// Takes what a server did since its last report, or in an earlier or longer time.
@@ -87,6 +89,8 @@
   }
 
 private:
+  /// Makes aEntry that of another version beside the same process.
+  void SwitchVersion(Entry& aEntry, const std::string& aVersion);
   /// Counts what a process that is gone may have got without reporting it.
   void Charge(Entry& aEntry);
   void AddRoutes(const ServerCounts& aCounts,
--- a/src/fleet/ServiceRollout.cpp
+++ b/src/fleet/ServiceRollout.cpp
@@ -126,16 +126,6 @@
                      });
 }
 
-bool
-ServiceRollout::AnyOldClosed() const
-{
-  return std::any_of(
-    service_.servers_.begin(), service_.servers_.end(), [this](const RolloutServer& aServer) {
-      const RolloutUsage::Entry* entry = usage_.Find(aServer.instanceId_);
-      return IsOld(aServer) && entry != nullptr && entry->counts_.closed_;
-    });
-}
-
 bool
 ServiceRollout::WasCold(const std::string& aInstanceId, TimePoint aNow) const
 {
@@ -207,10 +197,7 @@
     }
     return;
   }
-  if (!std::exchange(gathered_, true)) {
-    // The earlier leader was lost after the record of the closing, and may not have announced it.
-    closingAnnounced_ = phase_ == RolloutPhase::Closing && AnyOldClosed();
-  }
+  gathered_ = true;
   const std::vector<std::string> usable = UsableTargets(aNow);
   if (ClosesWithoutTargets(usable, aNow)) {
     RollBack("no_server");
@@ -416,8 +403,9 @@
   if (known && Gathering(aNow)) {
     return;
   }
-  if (known && aReport.counts_.version_ == wanted_.order_.targetVersion_) {
-    // The report may be the evidence against the permission that would answer it.
+  if (known && (!gathered_ || aReport.counts_.version_ == wanted_.order_.targetVersion_)) {
+    // The report may be the evidence against the permission that would answer it, or the last one
+    // that a new leader waits for: its reply needs a first step.
     Step(aNow);
   }
   if (known && !decision_.permits_ && !IsFinal(phase_) && phase_ != RolloutPhase::Waiting) {
@@ -425,6 +413,10 @@
   }
   // A server that counts from another order learns of this one; it had no permission for it.
   RolloutDirective directive = Announced();
+  if (known && phase_ == RolloutPhase::Closing && aReport.counts_.closed_) {
+    // An earlier leader has closed this server. Opened again, it could run requests at the end.
+    directive.phase_ = RolloutPhase::Closing;
+  }
   const std::string& id = aReport.instanceId_;
   const bool used = std::find(targets_.begin(), targets_.end(), id) != targets_.end();
   const bool permits = known && used && !IsFinal(phase_) && phase_ != RolloutPhase::Waiting &&
--- a/src/fleet/ServiceRollout.hpp
+++ b/src/fleet/ServiceRollout.hpp
@@ -130,7 +130,6 @@
   std::vector<std::string> ClosedVersions() const;
   bool AllReported() const;
   bool OldClosed() const;
-  bool AnyOldClosed() const;
   bool PermittedForClosing() const;
   /// Returns whether a closing must be given up, since no server is left to take the requests.
   bool ClosesWithoutTargets(const std::vector<std::string>& aUsable, TimePoint aNow);
--- a/src/rollout/RolloutRamp.cpp
+++ b/src/rollout/RolloutRamp.cpp
@@ -75,6 +75,7 @@
   , phase_(aPhase)
   , stageSince_(aOrderedAt)
   , resumed_(aPhase != RolloutPhase::Waiting)
+  , countsComplete_(!resumed_)
 {
   Plan();
 }
@@ -225,7 +226,7 @@
     return true;
   }
   reason_ = judgement.verdict_ == RolloutVerdict::Good ? "" : "evidence";
-  return aSituation.now_ >= lastClosing_ && IsWithinSlack(aSituation);
+  return aSituation.now_ >= lastClosing_ && countsComplete_ && IsWithinSlack(aSituation);
 }
 
 bool
--- a/src/rollout/RolloutRamp.hpp
+++ b/src/rollout/RolloutRamp.hpp
@@ -111,6 +111,8 @@
   /// Begin of the phase or stage; after a change of leader, the first time with a permission.
   TimePoint stageSince_{};
   bool resumed_;
+  /// False after a change of leader: counts of instances that are gone since are missing.
+  bool countsComplete_;
   std::string_view reason_;
   /// Ends of the canary, of the ramp under the bound, and of the ramp; last times at which the
   /// closing may begin, and end of the duration.
--- a/tests/integration/rollout/ExposureLog.cpp
+++ b/tests/integration/rollout/ExposureLog.cpp
@@ -9,8 +9,6 @@
 
 /// Number of bad answers after which a version must soon get no request.
 constexpr std::size_t kBadAnswers = 50;
-/// Time after the end of a disturbance in which the system recovers.
-constexpr std::chrono::seconds kRecovery{ 8 };
 
 long
 Ms(LogTime::duration aTime)
@@ -50,10 +48,10 @@
 }
 
 void
-ExposureLog::OnDisturbance(const Disturbance& aDisturbance)
+ExposureLog::OnFailure(std::chrono::milliseconds aTime)
 {
   std::lock_guard lock(mutex_);
-  disturbance_ = aDisturbance;
+  failure_ = aTime;
 }
 
 void
@@ -85,8 +83,8 @@
 {
   LogTime end = ordered_ + duration_;
   bool wrong = state_ != (aBad ? "rolled_back" : "completed");
-  if (disturbance_) {
-    end = std::max(end, disturbance_->until_) + kRecovery;
+  if (failure_) {
+    end += *failure_;
     wrong = aBad ? wrong : state_ != "completed" && state_ != "rolled_back";
   }
   if (!wrong && stateAt_ <= end) {
@@ -97,16 +95,6 @@
                             std::to_string(Ms(stateAt_ - ordered_)) + " ms after the order";
 }
 
-std::size_t
-ExposureLog::CountLate(const ExposureBounds& aBounds, LogTime aFrom, LogTime aTo) const
-{
-  const auto first = std::lower_bound(bad_.begin(), bad_.end(), aFrom);
-  if (bad_.end() - first < static_cast<std::ptrdiff_t>(kBadAnswers)) {
-    return 0;
-  }
-  return CountBetween(target_, first[kBadAnswers - 1] + aBounds.rollbackTime_, aTo);
-}
-
 std::vector<std::string>
 ExposureLog::Violations(bool aBad, const ExposureBounds& aBounds) const
 {
@@ -135,19 +123,20 @@
   if (!aBad) {
     return found;
   }
-  const auto target = CountBetween(target_, ordered_, end);
-  const auto all = target + CountBetween(old_, ordered_, end);
+  const LogTime last = std::max(end, stateAt_);
+  const auto target = CountBetween(target_, ordered_, last);
+  const auto all = target + CountBetween(old_, ordered_, last);
   if (static_cast<double>(target) > aBounds.share_ * static_cast<double>(all) + aBounds.slack_) {
     report(target, " of ", all, " requests at a bad version");
   }
-  const bool storeAway = disturbance_ && disturbance_->ofStore_;
-  std::size_t late = CountLate(aBounds, {}, storeAway ? disturbance_->from_ : LogTime::max());
-  late += storeAway ? CountLate(aBounds, disturbance_->until_, LogTime::max()) : 0;
-  if (late > 0) {
-    report(late,
-           " requests too late after the 50th bad answer, the last one ",
-           Ms(target_.back() - ordered_),
-           " ms after the order");
+  if (bad_.size() >= kBadAnswers) {
+    const LogTime limit = bad_[kBadAnswers - 1] + aBounds.rollbackTime_;
+    if (const auto late = CountBetween(target_, limit, LogTime::max()); late > 0) {
+      report(late,
+             " requests too late after the 50th bad answer, the last one ",
+             Ms(target_.back() - bad_[kBadAnswers - 1]),
+             " ms after it");
+    }
   }
   return found;
 }
--- a/tests/integration/rollout/ExposureLog.hpp
+++ b/tests/integration/rollout/ExposureLog.hpp
@@ -19,15 +19,6 @@
   std::chrono::milliseconds rollbackTime_{ 5000 };
 };
 
-/// A failure of the system during a rollout, or its recovery.
-struct Disturbance
-{
-  LogTime from_{};
-  LogTime until_{};
-  /// The store was away: the time for a rollback begins after it.
-  bool ofStore_ = false;
-};
-
 /// Records what the servers of a service get, and checks the bounds of a rollout by it.
 /// Thread-safe.
 class ExposureLog
@@ -38,8 +29,8 @@
   /// A request named another server than the one that got it.
   void OnMisdirected();
   void OnOrder(LogTime aNow, std::chrono::milliseconds aDuration);
-  /// Precondition: there is one disturbance at most.
-  void OnDisturbance(const Disturbance& aDisturbance);
+  /// A part of the system fails for aTime.
+  void OnFailure(std::chrono::milliseconds aTime);
   /// The status of the rollout was found in the store.
   void OnState(const std::string& aState, LogTime aNow);
 
@@ -47,8 +38,8 @@
   std::string State() const;
 
   /// Returns what broke a rule, a line each. The bounds on exposure hold for a bad version only. A
-  /// rollout that is disturbed may end later by as long as that lasts and takes to recover; a good
-  /// version may then be rolled back, and a bad one may never be completed.
+  /// rollout during which a part of the system fails may end later by the time of the failure, and
+  /// a good version may then be rolled back.
   std::vector<std::string> Violations(bool aBad, const ExposureBounds& aBounds) const;
 
   /// Returns the counts in one line.
@@ -57,9 +48,6 @@
 private:
   static std::size_t CountBetween(const std::vector<LogTime>& aTimes, LogTime aFrom, LogTime aTo);
   std::string WrongState(bool aBad) const;
-  /// Returns the requests that came later than aBounds allow after the 50th bad answer within a
-  /// span.
-  std::size_t CountLate(const ExposureBounds& aBounds, LogTime aFrom, LogTime aTo) const;
 
   mutable std::mutex mutex_;
   std::vector<LogTime> old_;
@@ -70,7 +58,7 @@
   std::chrono::milliseconds duration_{ 0 };
   std::string state_;
   LogTime stateAt_{};
-  std::optional<Disturbance> disturbance_;
+  std::optional<std::chrono::milliseconds> failure_;
 };
 
 } // namespace redwing::test
--- a/tests/integration/rollout/RolloutFleet.cpp
+++ b/tests/integration/rollout/RolloutFleet.cpp
@@ -23,8 +23,8 @@
 constexpr milliseconds kCalm{ 2000 };
 /// The servers of the target version start a moment after the order.
 constexpr milliseconds kStartDelay{ 300 };
-/// Longest time by which a trouble, and the recovery from it, delay the end of a rollout.
-constexpr milliseconds kTroubleTime{ 17'000 };
+/// Longest time by which a failure, and the recovery from it, delay the end of a rollout.
+constexpr milliseconds kFailureTime{ 17'000 };
 /// The servers of a version that was rolled back drain this long after it.
 constexpr milliseconds kDrainDelay{ 2000 };
 
@@ -71,8 +71,8 @@
   plan.seed_ = aSeed;
   plan.duration_ = milliseconds(static_cast<int>(between(12'000, 15'000)));
   plan.fault_.rate_ = between(0.3, 0.6);
-  constexpr std::uint64_t kTroubles = 5;
-  plan.trouble_ = static_cast<Trouble>((aSeed - 1) / kKinds % kTroubles);
+  constexpr std::uint64_t kFailures = 5;
+  plan.failure_ = static_cast<Failure>((aSeed - 1) / kKinds % kFailures);
   switch ((aSeed - 1) % kKinds) {
     case 0:
       plan.name_ = "good";
@@ -109,20 +109,20 @@
       plan.keyed_ = true;
       break;
   }
-  if (plan.trouble_ == Trouble::None) {
+  if (plan.failure_ == Failure::None) {
     return plan;
   }
-  constexpr std::array<const char*, kTroubles> kNames{
-    "", "-leader-killed", "-target-frozen", "-store-down", "-all-killed"
+  constexpr std::array<const char*, kFailures> kNames{
+    "", "-leader-killed", "-target-stopped", "-store-down", "-all-killed"
   };
-  plan.name_ += kNames.at(static_cast<std::size_t>(plan.trouble_));
+  plan.name_ += kNames.at(static_cast<std::size_t>(plan.failure_));
   plan.duration_ += 6s;
-  // From the canary to the closing; a bad version goes back a few seconds after its order.
-  const double last = plan.Bad() ? 4000 : 0.9 * static_cast<double>(plan.duration_.count());
-  plan.troubleAt_ = milliseconds(static_cast<int>(between(500, last)));
-  plan.troubleFor_ = plan.trouble_ == Trouble::StoreDown      ? 9000ms
-                     : plan.trouble_ == Trouble::TargetFrozen ? 3000ms
-                                                              : 500ms;
+  // From the canary to the closing; a bad version is rolled back from 3 s after its order on.
+  const double last = plan.Bad() ? 2000 : 0.9 * static_cast<double>(plan.duration_.count());
+  plan.failureAt_ = milliseconds(static_cast<int>(between(500, last)));
+  plan.failureFor_ = plan.failure_ == Failure::StoreDown       ? 9000ms
+                     : plan.failure_ == Failure::TargetStopped ? 3000ms
+                                                               : 500ms;
   return plan;
 }
 
@@ -319,7 +319,7 @@
   });
   std::this_thread::sleep_for(kStartDelay);
   StartServers(true);
-  PlayUntil(ordered, plan_.trouble_ == Trouble::None ? end : end + kTroubleTime);
+  RunUntil(ordered, plan_.failure_ == Failure::None ? end : end + kFailureTime);
   if (log_.State() == "completed") {
     EndServers(false);
   } else if (log_.State() == "rolled_back") {
@@ -341,29 +341,30 @@
       return i;
     }
   }
-  return 0;
+  return -1;
 }
 
 void
-RolloutFleet::BeginTrouble()
+RolloutFleet::BeginFailure()
 {
-  switch (plan_.trouble_) {
-    case Trouble::None:
+  switch (plan_.failure_) {
+    case Failure::None:
       break;
-    case Trouble::LeaderKilled:
-      hit_ = { Leader() };
-      fleet_->Instance(hit_.front()).Signal(SIGKILL);
+    case Failure::LeaderKilled:
+      affected_ = { Leader() };
+      BOOST_REQUIRE_MESSAGE(affected_.front() >= 0, "no instance leads");
+      fleet_->Instance(affected_.front()).Signal(SIGKILL);
       break;
-    case Trouble::TargetFrozen:
-      hit_ = { kOld };
+    case Failure::TargetStopped:
+      affected_ = { kOld };
       fleet_->Instance(kOld).Signal(SIGSTOP);
       break;
-    case Trouble::StoreDown:
+    case Failure::StoreDown:
       fleet_->OnStore([](auto& aStore) { aStore.SetTrouble(standins::StoreTrouble::Reset); });
       break;
-    case Trouble::AllKilled:
+    case Failure::AllKilled:
       for (int i = 0; i < fleet_->Size(); ++i) {
-        hit_.push_back(i);
+        affected_.push_back(i);
         fleet_->Instance(i).Signal(SIGKILL);
       }
       break;
@@ -371,13 +372,13 @@
 }
 
 void
-RolloutFleet::EndTrouble()
+RolloutFleet::EndFailure()
 {
-  if (plan_.trouble_ == Trouble::StoreDown) {
+  if (plan_.failure_ == Failure::StoreDown) {
     fleet_->OnStore([](auto& aStore) { aStore.SetTrouble(standins::StoreTrouble::None); });
   }
-  for (const int instance : hit_) {
-    if (plan_.trouble_ == Trouble::TargetFrozen) {
+  for (const int instance : affected_) {
+    if (plan_.failure_ == Failure::TargetStopped) {
       fleet_->Instance(instance).Signal(SIGCONT);
       judge_.OnResumed("server-" + std::to_string(instance), steady_clock::now());
     } else {
@@ -387,28 +388,29 @@
 }
 
 void
-RolloutFleet::PlayUntil(LogTime aOrdered, LogTime aEnd)
+RolloutFleet::RunUntil(LogTime aOrdered, LogTime aEnd)
 {
-  const LogTime from = aOrdered + plan_.troubleAt_;
-  const LogTime until = from + plan_.troubleFor_;
-  bool begun = plan_.trouble_ == Trouble::None;
+  const LogTime from = aOrdered + plan_.failureAt_;
+  const LogTime until = from + plan_.failureFor_;
+  bool begun = plan_.failure_ == Failure::None;
   bool over = begun;
   const auto ended = [this] {
     const std::string state = log_.State();
     return state == "completed" || state == "rolled_back";
   };
-  // A trouble that has begun is played to its end.
+  // A failure that has begun lasts to its end.
   while ((!ended() || begun != over) && steady_clock::now() < aEnd) {
     if (!begun && steady_clock::now() >= from) {
       begun = true;
-      log_.OnDisturbance({ from, until, plan_.trouble_ == Trouble::StoreDown });
-      BeginTrouble();
+      log_.OnFailure(plan_.failureFor_);
+      BeginFailure();
     } else if (begun && !over && steady_clock::now() >= until) {
       over = true;
-      EndTrouble();
+      EndFailure();
     }
     std::this_thread::sleep_for(1ms);
   }
+  BOOST_CHECK_MESSAGE(begun, "the rollout ended before the failure began");
 }
 
 bool
--- a/tests/integration/rollout/RolloutFleet.hpp
+++ b/tests/integration/rollout/RolloutFleet.hpp
@@ -17,13 +17,13 @@
 namespace redwing::test {
 
 /// What fails in the system while a rollout runs.
-enum class Trouble
+enum class Failure
 {
   None,
   /// The leader is killed and started again.
   LeaderKilled,
-  /// The instance beside a target server stands still for 3 s.
-  TargetFrozen,
+  /// The instance beside a target server is stopped (SIGSTOP) for 3 s.
+  TargetStopped,
   /// The store resets connections for 9 s.
   StoreDown,
   /// All instances are killed and started again.
@@ -37,16 +37,16 @@
   bool keyed_ = false;
   std::chrono::milliseconds duration_{ 12'000 };
   std::uint64_t seed_ = 1;
-  Trouble trouble_ = Trouble::None;
-  /// Time from the order until the trouble begins, and its length.
-  std::chrono::milliseconds troubleAt_{ 0 };
-  std::chrono::milliseconds troubleFor_{ 0 };
+  Failure failure_ = Failure::None;
+  /// Time from the order until the failure begins, and its length.
+  std::chrono::milliseconds failureAt_{ 0 };
+  std::chrono::milliseconds failureFor_{ 0 };
 
   bool Bad() const { return fault_.fault_ != Fault::None; }
 };
 
 /// Returns the rollout of a seed: all kinds come in turn, their figures are drawn. Each kind comes
-/// without a trouble first and then with each of them.
+/// without a failure first and then with each of them.
 RolloutPlan DrawRollout(std::uint64_t aSeed);
 
 /// A fleet of instances beside servers of an old and of a target version, under the load of callers
@@ -85,12 +85,12 @@
   void EndServers(bool aTarget);
   void DrainTargets();
   void WatchStatus();
-  /// Returns the instance that leads; the first one if none says so.
+  /// Returns the instance that leads; -1 if none says so.
   int Leader() const;
-  void BeginTrouble();
-  void EndTrouble();
-  /// Waits until aEnd or the end of the rollout; plays the trouble in its time.
-  void PlayUntil(LogTime aOrdered, LogTime aEnd);
+  void BeginFailure();
+  void EndFailure();
+  /// Waits until aEnd or the end of the rollout, and injects the failure.
+  void RunUntil(LogTime aOrdered, LogTime aEnd);
   void SendRequests(int aCaller);
   bool SendRequest(int aCaller, int aNumber);
 
@@ -100,8 +100,8 @@
   std::array<std::atomic<bool>, kOld + kTarget> up_{};
   std::array<std::atomic<LogTime>, kOld + kTarget> startedAt_{};
   std::atomic<bool> draining_{ false };
-  /// Instances that the trouble has hit.
-  std::vector<int> hit_;
+  /// Instances that failed.
+  std::vector<int> affected_;
   std::unique_ptr<PlatformFleet> fleet_;
   std::vector<std::unique_ptr<ServedVersion>> versions_;
   std::vector<std::unique_ptr<standins::HttpServer>> pooled_;
--- a/tests/unit/rollout/RolloutRampTest.cpp
+++ b/tests/unit/rollout/RolloutRampTest.cpp
@@ -143,6 +143,12 @@
     step = ramp.Next(situation);
   }
   BOOST_CHECK(step.phase_ == RolloutPhase::Closing);
+  // A new leader does not know the requests of instances that are gone.
+  RolloutRamp resumed(kBounds, kOrder, At(0), RolloutPhase::Ramp);
+  RolloutSituation last = Situation(19'000, RolloutVerdict::Undecided);
+  last.serviceRequests_ = 10;
+  last.requestsPerSecond_ = 0;
+  BOOST_CHECK(resumed.Next(last).phase_ == RolloutPhase::Ramp);
 }
 
 // Guards against a canary that gives cold servers more than they can handle.
--- a/tests/unit/rollout_coordination/RolloutUsageTest.cpp
+++ b/tests/unit/rollout_coordination/RolloutUsageTest.cpp
@@ -1,5 +1,8 @@
 #include "RolloutFixture.hpp"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+
 using namespace redwing;
 using namespace redwing::test;
 
@@ -62,6 +65,32 @@
   BOOST_TEST(usage.Routes().at({ RolloutSide::Target, "r" }).requests_ == 90U);
 }
 
+// Guards against totals that count again when a server of another version takes the place of one
+// and that one comes back, or its last report arrives late.
+BOOST_AUTO_TEST_CASE(AnotherVersionAndBackIsCountedOnce)
+{
+  RolloutUsage usage("v2", now_);
+  std::uint64_t judged = 0;
+  const auto report = [&](const char* aVersion, std::uint64_t aRequests) {
+    RolloutReport report;
+    report.instanceId_ = "a";
+    report.counts_.version_ = aVersion;
+    report.counts_.arrivals_ = aRequests;
+    report.counts_.routes_.push_back({ "r", aRequests, 0, {} });
+    usage.OnReport(report, now_, [&](RolloutSide, const RouteCounts& aDelta, bool) {
+      judged += aDelta.requests_;
+    });
+  };
+  report("v1", 100);
+  report("v2", 5);
+  report("v1", 90);
+  report("v2", 7);
+  report("v1", 110);
+  BOOST_TEST(usage.ServiceRequests() == 117U);
+  BOOST_TEST(usage.TargetRequests() == 7U);
+  BOOST_TEST(judged == 117U);
+}
+
 // Guards against a report that arrives after a later one and is taken for a restart.
 BOOST_AUTO_TEST_CASE(ADelayedReportChangesNothing)
 {
@@ -134,20 +163,34 @@
 
 // Guards against old servers that a new leader closes before the target servers may serve in their
 // place: the earlier leader was lost after it had written the record.
-BOOST_AUTO_TEST_CASE(ANewLeaderClosesOldServersAfterTargetsAreSafe)
+BOOST_DATA_TEST_CASE(ANewLeaderClosesOldServersAfterTargetsAreSafe,
+                     boost::unit_test::data::make({ 0, 1, 3 }),
+                     closed)
 {
   Order("v2", 10, 60s);
   AddTargets();
-  BOOST_REQUIRE(RunUntil([&] { return Stored() == RolloutPhase::Closing; }));
+  const auto closedNow = [&] {
+    return std::vector<bool>{ At("a").closed_, At("b").closed_, At("c").closed_ };
+  };
+  const auto count = [](const std::vector<bool>& aClosed) {
+    return std::count(aClosed.begin(), aClosed.end(), true);
+  };
+  BOOST_REQUIRE(
+    RunUntil([&] { return Stored() == RolloutPhase::Closing && count(closedNow()) >= closed; }));
+  BOOST_REQUIRE(Stored() == RolloutPhase::Closing);
   leader_.reset();
+  const std::vector<bool> before = closedNow();
   Run(7s);
   NewLeader();
   while (Stored() != RolloutPhase::Completed) {
     Step();
     BOOST_REQUIRE(now_ < leaderSince_ + 30s);
-    const bool closed = At("a").closed_ || At("b").closed_ || At("c").closed_;
+    const std::vector<bool> now = closedNow();
     const bool safe = At("xv2").permittedUntil_ > now_ && At("yv2").permittedUntil_ > now_;
-    BOOST_REQUIRE((safe || !closed || Stored() == RolloutPhase::Completed));
+    for (std::size_t i = 0; i < now.size(); ++i) {
+      BOOST_REQUIRE((now[i] || !before[i]));
+      BOOST_REQUIRE((safe || now[i] == before[i] || Stored() == RolloutPhase::Completed));
+    }
   }
   BOOST_TEST(!completedWhileOpen_);
 }
