Correct rates of bodies, reservations, retries and statements of servers

Cause, found by reviews: the rate of a body counted the time before its memory was reserved, in which it is not read; a large head that waits for its buffer was closed without a response; a reservation fell with the response although credited bytes were still held, and did not rise when a body is sent again; a link that was just put to use could give way. Attempts after overload were counted by service, so that refusals of large responses or of requests with little time used up those of others; members in several groups of selectors counted more than once; an attempt could be paid and not made. A rate of a link did not rise beside one slow reader. A number with a fraction in the statement of a server was read as two.

--- a/src/backend/ServerLoad.cpp
+++ b/src/backend/ServerLoad.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Reads a number from the start of aText and removes it together with a comma after it; returns
-/// whether there was a number.
+/// Reads a number from the start of aText and removes it together with the comma after it; returns
+/// whether there was a number that ends with a comma or the text.
 template<typename Number>
 bool
 TakeNumber(std::string_view& aText, Number& aNumber)
@@ -18,10 +18,12 @@
     return false;
   }
   aText.remove_prefix(static_cast<std::size_t>(parsed.ptr - aText.data()));
-  if (!aText.empty() && aText.front() == ',') {
-    aText.remove_prefix(1);
+  if (aText.empty()) {
+    return true;
   }
-  return true;
+  const bool separated = aText.front() == ',';
+  aText.remove_prefix(1);
+  return separated;
 }
 
 } // namespace
--- a/src/capacity/LinkCapacity.cpp
+++ b/src/capacity/LinkCapacity.cpp
@@ -114,7 +114,7 @@
     while (aBytes > 0 && !aOpen.sent_.empty()) {
       auto& [bytes, sentAt] = aOpen.sent_.front();
       const std::uint64_t arrived = std::min(bytes, aBytes);
-      rate_.OnArrived(aKey.exchangeId_, arrived, aNow - sentAt, aNow);
+      rate_.OnArrived(ExchangeKeyHash{}(aKey), arrived, aNow - sentAt, aNow);
       aBytes -= arrived;
       bytes -= arrived;
       if (bytes == 0) {
--- a/src/capacity/LinkRate.cpp
+++ b/src/capacity/LinkRate.cpp
@@ -68,9 +68,9 @@
     base_ =
       base_ == Duration::zero() ? shortest_ : std::min(shortest_, base_ + base_ / kBaseGrowth);
   }
-  if (!slow) {
+  if (!slow || !HasEvidence()) {
     rate_ = std::min(stated_, rate_ * kIncrease);
-  } else if (HasEvidence() && passed < kLongest + kInterval) {
+  } else if (passed < kLongest + kInterval) {
     const double arrived = static_cast<double>(arrived_) / seconds * kDrain;
     rate_ = std::clamp(std::max(arrived, rate_ * kMostDecrease), stated_ * kLowest, rate_);
   }
--- a/src/ctl/ClusterCommands.hpp
+++ b/src/ctl/ClusterCommands.hpp
@@ -38,9 +38,12 @@
   /// otherwise what it was told, with the name of the leader.
   Exit Rollouts();
 
+  /// Shows the load of the server beside the one instance that is addressed, and what was refused,
+  /// from the metrics of the instance.
+  Exit Load();
+
   /// Shows the bytes that the one instance that is addressed holds for others, and how often it
   /// refused or closed something to bound them, from its metrics.
-  Exit Load();
   Exit Memory();
 
 private:
--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -266,6 +266,7 @@
     end == std::string_view::npos ? unread.size() >= limit : end + kEnd.size() > limit;
   if (end == std::string_view::npos && !tooLarge) {
     scanned_ = unread.size() < kEnd.size() ? 0 : unread.size() - kEnd.size() + 1;
+    headWaits_ = false;
     return false;
   }
   if (!MayHoldHead(tooLarge ? 0 : end + kEnd.size())) {
@@ -276,7 +277,6 @@
   const std::size_t headBytes = tooLarge ? unread.size() : end + kEnd.size();
   slots_.push_back(std::make_unique<CallerSlot>(core_, *this, Consume(headBytes)));
   headSince_ = core_.Now();
-  bodySince_ = headSince_;
   CallerSlot& slot = *slots_.back();
   slot.first_ = std::exchange(fresh_, false);
   slot.exchange_->HoldHead(headBytes * kHeadCopies);
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -137,11 +137,11 @@
   TimePoint lastWrite_;
   /// When the first byte of the present head arrived.
   TimePoint headSince_;
-  /// When the last head was complete.
+  /// When the memory of the present body was reserved.
   TimePoint bodySince_{};
   /// Since when a body waits for memory; only while it does.
   std::optional<TimePoint> bodyWaits_;
-  /// A complete head waits for memory.
+  /// The present head waits for memory.
   bool headWaits_ = false;
   /// The guard will call ResumeReading.
   bool awaitsResume_ = false;
--- a/src/intake/CallerConnectionIo.cpp
+++ b/src/intake/CallerConnectionIo.cpp
@@ -45,6 +45,7 @@
   }
   const std::size_t larger = std::min(buffer_.size() * 2, most);
   if (!core_.Memory().Fits(larger - buffer_.size(), MemoryUse::SmallRequest)) {
+    headWaits_ = headWaits_ || slots_.empty();
     WaitForMemory();
     return false;
   }
--- a/src/intake/CallerConnectionMemory.cpp
+++ b/src/intake/CallerConnectionMemory.cpp
@@ -15,7 +15,7 @@
 /// Time for which a body waits for memory before its request is refused, which is less than callers
 /// wait for a response.
 constexpr Duration kLongestWait = std::chrono::seconds(2);
-/// Time after its head from which the rate of a body means something.
+/// Rates of younger bodies are not judged, since a few late packets would decide.
 constexpr Duration kRatedBody = std::chrono::seconds(2);
 /// Buffers of responses above this size are given back once they were written.
 constexpr std::size_t kKeptBytes = 16 * 1024;
@@ -67,7 +67,13 @@
 bool
 CallerConnection::MayHoldBody()
 {
-  if (slots_.back()->exchange_->ReserveBody()) {
+  Exchange& exchange = *slots_.back()->exchange_;
+  const bool reserved = exchange.BodyBytesHeld() > 0;
+  if (exchange.ReserveBody()) {
+    if (!reserved) {
+      // Before, the body was not read, which is not its caller's doing.
+      bodySince_ = core_.Now();
+    }
     bodyWaits_.reset();
     return true;
   }
--- a/src/intake/Exchange.cpp
+++ b/src/intake/Exchange.cpp
@@ -347,7 +347,7 @@
     Combine(Combine(Combine(HashBytes(start_.workspace_), start_.method_), start_.target_),
             deferred_ ? pending_ : start_.body_);
   core_.Retries().OnRequest(start_.workspace_, start_.service_);
-  core_.RetriesOfOverload().OnRequest(start_.service_);
+  core_.RetriesOfOverload().OnRequest(start_.class_);
   SendAttempt("first");
 }
 
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -80,6 +80,10 @@
     sentBytes_ = 0;
     bodySent_ = false;
     requestOutstanding_ = kBodyWindowBytes;
+    if (bodyReserved_) {
+      // The body is on its way once more.
+      bodyHeld_.Set(BodyBytesNeeded());
+    }
   }
   RequestStart start = CanReplay() ? start_ : std::move(start_);
   const IntakeDependencies& dependencies = core_.Dependencies();
@@ -313,17 +317,17 @@
   if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
     return false;
   }
+  if (aRefusal.outcome_ == Outcome::NotRun && CountsAsRetry(aRefusal) &&
+      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
+    return false;
+  }
   afterOverload_ =
     aRefusal.code_ == ErrorCode::Overloaded || aRefusal.code_ == ErrorCode::QueueFull;
   if (afterOverload_ &&
-      !core_.RetriesOfOverload().TryTake(ServiceId(), core_.Selector().Size(*entry_->route_))) {
+      !core_.RetriesOfOverload().TryTake(start_.class_, core_.Selector().Size(*entry_->route_))) {
     core_.RetryWithheldCounter().Add();
     return false;
   }
-  if (aRefusal.outcome_ == Outcome::NotRun && CountsAsRetry(aRefusal) &&
-      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
-    return false;
-  }
   core_.RetryCounter().Add();
   SendAttempt("retry");
   return true;
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -107,7 +107,7 @@
   }
   responding_ = true;
   if (std::exchange(afterOverload_, false)) {
-    core_.RetriesOfOverload().OnAccepted(ServiceId());
+    core_.RetriesOfOverload().OnAnswered(start_.class_);
   }
   const TimePoint now = core_.Now();
   CancelAttempts(aAttemptId);
--- a/src/intake/ExchangeMemory.cpp
+++ b/src/intake/ExchangeMemory.cpp
@@ -63,14 +63,18 @@
     std::string().swap(pending_);
     std::string().swap(start_.body_);
   }
-  const std::size_t onItsWay = responding_ ? 0 : std::min(2 * requestOutstanding_, kWindows);
-  bodyHeld_.Set(pending_.capacity() + start_.body_.capacity() + onItsWay);
+  // A body that was sent with its head gets no credit; the response shows that it was taken.
+  const bool credited = streamed_ || deferred_;
+  const std::size_t onItsWay =
+    responding_ && !credited ? 0 : std::min(2 * requestOutstanding_, kWindows);
+  bodyHeld_.Set(
+    std::min(bodyHeld_.Bytes(), pending_.capacity() + start_.body_.capacity() + onItsWay));
 }
 
 void
 Exchange::RefuseForMemory()
 {
-  Refuse(ErrorCode::Overloaded, "there is no memory for the request body");
+  Refuse(ErrorCode::Overloaded, "there is no memory for the request");
 }
 
 void
--- a/src/intake/IntakeCore.hpp
+++ b/src/intake/IntakeCore.hpp
@@ -71,7 +71,7 @@
   TimerQueue& Timers() { return timers_; }
   Counter& HedgeCounter() { return hedgeCounter_; }
   Counter& RetryCounter() { return retryCounter_; }
-  /// Counts refused requests that were not sent to another member, because hardly any accepts.
+  /// Counts refused requests that were not sent to another member, because most of them are full.
   Counter& RetryWithheldCounter() { return retryWithheldCounter_; }
   /// Counts connections that were closed by their callers before bytes sent on them were read.
   Counter& UnreadCounter() { return unread_; }
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -16,7 +16,8 @@
 constexpr std::chrono::milliseconds kResumeInterval{ 20 };
 /// A body that got no byte for this long gives way to bodies that wait for its memory.
 constexpr Duration kStalledBody = std::chrono::seconds(1);
-/// Bytes a second below which a body gives way too: a byte now and then would keep its memory.
+/// Bytes a second below which a body gives way too: a byte now and then would keep its memory. The
+/// largest legal body would take over four hours at this rate.
 constexpr double kSlowBody = 4096;
 /// A connection without a request is closed for another one only after this time, so that a caller
 /// that has just connected can send its request.
@@ -112,7 +113,8 @@
     }
   }
   if (worst) {
-    Report(MemoryAction::StalledBodyClosed, "a body stopped while others wait for memory");
+    Report(MemoryAction::StalledBodyClosed,
+           "a body stopped or came slowly while others wait for memory");
     worst->Close();
   }
   return worst != nullptr;
--- a/src/peer/Link.hpp
+++ b/src/peer/Link.hpp
@@ -94,6 +94,12 @@
   const InstanceRef& Peer() const { return handshake_.Peer(); }
   const std::string& ExpectedId() const { return expectedId_; }
   TimePoint LastReceived() const { return lastReceived_; }
+  /// Returns whether bytes have arrived that were not read yet.
+  bool HasUnread() const
+  {
+    boost::system::error_code ignored;
+    return socket_.available(ignored) > 0;
+  }
   TimePoint Started() const { return started_; }
 
   /// Starts the progress time-out anew, for instance after this process itself was paused.
--- a/src/peer/PeerService.cpp
+++ b/src/peer/PeerService.cpp
@@ -180,7 +180,8 @@
   std::shared_ptr<Link> oldest;
   for (const auto& [id, entry] : links_) {
     const bool unused = entry.link_->Inbound() && entry.link_->State() == LinkState::Established &&
-                        entry.inbound_.empty() && entry.outboundOpen_ == 0;
+                        entry.inbound_.empty() && entry.outboundOpen_ == 0 &&
+                        !entry.link_->Writes() && !entry.link_->HasUnread();
     if (unused && (!oldest || entry.link_->LastReceived() < oldest->LastReceived())) {
       oldest = entry.link_;
     }
--- a/src/routing/OverloadRetries.cpp
+++ b/src/routing/OverloadRetries.cpp
@@ -10,18 +10,18 @@
 }
 
 void
-OverloadRetries::OnRequest(std::string_view aService)
+OverloadRetries::OnRequest(std::string_view aRoute)
 {
-  Add(aService, settings_.earned_);
+  Add(aRoute, settings_.earned_);
 }
 
 bool
-OverloadRetries::TryTake(std::string_view aService, std::size_t aMembers)
+OverloadRetries::TryTake(std::string_view aRoute, std::size_t aMembers)
 {
   if (aMembers <= settings_.unlimitedMembers_) {
     return true;
   }
-  double& saved = Saved(aService);
+  double& saved = Saved(aRoute);
   if (saved < 1) {
     return false;
   }
@@ -30,21 +30,21 @@
 }
 
 void
-OverloadRetries::OnAccepted(std::string_view aService)
+OverloadRetries::OnAnswered(std::string_view aRoute)
 {
-  Add(aService, 1);
+  Add(aRoute, 1);
 }
 
 double&
-OverloadRetries::Saved(std::string_view aService)
+OverloadRetries::Saved(std::string_view aRoute)
 {
-  return saved_.try_emplace(std::string(aService), settings_.reserve_).first->second;
+  return saved_.try_emplace(std::string(aRoute), settings_.reserve_).first->second;
 }
 
 void
-OverloadRetries::Add(std::string_view aService, double aAttempts)
+OverloadRetries::Add(std::string_view aRoute, double aAttempts)
 {
-  double& saved = Saved(aService);
+  double& saved = Saved(aRoute);
   saved = std::min(settings_.reserve_, saved + aAttempts);
 }
 
--- a/src/routing/PoolSelector.cpp
+++ b/src/routing/PoolSelector.cpp
@@ -171,11 +171,7 @@
 std::size_t
 PoolSelector::Size(const Route& aRoute)
 {
-  std::size_t size = 0;
-  for (const Group& group : PoolOf(aRoute).groups_) {
-    size += group.candidates_.size();
-  }
-  return size;
+  return PoolOf(aRoute).members_;
 }
 
 bool
@@ -213,6 +209,8 @@
   for (const Candidate& candidate : members) {
     pool->outliers_.push_back(&candidate.tracked_->outlier_);
   }
+  // Groups of selectors hold a part of them; the difference does not matter for large pools.
+  pool->members_ = members.size();
   if (aRoute.selectors_.empty()) {
     pool->groups_.push_back({ 1, std::move(members) });
     return pool;
--- a/src/routing/PoolSelector.hpp
+++ b/src/routing/PoolSelector.hpp
@@ -93,6 +93,8 @@
     OutlierDetector detector_;
     TimePoint nextEvaluation_{};
     std::size_t turn_ = 0;
+    /// Members that may serve the route; groups may share them.
+    std::size_t members_ = 0;
     /// Null if the service is not rolled out.
     const RolloutRouting* rollout_ = nullptr;
   };
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -313,6 +313,15 @@
   std::this_thread::sleep_for(50ms);
   BOOST_REQUIRE(b.service_.TryStart("s", MakeStart(3)));
   serving.requests_.Await(2);
+  // By default a link that was idle for a moment stays.
+  Node patient("p", "key", kNoStall, 1);
+  a.Knows("p", patient.service_.Port());
+  b.Knows("p", patient.service_.Port());
+  BOOST_REQUIRE(a.service_.TryStart("p", MakeStart(4)));
+  patient.service_.Respond(MakeResponse(patient.requests_.Await(1).back()));
+  a.responses_.Await(2);
+  BOOST_REQUIRE(b.service_.TryStart("p", MakeStart(5)));
+  BOOST_TEST((std::get<Refusal>(b.responses_.Await(2).back()).outcome_ == Outcome::NotRun));
 }
 
 // Guards against requests that hang on a link which stays open but delivers nothing.
