Keep the test of rollouts from using a timer that is gone

Cause: a wait of the status watch may have ended, with its handler queued, before the fixture destroys the timer; the handler then used it. Change: the handler ends if the timer is gone.

--- a/tests/integration/rollout/RolloutFleet.cpp
+++ b/tests/integration/rollout/RolloutFleet.cpp
@@ -289,7 +289,8 @@
 {
   watch_->expires_after(kStatusPoll);
   watch_->async_wait([this](const boost::system::error_code& aError) {
-    if (aError) {
+    // The wait may have ended before the timer went away.
+    if (aError || !watch_) {
       return;
     }
     const auto* found = store_->Data().Get(std::string("status/rollout/") + kService);
