Test crowds with chunked bodies, forwarding instances and settings without limits

Each process is checked to live, to keep within the memory of its machine (resident memory and bytes that wait unread on its sockets) and within its descriptors, and an ordinary request is answered during and after the crowd.

--- a/tests/integration/crowd/Crowd.cpp
+++ b/tests/integration/crowd/Crowd.cpp
@@ -13,8 +13,9 @@
 class Crowd::Caller : public std::enable_shared_from_this<Caller>
 {
 public:
-  explicit Caller(Crowd& aCrowd)
+  Caller(Crowd& aCrowd, std::size_t aNumber)
     : crowd_(aCrowd)
+    , number_(aNumber)
     , socket_(aCrowd.context_)
     , timer_(aCrowd.context_)
     , left_(aCrowd.plan_.bodyBytes_)
@@ -30,7 +31,8 @@
     }
     socket_.async_connect(aEndpoint, [self = shared_from_this()](error_code aError) {
       if (!aError) {
-        self->Write(self->crowd_.plan_.head_);
+        const CallerPlan& plan = self->crowd_.plan_;
+        self->Write(plan.headOf_ ? plan.headOf_(self->number_) : plan.head_);
         self->Read();
       }
     });
@@ -78,6 +80,7 @@
   }
 
   Crowd& crowd_;
+  std::size_t number_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::size_t left_;
@@ -85,13 +88,13 @@
   std::array<char, 16 * 1024> input_{};
 };
 
-Crowd::Crowd(const Address& aAddress, std::size_t aCallers, CallerPlan aPlan)
+Crowd::Crowd(const std::vector<Address>& aAddresses, std::size_t aCallers, CallerPlan aPlan)
   : plan_(std::move(aPlan))
 {
-  const tcp::endpoint endpoint(asio::ip::make_address(aAddress.ip_), aAddress.port_);
   for (std::size_t i = 0; i < aCallers; ++i) {
-    callers_.push_back(std::make_shared<Caller>(*this));
-    callers_.back()->Start(endpoint);
+    const Address& address = aAddresses[i % aAddresses.size()];
+    callers_.push_back(std::make_shared<Caller>(*this, i));
+    callers_.back()->Start({ asio::ip::make_address(address.ip_), address.port_ });
   }
   thread_ = std::thread([this] { context_.run(); });
 }
--- a/tests/integration/crowd/Crowd.hpp
+++ b/tests/integration/crowd/Crowd.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -16,6 +17,7 @@
 struct CallerPlan
 {
   std::string head_;
+  /// Bytes on the wire, the framing of chunks included.
   std::size_t bodyBytes_ = 0;
   std::size_t pieceBytes_ = 64 * 1024;
   std::chrono::milliseconds pause_{ 0 };
@@ -23,13 +25,16 @@
   std::string filler_ = "x";
   /// Takes what the other side sends.
   bool reads_ = true;
+  /// Returns what a caller sends instead of head_, by its number; empty: all send head_.
+  std::function<std::string(std::size_t aCaller)> headOf_{};
 };
 
 /// Callers that ignore refusals, all on one thread.
 class Crowd
 {
 public:
-  Crowd(const Address& aAddress, std::size_t aCallers, CallerPlan aPlan);
+  /// Divides aCallers evenly among aAddresses.
+  Crowd(const std::vector<Address>& aAddresses, std::size_t aCallers, CallerPlan aPlan);
   ~Crowd();
   Crowd(const Crowd&) = delete;
   Crowd& operator=(const Crowd&) = delete;
--- a/tests/integration/crowd/CrowdServer.cpp
+++ b/tests/integration/crowd/CrowdServer.cpp
@@ -39,6 +39,7 @@
 
 private:
   static constexpr std::size_t kScratchBytes = 64 * 1024;
+  static constexpr std::size_t kSlowBytes = 4 * 1024;
 
   void ReadBody()
   {
@@ -47,8 +48,23 @@
       timer_.async_wait([self = shared_from_this()](error_code) { self->Answer(); });
       return;
     }
+    const auto target = parser_->get().target();
+    if (target.starts_with("/stuck/")) {
+      // Keeps the session alive until the server ends.
+      timer_.expires_at(asio::steady_timer::time_point::max());
+      timer_.async_wait([self = shared_from_this()](error_code) {});
+    } else if (target.starts_with("/slow/")) {
+      timer_.expires_after(kSlowRead);
+      timer_.async_wait([self = shared_from_this()](error_code) { self->ReadPart(kSlowBytes); });
+    } else {
+      ReadPart(kScratchBytes);
+    }
+  }
+
+  void ReadPart(std::size_t aMost)
+  {
     parser_->get().body().data = scratch_.data();
-    parser_->get().body().size = scratch_.size();
+    parser_->get().body().size = aMost;
     http::async_read(
       socket_, buffer_, *parser_, [self = shared_from_this()](error_code aError, std::size_t) {
         if (!aError || aError == http::error::need_buffer) {
@@ -60,8 +76,12 @@
   void Answer()
   {
     const auto& request = parser_->get();
-    const bool large = request.target().starts_with("/large/");
-    const std::string body = large ? std::string(kLargeBytes, 'x') : "done";
+    std::string body = R"({"ready":true})";
+    if (request.target().starts_with("/large/")) {
+      body.assign(kLargeBytes, 'x');
+    } else if (request.target().starts_with("/kept/")) {
+      body.assign(kKeptBytes, 'x');
+    }
     text_ = "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nX-Request-Id: " +
             std::string(request["X-Request-Id"]) +
             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/tests/integration/crowd/CrowdServer.hpp
+++ b/tests/integration/crowd/CrowdServer.hpp
@@ -9,12 +9,17 @@
 namespace redwing::test {
 
 /// A backend server on one thread that discards the bodies of requests and answers each after
-/// kWork: /large/ with kLargeBytes, all other paths with a short text.
+/// kWork: /large/ with kLargeBytes, /kept/ with kKeptBytes, all other paths with a report that it
+/// is ready. It reads bodies for /slow/ a little at a time, and bodies for /stuck/ not at all.
 class CrowdServer
 {
 public:
   static constexpr std::size_t kLargeBytes = 200 * 1024;
+  /// Small enough to be kept for repeated requests.
+  static constexpr std::size_t kKeptBytes = 60 * 1024;
   static constexpr std::chrono::milliseconds kWork{ 20 };
+  /// Pause after each read of a body for /slow/.
+  static constexpr std::chrono::milliseconds kSlowRead{ 200 };
 
   CrowdServer();
   ~CrowdServer();
--- /dev/null
+++ b/tests/integration/crowd/ForwardedCrowdTest.cpp
@@ -0,0 +1,116 @@
+#include "tests/integration/crowd/CrowdSite.hpp"
+
+#include <string>
+
+using namespace redwing::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// One instance that only forwards, and the instance beside the server.
+struct OneFront : CrowdSite
+{
+  OneFront()
+    : CrowdSite(SiteSettings{ {}, 1 })
+  {
+  }
+};
+
+/// Many instances that forward to the one beside the server.
+struct ManyFronts : CrowdSite
+{
+  ManyFronts()
+    : CrowdSite(SiteSettings{ {}, 6 })
+  {
+  }
+};
+
+constexpr std::size_t kCallersOfAll = 3 * kCallers;
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ForwardedByOne, OneFront)
+
+// Guards against legal bodies that exceed the memory of an instance which only forwards, or of the
+// instance beside the server.
+BOOST_AUTO_TEST_CASE(BodiesWithAStatedLength)
+{
+  Withstand(kCallers, { Head("/store/a", Length(kLegalBody)), kLegalBody - 1 });
+  Withstand(kCallers, { Head("/store/a", Length(kHeldWhole)), kHeldWhole });
+}
+
+BOOST_AUTO_TEST_CASE(BodiesInLargeChunks)
+{
+  Withstand(kCallers, ChunkedBody("/store/a", kLegalBody, kLargeChunk));
+  Withstand(kCallers, ChunkedBody("/store/a", kHeldWhole, kLargeChunk));
+}
+
+// Guards against chunks of one byte that become a message each on the link.
+BOOST_AUTO_TEST_CASE(BodiesInSmallChunks)
+{
+  Withstand(kCallers, ChunkedBody("/store/a", kLegalBody, kSmallChunk));
+}
+
+// Guards against bodies that fill the links and both instances while the server does not read, or
+// reads slowly.
+BOOST_AUTO_TEST_CASE(BodiesForAServerThatDoesNotRead)
+{
+  Withstand(kCallers, { Head("/stuck/a", Length(kLegalBody)), kLegalBody - 1 });
+  Withstand(kCallers, ChunkedBody("/slow/a", kLegalBody, kLargeChunk));
+}
+
+BOOST_AUTO_TEST_CASE(SmallChunksForAServerThatDoesNotRead)
+{
+  Withstand(kCallers, ChunkedBody("/stuck/a", kLegalBody, kSmallChunk));
+}
+
+// Guards against responses that are held for callers that do not read, on either instance.
+BOOST_AUTO_TEST_CASE(SlowReadersOfLargeResponses)
+{
+  Withstand(kCallers, SlowReader("/large/a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ForwardedByMany, ManyFronts)
+
+// Guards against bodies that each instance could forward, and that together exceed the memory of
+// the instance beside the server.
+BOOST_AUTO_TEST_CASE(BodiesWithAStatedLength)
+{
+  Withstand(kCallersOfAll, { Head("/store/a", Length(kLegalBody)), kLegalBody - 1 });
+}
+
+BOOST_AUTO_TEST_CASE(BodiesInChunks)
+{
+  Withstand(kCallersOfAll, ChunkedBody("/store/a", kLegalBody, kLargeChunk));
+  Withstand(kCallersOfAll, ChunkedBody("/store/a", kLegalBody, kSmallChunk));
+}
+
+BOOST_AUTO_TEST_CASE(BodiesForAServerThatDoesNotRead)
+{
+  Withstand(kCallersOfAll, { Head("/stuck/a", Length(kLegalBody)), kLegalBody - 1 });
+  Withstand(kCallersOfAll, ChunkedBody("/stuck/a", kLegalBody, kSmallChunk));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against chunks of one byte on the smallest machine that the pages name, at one instance
+// that forwards and at six.
+BOOST_AUTO_TEST_CASE(SmallChunksOnTheSmallestMachine)
+{
+  constexpr std::size_t kManyCallers = 1000;
+  for (const int fronts : { 1, 6 }) {
+    const CrowdSite site(SiteSettings{ { 160, 4100, kMegabyte }, fronts });
+    site.Withstand(kManyCallers, ChunkedBody("/store/a", kLegalBody, kSmallChunk));
+  }
+}
+
+// Guards against limits that refuse a legal request at an instance that forwards.
+BOOST_AUTO_TEST_CASE(ASingleLegalRequestIsForwarded)
+{
+  constexpr std::size_t kLargestBody = 67'108'864;
+  const CrowdSite site(SiteSettings{ { 160, 4100, kLargestBody }, 1 });
+  BOOST_TEST(site.Post("/store/a", std::string(kLargestBody, 'x'), 20000).status_ == 200U);
+  BOOST_TEST(site.PeakMemory() < site.Limits().memoryMb_ * kMegabyte);
+}
