Pass small chunks of a body on together

Seen by callers: an instance that only forwards ended, or took 265 MiB of 160, once callers sent bodies in chunks of one byte; redwingd ended by std::bad_alloc. Their connections and all others were lost.

Cause: the parser takes one chunk a call, and each call led to an event of its own. An event is several hundred bytes in the mailbox, in the queue of the link and in the vector that the receiver decodes into, while the reservation of a body and its window count payload only: 256 KiB in chunks of one byte were 262,144 events. The stack of the ended process shows the mailbox that grows from SendBody.

Ruled out: bytes unread in the kernel (the resident memory is the peak), the frames on the link (at most 256 KiB each), and large chunks or stated lengths, whose crowds hold at the same instances.

Change: all chunks of one read are passed on together, and a part below 64 KiB waits for more of the body while earlier parts are on their way. At most one small and three full parts are then under way for a body, as the reservation assumes. A part is sent at once if nothing is on its way, so that an upload that comes slowly is not delayed, and the end of a body is sent at once.

IntakeStream/SmallChunksShareEvents failed before: 2,002 events instead of 2.

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -359,9 +359,14 @@
   }
   CallerSlot& slot = *slots_.back();
   boost::system::error_code error;
-  const std::size_t used =
-    slot.parser_.put(boost::asio::buffer(Unread().data(), Unread().size()), error);
-  Consume(used);
+  std::size_t used = 0;
+  std::size_t taken = 0;
+  // The parser takes one chunk a call; all chunks of a read are passed on together.
+  do {
+    taken = slot.parser_.put(boost::asio::buffer(Unread().data(), Unread().size()), error);
+    Consume(taken);
+    used += taken;
+  } while (!error && taken > 0 && begin_ != end_ && !slot.parser_.is_done());
   const bool full = end_ - begin_ >= MaxBufferBytes();
   if (error == boost::beast::http::error::need_more && !full) {
     error = {};
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -33,6 +33,11 @@
     if (requestOutstanding_ + bytes > kBodyWindowBytes) {
       return;
     }
+    // An event takes hundreds of bytes beside its payload, which the window does not count. A small
+    // part therefore waits for more of the body while earlier ones are on their way.
+    if (bytes < kMaxChunkBytes && !bodyDone_ && requestOutstanding_ > 0) {
+      break;
+    }
     RequestBody body;
     body.key_ = { kLocalLink, attempts_.front().id_ };
     // A buffer with much room that was reserved stays for the rest of the body.
--- a/tests/unit/intake/IntakeStreamTest.cpp
+++ b/tests/unit/intake/IntakeStreamTest.cpp
@@ -171,6 +171,36 @@
   caller.ReadPast("ok!");
 }
 
+// Guards against chunks of one byte that become an event each, which takes many times their
+// payload, and against a small part that is held back although nothing is on its way.
+BOOST_AUTO_TEST_CASE(SmallChunksShareEvents)
+{
+  constexpr std::size_t kChunks = 2000;
+  Caller caller(*this);
+  caller.Request("POST /upload/1", "Transfer-Encoding: chunked\r\n", "");
+  caller.Send("10000\r\n" + std::string(kMaxChunkBytes, 'x') + "\r\n");
+  const RequestStart request = NextSent();
+  const auto body = [this] {
+    std::string text;
+    for (const RequestBody& part : EventsOf<RequestBody>()) {
+      text += part.bytes_;
+    }
+    return text;
+  };
+  service_->OnResponseEvent(RequestCredit{ request.key_, kMaxChunkBytes });
+  caller.Send("1\r\na\r\n");
+  RunUntil([&] { return body() == "a"; });
+  for (std::size_t i = 0; i < kChunks; ++i) {
+    caller.Send("1\r\nb\r\n");
+  }
+  caller.Send("0\r\n\r\n");
+  RunUntil([&] { return body().size() == kChunks + 1; });
+  BOOST_TEST(EventsOf<RequestBody>().size() == 2U);
+  BOOST_TEST(EventsOf<RequestBody>().back().last_);
+  Answer(request, "stored");
+  caller.ReadPast("stored");
+}
+
 // Guards against a server that keeps working for a caller that has left.
 BOOST_AUTO_TEST_CASE(CallerDisconnectCancelsTheRequest)
 {
