Bound instances whose settings state no limits

Seen by callers and operators: an instance of redwingd-platform without limits in its settings, and every redwingd, took memory and descriptors without bound. 400 callers took 500 MiB; 1,000 idle ones all descriptors of the process, so that no ordinary request was answered; redwingd ended by std::bad_alloc.

Cause: limits of 0 meant no limit, and redwingd had neither a setting nor a budget.

Change: ProcessLimits decides the limits of a process and divides them among its parts, for both programs. Without a statement the memory is 256 MiB, or less if the system allows less (machine, limits of the process, control group), and the descriptors are those of the process. Its parts run on several threads, so MemoryBudget counts with atomic numbers, and MemoryGuard is told on any thread and acts on its own.

Stated limits are taken as they are; nothing is read from the system then.

--- a/src/core/MemoryBudget.cpp
+++ b/src/core/MemoryBudget.cpp
@@ -73,26 +73,51 @@
 }
 
 bool
-MemoryBudget::Fits(std::size_t aBytes, MemoryUse aUse) const
+MemoryBudget::FitsIn(std::size_t aHeld, MemoryUse aUse) const
 {
   const std::size_t share = aUse == MemoryUse::LargeBody ? kLargeBodyShare : kSmallRequestShare;
-  return !Limited() || held_ + aBytes <= limit_ / 100 * share;
+  return aHeld <= limit_ / 100 * share;
+}
+
+bool
+MemoryBudget::Fits(std::size_t aBytes, MemoryUse aUse) const
+{
+  return !Limited() || FitsIn(Held() + aBytes, aUse);
 }
 
 bool
 MemoryBudget::Exceeded() const
 {
-  return Limited() && held_ > limit_ / 100 * kClosingShare;
+  return Limited() && Held() > limit_ / 100 * kClosingShare;
 }
 
 void
-MemoryBudget::Change(MemoryHolder aHolder, std::size_t aFrom, std::size_t aTo)
+MemoryBudget::AddTo(MemoryHolder aHolder, std::size_t aDifference)
 {
   const auto index = static_cast<std::size_t>(aHolder);
-  held_ = held_ - aFrom + aTo;
-  std::size_t& held = heldBy_.at(index);
-  held = held - aFrom + aTo;
+  const std::size_t held =
+    heldBy_.at(index).fetch_add(aDifference, std::memory_order_relaxed) + aDifference;
   gauges_.at(index)->Set(static_cast<std::int64_t>(held));
+}
+
+bool
+MemoryBudget::TryAdd(MemoryHolder aHolder, std::size_t aBytes, MemoryUse aUse)
+{
+  std::size_t held = Held();
+  do {
+    if (Limited() && !FitsIn(held + aBytes, aUse)) {
+      return false;
+    }
+  } while (!held_.compare_exchange_weak(held, held + aBytes, std::memory_order_relaxed));
+  AddTo(aHolder, aBytes);
+  return true;
+}
+
+void
+MemoryBudget::Change(MemoryHolder aHolder, std::size_t aFrom, std::size_t aTo)
+{
+  held_.fetch_add(aTo - aFrom, std::memory_order_relaxed);
+  AddTo(aHolder, aTo - aFrom);
   if (aTo > aFrom && onExceeded_ && Exceeded()) {
     onExceeded_();
   }
@@ -115,10 +140,14 @@
 bool
 HeldMemory::TrySet(std::size_t aBytes, MemoryUse aUse)
 {
-  if (aBytes > bytes_ && !budget_.Fits(aBytes - bytes_, aUse)) {
+  if (aBytes <= bytes_) {
+    Set(aBytes);
+    return true;
+  }
+  if (!budget_.TryAdd(holder_, aBytes - bytes_, aUse)) {
     return false;
   }
-  Set(aBytes);
+  bytes_ = aBytes;
   return true;
 }
 
--- a/src/core/MemoryBudget.hpp
+++ b/src/core/MemoryBudget.hpp
@@ -3,6 +3,7 @@
 #include "core/Counters.hpp"
 
 #include <array>
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -61,7 +62,7 @@
 /// they wait until Fits allows them. Requests that waited too long are refused next. If responses
 /// still exceed the limit, Exceeded tells to close connections.
 ///
-/// Thread safety: all functions belong to one thread.
+/// Thread safety: all functions are callable from any thread unless they say otherwise.
 class MemoryBudget
 {
 public:
@@ -83,7 +84,7 @@
   /// Returns the bytes that are held.
   ///
   /// Preconditions: none.
-  std::size_t Held() const { return held_; }
+  std::size_t Held() const { return held_.load(std::memory_order_relaxed); }
 
   /// Returns whether aBytes more may be held for aUse.
   ///
@@ -100,9 +101,16 @@
   /// Preconditions: aFrom bytes of aHolder were added before.
   void Change(MemoryHolder aHolder, std::size_t aFrom, std::size_t aTo);
 
-  /// Sets what is called whenever bytes are added while Exceeded holds.
+  /// Adds aBytes for aHolder if they fit; returns whether they did.
   ///
-  /// Preconditions: aHook closes no connection before it returns.
+  /// Preconditions: none.
+  bool TryAdd(MemoryHolder aHolder, std::size_t aBytes, MemoryUse aUse);
+
+  /// Sets what is called whenever bytes are added while Exceeded holds, on the thread that adds
+  /// them.
+  ///
+  /// Preconditions: aHook closes no connection before it returns. Thread safety: not while other
+  /// threads use the budget.
   void OnExceeded(std::function<void()> aHook) { onExceeded_ = std::move(aHook); }
 
   /// Counts aAction.
@@ -114,9 +122,13 @@
   static constexpr std::size_t kHolders = static_cast<std::size_t>(MemoryHolder::Count);
   static constexpr std::size_t kActions = static_cast<std::size_t>(MemoryAction::Count);
 
+  bool FitsIn(std::size_t aHeld, MemoryUse aUse) const;
+  /// Adds to the bytes of aHolder; a negative difference wraps around.
+  void AddTo(MemoryHolder aHolder, std::size_t aDifference);
+
   std::size_t limit_;
-  std::size_t held_ = 0;
-  std::array<std::size_t, kHolders> heldBy_{};
+  std::atomic<std::size_t> held_{ 0 };
+  std::array<std::atomic<std::size_t>, kHolders> heldBy_{};
   std::array<Gauge*, kHolders> gauges_{};
   std::array<Counter*, kActions> actions_{};
   std::function<void()> onExceeded_;
@@ -140,12 +152,12 @@
 
   /// Sets the number of bytes held.
   ///
-  /// Preconditions: none. Thread safety: as MemoryBudget.
+  /// Preconditions: none. Thread safety: one thread per object.
   void Set(std::size_t aBytes);
 
   /// Sets the number of bytes if the additional ones fit; returns whether they did.
   ///
-  /// Preconditions: none. Thread safety: as MemoryBudget.
+  /// Preconditions: none. Thread safety: one thread per object.
   bool TrySet(std::size_t aBytes, MemoryUse aUse);
 
 private:
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -36,6 +36,8 @@
 
 Daemon::Daemon(DaemonSettings aSettings)
   : settings_(std::move(aSettings))
+  , limits_(ProcessLimits::Of(settings_.limits_, SystemLimits::OfThisProcess))
+  , memory_(limits_.memoryBytes_, counters_)
   , view_(std::make_shared<const RoutingView>(
       RoutingView{ std::make_shared<const ConfigurationRevision>(), false, {}, {}, {}, {} }))
   , seed_(RandomSeed())
@@ -75,6 +77,7 @@
   storeSettings.timeout_ = milliseconds(600);
   storeSettings.budget_.maximumBackOff_ = milliseconds(600);
   store_ = std::make_unique<EtcdStore>(storeThread_.Context(), clock_, seed_, storeSettings);
+  limits_.Apply(memory_, intakeSettings_, backendSettings_, peerSettings_);
   BuildControl();
   BuildPeer();
   BuildBackend();
@@ -144,11 +147,10 @@
 void
 Daemon::BuildPeer()
 {
-  PeerSettings settings;
   // Links need the id only; the incarnation is part of control messages.
-  settings.self_ = { settings_.instanceId_, 0 };
-  settings.peersAddress_ = settings_.peersAddress_;
-  settings.fleetKey_ = settings_.fleetKey_;
+  peerSettings_.self_ = { settings_.instanceId_, 0 };
+  peerSettings_.peersAddress_ = settings_.peersAddress_;
+  peerSettings_.fleetKey_ = settings_.fleetKey_;
   PeerHooks hooks;
   hooks.tryStartLocal_ = [this](RequestStart&& aStart) {
     return backend_->TryStart(std::move(aStart));
@@ -162,14 +164,13 @@
     control_->OnCall(aFrom, std::move(aPayload), std::move(aReply));
   };
   peer_ = std::make_unique<PeerService>(
-    peerThread_.Context(), clock_, view_, counters_, std::move(settings), std::move(hooks));
+    peerThread_.Context(), clock_, view_, counters_, peerSettings_, std::move(hooks));
 }
 
 void
 Daemon::BuildBackend()
 {
-  BackendSettings settings;
-  settings.self_ = { settings_.instanceId_, 0 };
+  backendSettings_.self_ = { settings_.instanceId_, 0 };
   BackendHooks hooks;
   hooks.sendResponse_ = [this](ResponseEvent&& aEvent) {
     if (KeyOf(aEvent).linkId_ == kLocalLink) {
@@ -189,13 +190,9 @@
   hooks.onQuarantine_ = [this](const std::vector<QuarantineEntry>& aEntries) {
     control_->SpreadQuarantine(aEntries);
   };
-  backend_ = std::make_unique<BackendService>(backendThread_.Context(),
-                                              clock_,
-                                              view_,
-                                              table_,
-                                              counters_,
-                                              std::move(settings),
-                                              std::move(hooks));
+  hooks.memory_ = &memory_;
+  backend_ = std::make_unique<BackendService>(
+    backendThread_.Context(), clock_, view_, table_, counters_, backendSettings_, std::move(hooks));
 }
 
 void
@@ -205,9 +202,8 @@
     clock_,
     [this](const SliceRequest& aRequest) { control_->SendSlice(aRequest); },
     [this](const SliceReport& aReport) { control_->SendSlice(aReport); });
-  IntakeSettings settings;
-  settings.callersAddress_ = settings_.callersAddress_;
-  settings.routing_ = settings_.routing_;
+  intakeSettings_.callersAddress_ = settings_.callersAddress_;
+  intakeSettings_.routing_ = settings_.routing_;
   intake_ = std::make_unique<IntakeService>(IntakeDependencies{
     intakeThread_.Context(),
     clock_,
@@ -215,7 +211,7 @@
     counters_,
     seed_ + 1,
     settings_.instanceId_,
-    settings,
+    intakeSettings_,
     [this](RequestStart&& aStart) { return backend_->TryStart(std::move(aStart)); },
     [this](RequestEvent&& aEvent) { backend_->Handle(std::move(aEvent)); },
     [this](const std::string& aId, RequestStart&& aStart) {
@@ -230,7 +226,8 @@
                       });
       WakeLimiter();
     },
-    {} });
+    {},
+    &memory_ });
   intakeMailbox_.SetWake([this] {
     intakeThread_.Context().post([this] {
       intakeMailbox_.Drain(
--- a/src/daemon/Daemon.hpp
+++ b/src/daemon/Daemon.hpp
@@ -5,10 +5,12 @@
 #include "control/ControlService.hpp"
 #include "core/Counters.hpp"
 #include "core/Mailbox.hpp"
+#include "core/MemoryBudget.hpp"
 #include "core/Published.hpp"
 #include "core/SteadyClock.hpp"
 #include "daemon/DaemonSettings.hpp"
 #include "daemon/DutyThread.hpp"
+#include "daemon/ProcessLimits.hpp"
 #include "intake/IntakeService.hpp"
 #include "limits/WorkspaceLimiter.hpp"
 #include "operator/LocalServer.hpp"
@@ -57,6 +59,11 @@
   DaemonSettings settings_;
   SteadyClock clock_;
   CounterRegistry counters_;
+  ProcessLimits limits_;
+  MemoryBudget memory_;
+  IntakeSettings intakeSettings_;
+  BackendSettings backendSettings_;
+  PeerSettings peerSettings_;
   OwnershipTable table_;
   Published<RoutingView> view_;
   std::uint64_t seed_;
--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <fstream>
 #include <iterator>
 
@@ -104,6 +105,20 @@
     return aDefault;
   }
 
+  /// Returns a positive number; 0 if it is not given.
+  std::uint32_t Count(std::string_view aFlag)
+  {
+    const std::string value = Text(aFlag);
+    std::uint32_t count = 0;
+    const auto end = value.data() + value.size();
+    const auto result = std::from_chars(value.data(), end, count);
+    if (!value.empty() && (result.ec != std::errc() || result.ptr != end || count == 0)) {
+      Add(aFlag, "must be an integer from 1 to 4294967295");
+      return 0;
+    }
+    return count;
+  }
+
   void Add(std::string_view aFlag, std::string aMessage)
   {
     std::string place = "--" + std::string(aFlag) + " (" + VariableOf(aFlag) + ")";
@@ -176,6 +191,9 @@
     { "balancing", "two-choices, round-robin or least-outstanding; default: two-choices" },
     { "hedging", "on or off; default: on" },
     { "ejection", "on or off: ejection of slow backend servers; default: on" },
+    { "memory-mb",
+      "Memory of this process in MiB; default: 256, or less if the system allows less" },
+    { "file-descriptors", "Descriptors of this process; default: its limit by the system" },
   };
   return settings;
 }
@@ -245,6 +263,9 @@
   const std::vector<std::pair<std::string_view, bool>> onOff{ { "on", true }, { "off", false } };
   settings.routing_.hedging_ = checker.OneOf<bool>("hedging", onOff, true);
   settings.routing_.outlierEjection_ = checker.OneOf<bool>("ejection", onOff, true);
+  constexpr std::uint64_t kMegabyte = 1024 * 1024;
+  settings.limits_.memoryBytes_ = checker.Count("memory-mb") * kMegabyte;
+  settings.limits_.descriptors_ = checker.Count("file-descriptors");
   CheckDistinct(checker, settings);
   if (!checker.findings_.empty()) {
     return tl::unexpected(std::move(checker.findings_));
--- a/src/daemon/DaemonSettings.hpp
+++ b/src/daemon/DaemonSettings.hpp
@@ -3,6 +3,7 @@
 #include "core/Address.hpp"
 #include "core/Finding.hpp"
 #include "core/Log.hpp"
+#include "daemon/ProcessLimits.hpp"
 #include "routing/RoutingSettings.hpp"
 
 #include <cstdint>
@@ -31,6 +32,8 @@
   std::string operatorToken_;
   LogLevel logLevel_ = LogLevel::Info;
   RoutingSettings routing_;
+  /// 0 where the settings state none.
+  ProcessLimits limits_{};
 };
 
 /// The settings as written, by flag name without dashes; unset ones are absent.
--- a/src/daemon/FleetDaemon.cpp
+++ b/src/daemon/FleetDaemon.cpp
@@ -1,6 +1,5 @@
 #include "daemon/FleetDaemon.hpp"
 
-#include "core/DescriptorShares.hpp"
 #include "core/Log.hpp"
 #include "fleet/JudgedRollout.hpp"
 
@@ -47,9 +46,6 @@
 constexpr QuarantineSettings kQuarantine{ 2, 3 };
 constexpr milliseconds kPeerTimeout{ 1200 };
 constexpr milliseconds kPeerPing{ 400 };
-/// What the system holds for a connection to the backend server or another instance where memory
-/// is limited: half of the window of a body.
-constexpr int kSocketBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -105,7 +101,8 @@
   : context_(aContext)
   , clock_(aClock)
   , settings_(std::move(aSettings))
-  , memory_(settings_.memoryBytes_, counters_)
+  , limits_(ProcessLimits::Of(settings_.limits_, SystemLimits::OfThisProcess))
+  , memory_(limits_.memoryBytes_, counters_)
   , view_(std::make_shared<const RoutingView>(
       RoutingView{ std::make_shared<const ConfigurationRevision>(), false, {}, {}, {}, {} }))
   , signals_(aContext, SIGTERM, SIGINT, SIGHUP)
@@ -113,7 +110,7 @@
   , stopTimer_(aContext)
 {
   std::signal(SIGPIPE, SIG_IGN);
-  ApplyLimits();
+  limits_.Apply(memory_, settings_.intake_, settings_.backend_, settings_.peer_);
   BuildFleet(aStore, std::move(aConfiguration));
   BuildPeer();
   BuildBackend();
@@ -123,32 +120,6 @@
 
 FleetDaemon::~FleetDaemon() = default;
 
-void
-FleetDaemon::ApplyLimits()
-{
-  if (settings_.descriptors_ > 0) {
-    const auto shares = DescriptorShares::Of(settings_.descriptors_);
-    settings_.intake_.closesIdleForNew_ = true;
-    settings_.intake_.maxConnections_ =
-      std::min(settings_.intake_.maxConnections_, shares.callers_);
-    settings_.backend_.maxServerConnections_ = shares.server_;
-    settings_.peer_.maxInboundLinks_ = shares.peers_;
-  }
-  if (memory_.Limited()) {
-    settings_.intake_.closesIdleForNew_ = true;
-    settings_.backend_.socketBufferBytes_ = kSocketBufferBytes;
-    settings_.peer_.socketBufferBytes_ = kSocketBufferBytes;
-    settings_.peer_.memory_ = &memory_;
-  }
-  if (settings_.descriptors_ > 0 || memory_.Limited()) {
-    LogLine(LogLevel::Info, "limits")
-      .With("held_bytes", memory_.Limit())
-      .With("caller_connections", settings_.intake_.maxConnections_)
-      .With("server_connections", settings_.backend_.maxServerConnections_)
-      .With("inbound_links", settings_.peer_.maxInboundLinks_);
-  }
-}
-
 void
 FleetDaemon::BuildFleet(Store& aStore, ConfigurationHooks aConfiguration)
 {
--- a/src/daemon/FleetDaemon.hpp
+++ b/src/daemon/FleetDaemon.hpp
@@ -4,6 +4,7 @@
 #include "core/Counters.hpp"
 #include "core/MemoryBudget.hpp"
 #include "core/Published.hpp"
+#include "daemon/ProcessLimits.hpp"
 #include "fleet/FleetService.hpp"
 #include "intake/IntakeService.hpp"
 #include "operator/LocalServer.hpp"
@@ -34,9 +35,8 @@
   /// Time after the signal to stop at which the process ends whatever still runs.
   std::chrono::milliseconds stopTimeout_{ 5200 };
   std::uint64_t seed_ = 0;
-  /// Memory of the process and its descriptors; 0: not known, and not limited.
-  std::uint64_t memoryBytes_ = 0;
-  std::uint32_t descriptors_ = 0;
+  /// Limits that the settings of the process state; see ProcessLimits::Of.
+  ProcessLimits limits_{};
 
   /// Derives time limits and budgets from the bounds that a fleet must keep.
   ///
@@ -84,8 +84,6 @@
   void SetReload(std::function<void()> aReload) { reload_ = std::move(aReload); }
 
 private:
-  /// Divides memory and descriptors among the parts.
-  void ApplyLimits();
   void BuildFleet(Store& aStore, ConfigurationHooks aConfiguration);
   void BuildPeer();
   void BuildBackend();
@@ -100,6 +98,7 @@
   const Clock& clock_;
   FleetDaemonSettings settings_;
   CounterRegistry counters_;
+  ProcessLimits limits_;
   MemoryBudget memory_;
   Published<RoutingView> view_;
   boost::asio::signal_set signals_;
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -34,7 +34,7 @@
   , timer_(aCore.Dependencies().io_)
 {
   core_.Memory().OnExceeded([this] {
-    if (std::exchange(closeScheduled_, true)) {
+    if (closeScheduled_.exchange(true)) {
       return;
     }
     // Posted, because the connection to be closed may be on the stack.
--- a/src/intake/MemoryGuard.hpp
+++ b/src/intake/MemoryGuard.hpp
@@ -3,6 +3,7 @@
 #include "core/Clock.hpp"
 #include "core/MemoryBudget.hpp"
 
+#include <atomic>
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
@@ -62,7 +63,8 @@
   /// Expires with this object; posted handlers may be called later.
   std::shared_ptr<void> alive_ = std::make_shared<char>();
   bool armed_ = false;
-  bool closeScheduled_ = false;
+  /// Set on any thread that holds bytes.
+  std::atomic<bool> closeScheduled_{ false };
   TimePoint lastLine_{};
   std::uint64_t suppressed_ = 0;
 };
--- a/tests/unit/daemon/DaemonSettingsTest.cpp
+++ b/tests/unit/daemon/DaemonSettingsTest.cpp
@@ -55,6 +55,23 @@
   BOOST_TEST(settings->routing_.hedging_);
 }
 
+// Guards against limits that are misread or taken for others, and against ones that are no numbers.
+BOOST_AUTO_TEST_CASE(LimitsAreCounts)
+{
+  RawSettings raw = Valid();
+  BOOST_TEST(CheckSettings(raw)->limits_.memoryBytes_ == 0U);
+  raw["memory-mb"] = "300";
+  raw["file-descriptors"] = "4100";
+  const auto settings = CheckSettings(raw);
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(settings->limits_.memoryBytes_ == 300U * 1024 * 1024);
+  BOOST_TEST(settings->limits_.descriptors_ == 4100U);
+  for (const char* text : { "0", "-1", "1.5", "64M", "4294967296" }) {
+    raw["memory-mb"] = text;
+    BOOST_TEST(Places(raw) == std::vector<std::string>{ Place("memory-mb") });
+  }
+}
+
 // Guards against an operator who has to repair settings one by one, and against messages that do
 // not name both the flag and its variable.
 BOOST_AUTO_TEST_CASE(AllFindingsAreReportedTogetherWithFlagAndVariable)
