Bound the records of requests with an Idempotency-Key by the memory of the machine

Seen by callers: 200 callers with ten requests each, every one with an Idempotency-Key of its own and a response of 60 KiB, took an instance on a machine of 64 MiB to 87 MiB; it would have been ended.

Cause: IdempotencyTable kept up to 64 MiB of responses and 200,000 records whatever the machine has. A record has up to 1.5 KiB, so that the records alone can take 290 MiB.

Change: responses and records each take at most a quarter of the limit of held bytes: 4 MiB of 64, 16 MiB of 160, 28 MiB of 256. The oldest responses are dropped first, as before. A request with a new key is refused as not run when the records are full, because a record must not be dropped within its time. The parts come on top of the limit of held bytes. Counted toward it, they would keep bodies waiting for ten minutes.

Only the responses were shown to exceed the memory. The bound of the records has a unit test, and follows from their size: no crowd of a few seconds fills them.

--- a/src/admission/IdempotencyTable.cpp
+++ b/src/admission/IdempotencyTable.cpp
@@ -16,6 +16,17 @@
   return size;
 }
 
+/// Bytes of an entry without its response. The key stands in the map, in the entry and, at most
+/// twice, in the order of responses.
+std::size_t
+SizeOf(const IdempotencyKey& aKey)
+{
+  constexpr std::size_t kNodes = 512;
+  constexpr std::size_t kCopies = 4;
+  return kNodes +
+         kCopies * (aKey.shard_.service_.size() + aKey.workspace_.size() + aKey.key_.size());
+}
+
 } // namespace
 
 IdempotencyTable::IdempotencyTable(IdempotencyLimits aLimits)
@@ -41,9 +52,10 @@
     }
     return entry.response_ ? IdempotencyVerdict::Replay : IdempotencyVerdict::Unknown;
   }
-  if (entries_.size() >= limits_.entries_) {
+  const std::size_t bytes = SizeOf(aKey);
+  if (IsFull(bytes)) {
     Expire(aNow);
-    if (entries_.size() >= limits_.entries_) {
+    if (IsFull(bytes)) {
       return IdempotencyVerdict::Full;
     }
   }
@@ -51,6 +63,7 @@
     aKey, aFingerprint, IdempotencyState::Running, std::nullopt, aNow + limits_.expiry_
   };
   entries_.emplace(aKey, TableEntry{ std::move(entry), true });
+  entryBytes_ += bytes;
   return IdempotencyVerdict::New;
 }
 
@@ -118,6 +131,9 @@
     if (stale || (it != entries_.end() && it->second.runsHere_)) {
       continue;
     }
+    if (it == entries_.end()) {
+      entryBytes_ += SizeOf(entry.key_);
+    }
     auto& tableEntry = entries_[entry.key_];
     DropResponse(tableEntry.entry_);
     tableEntry.entry_ = entry;
@@ -126,6 +142,12 @@
   }
 }
 
+bool
+IdempotencyTable::IsFull(std::size_t aBytes) const
+{
+  return entries_.size() >= limits_.entries_ || entryBytes_ + aBytes > limits_.entryBytes_;
+}
+
 void
 IdempotencyTable::Expire(TimePoint aNow)
 {
@@ -170,6 +192,7 @@
 IdempotencyTable::Erase(Entries::iterator aIt)
 {
   DropResponse(aIt->second.entry_);
+  entryBytes_ -= SizeOf(aIt->first);
   return entries_.erase(aIt);
 }
 
--- a/src/admission/IdempotencyTable.hpp
+++ b/src/admission/IdempotencyTable.hpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -81,6 +82,8 @@
 struct IdempotencyLimits
 {
   std::size_t entries_ = 200'000;
+  /// Total size of the entries without their responses.
+  std::size_t entryBytes_ = std::numeric_limits<std::size_t>::max();
   /// Total size of the stored responses.
   std::size_t responseBytes_ = 64ULL * 1024 * 1024;
   /// Larger responses are not stored.
@@ -137,6 +140,7 @@
 
   std::size_t Size() const { return entries_.size(); }
   std::size_t ResponseBytes() const { return responseBytes_; }
+  std::size_t EntryBytes() const { return entryBytes_; }
 
 private:
   struct TableEntry
@@ -150,6 +154,8 @@
   /// Stores aResponse if it is small enough, and evicts the oldest responses over the limit.
   void Store(TableEntry& aTableEntry, std::optional<StoredResponse> aResponse);
   void DropResponse(IdempotencyEntry& aEntry);
+  /// Returns whether a new entry of aBytes exceeds the limits.
+  bool IsFull(std::size_t aBytes) const;
   Entries::iterator Erase(Entries::iterator aIt);
 
   IdempotencyLimits limits_;
@@ -157,6 +163,7 @@
   /// Keys in the order in which their responses were stored; the oldest response is evicted first.
   std::list<IdempotencyKey> responseOrder_;
   std::size_t responseBytes_ = 0;
+  std::size_t entryBytes_ = 0;
 };
 
 } // namespace redwing
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -274,7 +274,7 @@
   }
   if (aExchange->storedResponse_) {
     aExchange->storedResponse_->body_.append(aBytes);
-    if (aExchange->storedResponse_->body_.size() > IdempotencyLimits{}.bytesPerResponse_) {
+    if (aExchange->storedResponse_->body_.size() > settings_.idempotency_.bytesPerResponse_) {
       aExchange->storedResponse_.reset();
     }
   }
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -39,6 +39,7 @@
   , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
   , queue_(settings_.queueCapacity_)
   , coldRate_(aClock.Now())
+  , entries_(settings_.idempotency_)
   , quarantine_(settings_.quarantine_)
   , started_(aCounters.GetCounter("redwing_backend_requests_total"))
   , answered_(aCounters.GetCounter("redwing_backend_answered_total"))
--- a/src/backend/BackendTypes.hpp
+++ b/src/backend/BackendTypes.hpp
@@ -63,6 +63,7 @@
   /// Time for which a leaving backend server still serves its shards while they move elsewhere.
   std::chrono::milliseconds leaveGrace_{ 0 };
   QuarantineSettings quarantine_{};
+  IdempotencyLimits idempotency_{};
   /// A request that is suspected of crashing servers may be tried at any instance, and not only at
   /// the one that all instances choose for it.
   bool trialsAnywhere_ = false;
--- a/src/daemon/ProcessLimits.cpp
+++ b/src/daemon/ProcessLimits.cpp
@@ -12,6 +12,10 @@
 /// What the system holds for a connection to the backend server or another instance where memory
 /// is limited: half of the window of a body.
 constexpr int kSocketBufferBytes = 128 * 1024;
+/// The records of requests with an Idempotency-Key, and the responses kept for them, each take up
+/// to this part of the limit of held bytes. They are not counted toward it: they last for minutes,
+/// and bodies would be refused meanwhile.
+constexpr std::size_t kRecordsPart = 4;
 
 } // namespace
 
@@ -45,6 +49,9 @@
     aBackend.maxServerConnections_ = shares.server_;
     aPeer.maxInboundLinks_ = shares.peers_;
   }
+  IdempotencyLimits& records = aBackend.idempotency_;
+  records.responseBytes_ = std::min(records.responseBytes_, aMemory.Limit() / kRecordsPart);
+  records.entryBytes_ = std::min(records.entryBytes_, aMemory.Limit() / kRecordsPart);
   aIntake.closesIdleForNew_ = true;
   aBackend.socketBufferBytes_ = kSocketBufferBytes;
   aPeer.socketBufferBytes_ = kSocketBufferBytes;
--- a/tests/unit/admission/DecisionsTest.cpp
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -167,6 +167,31 @@
   BOOST_TEST(table.Size() == 1U);
 }
 
+// Guards against keys that together take more memory than the table may, and against bytes that
+// stay counted after their entries have gone.
+BOOST_AUTO_TEST_CASE(LongKeysFillTheTable)
+{
+  IdempotencyLimits limits;
+  limits.entryBytes_ = 100 * 1024;
+  IdempotencyTable table(limits);
+  const std::string padding(250, 'k');
+  const auto begin = [&](int aNumber, TimePoint aNow) {
+    return table.Begin({ { "s", 0 }, "w", padding + std::to_string(aNumber) }, 1, aNow);
+  };
+  int added = 0;
+  while (begin(added, kNow) == IdempotencyVerdict::New && added < 1000) {
+    table.Complete({ { "s", 0 }, "w", padding + std::to_string(added) }, std::nullopt, kNow);
+    ++added;
+  }
+  BOOST_TEST(added > 10);
+  BOOST_TEST(added < 400);
+  BOOST_TEST(table.EntryBytes() <= limits.entryBytes_);
+  BOOST_TEST((begin(added, kNow) == IdempotencyVerdict::Full));
+  BOOST_TEST((begin(added, kNow + 11min) == IdempotencyVerdict::New));
+  table.Abandon({ { "s", 0 }, "w", padding + std::to_string(added) });
+  BOOST_TEST(table.EntryBytes() == 0U);
+}
+
 // Guards against a third crash caused by the same request, against counting one crash twice through
 // gossip, and against refusing harmless requests for long.
 BOOST_AUTO_TEST_CASE(TwoCrashesQuarantineAndACompletedTrialClears)
--- a/tests/unit/daemon/ProcessLimitsTest.cpp
+++ b/tests/unit/daemon/ProcessLimitsTest.cpp
@@ -52,6 +52,8 @@
   BOOST_TEST(intake.closesIdleForNew_);
   BOOST_TEST(backend.maxServerConnections_ == 25U);
   BOOST_TEST(backend.socketBufferBytes_ > 0);
+  BOOST_TEST(backend.idempotency_.responseBytes_ == 4 * kMegabyte);
+  BOOST_TEST(backend.idempotency_.entryBytes_ == 4 * kMegabyte);
   BOOST_TEST(peer.maxInboundLinks_ == 25U);
   BOOST_TEST(peer.socketBufferBytes_ > 0);
   BOOST_TEST(peer.memory_ == &memory);
