--- a/tests/integration/crowd/CrowdSite.cpp
+++ b/tests/integration/crowd/CrowdSite.cpp
@@ -63,6 +63,9 @@
     return aInstance < fronts ? std::nullopt : std::optional(ServerState{ "i-0" });
   };
   fleet_.emplace(std::move(settings));
+  for (int i = 0; i < fleet_->Size(); ++i) {
+    processes_.push_back({ &fleet_->Instance(i), fleet_->Callers(i).ip_ });
+  }
   BOOST_REQUIRE(OrdinaryRequestIsAnswered());
 }
 
@@ -93,20 +96,38 @@
   return peak;
 }
 
+std::vector<Address>
+CrowdSite::CallersOf() const
+{
+  std::vector<Address> addresses;
+  for (int i = 0; i < std::max(settings_.fronts_, 1); ++i) {
+    addresses.push_back(fleet_->Callers(i));
+  }
+  return addresses;
+}
+
+void
+CrowdSite::Signal(int aInstance, int aSignal)
+{
+  fleet_->Instance(aInstance).Signal(aSignal);
+}
+
+void
+CrowdSite::Restart(int aInstance, int aSignal)
+{
+  constexpr int kLongestStopMs = 20'000;
+  Signal(aInstance, aSignal);
+  BOOST_TEST(fleet_->Instance(aInstance).Wait(kLongestStopMs) != -1);
+  fleet_->Start(aInstance);
+  processes_[aInstance].process_ = &fleet_->Instance(aInstance);
+}
+
 void
 CrowdSite::Withstand(std::size_t aCallers,
                      const CallerPlan& aPlan,
                      std::chrono::seconds aTime) const
 {
-  std::vector<WatchedProcess> processes;
-  for (int i = 0; i < fleet_->Size(); ++i) {
-    processes.push_back({ &fleet_->Instance(i), fleet_->Callers(i).ip_ });
-  }
-  std::vector<Address> callersOf;
-  for (int i = 0; i < std::max(settings_.fronts_, 1); ++i) {
-    callersOf.push_back(fleet_->Callers(i));
-  }
-  HoldCrowd(processes, settings_.machine_, callersOf, aCallers, aPlan, aTime, [this] {
+  HoldCrowd(processes_, settings_.machine_, CallersOf(), aCallers, aPlan, aTime, [this] {
     return OrdinaryRequestIsAnswered();
   });
 }
--- a/tests/integration/crowd/CrowdSite.hpp
+++ b/tests/integration/crowd/CrowdSite.hpp
@@ -44,12 +44,28 @@
                  const CallerPlan& aPlan,
                  std::chrono::seconds aTime = kCrowdTime) const;
 
-private:
+  /// Returns whether an ordinary caller, who repeats its request while it is refused, is answered.
   bool OrdinaryRequestIsAnswered() const;
 
+  /// Returns the addresses that take the requests of callers.
+  std::vector<Address> CallersOf() const;
+
+  const std::vector<WatchedProcess>& Processes() const { return processes_; }
+
+  void Signal(int aInstance, int aSignal);
+
+  /// Ends an instance by aSignal and starts it again once it is gone.
+  void Restart(int aInstance, int aSignal);
+
+  /// Samples what the processes use for aTime, for CheckBounds.
+  void WatchFor(std::chrono::milliseconds aTime) { test::WatchFor(processes_, aTime); }
+  void CheckBounds() const { test::CheckBounds(processes_, settings_.machine_); }
+
+private:
   SiteSettings settings_;
   CrowdServer server_;
   std::optional<PlatformFleet> fleet_;
+  std::vector<WatchedProcess> processes_;
 };
 
 } // namespace redwing::test
--- a/tests/integration/crowd/CrowdTest.cpp
+++ b/tests/integration/crowd/CrowdTest.cpp
@@ -44,48 +44,12 @@
   Withstand(kCallers, plan);
 }
 
-// Guards against legal bodies in large chunks, which state no length, when they stop before their
-// end: ones that are passed on before it, and ones that are held whole.
-BOOST_AUTO_TEST_CASE(ManyBodiesInLargeChunks)
-{
-  Withstand(kCallers, ChunkedBody("/store/a", kLegalBody, kLargeChunk));
-  Withstand(kCallers, ChunkedBody("/store/a", kHeldWhole, kLargeChunk));
-}
-
-// Guards against the same bodies in chunks of one byte, whose framing is larger than they are.
-BOOST_AUTO_TEST_CASE(ManyBodiesInSmallChunks)
-{
-  Withstand(kCallers, ChunkedBody("/store/a", kLegalBody, kSmallChunk));
-  Withstand(kCallers, ChunkedBody("/store/a", kHeldWhole, kSmallChunk));
-}
-
-// Guards against bodies that are held while their backend server does not read them, or reads
-// slowly.
-BOOST_AUTO_TEST_CASE(BodiesForAServerThatDoesNotRead)
-{
-  Withstand(kCallers, { Head("/stuck/a", Length(kLegalBody)), kLegalBody - 1 });
-  Withstand(kCallers, ChunkedBody("/slow/a", kLegalBody, kLargeChunk));
-  Withstand(kCallers, ChunkedBody("/stuck/a", kLegalBody, kSmallChunk));
-}
-
 // Guards against large responses that are held for callers that do not read them and ask for more.
 BOOST_AUTO_TEST_CASE(SlowReadersOfLargeResponses)
 {
   Withstand(kCallers, SlowReader("/large/a"));
 }
 
-// Guards against responses that are kept for repeated requests without end.
-BOOST_AUTO_TEST_CASE(RequestsWithIdempotencyKeys)
-{
-  Withstand(kCallers, KeyedRequests("/kept/a", 10));
-}
-
-// Guards against records of such requests without end.
-BOOST_AUTO_TEST_CASE(ManyRequestsWithIdempotencyKeys)
-{
-  Withstand(kCallers, KeyedRequests("/small/a", 400), 20s);
-}
-
 // Guards against connections that take all descriptors and never send a byte.
 BOOST_AUTO_TEST_CASE(ConnectionsWithoutAByte)
 {
@@ -102,16 +66,6 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-// Guards against as many connections as the smallest machine of the pages has descriptors, whose
-// bytes wait unread.
-BOOST_AUTO_TEST_CASE(ManyCallersOnTheSmallestMachine)
-{
-  constexpr std::size_t kManyCallers = 3000;
-  const CrowdSite site(SiteSettings{ { 160, 4100, kMegabyte } });
-  site.Withstand(kManyCallers, { Head("/store/a", Length(kLegalBody)), kLegalBody - 1 });
-  site.Withstand(kManyCallers, ChunkedBody("/store/a", kLegalBody, kSmallChunk));
-}
-
 // Guards against limits that refuse a request that is legal: one body of the largest size, without
 // any other load, on the smallest machine.
 BOOST_AUTO_TEST_CASE(ASingleLegalRequestOnTheSmallestMachine)
--- a/tests/integration/crowd/HeldCrowd.cpp
+++ b/tests/integration/crowd/HeldCrowd.cpp
@@ -1,7 +1,5 @@
 #include "tests/integration/crowd/HeldCrowd.hpp"
 
-#include "tests/integration/crowd/ProcessUse.hpp"
-
 #include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
@@ -67,7 +65,43 @@
 }
 
 void
-HoldCrowd(const std::vector<WatchedProcess>& aProcesses,
+WatchFor(std::vector<WatchedProcess>& aProcesses, std::chrono::milliseconds aTime)
+{
+  const auto end = std::chrono::steady_clock::now() + aTime;
+  while (std::chrono::steady_clock::now() < end) {
+    for (WatchedProcess& watched : aProcesses) {
+      const ProcessUse use = ProcessUse::Of(watched.process_->Id(), watched.ip_);
+      ProcessUse& most = watched.most_;
+      most.memory_ = std::max(most.memory_, use.memory_);
+      most.descriptors_ = std::max(most.descriptors_, use.descriptors_);
+    }
+    std::this_thread::sleep_for(20ms);
+  }
+}
+
+void
+CheckBounds(const std::vector<WatchedProcess>& aProcesses, const Machine& aMachine)
+{
+  for (std::size_t i = 0; i < aProcesses.size(); ++i) {
+    BOOST_TEST_CONTEXT("process " << i + 1 << " of " << aProcesses.size())
+    {
+      const bench::Process& process = *aProcesses[i].process_;
+      const ProcessUse& most = aProcesses[i].most_;
+      const std::size_t resident = PeakMemory(process.Id());
+      const std::size_t peak = std::max(resident, most.memory_);
+      BOOST_TEST_MESSAGE("process " << i + 1 << " of " << aProcesses.size() << ": peak memory "
+                                    << resident / 1024 << " KiB, with unread bytes " << peak / 1024
+                                    << " KiB, sockets and pipes " << most.descriptors_);
+      BOOST_TEST(process.Running());
+      BOOST_TEST(resident > 0U);
+      BOOST_TEST(peak < aMachine.memoryMb_ * kMegabyte);
+      BOOST_TEST(most.descriptors_ < aMachine.descriptors_ - kReservedForFiles);
+    }
+  }
+}
+
+void
+HoldCrowd(std::vector<WatchedProcess> aProcesses,
           const Machine& aMachine,
           const std::vector<Address>& aCallersOf,
           std::size_t aCallers,
@@ -75,35 +109,13 @@
           std::chrono::seconds aTime,
           const std::function<bool()>& aOrdinaryRequestIsAnswered)
 {
-  std::vector<ProcessUse> most(aProcesses.size());
   {
     const Crowd crowd(aCallersOf, aCallers, aPlan);
-    const auto end = std::chrono::steady_clock::now() + aTime;
-    while (std::chrono::steady_clock::now() < end) {
-      for (std::size_t i = 0; i < most.size(); ++i) {
-        const ProcessUse use = ProcessUse::Of(aProcesses[i].process_->Id(), aProcesses[i].ip_);
-        most[i].memory_ = std::max(most[i].memory_, use.memory_);
-        most[i].descriptors_ = std::max(most[i].descriptors_, use.descriptors_);
-      }
-      std::this_thread::sleep_for(20ms);
-    }
+    WatchFor(aProcesses, aTime);
     BOOST_TEST(aOrdinaryRequestIsAnswered());
   }
   BOOST_TEST(aOrdinaryRequestIsAnswered());
-  for (std::size_t i = 0; i < most.size(); ++i) {
-    BOOST_TEST_CONTEXT("process " << i + 1 << " of " << most.size())
-    {
-      const std::size_t resident = PeakMemory(aProcesses[i].process_->Id());
-      const std::size_t peak = std::max(resident, most[i].memory_);
-      BOOST_TEST_MESSAGE("process " << i + 1 << " of " << most.size() << ": peak memory "
-                                    << resident / 1024 << " KiB, with unread bytes " << peak / 1024
-                                    << " KiB, sockets and pipes " << most[i].descriptors_);
-      BOOST_TEST(aProcesses[i].process_->Running());
-      BOOST_TEST(resident > 0U);
-      BOOST_TEST(peak < aMachine.memoryMb_ * kMegabyte);
-      BOOST_TEST(most[i].descriptors_ < aMachine.descriptors_ - kReservedForFiles);
-    }
-  }
+  CheckBounds(aProcesses, aMachine);
 }
 
 bool
--- a/tests/integration/crowd/HeldCrowd.hpp
+++ b/tests/integration/crowd/HeldCrowd.hpp
@@ -2,6 +2,7 @@
 
 #include "bench/Process.hpp"
 #include "tests/integration/crowd/Crowd.hpp"
+#include "tests/integration/crowd/ProcessUse.hpp"
 
 #include <chrono>
 #include <cstddef>
@@ -37,8 +38,16 @@
   const bench::Process* process_ = nullptr;
   /// Address that its listening sockets are bound to.
   std::string ip_;
+  /// The most that was seen.
+  ProcessUse most_{};
 };
 
+/// Samples what the processes use for aTime.
+void WatchFor(std::vector<WatchedProcess>& aProcesses, std::chrono::milliseconds aTime);
+
+/// Checks that all processes live and kept to aMachine.
+void CheckBounds(const std::vector<WatchedProcess>& aProcesses, const Machine& aMachine);
+
 /// Returns a header that states the length of a body.
 std::string Length(std::size_t aBytes);
 
@@ -58,7 +67,7 @@
 
 /// Holds a crowd at aCallersOf for aTime, asks for an ordinary request while it stands and for
 /// another one after it has left, and checks that all processes live and kept to aMachine.
-void HoldCrowd(const std::vector<WatchedProcess>& aProcesses,
+void HoldCrowd(std::vector<WatchedProcess> aProcesses,
                const Machine& aMachine,
                const std::vector<Address>& aCallersOf,
                std::size_t aCallers,
