Search the full table of records at most once a second

Cause: once the table of Idempotency-Keys was full, each request with a new key searched all of its entries for expired ones. The bound by memory makes a full table reachable: a machine of 160 MiB keeps about 24,000 records, and a flood of new keys would have taken the processor of the instance from ordinary callers.

Change: a full table is searched at most once a second. What expires in between is found up to a second later, of the ten minutes that a record lasts.

AFullTableIsSweptOnceASecond failed before: the second request found the expired entry 600 ms after the first search. The time that the search takes was not measured.

--- a/src/admission/IdempotencyTable.cpp
+++ b/src/admission/IdempotencyTable.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+/// A full table is not searched for expired entries at every request, which would let a flood of
+/// new keys take the processor.
+constexpr Duration kSweepInterval = std::chrono::seconds(1);
+
 std::size_t
 SizeOf(const StoredResponse& aResponse)
 {
@@ -53,11 +57,12 @@
     return entry.response_ ? IdempotencyVerdict::Replay : IdempotencyVerdict::Unknown;
   }
   const std::size_t bytes = SizeOf(aKey);
-  if (IsFull(bytes)) {
+  if (IsFull(bytes) && aNow >= nextSweep_) {
+    nextSweep_ = aNow + kSweepInterval;
     Expire(aNow);
-    if (IsFull(bytes)) {
-      return IdempotencyVerdict::Full;
-    }
+  }
+  if (IsFull(bytes)) {
+    return IdempotencyVerdict::Full;
   }
   IdempotencyEntry entry{
     aKey, aFingerprint, IdempotencyState::Running, std::nullopt, aNow + limits_.expiry_
--- a/src/admission/IdempotencyTable.hpp
+++ b/src/admission/IdempotencyTable.hpp
@@ -164,6 +164,8 @@
   std::list<IdempotencyKey> responseOrder_;
   std::size_t responseBytes_ = 0;
   std::size_t entryBytes_ = 0;
+  /// When a full table may be searched for expired entries again.
+  TimePoint nextSweep_{};
 };
 
 } // namespace redwing
--- a/tests/unit/admission/DecisionsTest.cpp
+++ b/tests/unit/admission/DecisionsTest.cpp
@@ -167,6 +167,21 @@
   BOOST_TEST(table.Size() == 1U);
 }
 
+// Guards against a flood of new keys that searches the full table for each of them.
+BOOST_AUTO_TEST_CASE(AFullTableIsSweptOnceASecond)
+{
+  IdempotencyLimits limits;
+  limits.entries_ = 1;
+  limits.expiry_ = 500ms;
+  IdempotencyTable table(limits);
+  const IdempotencyKey other{ { "s", 0 }, "w", "other" };
+  BOOST_TEST((table.Begin(kKey, 1, kNow) == IdempotencyVerdict::New));
+  table.Complete(kKey, std::nullopt, kNow);
+  BOOST_TEST((table.Begin(other, 1, kNow) == IdempotencyVerdict::Full));
+  BOOST_TEST((table.Begin(other, 1, kNow + 600ms) == IdempotencyVerdict::Full));
+  BOOST_TEST((table.Begin(other, 1, kNow + 1s) == IdempotencyVerdict::New));
+}
+
 // Guards against keys that together take more memory than the table may, and against bytes that
 // stay counted after their entries have gone.
 BOOST_AUTO_TEST_CASE(LongKeysFillTheTable)
