--- a/tests/integration/crowd/CrowdSite.cpp
+++ b/tests/integration/crowd/CrowdSite.cpp
@@ -3,6 +3,8 @@
 #include "tests/integration/crowd/ProcessUse.hpp"
 
 #include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <utility>
 
 namespace redwing::test {
@@ -80,6 +82,30 @@
                      aLimitMs);
 }
 
+unsigned
+CrowdSite::Send(const std::string& aText) const
+{
+  using boost::asio::ip::tcp;
+  const Address address = fleet_->Callers(0);
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect({ boost::asio::ip::make_address(address.ip_), address.port_ });
+  boost::asio::async_write(
+    socket, boost::asio::buffer(aText), [](boost::system::error_code, std::size_t) {});
+  boost::beast::flat_buffer buffer;
+  boost::beast::http::response<boost::beast::http::string_body> response;
+  boost::beast::http::async_read(
+    socket, buffer, response, [&](boost::system::error_code aError, std::size_t) {
+      if (aError) {
+        response.result(0U);
+      }
+      context.stop();
+    });
+  response.result(0U);
+  context.run_for(std::chrono::seconds(30));
+  return response.result_int();
+}
+
 bool
 CrowdSite::OrdinaryRequestIsAnswered() const
 {
--- a/tests/integration/crowd/CrowdSite.hpp
+++ b/tests/integration/crowd/CrowdSite.hpp
@@ -36,6 +36,10 @@
   /// Posts a body as an ordinary caller would; aLimitMs is the time for the response.
   bench::CallResult Post(const std::string& aPath, const std::string& aBody, int aLimitMs) const;
 
+  /// Sends aText as one request on a connection of its own and returns the status of the response;
+  /// 0 if there is none within a generous time.
+  unsigned Send(const std::string& aText) const;
+
   /// Returns the most memory that one of the processes has used.
   std::size_t PeakMemory() const;
 
--- a/tests/integration/crowd/ForwardedCrowdTest.cpp
+++ b/tests/integration/crowd/ForwardedCrowdTest.cpp
@@ -114,3 +114,21 @@
   BOOST_TEST(site.Post("/store/a", std::string(kLargestBody, 'x'), 20000).status_ == 200U);
   BOOST_TEST(site.PeakMemory() < site.Limits().memoryMb_ * kMegabyte);
 }
+
+// Guards against a whole body in chunks that is not served while nothing else goes on: one that is
+// held whole and one that is passed on before its end.
+BOOST_AUTO_TEST_CASE(SingleChunkedRequestsAreForwarded)
+{
+  const CrowdSite site(SiteSettings{ {}, 1 });
+  for (const std::size_t payload : { kHeldWhole, kLegalBody }) {
+    for (const std::size_t chunk : { kSmallChunk, kLargeChunk }) {
+      const CallerPlan plan = ChunkedBody("/store/a", payload, chunk);
+      std::string text = plan.head_;
+      text.reserve(text.size() + plan.bodyBytes_);
+      for (std::size_t sent = 0; sent < plan.bodyBytes_; sent += plan.filler_.size()) {
+        text += plan.filler_;
+      }
+      BOOST_TEST(site.Send(text + "0\r\n\r\n") == 200U);
+    }
+  }
+}
