Test further crowds at an instance that forwards, and a process that ends before a restart

The list of the issue was covered at one instance only for bodies that come piece by piece and for bodies far over the limit. Both are now tested at an instance that forwards and beside the server, the second with a stated length and in large and very small chunks; and a legal body of the largest size in calm where settings state no limits, on both programs. The soak would have restarted an instance that had ended by itself without a word; it checks now that it lives.

--- a/tests/integration/crowd/CrowdSite.cpp
+++ b/tests/integration/crowd/CrowdSite.cpp
@@ -142,6 +142,8 @@
 CrowdSite::Restart(int aInstance, int aSignal)
 {
   constexpr int kLongestStopMs = 20'000;
+  // Otherwise the restart would hide a process that ended by itself.
+  BOOST_TEST(fleet_->Instance(aInstance).Running());
   Signal(aInstance, aSignal);
   BOOST_TEST(fleet_->Instance(aInstance).Wait(kLongestStopMs) != -1);
   fleet_->Start(aInstance);
--- a/tests/integration/crowd/DaemonSite.cpp
+++ b/tests/integration/crowd/DaemonSite.cpp
@@ -126,6 +126,14 @@
     .Ok();
 }
 
+unsigned
+DaemonSite::Post(std::size_t aBytes, int aLimitMs) const
+{
+  return bench::Call(
+           At(0, kCallersPort), "POST", "/store/a", std::string(aBytes, 'x'), {}, aLimitMs)
+    .status_;
+}
+
 bool
 DaemonSite::OrdinaryRequestIsAnswered() const
 {
--- a/tests/integration/crowd/DaemonSite.hpp
+++ b/tests/integration/crowd/DaemonSite.hpp
@@ -27,6 +27,9 @@
   DaemonSite(const DaemonSite&) = delete;
   DaemonSite& operator=(const DaemonSite&) = delete;
 
+  /// Posts a body as an ordinary caller would and returns the status of the response.
+  unsigned Post(std::size_t aBytes, int aLimitMs) const;
+
   /// Holds a crowd at the instance that forwards and checks the bounds; see HoldCrowd.
   void Withstand(std::size_t aCallers, const CallerPlan& aPlan) const;
 
--- a/tests/integration/crowd/ForwardedCrowdTest.cpp
+++ b/tests/integration/crowd/ForwardedCrowdTest.cpp
@@ -39,6 +39,20 @@
   Withstand(kCallers, { Head("/store/a", Length(kHeldWhole)), kHeldWhole });
 }
 
+// Guards against the same bodies when all of them grow slowly and together.
+BOOST_AUTO_TEST_CASE(BodiesPieceByPiece)
+{
+  Withstand(kCallers, { Head("/store/a", Length(kLegalBody)), kLegalBody, 16 * 1024, 50ms });
+}
+
+// Guards against bodies far over the limit, announced and just sent in large and small chunks.
+BOOST_AUTO_TEST_CASE(BodiesFarOverTheLimit)
+{
+  Withstand(kCallers, { Head("/store/a", Length(kMegabyte * 1024)), 16 * kMegabyte });
+  Withstand(kCallers, ChunkedBody("/store/a", 16 * kMegabyte, kLargeChunk));
+  Withstand(kCallers, ChunkedBody("/store/a", 2 * kMegabyte, kSmallChunk));
+}
+
 BOOST_AUTO_TEST_CASE(BodiesInLargeChunks)
 {
   Withstand(kCallers, ChunkedBody("/store/a", kLegalBody, kLargeChunk));
--- a/tests/integration/crowd/ProcessUse.cpp
+++ b/tests/integration/crowd/ProcessUse.cpp
@@ -50,10 +50,10 @@
     std::string remote;
     std::string state;
     std::string queues;
-    std::string skipped;
+    std::string unused;
     std::string inode;
-    fields >> number >> local >> remote >> state >> queues >> skipped >> skipped >> skipped >>
-      skipped >> inode;
+    fields >> number >> local >> remote >> state >> queues >> unused >> unused >> unused >>
+      unused >> inode;
     constexpr std::string_view kListening = "0A";
     const bool waits = inode == "0" && local.starts_with(ip.data());
     if (state != kListening && (waits || aInodes.contains(inode))) {
--- a/tests/integration/crowd/UnstatedLimitsTest.cpp
+++ b/tests/integration/crowd/UnstatedLimitsTest.cpp
@@ -18,14 +18,17 @@
 /// Ends a process that takes far more than the default, before it takes the memory of this machine.
 constexpr std::size_t kMostMemoryKb = 1024 * 1024;
 
+constexpr std::size_t kLargestBody = 67'108'864;
+
 /// A script that runs a program with lowered limits.
 class LimitedProgram
 {
 public:
   explicit LimitedProgram(const std::string& aProgram)
-    : path_(
-        (std::filesystem::temp_directory_path() / ("redwing-limited-" + std::to_string(::getpid())))
-          .string())
+    : path_((std::filesystem::temp_directory_path() /
+             ("redwing-limited-" + std::to_string(::getpid()) + "-" +
+              std::filesystem::path(aProgram).filename().string()))
+              .string())
   {
     std::ofstream(path_) << "#!/bin/sh\nulimit -n " << kDescriptors << "\nulimit -d "
                          << kMostMemoryKb << "\nexec " << aProgram << " \"$@\"\n";
@@ -109,3 +112,15 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against defaults that refuse a legal request: one body of the largest size in calm.
+BOOST_AUTO_TEST_CASE(ASingleLegalRequestWithoutStatedLimits)
+{
+  const LimitedProgram platform(REDWINGD_PLATFORM);
+  const Machine machine{ kDefaultMemoryMb, kDescriptors, kLargestBody };
+  const CrowdSite site(SiteSettings{ machine, 1, false, platform.Path() });
+  BOOST_TEST(site.Post("/store/a", std::string(kLargestBody, 'x'), 20000).status_ == 200U);
+  const LimitedProgram daemon(REDWINGD);
+  const DaemonSite daemons(machine, daemon.Path());
+  BOOST_TEST(daemons.Post(kLargestBody, 20000) == 200U);
+}
