Do not take a body for stalled because it waited for memory

Cause: a connection that waits is not read. When its turn came after more than a second, its memory was reserved, and the same turn of the guard closed it as a body that got no byte for a second, because others waited still. So each turn let one body in and closed it.

Evidence: times of the closed connections, and the log line "a body stopped or came slowly while others wait for memory" for callers that had sent all they had.

Change: the silence of a body counts from the reservation of its memory, as its rate did already.

IntakeMemory/ABodyThatWaitedIsNotStalled failed before, with the body closed as stalled; all cases of the suite pass.

--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -54,7 +54,9 @@
   std::size_t BytesHeld() const;
   /// Returns the bytes held for a body that has not arrived to its end; 0 if there is none.
   std::size_t BodyBytesHeld() const;
-  TimePoint LastRead() const { return lastRead_; }
+  /// Returns since when the present body could have come and did not. While it waited for memory it
+  /// was not read, which is not its caller's doing.
+  TimePoint BodySilentSince() const { return std::max(lastRead_, bodySince_); }
   TimePoint LastTransfer() const { return std::max(lastRead_, lastWrite_); }
   bool HasNoRequest() const { return slots_.empty() && !writing_ && !closing_; }
   /// Returns the bytes a second at which the body that is being received has come so far; nothing
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -102,7 +102,7 @@
   double slowest = kSlowBody;
   for (const auto& connection : connections_()) {
     const std::size_t held = connection->BodyBytesHeld();
-    if (held > most && aNow - connection->LastRead() > kStalledBody) {
+    if (held > most && aNow - connection->BodySilentSince() > kStalledBody) {
       most = held;
       worst = connection;
     }
--- a/tests/unit/intake/IntakeMemoryTest.cpp
+++ b/tests/unit/intake/IntakeMemoryTest.cpp
@@ -121,6 +121,25 @@
   BOOST_TEST(Actions("stalled_body_closed") == 1U);
 }
 
+// Guards against a body that is taken for a stalled one because it was not read while it waited for
+// memory: its caller did nothing wrong, and gets its turn while others wait on.
+BOOST_AUTO_TEST_CASE(ABodyThatWaitedIsNotStalled)
+{
+  HeldMemory taken(budget_, MemoryHolder::Responses);
+  taken.Set(budget_.Limit() / 2);
+  const std::string body(60000, 'x');
+  Caller first(*this);
+  first.Request("POST /upload/1", "Content-Length: 60000\r\n", body.c_str());
+  Caller second(*this);
+  second.Request("POST /upload/2", "Content-Length: 60000\r\n", body.c_str());
+  const TimePoint longer = clock_.Now() + std::chrono::milliseconds(1300);
+  RunUntil([&] { return clock_.Now() >= longer; });
+  constexpr std::size_t kRoomForOne = 250'000;
+  taken.Set(budget_.Limit() / 2 - kRoomForOne);
+  BOOST_TEST(NextSent().body_.size() == body.size());
+  BOOST_TEST(Actions("stalled_body_closed") == 0U);
+}
+
 // Guards against responses that exceed the limit for callers who do not read them.
 BOOST_AUTO_TEST_CASE(TheConnectionThatHoldsMostIsClosed)
 {
