Test that requests which are refused under a crowd do not run

30 callers hold the memory of bodies, and 40 legal requests of 600 KiB come through an instance that only forwards. One that gets a 503 must never reach the server, and one that is answered must have. At least one has to be refused, or the test shows nothing.

--- a/tests/integration/crowd/CrowdServer.cpp
+++ b/tests/integration/crowd/CrowdServer.cpp
@@ -18,8 +18,9 @@
 class CrowdServer::Session : public std::enable_shared_from_this<Session>
 {
 public:
-  explicit Session(tcp::socket aSocket)
-    : socket_(std::move(aSocket))
+  Session(CrowdServer& aServer, tcp::socket aSocket)
+    : server_(aServer)
+    , socket_(std::move(aSocket))
     , timer_(socket_.get_executor())
     , scratch_(kScratchBytes)
   {
@@ -44,6 +45,7 @@
   void ReadBody()
   {
     if (parser_->is_done()) {
+      server_.Record(std::string(parser_->get()["X-Request-Id"]));
       timer_.expires_after(kWork);
       timer_.async_wait([self = shared_from_this()](error_code) { self->Answer(); });
       return;
@@ -93,6 +95,7 @@
       });
   }
 
+  CrowdServer& server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   boost::beast::flat_buffer buffer_;
@@ -115,12 +118,26 @@
   thread_.join();
 }
 
+void
+CrowdServer::Record(std::string aRequestId)
+{
+  const std::lock_guard lock(mutex_);
+  ran_.insert(std::move(aRequestId));
+}
+
+bool
+CrowdServer::Ran(const std::string& aRequestId) const
+{
+  const std::lock_guard lock(mutex_);
+  return ran_.contains(aRequestId);
+}
+
 void
 CrowdServer::Accept()
 {
   acceptor_.async_accept([this](error_code aError, tcp::socket aSocket) {
     if (!aError) {
-      std::make_shared<Session>(std::move(aSocket))->ReadHead();
+      std::make_shared<Session>(*this, std::move(aSocket))->ReadHead();
     }
     Accept();
   });
--- a/tests/integration/crowd/CrowdServer.hpp
+++ b/tests/integration/crowd/CrowdServer.hpp
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <mutex>
+#include <set>
+#include <string>
 #include <thread>
 
 namespace redwing::test {
@@ -28,14 +31,22 @@
 
   std::uint16_t Port() const { return port_; }
 
+  /// Returns whether a request with this X-Request-Id arrived to its end.
+  ///
+  /// Preconditions: none. Thread safety: callable from any thread.
+  bool Ran(const std::string& aRequestId) const;
+
 private:
   class Session;
 
   void Accept();
+  void Record(std::string aRequestId);
 
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_;
+  mutable std::mutex mutex_;
+  std::set<std::string> ran_;
   std::thread thread_;
 };
 
--- a/tests/integration/crowd/CrowdSite.cpp
+++ b/tests/integration/crowd/CrowdSite.cpp
@@ -82,6 +82,12 @@
                      aLimitMs);
 }
 
+bool
+CrowdSite::Ran(const std::string& aRequestId) const
+{
+  return server_.Ran(aRequestId);
+}
+
 unsigned
 CrowdSite::Send(const std::string& aText) const
 {
--- a/tests/integration/crowd/CrowdSite.hpp
+++ b/tests/integration/crowd/CrowdSite.hpp
@@ -40,6 +40,9 @@
   /// 0 if there is none within a generous time.
   unsigned Send(const std::string& aText) const;
 
+  /// Returns whether the backend server got a request to its end.
+  bool Ran(const std::string& aRequestId) const;
+
   /// Returns the most memory that one of the processes has used.
   std::size_t PeakMemory() const;
 
--- a/tests/integration/crowd/ForwardedCrowdTest.cpp
+++ b/tests/integration/crowd/ForwardedCrowdTest.cpp
@@ -1,6 +1,9 @@
 #include "tests/integration/crowd/CrowdSite.hpp"
 
+#include <future>
 #include <string>
+#include <thread>
+#include <vector>
 
 using namespace redwing::test;
 using namespace std::chrono_literals;
@@ -146,3 +149,45 @@
     }
   }
 }
+
+// Guards against a refusal for lack of memory whose request runs all the same. Legal requests are
+// sent while a crowd holds the memory; those that are refused must never reach the server.
+BOOST_AUTO_TEST_CASE(RefusedRequestsDoNotRun)
+{
+  // Few enough that further connections are accepted, and enough to hold the memory of bodies.
+  constexpr std::size_t kFewCallers = 30;
+  constexpr int kRequests = 40;
+  constexpr unsigned kServiceUnavailable = 503;
+  const CrowdSite site(SiteSettings{ {}, 1 });
+  std::vector<std::future<unsigned>> statuses;
+  const auto id = [](int aNumber) { return "legal-" + std::to_string(aNumber); };
+  {
+    const Crowd crowd(
+      site.CallersOf(), kFewCallers, { Head("/stuck/a", Length(kLegalBody)), kLegalBody - 1 });
+    std::this_thread::sleep_for(1s);
+    for (int i = 0; i < kRequests; ++i) {
+      statuses.push_back(std::async(std::launch::async, [&site, text = id(i)] {
+        return site.Send(Head("/store/a", Length(kHeldWhole) + "\r\nX-Request-Id: " + text) +
+                         std::string(kHeldWhole, 'x'));
+      }));
+    }
+    for (const auto& status : statuses) {
+      status.wait();
+    }
+  }
+  int refused = 0;
+  int answered = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const unsigned status = statuses[i].get();
+    answered += status == 200U ? 1 : 0;
+    // A request without a response may have run.
+    if (status == kServiceUnavailable) {
+      ++refused;
+      BOOST_TEST(!site.Ran(id(i)), "request " << i << " was refused and ran");
+    } else if (status == 200U) {
+      BOOST_TEST(site.Ran(id(i)), "request " << i << " was answered and did not run");
+    }
+  }
+  BOOST_TEST_MESSAGE(answered << " answered, " << refused << " refused");
+  BOOST_TEST(refused > 0);
+}
