Show the records of requests with an Idempotency-Key and their limit

Operators could see that a request was refused for a full table only in the line of that request.

AFullTableOfRecordsRefusesAndIsShown is new with the metrics; it also checks that the refusal says not run and that the request did not reach the server.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -173,6 +173,7 @@
     case IdempotencyVerdict::New:
       return false;
     case IdempotencyVerdict::Full:
+      recordsFull_.Add();
       RefuseNotRun(aExchange, ErrorCode::Overloaded, "idempotency_table_full");
       return true;
     case IdempotencyVerdict::Conflict:
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -60,6 +60,8 @@
     if (now >= nextPoll_) {
       nextPoll_ = now + kHealthInterval;
       loadMetrics_.Show(Load(), limiter_.Limit());
+      recordBytes_.Set(static_cast<std::int64_t>(entries_.EntryBytes()));
+      keptResponseBytes_.Set(static_cast<std::int64_t>(entries_.ResponseBytes()));
       monitor_->Poll();
     }
     if (now >= nextSweep_) {
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -315,6 +315,9 @@
   /// ReleaseLarge will be called.
   bool largeScheduled_ = false;
   IdempotencyTable entries_;
+  Gauge& recordBytes_;
+  Gauge& keptResponseBytes_;
+  Counter& recordsFull_;
   QuarantineRegistry quarantine_;
   std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
   /// Ids of requests of shards that the server refused, and the requests' deadlines. They may come
--- a/src/daemon/ProcessLimits.cpp
+++ b/src/daemon/ProcessLimits.cpp
@@ -60,7 +60,8 @@
     .With("held_bytes", aMemory.Limit())
     .With("caller_connections", aIntake.maxConnections_)
     .With("server_connections", aBackend.maxServerConnections_)
-    .With("inbound_links", aPeer.maxInboundLinks_);
+    .With("inbound_links", aPeer.maxInboundLinks_)
+    .With("record_bytes", aBackend.idempotency_.entryBytes_);
 }
 
 } // namespace redwing
--- a/tests/unit/backend/BackendBench.hpp
+++ b/tests/unit/backend/BackendBench.hpp
@@ -50,7 +50,8 @@
                  Replicate aReplicate = {},
                  HttpProtocol aProtocol = {},
                  double aLinkBitsPerSecond = 0,
-                 MemoryBudget* aMemory = nullptr)
+                 MemoryBudget* aMemory = nullptr,
+                 IdempotencyLimits aRecords = {})
     : server_([this, handler = std::move(aHandler)](const FakeRequest& aRequest) {
       if (aRequest.target_.starts_with("/redwing/")) {
         controlRequests_.Add(aRequest);
@@ -66,7 +67,7 @@
         view_,
         gate_,
         counters_,
-        Settings(std::move(aProtocol), aLinkBitsPerSecond),
+        Settings(std::move(aProtocol), aLinkBitsPerSecond, aRecords),
         { [this](ResponseEvent&& aEvent) { responses_.Add(std::move(aEvent)); },
           [this](const BackendStatus& aStatus) {
             if (aStatus.state_ != BackendState::Down) {
@@ -106,10 +107,13 @@
     thread_.join();
   }
 
-  static BackendSettings Settings(HttpProtocol aProtocol, double aLinkBitsPerSecond)
+  static BackendSettings Settings(HttpProtocol aProtocol,
+                                  double aLinkBitsPerSecond,
+                                  IdempotencyLimits aRecords)
   {
     BackendSettings settings{ { "self", 1 }, 1024, 64, std::move(aProtocol) };
     settings.linkBitsPerSecond_ = aLinkBitsPerSecond;
+    settings.idempotency_ = aRecords;
     return settings;
   }
 
--- a/tests/unit/backend/BackendServiceTest.cpp
+++ b/tests/unit/backend/BackendServiceTest.cpp
@@ -167,6 +167,32 @@
   BOOST_TEST(bench.gate_.running_ == 0);
 }
 
+// Guards against a full table whose refusal does not say that the request did not run, and against
+// an operator who cannot see that it is full.
+BOOST_AUTO_TEST_CASE(AFullTableOfRecordsRefusesAndIsShown)
+{
+  IdempotencyLimits records;
+  records.entries_ = 1;
+  Bench bench(Echo, 4, {}, {}, 0, nullptr, records);
+  const auto make = [&](std::uint64_t aId) {
+    auto start = bench.Make(aId);
+    start.idempotencyKey_ = "key-" + std::to_string(aId);
+    return start;
+  };
+  BOOST_TEST(std::get<ResponseStart>(bench.Run(make(1))).body_ == "/things/1 ");
+  const Refusal refusal = ExpectRefusal(bench.Run(make(2)));
+  BOOST_TEST((refusal.outcome_ == Outcome::NotRun));
+  BOOST_TEST((refusal.code_ == ErrorCode::Overloaded));
+  BOOST_TEST(bench.serverRequests_.Size() == 1U);
+  BOOST_TEST(bench.counters_.GetCounter("redwing_records_full_total").Value() == 1U);
+  auto& bytes = bench.counters_.GetGauge("redwing_records_bytes", "kind=\"responses\"");
+  const auto limit = std::chrono::steady_clock::now() + 10s;
+  while (bytes.Value() == 0 && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::yield();
+  }
+  BOOST_TEST(bytes.Value() > 0);
+}
+
 // Guards against running requests without shard ownership, with a withdrawn key, after the deadline
 // or for another service.
 BOOST_AUTO_TEST_CASE(RequestsThatMustNotRunAreRefused)
