--- a/review/standins-3/PlainServer.hpp
+++ b/review/standins-3/PlainServer.hpp
@@ -44,7 +44,8 @@
     beats_ = std::thread([this] {
       auto next = Clock::now();
       while (!ended_) {
-        if (Clock::now() >= next) {
+        // A server that begins to drain says so at once.
+        if (Clock::now() >= next || prompt_.exchange(false)) {
           next = Clock::now() + settings_.interval_;
           SendHeartbeat();
         }
@@ -63,8 +64,20 @@
   PlainServer(const PlainServer&) = delete;
   PlainServer& operator=(const PlainServer&) = delete;
 
-  /// Value of X-Server-Signature.
-  std::string Signature() const { return settings_.id_ + "." + std::to_string(born_); }
+  /// Reports from now on that it drains; returns when that was acknowledged, or nothing.
+  std::optional<Clock::time_point> Drain(milliseconds aLimit)
+  {
+    draining_ = true;
+    prompt_ = true;
+    const auto start = Clock::now();
+    while (Since(start) < aLimit) {
+      if (const auto at = acknowledgedAt_.load(); at != Clock::time_point{}) {
+        return at;
+      }
+      std::this_thread::sleep_for(1ms);
+    }
+    return std::nullopt;
+  }
 
 private:
   void OnIo(const std::function<void()>& aTask)
@@ -79,17 +92,21 @@
 
   void SendHeartbeat()
   {
+    const bool drains = draining_;
     const Json heartbeat{ { "service", settings_.service_ },
                           { "address", settings_.address_.ToString() },
                           { "zone", "a" },
                           { "version", "v1" },
                           { "slots", settings_.slots_ },
-                          { "state", "ready" },
+                          { "state", drains ? "draining" : "ready" },
                           { "coldRemainingMs", 0 },
                           { "born", born_ },
                           { "seq", ++sequence_ } };
-    Call(
+    const Answer answer = Call(
       settings_.heartbeats_, "PUT", "/-/instances/" + settings_.id_, heartbeat.dump(), {}, 1000ms);
+    if (drains && answer.Ok() && acknowledgedAt_.load() == Clock::time_point{}) {
+      acknowledgedAt_ = Clock::now();
+    }
   }
 
   boost::asio::io_context& io_;
@@ -98,6 +115,9 @@
   std::unique_ptr<redwing::standins::HttpServer> server_;
   std::thread beats_;
   std::atomic<bool> ended_{ false };
+  std::atomic<bool> draining_{ false };
+  std::atomic<bool> prompt_{ false };
+  std::atomic<Clock::time_point> acknowledgedAt_{};
   std::uint64_t sequence_ = 0;
 };
 
