--- a/review/standins-3/BrokenNeighbour.cpp
+++ b/review/standins-3/BrokenNeighbour.cpp
@@ -108,13 +108,13 @@
   other["routes"][0]["pathPrefix"] = "/note/";
   settings.manifest_["routes"].push_back(other["routes"][0]);
   settings.manifest_["services"].push_back(other["services"][0]);
-  Deployment deployment(settings);
-  deployment.Start(0, "files");
-  deployment.Start(1, "notes");
   std::mutex mutex;
   std::map<std::string, bool> answered;
   std::atomic<int> notes{ 0 };
   std::atomic<bool> breaks{ false };
+  Deployment deployment(settings);
+  deployment.Start(0, "files");
+  deployment.Start(1, "notes");
   const auto after = [&](milliseconds aTime, std::function<void()> aTask) {
     const auto timer = std::make_shared<boost::asio::steady_timer>(deployment.Io(), aTime);
     timer->async_wait([timer, task = std::move(aTask)](const auto&) { task(); });
--- a/review/standins-3/SlowReader.cpp
+++ b/review/standins-3/SlowReader.cpp
@@ -109,10 +109,10 @@
   DeploymentSettings settings;
   settings.name_ = "slow-reader";
   settings.manifest_ = ServiceManifest("files", false, "download");
-  Deployment deployment(settings);
-  deployment.Start(0, "files");
   std::mutex mutex;
   std::map<std::string, std::string> answered;
+  Deployment deployment(settings);
+  deployment.Start(0, "files");
   PlainServerSettings plain;
   plain.id_ = "i-0";
   plain.service_ = "files";
