Judge the reply to a write of the member record by its own lease

Cause: the refusal of a write that was sent with the ended lease was taken as a second lapse. It reset the state in which a new lease was being requested, so that a second one was requested. The record was bound to the first and the second was renewed; the record ended after six seconds while the instance went on granting. A late success of such a write registered the instance with a record that had ended.

Change: the reply to a write is judged by the lease with which the write was sent; a lease is used only by the request that is waited for; a record bound to another lease is written again; a late answer about an earlier renewal does not extend the lease. Leases that are granted, not used, and outdated writes are logged. The store of the tests can be slow.

--- a/src/fleet/StoreSession.cpp
+++ b/src/fleet/StoreSession.cpp
@@ -15,6 +15,8 @@
 constexpr const char* kMembers = "members/";
 constexpr const char* kRecords = "record/";
 constexpr const char* kTables = "shards/";
+/// Value of lease_ while a lease is being requested.
+constexpr std::int64_t kLeaseRequested = -1;
 
 } // namespace
 
@@ -115,18 +117,28 @@
 {
   grantSentAt_ = clock_.Now();
   // Marks the request as pending, so that Register does not send another one.
-  lease_ = -1;
-  store_.GrantLease(settings_.leaseTime_,
-                    WithinEpoch<StoreLease>([this](const StoreResult<StoreLease>& aLease) {
-                      if (!aLease) {
-                        lease_ = 0;
-                        RunAfter(settings_.retryInterval_, [this] { Register(); });
-                        return;
-                      }
-                      lease_ = aLease->id_;
-                      grantedTime_ = aLease->timeToLive_;
-                      WriteSelf();
-                    }));
+  lease_ = kLeaseRequested;
+  const std::uint64_t request = ++leaseRequest_;
+  store_.GrantLease(
+    settings_.leaseTime_,
+    WithinEpoch<StoreLease>([this, request](const StoreResult<StoreLease>& aLease) {
+      if (request != leaseRequest_ || lease_ != kLeaseRequested) {
+        // No record was bound to this lease and nobody renews it, so it expires by itself.
+        LogLine(LogLevel::Info, "member_lease_unused").With("lease", aLease ? aLease->id_ : 0);
+        return;
+      }
+      if (!aLease) {
+        lease_ = 0;
+        RunAfter(settings_.retryInterval_, [this] { Register(); });
+        return;
+      }
+      lease_ = aLease->id_;
+      grantedTime_ = aLease->timeToLive_;
+      LogLine(LogLevel::Info, "member_lease_granted")
+        .With("lease", lease_)
+        .With("time_to_live_ms", grantedTime_.count());
+      WriteSelf();
+    }));
 }
 
 void
@@ -140,8 +152,10 @@
   record.epoch_ = epoch_;
   const std::string text = record.ToText();
   const auto present = entries_.find(key);
-  const bool same = present != entries_.end() && present->second.value_ == text;
-  if (registered_ && same && !mustRewrite_) {
+  // Watch events do not tell the lease.
+  const bool bound =
+    present != entries_.end() && (present->second.lease_ == 0 || present->second.lease_ == lease_);
+  if (registered_ && bound && present->second.value_ == text && !mustRewrite_) {
     return;
   }
   writing_ = true;
@@ -151,17 +165,22 @@
   transaction.writes_.push_back({ key, text, lease_ });
   store_.Commit(
     std::move(transaction),
-    WithinEpoch<StoreTransactionResult>(
-      [this, record = std::move(record)](const StoreResult<StoreTransactionResult>& aResult) {
-        writing_ = false;
-        OnWritten(record, aResult);
-      }));
+    WithinEpoch<StoreTransactionResult>([this, record = std::move(record), lease = lease_](
+                                          const StoreResult<StoreTransactionResult>& aResult) {
+      writing_ = false;
+      OnWritten(record, lease, aResult);
+    }));
 }
 
 void
 StoreSession::OnWritten(const MemberRecord& aRecord,
+                        std::int64_t aLease,
                         const StoreResult<StoreTransactionResult>& aResult)
 {
+  if (aLease != lease_) {
+    OnWrittenWithEarlierLease(aRecord, aLease, aResult);
+    return;
+  }
   if (!aResult) {
     mustRewrite_ = mustRewrite_ || aResult.error().kind_ == StoreErrorKind::OutcomeUnknown;
     if (aResult.error().kind_ == StoreErrorKind::Rejected) {
@@ -199,6 +218,34 @@
   hooks_.onChange_();
 }
 
+void
+StoreSession::OnWrittenWithEarlierLease(const MemberRecord& aRecord,
+                                        std::int64_t aLease,
+                                        const StoreResult<StoreTransactionResult>& aResult)
+{
+  const bool written = aResult && aResult->succeeded_;
+  LogLine(LogLevel::Info, "member_write_outdated")
+    .With("lease", aLease)
+    .With("present_lease", lease_)
+    .With("outcome",
+          written                                             ? "written"
+          : aResult                                           ? "conflict"
+          : aResult.error().kind_ == StoreErrorKind::Rejected ? "rejected"
+                                                              : "unknown");
+  if (written) {
+    // The entry disappears with the earlier lease; a write with the present one replaces it.
+    const std::string key = MemberKey(self_->member_.ref_.id_);
+    entries_[key] = { key, aRecord.ToText(), aResult->revision_, aLease };
+  } else if (aResult) {
+    Reload();
+  } else if (aResult.error().kind_ != StoreErrorKind::Rejected) {
+    mustRewrite_ = mustRewrite_ || aResult.error().kind_ == StoreErrorKind::OutcomeUnknown;
+    RunAfter(settings_.retryInterval_, [this] { Reload(); });
+  }
+  // The present lease may have been granted while this write was in progress.
+  WriteSelf();
+}
+
 bool
 StoreSession::Publishes(const std::string& aServerIncarnation) const
 {
@@ -397,6 +444,11 @@
 void
 StoreSession::Extend(TimePoint aSentAt, milliseconds aTimeToLive)
 {
+  if (aSentAt < extendedBySentAt_) {
+    // A later call was answered first, whose time to live may be shorter.
+    return;
+  }
+  extendedBySentAt_ = aSentAt;
   const auto lasts = std::min<milliseconds>(settings_.leaseTime_, aTimeToLive);
   const TimePoint end = aSentAt + lasts;
   // A lease that was shortened may end before an earlier deadline.
--- a/src/fleet/StoreSession.hpp
+++ b/src/fleet/StoreSession.hpp
@@ -153,7 +153,14 @@
   void Register();
   void GrantLease();
   void WriteSelf();
-  void OnWritten(const MemberRecord& aRecord, const StoreResult<StoreTransactionResult>& aResult);
+  void OnWritten(const MemberRecord& aRecord,
+                 std::int64_t aLease,
+                 const StoreResult<StoreTransactionResult>& aResult);
+  /// Handles the result of a write with a lease that is not used any more. It tells nothing about
+  /// the present lease or registration.
+  void OnWrittenWithEarlierLease(const MemberRecord& aRecord,
+                                 std::int64_t aLease,
+                                 const StoreResult<StoreTransactionResult>& aResult);
   void Load();
   void OnLoaded(StoreRange aRange);
   void Watch();
@@ -186,6 +193,10 @@
   std::uint64_t newestChange_ = 0;
   bool watching_ = false;
   std::int64_t lease_ = 0;
+  /// Number of the last request for a lease; replies to earlier ones are ignored.
+  std::uint64_t leaseRequest_ = 0;
+  /// When the newest call was sent whose reply has extended the lease.
+  TimePoint extendedBySentAt_{};
   TimePoint leaseDeadline_{};
   TimePoint earlierDeadline_{};
   TimePoint grantSentAt_{};
--- a/standins/platform/PlatformStore.cpp
+++ b/standins/platform/PlatformStore.cpp
@@ -60,7 +60,8 @@
 } // namespace
 
 PlatformStore::PlatformStore(boost::asio::io_context& aIo, Address aAddress)
-  : store_([](const auto&) {})
+  : context_(aIo)
+  , store_([](const auto&) {})
   , server_(aIo, std::move(aAddress), [this](const auto& aExchange) { Handle(aExchange); })
   , timer_(aIo)
 {
@@ -133,6 +134,23 @@
     Respond(*aExchange, Reply({ { "errorMessage", "busy" } }, 503));
     return;
   }
+  if (longestDelay_.count() == 0) {
+    Serve(aExchange);
+    return;
+  }
+  const std::chrono::milliseconds delay(
+    random_.Below(static_cast<std::uint64_t>(longestDelay_.count())));
+  const auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+  timer->async_wait([this, timer, aExchange](const boost::system::error_code& aError) {
+    if (!aError) {
+      Serve(aExchange);
+    }
+  });
+}
+
+void
+PlatformStore::Serve(const HttpExchangePtr& aExchange)
+{
   if (aExchange->Request().path_ == "/-/kv-watch" && StartWatch(aExchange)) {
     return;
   }
--- a/standins/platform/PlatformStore.hpp
+++ b/standins/platform/PlatformStore.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "common/HttpServer.hpp"
+#include "core/Random.hpp"
 #include "store/KeyValueStore.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -38,6 +39,12 @@
   /// Preconditions: none. Thread safety: the context's thread only.
   void SetTrouble(StoreTrouble aTrouble);
 
+  /// Delays each call from now on by a random time up to aLongest before it is done, so that calls
+  /// overtake each other; 0 ends this.
+  ///
+  /// Preconditions: none. Thread safety: the context's thread only.
+  void SetDelay(std::chrono::milliseconds aLongest) { longestDelay_ = aLongest; }
+
   /// Writes a key as the operator does.
   ///
   /// Preconditions: none. Thread safety: the context's thread only.
@@ -87,6 +94,8 @@
   };
 
   void Handle(const HttpExchangePtr& aExchange);
+  /// Does what a call asks for and answers it.
+  void Serve(const HttpExchangePtr& aExchange);
   void Respond(HttpExchange& aExchange, HttpResponse aResponse) const;
   HttpResponse Dispatch(const HttpRequest& aRequest);
   HttpResponse Transaction(const std::string& aBody);
@@ -101,6 +110,7 @@
     std::int64_t compacted_ = 0;
   };
 
+  boost::asio::io_context& context_;
   KeyValueStore store_;
   std::optional<Copied> copy_;
   std::uint64_t era_ = 1;
@@ -113,6 +123,8 @@
   std::size_t pageItems_ = 3;
   std::chrono::milliseconds leaseLimit_ = std::chrono::milliseconds::max();
   StoreTrouble trouble_ = StoreTrouble::None;
+  std::chrono::milliseconds longestDelay_{ 0 };
+  Random random_{ 1 };
   std::int64_t compacted_ = 0;
 };
 
--- a/tests/integration/owner/OwnerTest.cpp
+++ b/tests/integration/owner/OwnerTest.cpp
@@ -1,6 +1,8 @@
 #include "KeyedFleet.hpp"
 
 using namespace redwing::test;
+using redwing::standins::PlatformStore;
+using redwing::standins::StoreTrouble;
 using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_SUITE(Owners)
@@ -43,4 +45,25 @@
   CheckOwners(fleet, "short-lease");
 }
 
+// Guards against two holders of a key: after an outage in which leases ran out, an instance renews
+// another lease than the one that its record is bound to, since a slow store answers late.
+BOOST_AUTO_TEST_CASE(KeysHaveOneHolderWhileTheStoreIsSlowAfterAnOutage)
+{
+  KeyedFleet fleet(5, 3);
+  std::this_thread::sleep_for(1s);
+  for (int outage = 0; outage < 3; ++outage) {
+    fleet.Instances().OnStore(
+      [](PlatformStore& aStore) { aStore.SetTrouble(StoreTrouble::Silent); });
+    std::this_thread::sleep_for(9s);
+    fleet.Instances().OnStore([](PlatformStore& aStore) {
+      aStore.SetTrouble(StoreTrouble::None);
+      aStore.SetDelay(500ms);
+    });
+    std::this_thread::sleep_for(10s);
+    fleet.Instances().OnStore([](PlatformStore& aStore) { aStore.SetDelay(0ms); });
+    std::this_thread::sleep_for(1s);
+  }
+  CheckOwners(fleet, "slow-after-outage");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
