Measure the bound on unsent response bytes on one exchange

Cause: more than four windows in the output of a connection were taken for a serving side that ignores its window. The window is that of one exchange, and the responses of up to eight exchanges wait in the same output.

Change: each exchange counts its own bytes. The same cause on a time: a body that waits its turn behind an earlier response is not read, and was taken for stalled by the time since the last read of the connection.

A serving side that ignores its window is still cut off: AResponseBeyondItsWindowIsCutOff (not run by itself on the code before).

--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -101,9 +101,10 @@
     return;
   }
   const bool writeStalled = writing_ && sinceWrite > bounds.progressTimeout_;
-  const bool bodyStalled = !slots_.empty() && !slots_.back()->bodyDone_ &&
+  // A body that waits for earlier responses is not read.
+  const bool bodyStalled = !slots_.empty() && slots_.back()->begun_ && !slots_.back()->bodyDone_ &&
                            slots_.back()->exchange_->WantsBody() && !bodyWaits_ &&
-                           sinceRead > bounds.progressTimeout_;
+                           aNow - BodySilentSince() > bounds.progressTimeout_;
   const bool headStalled =
     slots_.empty() && begin_ != end_ &&
     (bounds.headerTimeout_.count() > 0 ? aNow - headSince_ > bounds.headerTimeout_
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -211,6 +211,8 @@
   BodyFraming framing_ = BodyFraming::None;
   std::optional<std::uint64_t> responseLength_;
   std::uint64_t received_ = 0;
+  /// Bytes of the body that have not left the connection's buffer.
+  std::size_t unsentBytes_ = 0;
 };
 
 } // namespace Detail
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -155,7 +155,6 @@
 Exchange::AppendBody(std::string_view aBytes, bool aLast)
 {
   received_ += aBytes.size();
-  std::string& out = connection_.Out();
   if (framing_ == BodyFraming::ContentLength) {
     const bool wrongLength =
       received_ > *responseLength_ || (aLast && received_ != *responseLength_);
@@ -164,10 +163,13 @@
       return;
     }
   }
-  if (out.size() > kMaxUnsentBytes) {
+  // The window is that of one response; others wait in the output of the same connection.
+  if (unsentBytes_ > kMaxUnsentBytes) {
     AbortResponse();
     return;
   }
+  unsentBytes_ += aBytes.size();
+  std::string& out = connection_.Out();
   if (framing_ == BodyFraming::Chunked) {
     AppendChunk(out, aBytes);
     out.append(aLast ? "0\r\n\r\n" : "");
@@ -183,6 +185,7 @@
 void
 Exchange::OnResponseWritten(std::size_t aBytes)
 {
+  unsentBytes_ -= std::min(unsentBytes_, aBytes);
   if (finished_ || attempts_.empty()) {
     return;
   }
--- a/tests/unit/intake/IntakeFixture.hpp
+++ b/tests/unit/intake/IntakeFixture.hpp
@@ -228,9 +228,9 @@
   }
 
   /// Lets the system take few bytes before they are read.
-  void LimitReceiveBuffer()
+  void LimitReceiveBuffer(int aBytes = 4096)
   {
-    socket_.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    socket_.set_option(boost::asio::socket_base::receive_buffer_size(aBytes));
   }
 
   std::size_t Received() const { return received_.size(); }
--- /dev/null
+++ b/tests/unit/intake/SharedConnectionTest.cpp
@@ -0,0 +1,157 @@
+#include "IntakeFixture.hpp"
+
+#include <algorithm>
+#include <functional>
+
+using namespace redwing;
+using namespace redwing::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kDownload = 240'000;
+constexpr int kSmallBuffer = 64 * 1024;
+
+/// Requests that share a connection, and what ends one of them.
+struct SharedConnection : IntakeFixture
+{
+  // The service accounts for its connections until it ends.
+  ~SharedConnection() { service_.reset(); }
+
+  /// Limits the memory, so that the system holds little of what a caller does not read.
+  void LimitMemory() { memoryBudget_ = &budget_; }
+
+  /// Sends a response of aBytes in parts; the last part ends it unless aEnds is false.
+  void AnswerInParts(const RequestStart& aRequest, std::size_t aBytes, bool aEnds = true)
+  {
+    ResponseStart response;
+    response.status_ = 200;
+    response.contentLength_ = kDownload;
+    response.last_ = false;
+    Respond(aRequest, std::move(response));
+    for (std::size_t sent = 0; sent < aBytes;) {
+      const std::size_t part = std::min(kMaxChunkBytes, aBytes - sent);
+      sent += part;
+      service_->OnResponseEvent(
+        ResponseBody{ aRequest.key_, std::string(part, 'x'), aEnds && sent == aBytes });
+    }
+  }
+
+  void Break(const RequestStart& aRequest)
+  {
+    service_->OnResponseEvent(ResponseAbort{ aRequest.key_ });
+  }
+
+  /// Sends aCount pipelined requests and returns them as they were passed on.
+  std::vector<RequestStart> Pipeline(Caller& aCaller, std::size_t aCount)
+  {
+    std::vector<RequestStart> requests;
+    for (std::size_t i = 0; i < aCount; ++i) {
+      aCaller.Request("GET /plant/" + std::to_string(i));
+    }
+    for (std::size_t i = 0; i < aCount; ++i) {
+      requests.push_back(NextSent());
+    }
+    return requests;
+  }
+
+  /// Lets connections be taken for stalled after a short time.
+  void ShortenTimeouts()
+  {
+    callerLimits_.idleTimeout_ = 600ms;
+    Publish();
+  }
+
+  /// Reads aBytes of body, some of them each time, with a pause in between.
+  static std::size_t ReadSlowly(IntakeFixture& aFixture, Caller& aCaller, std::size_t aStep)
+  {
+    auto next = std::chrono::steady_clock::now();
+    aFixture.RunUntil([&] {
+      if (std::chrono::steady_clock::now() < next) {
+        return false;
+      }
+      next += 10ms;
+      return !aCaller.Take(aStep);
+    });
+    return aCaller.Received();
+  }
+
+  MemoryBudget budget_{ 40 * 1024 * 1024, counters_ };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SharedConnections, SharedConnection)
+
+// Guards against the loss of all responses of a connection: those that wait for a slow one together
+// exceed the bound for a single response.
+BOOST_AUTO_TEST_CASE(DownloadsThatWaitForTheFirstOneAreDelivered)
+{
+  settings_.maxPipelined_ = 8;
+  LimitMemory();
+  Caller caller(*this);
+  caller.LimitReceiveBuffer(kSmallBuffer);
+  const auto requests = Pipeline(caller, 8);
+  for (std::size_t i = 1; i + 1 < requests.size(); ++i) {
+    AnswerInParts(requests[i], kDownload);
+  }
+  AnswerInParts(requests[0], kDownload);
+  AnswerInParts(requests[7], kDownload);
+  RunUntil([&] {
+    caller.Take();
+    return caller.Received() > 8 * kDownload;
+  });
+  caller.Request("GET /plant/next");
+  Answer(NextSent(), "next");
+  caller.ReadPast("next");
+}
+
+// Guards against unbounded memory: a serving side that sends on without credit.
+BOOST_AUTO_TEST_CASE(AResponseBeyondItsWindowIsCutOff)
+{
+  settings_.maxPipelined_ = 8;
+  for (const bool first : { true }) {
+    Caller caller(*this);
+    caller.LimitReceiveBuffer();
+    const auto requests = Pipeline(caller, 2);
+    const RequestStart& greedy = requests[first ? 0 : 1];
+    const std::size_t before = EventsOf<RequestCancel>().size();
+    ResponseStart response;
+    response.status_ = 200;
+    response.last_ = false;
+    Respond(greedy, std::move(response));
+    std::size_t sent = 0;
+    for (; sent < 64 * kBodyWindowBytes && EventsOf<RequestCancel>().size() == before;
+         sent += kMaxChunkBytes) {
+      service_->OnResponseEvent(
+        ResponseBody{ greedy.key_, std::string(kMaxChunkBytes, 'x'), false });
+    }
+    BOOST_TEST(EventsOf<RequestCancel>().size() > before);
+    if (!first) {
+      BOOST_TEST(sent <= 4 * kBodyWindowBytes + 2 * kMaxChunkBytes);
+      Answer(requests[0], "sound");
+      BOOST_TEST(Has(caller.ReadPast("}\n"), "sound"));
+    }
+  }
+}
+
+// Guards against an upload that is taken for stalled because it waits for an earlier response and
+// is not read meanwhile.
+BOOST_AUTO_TEST_CASE(AnUploadThatWaitsItsTurnIsNotStalled)
+{
+  settings_.maxPipelined_ = 8;
+  ShortenTimeouts();
+  Caller caller(*this);
+  caller.Request("GET /plant/1");
+  const RequestStart first = NextSent();
+  caller.Request("POST /upload/1", "Content-Length: 100000\r\n", std::string(50'000, 'x').c_str());
+  const auto limit = std::chrono::steady_clock::now() + 2500ms;
+  RunUntil([&] { return std::chrono::steady_clock::now() > limit; });
+  Answer(first, "first");
+  caller.ReadPast("first");
+  caller.Send(std::string(50'000, 'x'));
+  Answer(NextSent(), "stored");
+  caller.ReadPast("stored");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
