Deliver the responses before one that breaks off

Cause: a broken response ends by a reset, which discards what is in the output of the connection and in the system's buffer, whichever response it belongs to. Ruled out: a first response that is broken off itself (the unit test sends it whole).

Change: a response that breaks off before a byte of it was passed to the system is taken back and refused with an unknown outcome, so that the connection and the requests behind it go on. Otherwise the reset waits until the caller's system has acknowledged the earlier responses. The same for other ends: a body or head that stops, a body that gives way to others, and a connection that ends in order, which was closed for good one second after the last write although its caller had not read it. A request behind one that closes the connection is not passed on.

--- a/src/core/SocketBuffers.hpp
+++ b/src/core/SocketBuffers.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 namespace redwing {
 
@@ -19,4 +22,16 @@
   }
 }
 
+/// Returns the number of bytes written to aSocket that the other end has not acknowledged; 0 if the
+/// system does not tell.
+///
+/// Preconditions: aSocket is open. Thread safety: as aSocket.
+inline std::size_t
+UnacknowledgedBytes(boost::asio::ip::tcp::socket& aSocket)
+{
+  int bytes = 0;
+  const bool known = ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace redwing
--- a/src/intake/CallerConnection.cpp
+++ b/src/intake/CallerConnection.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxBacklogBytes = kBodyWindowBytes;
 /// Time for a caller to read the last response before the connection is closed for good.
 constexpr Duration kLinger = std::chrono::seconds(1);
+/// Interval at which a connection that will be reset is checked for undelivered responses.
+constexpr Duration kDeliveryPoll = std::chrono::milliseconds(10);
 /// Buffers of the system for one connection, where memory is limited. The system doubles them for
 /// its own use. They fill a link of 100 Mbit/s with a round trip of 2.5 ms.
 constexpr int kSocketBufferBytes = 32 * 1024;
@@ -40,6 +42,7 @@
   , lastRead_(aCore.Now())
   , lastWrite_(lastRead_)
   , headSince_(lastRead_)
+  , resetTimer_(socket_.get_executor())
   , held_(aCore.Memory(), MemoryHolder::CallerConnections)
   , responses_(aCore.Memory(), MemoryHolder::Responses)
 {
@@ -71,11 +74,32 @@
   // A handler may keep this object for longer than the budget lives.
   held_.Set(0);
   responses_.Set(0);
+  resetTimer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
   onClosed_(*this);
 }
 
+void
+CallerConnection::CloseAfterResponses()
+{
+  if (closed_ || closing_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const IntakeCore::Scope scope(core_);
+  if (!slots_.empty() && !DiscardFrontResponse()) {
+    AbortFrontResponse();
+    return;
+  }
+  DropSlots();
+  if (!writing_ && UnacknowledgedBytes(socket_) == 0) {
+    Close();
+  } else {
+    BeginClosing();
+  }
+}
+
 void
 CallerConnection::DropSlots()
 {
@@ -95,7 +119,12 @@
   const Duration sinceRead = aNow - lastRead_;
   const Duration sinceWrite = aNow - lastWrite_;
   if (closing_ && !writing_) {
-    if (sinceWrite > kLinger) {
+    // Closing would discard what the caller's system has not acknowledged if more input came.
+    const std::size_t unacknowledged = UnacknowledgedBytes(socket_);
+    if (std::exchange(unacknowledged_, unacknowledged) > unacknowledged) {
+      lastWrite_ = aNow;
+    }
+    if (sinceWrite > (unacknowledged == 0 ? kLinger : Duration(bounds.progressTimeout_))) {
       Close();
     }
     return;
@@ -120,8 +149,10 @@
                          writeStalled ? "a response was not read"
                                       : "a request stopped before its end");
   }
-  if (writeStalled || bodyStalled || headStalled || idle) {
+  if (writeStalled || idle) {
     Close();
+  } else if (bodyStalled || headStalled) {
+    CloseAfterResponses();
   }
 }
 
@@ -162,7 +193,71 @@
 }
 
 void
-CallerConnection::AbortResponse()
+CallerConnection::BeginFrontResponse()
+{
+  frontBegins_ = takenBytes_ + out_.size();
+}
+
+bool
+CallerConnection::DiscardFrontResponse()
+{
+  if (takenBytes_ > frontBegins_) {
+    return false;
+  }
+  out_.resize(static_cast<std::size_t>(frontBegins_ - takenBytes_));
+  outBody_ = 0;
+  return true;
+}
+
+bool
+CallerConnection::EarlierResponsesDelivered()
+{
+  return frontBegins_ + UnacknowledgedBytes(socket_) <= writtenBytes_;
+}
+
+void
+CallerConnection::AbortFrontResponse()
+{
+  if (closed_ || closing_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  const IntakeCore::Scope scope(core_);
+  DiscardFrontResponse();
+  DropSlots();
+  resetting_ = true;
+  if (EarlierResponsesDelivered()) {
+    Reset();
+    return;
+  }
+  BeginClosing();
+  AwaitReset(0, core_.Now());
+}
+
+void
+CallerConnection::AwaitReset(std::size_t aUndelivered, TimePoint aSince)
+{
+  resetTimer_.expires_after(kDeliveryPoll);
+  resetTimer_.async_wait([self = shared_from_this(), aUndelivered, aSince](
+                           const boost::system::error_code& aError) {
+    if (aError || self->closed_) {
+      return;
+    }
+    const TimePoint now = self->core_.Now();
+    const auto unwritten = static_cast<std::size_t>(self->takenBytes_ - self->writtenBytes_);
+    const std::size_t undelivered =
+      self->out_.size() + unwritten + UnacknowledgedBytes(self->socket_);
+    const TimePoint since = undelivered != aUndelivered ? now : aSince;
+    if (self->EarlierResponsesDelivered() || now - since > self->core_.Bounds().progressTimeout_) {
+      self->Reset();
+    } else {
+      self->AwaitReset(undelivered, since);
+    }
+  });
+}
+
+void
+CallerConnection::Reset()
 {
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
@@ -217,6 +312,7 @@
     BeginClosing();
     return false;
   }
+  BeginFrontResponse();
   if (slots_.empty()) {
     return true;
   }
@@ -225,10 +321,6 @@
     Begin(front);
     return true;
   }
-  if (front.broken_) {
-    AbortResponse();
-    return false;
-  }
   out_.append(front.waiting_);
   front.waiting_.clear();
   Flush(std::exchange(front.waitingBody_, 0));
@@ -249,7 +341,9 @@
     return false;
   }
   const CallerSlot& last = *slots_.back();
-  return slots_.size() < core_.Settings().maxPipelined_ && last.begun_ && !last.closes_;
+  // A request behind one that closes the connection would be passed on and never answered.
+  return slots_.size() < core_.Settings().maxPipelined_ && last.begun_ && !last.closes_ &&
+         last.parser_.keep_alive();
 }
 
 bool
--- a/src/intake/CallerConnection.hpp
+++ b/src/intake/CallerConnection.hpp
@@ -7,7 +7,9 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -38,9 +40,13 @@
   /// Preconditions: called once. Thread safety: intake thread only, like all functions here.
   void Start();
 
-  /// Closes at once and cancels a request in progress.
+  /// Closes at once, cancels requests in progress and drops responses that were not sent.
   void Close();
 
+  /// Cancels requests in progress and closes the connection once complete responses that were begun
+  /// before have been delivered.
+  void CloseAfterResponses();
+
   /// Enforces the time limits; called about once a second.
   void Sweep(TimePoint aNow);
 
@@ -58,7 +64,12 @@
   /// was not read, which is not its caller's doing.
   TimePoint BodySilentSince() const { return std::max(lastRead_, bodySince_); }
   TimePoint LastTransfer() const { return std::max(lastRead_, lastWrite_); }
-  bool HasNoRequest() const { return slots_.empty() && !writing_ && !closing_; }
+  /// Returns whether nothing is served or being written, and the connection is not about to end;
+  /// one that only waits for its caller to read counts.
+  bool HasNoRequest() const
+  {
+    return slots_.empty() && !writing_ && (!closing_ || unacknowledged_ > 0);
+  }
   /// Returns the bytes a second at which the body that is being received has come so far; nothing
   /// if there is none, or it began too short a time ago.
   std::optional<double> BodyRate(TimePoint aNow) const;
@@ -86,7 +97,18 @@
   bool IsLast(const CallerSlot& aSlot) const;
   void Flush(std::size_t aBodyBytes);
   void EndFrontResponse();
-  void AbortResponse();
+  /// Resets the connection once the responses before the front one have been delivered.
+  void AbortFrontResponse();
+  /// Discards the response of the front request unless a byte of it was passed to the system;
+  /// returns whether it did.
+  bool DiscardFrontResponse();
+  /// Returns whether the caller's system has acknowledged the responses before the front one.
+  bool EarlierResponsesDelivered();
+  /// Resets the connection when the earlier responses were delivered, or stopped to be.
+  void AwaitReset(std::size_t aUndelivered, TimePoint aSince);
+  void Reset();
+  /// Notes that the response of the front request begins at the present end of the output.
+  void BeginFrontResponse();
   void DropSlots();
   void ReadMore();
   /// Closes the connection if its caller has closed it, even if that was not read yet; returns
@@ -111,6 +133,8 @@
   void WriteRest(std::size_t aSent);
   void OnWritten(const boost::system::error_code& aError);
   void BeginClosing();
+  /// Ends the output of a closing connection once all of it was written, unless it will be reset.
+  void ShutDownSending();
   std::string_view Unread() const { return { buffer_.data() + begin_, end_ - begin_ }; }
 
   IntakeCore& core_;
@@ -130,9 +154,16 @@
   bool reading_ = false;
   bool writing_ = false;
   bool closing_ = false;
+  /// Ends by a reset; nothing follows the bytes in out_.
+  bool resetting_ = false;
   bool closed_ = false;
   std::string out_;
   std::string inFlight_;
+  /// Output bytes that were taken from out_ so far, and those of them that the system has taken.
+  std::uint64_t takenBytes_ = 0;
+  std::uint64_t writtenBytes_ = 0;
+  /// Number of output bytes before the response of the front request.
+  std::uint64_t frontBegins_ = 0;
   std::size_t outBody_ = 0;
   std::size_t inFlightBody_ = 0;
   TimePoint lastRead_;
@@ -147,6 +178,9 @@
   bool headWaits_ = false;
   /// The guard will call ResumeReading.
   bool awaitsResume_ = false;
+  /// Bytes that the caller's system had not acknowledged at the last sweep of a closing connection.
+  std::size_t unacknowledged_ = 0;
+  boost::asio::steady_timer resetTimer_;
   HeldMemory held_;
   HeldMemory responses_;
 };
--- a/src/intake/CallerConnectionIo.cpp
+++ b/src/intake/CallerConnectionIo.cpp
@@ -122,6 +122,7 @@
   while (!out_.empty()) {
     inFlight_.clear();
     inFlight_.swap(out_);
+    takenBytes_ += inFlight_.size();
     inFlightBody_ = std::exchange(outBody_, 0);
     boost::system::error_code error;
     // The socket buffer takes most responses at once, which saves a handler per response.
@@ -132,6 +133,7 @@
       return;
     }
     lastWrite_ = core_.Now();
+    writtenBytes_ += sent;
     if (sent < inFlight_.size()) {
       writing_ = true;
       WriteRest(sent);
@@ -151,6 +153,7 @@
                            [self = shared_from_this(),
                             aSent](const boost::system::error_code& aError, std::size_t aBytes) {
                              const std::size_t sent = aSent + aBytes;
+                             self->writtenBytes_ += aBytes;
                              if (aError || self->closed_ || sent >= self->inFlight_.size()) {
                                self->OnWritten(aError);
                                return;
@@ -178,14 +181,22 @@
   }
   Write();
   UpdateHeld();
-  if (closing_ && !writing_) {
-    boost::system::error_code ignored;
-    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  if (closing_) {
+    ShutDownSending();
     return;
   }
   Pump();
 }
 
+void
+CallerConnection::ShutDownSending()
+{
+  if (!writing_ && !resetting_) {
+    boost::system::error_code ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+  }
+}
+
 void
 CallerConnection::BeginClosing()
 {
@@ -197,10 +208,7 @@
   begin_ = 0;
   end_ = 0;
   arrivals_.Clear();
-  if (!writing_) {
-    boost::system::error_code ignored;
-    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-  }
+  ShutDownSending();
   ReadMore();
 }
 
--- a/src/intake/CallerSlot.cpp
+++ b/src/intake/CallerSlot.cpp
@@ -47,15 +47,22 @@
   }
 }
 
-void
-CallerSlot::AbortResponse()
+bool
+CallerSlot::DiscardResponse()
 {
   if (connection_.IsFront(*this)) {
-    connection_.AbortResponse();
-  } else {
-    broken_ = true;
-    responseDone_ = true;
+    return connection_.DiscardFrontResponse();
   }
+  std::string().swap(waiting_);
+  waitingBody_ = 0;
+  connection_.UpdateHeld();
+  return true;
+}
+
+void
+CallerSlot::AbortResponse()
+{
+  connection_.AbortFrontResponse();
 }
 
 bool
--- a/src/intake/CallerSlot.hpp
+++ b/src/intake/CallerSlot.hpp
@@ -31,7 +31,14 @@
   /// The response is complete in Out(); the connection goes on to the next request or closes.
   void EndResponse();
 
-  /// Resets the connection, so that the caller cannot take the response for complete.
+  /// Discards the response unless a byte of it was passed to the system; returns whether it did.
+  /// Another response may then take its place.
+  bool DiscardResponse();
+
+  /// Resets the connection in place of the rest of the response, so that the caller cannot take it
+  /// for complete. Earlier responses are delivered first.
+  ///
+  /// Preconditions: DiscardResponse returned false, or the request is the first in turn.
   void AbortResponse();
 
   /// Returns whether the caller has left. The connection is then closed, and the exchange was told.
@@ -61,8 +68,6 @@
   bool responseDone_ = false;
   /// The response says that it is the last one on the connection.
   bool closes_ = false;
-  /// The response broke off; the connection is reset once the earlier responses are out.
-  bool broken_ = false;
   /// Bytes of a response that must wait for earlier ones.
   std::string waiting_;
   std::size_t waitingBody_ = 0;
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -150,6 +150,12 @@
   void OnResponseBody(ResponseBody&& aBody);
   void AppendBody(std::string_view aBytes, bool aLast);
   void EndResponse();
+  /// Ends a response that its backend server or the serving instance did not complete: by a refusal
+  /// in its place if the caller has seen nothing of it.
+  void BreakResponse(const char* aDetail);
+  /// Resets the connection in place of the rest of the response.
+  ///
+  /// Preconditions: the request is the first of its connection.
   void AbortResponse();
   BodyFraming FramingOf(const ResponseStart& aStart) const;
 
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -215,7 +215,7 @@
                refusal->outcome_ == Outcome::Unknown ? AttemptEnd::Lost : AttemptEnd::Answered);
     OnRefusal(std::move(attempt), std::move(*refusal));
   } else if (responding_) {
-    AbortResponse();
+    BreakResponse("the response broke off");
   } else {
     Refusal broken;
     broken.outcome_ = Outcome::Unknown;
@@ -228,7 +228,7 @@
 Exchange::OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal)
 {
   if (responding_) {
-    AbortResponse();
+    BreakResponse("the response broke off");
     return;
   }
   if (aAttempt.load_ != nullptr && aRefusal.load_.slots_ > 0) {
--- a/src/intake/ExchangeBodies.cpp
+++ b/src/intake/ExchangeBodies.cpp
@@ -94,7 +94,7 @@
 Exchange::OnResponseStart(std::uint64_t aAttemptId, ResponseStart&& aStart)
 {
   if (responding_) {
-    AbortResponse();
+    BreakResponse("a second response began");
     return;
   }
   framing_ = FramingOf(aStart);
@@ -159,13 +159,13 @@
     const bool wrongLength =
       received_ > *responseLength_ || (aLast && received_ != *responseLength_);
     if (wrongLength) {
-      AbortResponse();
+      BreakResponse("the response body does not have the stated length");
       return;
     }
   }
   // The window is that of one response; others wait in the output of the same connection.
   if (unsentBytes_ > kMaxUnsentBytes) {
-    AbortResponse();
+    BreakResponse("the serving side ignores its window");
     return;
   }
   unsentBytes_ += aBytes.size();
@@ -209,6 +209,17 @@
   connection_.EndResponse();
 }
 
+void
+Exchange::BreakResponse(const char* aDetail)
+{
+  if (connection_.DiscardResponse()) {
+    // The caller has seen nothing of it, so the other requests of the connection can go on.
+    Refuse(ErrorCode::BackendFailed, aDetail, Outcome::Unknown);
+  } else {
+    AbortResponse();
+  }
+}
+
 void
 Exchange::AbortResponse()
 {
--- a/src/intake/MemoryGuard.cpp
+++ b/src/intake/MemoryGuard.cpp
@@ -115,7 +115,7 @@
   if (worst) {
     Report(MemoryAction::StalledBodyClosed,
            "a body stopped or came slowly while others wait for memory");
-    worst->Close();
+    worst->CloseAfterResponses();
   }
   return worst != nullptr;
 }
--- a/tests/unit/intake/SharedConnectionTest.cpp
+++ b/tests/unit/intake/SharedConnectionTest.cpp
@@ -110,7 +110,7 @@
 BOOST_AUTO_TEST_CASE(AResponseBeyondItsWindowIsCutOff)
 {
   settings_.maxPipelined_ = 8;
-  for (const bool first : { true }) {
+  for (const bool first : { true, false }) {
     Caller caller(*this);
     caller.LimitReceiveBuffer();
     const auto requests = Pipeline(caller, 2);
@@ -135,6 +135,72 @@
   }
 }
 
+// Guards against the loss of complete responses of sound servers when a response behind them, which
+// was ready first, breaks off, and of the responses behind it.
+BOOST_AUTO_TEST_CASE(ABrokenResponseThatWaitsTakesNoOtherWithIt)
+{
+  settings_.maxPipelined_ = 8;
+  Caller caller(*this);
+  caller.LimitReceiveBuffer();
+  const auto requests = Pipeline(caller, 3);
+  AnswerInParts(requests[1], 1000, false);
+  Break(requests[1]);
+  AnswerInParts(requests[2], kDownload);
+  AnswerInParts(requests[0], kDownload);
+  const std::string text = caller.ReadPast("}\n");
+  BOOST_TEST(std::count(text.begin(), text.end(), 'x') >= static_cast<long>(kDownload));
+  BOOST_TEST(Has(text, "Redwing-Error: backend_failed"));
+  BOOST_TEST(Has(text, "Redwing-Outcome: unknown"));
+  RunUntil([&] {
+    caller.Take();
+    return caller.Received() > kDownload;
+  });
+}
+
+// Guards against the loss of an earlier response that is on its way, when the one behind it breaks
+// off after it began, and against a broken response that looks complete.
+BOOST_AUTO_TEST_CASE(ABrokenResponseResetsOnlyAfterEarlierOnes)
+{
+  settings_.maxPipelined_ = 8;
+  for (const std::size_t size : { std::size_t{ 100'000 }, kDownload }) {
+    Caller caller(*this);
+    caller.LimitReceiveBuffer();
+    const auto requests = Pipeline(caller, 2);
+    Answer(requests[0], std::string(size, 'y'));
+    AnswerInParts(requests[1], 1000, false);
+    Break(requests[1]);
+    const std::size_t received = ReadSlowly(*this, caller, 4096);
+    BOOST_TEST(received > size);
+    BOOST_TEST(received < size + kDownload);
+  }
+}
+
+// Guards against a request that is passed on although the one before it closes the connection.
+BOOST_AUTO_TEST_CASE(NothingIsPassedOnBehindARequestThatCloses)
+{
+  settings_.maxPipelined_ = 8;
+  Caller caller(*this);
+  caller.Request("GET /plant/1", "Connection: close\r\n");
+  caller.Request("GET /plant/2");
+  const RequestStart first = NextSent();
+  Answer(first, "last");
+  BOOST_TEST(Has(caller.ReadToEnd(), "last"));
+  BOOST_TEST(sent_.size() == 1U);
+}
+
+// Guards against an earlier response that is lost since the body of the next request stops.
+BOOST_AUTO_TEST_CASE(AStalledBodyTakesNoEarlierResponseWithIt)
+{
+  LimitMemory();
+  ShortenTimeouts();
+  Caller caller(*this);
+  caller.LimitReceiveBuffer(kSmallBuffer);
+  caller.Request("GET /plant/1");
+  Answer(NextSent(), std::string(2 * kDownload, 'y'));
+  caller.Request("POST /upload/1", "Content-Length: 1000\r\n", "x");
+  BOOST_TEST(ReadSlowly(*this, caller, 1024) > 2 * kDownload);
+}
+
 // Guards against an upload that is taken for stalled because it waits for an earlier response and
 // is not read meanwhile.
 BOOST_AUTO_TEST_CASE(AnUploadThatWaitsItsTurnIsNotStalled)
@@ -154,4 +220,20 @@
   caller.ReadPast("stored");
 }
 
+// Guards against responses that are cut off at the end of a connection because their caller reads
+// them later than the connection lingers, and sends more.
+BOOST_AUTO_TEST_CASE(AClosingConnectionWaitsForASlowReader)
+{
+  Caller caller(*this);
+  caller.LimitReceiveBuffer();
+  caller.Request("GET /plant/1", "Connection: close\r\n");
+  Answer(NextSent(), std::string(kDownload, 'y'));
+  const auto limit = std::chrono::steady_clock::now() + 2500ms;
+  RunUntil([&] {
+    caller.TrySend("x");
+    return std::chrono::steady_clock::now() > limit;
+  });
+  BOOST_TEST(caller.ReadToEnd().size() > kDownload);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
