Ask all checks and the retry budget at each send

Cause: the instance beside the server wrote a repeatable request again by itself, past the checks of its first send (draining, withdrawal, time, keys, quarantine, lease) and without the retry budget, which the caller's instance keeps. Ruled out by the test, which fails before: a second attempt of the caller's instance.

Change: ServerSender owns the connections that carry requests and asks one check at the time of each send; nothing else can write a request to the server. The instance beside the server repeats nothing. The caller's instance decides, takes each attempt after one that may have reached a server from the retry budget when it is sent, hedges included, and asks the only server of a service or the owner of a shard once more. Requests whose idempotency entry was being replicated pass the same check now; they skipped the draining of their server.

--- a/src/backend/BackendAdmission.cpp
+++ b/src/backend/BackendAdmission.cpp
@@ -136,13 +136,12 @@
   return std::min({ aStart.deadline_, aStart.answerBy_, answerBy_ });
 }
 
-void
-BackendService::RefuseLate(const ExchangePtr& aExchange, Duration aNeeded, std::string_view aDetail)
+ErrorCode
+BackendService::CodeOfLate(const RequestStart& aStart, Duration aNeeded) const
 {
   // If only this instance stops too early, another one may still answer in time.
-  const auto& start = aExchange->start_;
-  const bool expired = clock_.Now() + aNeeded >= std::min(start.deadline_, start.answerBy_);
-  RefuseNotRun(aExchange, expired ? ErrorCode::DeadlineExceeded : ErrorCode::Draining, aDetail);
+  const bool expired = clock_.Now() + aNeeded >= std::min(aStart.deadline_, aStart.answerBy_);
+  return expired ? ErrorCode::DeadlineExceeded : ErrorCode::Draining;
 }
 
 bool
@@ -213,7 +212,7 @@
   }
   pumpHeld_ = true;
   limiter_.SetCap(ramp_.Allowed());
-  while (Serving() && !queue_.Empty() && pool_->Available() && coldRate_.Allows(clock_.Now()) &&
+  while (Serving() && !queue_.Empty() && sender_.Available() && coldRate_.Allows(clock_.Now()) &&
          statedRate_.Wait(clock_.Now()) == Duration::zero() && limiter_.TryAcquire()) {
     const auto item = queue_.Pop();
     const auto exchange = exchanges_[item->key_];
@@ -228,35 +227,67 @@
 BackendService::Prepare(const ExchangePtr& aExchange)
 {
   const auto now = clock_.Now();
-  if (const auto code = checks_.CheckRequest(aExchange->start_, now)) {
-    RefuseNotRun(aExchange, *code);
-    return;
-  }
-  if (IsLeaving(aExchange->start_, now)) {
-    RefuseNotRun(aExchange, ErrorCode::Draining);
-    return;
-  }
-  if (RefusedByRollout(aExchange, 0, now)) {
-    return;
-  }
-  const Duration serviceTime = estimator_.Of(aExchange->start_.class_, now);
-  const TimePoint expected = now + serviceTime;
-  const bool late = limiter_.Running() > 1 && expected > aExchange->start_.deadline_;
-  const bool stops = std::max(now, expected) >= std::min(answerBy_, aExchange->start_.answerBy_);
-  if (late || stops) {
-    RefuseLate(aExchange, serviceTime, "deadline_cannot_be_met");
+  // No trial, count or entry is begun for a request that is going to be refused.
+  if (const auto refusal = CheckRun(*aExchange, now)) {
+    RefuseNotRun(aExchange, refusal->code_, refusal->detail_);
     return;
   }
   if (!CheckQuarantine(aExchange, now) || !CheckOwnership(aExchange, now)) {
     return;
   }
   if (aExchange->start_.idempotencyKey_.empty()) {
-    Dispatch(aExchange, false);
+    Dispatch(aExchange);
   } else {
     BeginEntry(aExchange, now);
   }
 }
 
+std::optional<SendRefusal>
+BackendService::CheckRun(const ServedExchange& aExchange, TimePoint aNow)
+{
+  const auto& start = aExchange.start_;
+  if (!Serving() || announcement_->service_ != start.service_) {
+    return SendRefusal{ ErrorCode::NoBackendServer, {} };
+  }
+  if (const auto code = checks_.CheckRequest(start, aNow)) {
+    return SendRefusal{ *code, {} };
+  }
+  if (IsLeaving(start, aNow)) {
+    return SendRefusal{ ErrorCode::Draining, {} };
+  }
+  if (const auto refusal = RolloutRefusal(AskRollout(0, aNow))) {
+    return refusal;
+  }
+  const Duration serviceTime = estimator_.Of(start.class_, aNow);
+  const TimePoint expected = aNow + serviceTime;
+  const bool late = limiter_.Running() > 1 && expected > start.deadline_;
+  const bool stops = std::max(aNow, expected) >= std::min(answerBy_, start.answerBy_);
+  if (late || stops) {
+    return SendRefusal{ CodeOfLate(start, serviceTime), "deadline_cannot_be_met" };
+  }
+  return std::nullopt;
+}
+
+std::optional<SendRefusal>
+BackendService::CheckSend(const ServedExchange& aExchange, TimePoint aNow)
+{
+  if (const auto refusal = CheckRun(aExchange, aNow)) {
+    return refusal;
+  }
+  const auto& start = aExchange.start_;
+  if (!aExchange.trial_ &&
+      quarantine_.Check(start.service_, start.fingerprint_, aNow) != QuarantineVerdict::Clear) {
+    return SendRefusal{ ErrorCode::PoisonRequest, {} };
+  }
+  if (start.shard_) {
+    const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, aNow + kLeaseMargin);
+    if (!answer.owned_ || answer.token_ != aExchange.token_) {
+      return SendRefusal{ ErrorCode::NotOwner, {} };
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 BackendService::CheckQuarantine(const ExchangePtr& aExchange, TimePoint aNow)
 {
@@ -305,7 +336,7 @@
   }
   aExchange->ownsEntry_ = true;
   if (!hooks_.replicate_ || !aExchange->start_.shard_) {
-    Dispatch(aExchange, false);
+    Dispatch(aExchange);
     return;
   }
   aExchange->phase_ = ServedPhase::Replicating;
@@ -321,18 +352,12 @@
     return;
   }
   aExchange->phase_ = ServedPhase::Running;
-  const auto now = clock_.Now();
-  const auto& start = aExchange->start_;
-  // The lease may have ended while the entry was being replicated.
-  const auto answer = gate_.Check({ start.service_, start.shard_->shard_ }, now + kLeaseMargin);
-  if (!aAllowed || !answer.owned_ || answer.token_ != aExchange->token_) {
-    RefuseNotRun(aExchange, aAllowed ? ErrorCode::NotOwner : ErrorCode::NoOwner, "not_replicated");
-  } else if (const auto code = checks_.CheckRequest(start, now)) {
-    RefuseNotRun(aExchange, *code);
+  if (!aAllowed) {
+    RefuseNotRun(aExchange, ErrorCode::NoOwner, "not_replicated");
   } else if (aExchange->detached_) {
     End(aExchange, Ending::NotRun);
   } else {
-    Dispatch(aExchange, false);
+    Dispatch(aExchange);
   }
 }
 
--- a/src/backend/BackendExchanges.cpp
+++ b/src/backend/BackendExchanges.cpp
@@ -1,7 +1,6 @@
 // BackendService: dispatch to the backend server, streamed bodies, responses and failures.
 
 #include "backend/BackendService.hpp"
-#include "backend/RequestText.hpp"
 #include "backend/ResponseHeaders.hpp"
 #include "core/Log.hpp"
 
@@ -19,7 +18,7 @@
 } // namespace
 
 /// Passes the events of a connection to the service, together with the exchange that uses the
-/// connection. An exchange that was resent gets no further events from its old connection.
+/// connection.
 class BackendService::Observer final : public HttpObserver
 {
 public:
@@ -49,58 +48,33 @@
 };
 
 void
-BackendService::Dispatch(const ExchangePtr& aExchange, bool aNewConnection)
+BackendService::Dispatch(const ExchangePtr& aExchange)
 {
-  // Every request that is written to the server passes here, resends and those whose idempotency
-  // entry was being replicated included.
-  if (RefusedByRollout(aExchange, 0, clock_.Now())) {
-    return;
+  const auto sent = sender_.Send(
+    *aExchange,
+    announcement_ ? announcement_->serverId_ : std::string(),
+    [&](HttpRequest& aRequest) { OnSending(*aExchange, aRequest); },
+    std::make_shared<Observer>(*this, aExchange));
+  if (!sent) {
+    RefuseNotRun(aExchange, sent.error().code_, sent.error().detail_);
   }
-  auto& start = aExchange->start_;
-  auto connection = pool_->Acquire(aNewConnection || refusedIds_.contains(start.requestId_));
-  const auto fail = [&](ErrorCode aCode, std::string_view aDetail) {
-    if (aExchange->resent_) {
-      FailUnknown(aExchange, aDetail);
-    } else {
-      RefuseNotRun(aExchange, aCode, aDetail);
-    }
-  };
-  if (!connection) {
-    fail(ErrorCode::Overloaded, "connection_limit");
-    return;
+}
+
+void
+BackendService::OnSending(ServedExchange& aExchange, HttpRequest& aRequest)
+{
+  aRequest.writeBy_ = rolloutGate_.PermittedUntil();
+  if (hooks_.memory_ != nullptr && !hooks_.memory_->Fits(kBodyWindowBytes, MemoryUse::LargeBody)) {
+    aRequest.responseWindow_ = kSmallWindowBytes;
   }
-  const auto now = clock_.Now();
-  auto request = BuildRequest(settings_.protocol_,
-                              start,
-                              aExchange->token_,
-                              connection->Target(),
-                              announcement_ ? announcement_->serverId_ : std::string(),
-                              now);
-  if (!request) {
-    pool_->Release(connection);
-    fail(ErrorCode::BadRequest, "bad_request_line");
-    return;
+  coldRate_.OnSent(aExchange.dispatchedAt_);
+  statedRate_.OnSent(aExchange.dispatchedAt_);
+  CountSent(aExchange);
+  if (settings_.bodiesNeedCredit_ && !aExchange.bodyComplete_ && !aExchange.bodyCreditSent_) {
+    aExchange.bodyCreditSent_ = true;
+    hooks_.sendResponse_(
+      RequestCredit{ aExchange.start_.key_, static_cast<std::uint32_t>(kBodyWindowBytes) });
   }
-  const bool mayResend = start.idempotent_ && start.last_ && !aExchange->resent_;
-  request->body_ = mayResend ? start.body_ : std::move(start.body_);
-  request->body_.append(aExchange->pendingBody_);
-  request->last_ = aExchange->bodyComplete_;
-  request->writeBy_ = rolloutGate_.PermittedUntil();
-  if (hooks_.memory_ != nullptr && !hooks_.memory_->Fits(kBodyWindowBytes, MemoryUse::LargeBody)) {
-    request->responseWindow_ = kSmallWindowBytes;
-  }
-  aExchange->pendingBody_.clear();
-  aExchange->phase_ = ServedPhase::Running;
-  aExchange->dispatchedAt_ = now;
-  aExchange->connection_ = connection;
-  coldRate_.OnSent(now);
-  statedRate_.OnSent(now);
-  CountSent(*aExchange);
-  if (settings_.bodiesNeedCredit_ && !aExchange->bodyComplete_ && !aExchange->bodyCreditSent_) {
-    aExchange->bodyCreditSent_ = true;
-    hooks_.sendResponse_(RequestCredit{ start.key_, static_cast<std::uint32_t>(kBodyWindowBytes) });
-  }
-  connection->Start(std::move(*request), std::make_shared<Observer>(*this, aExchange));
 }
 
 void
@@ -307,7 +281,7 @@
   if (!settings_.serverReportsState_ && estimator_.All().LatencyJumped()) {
     ramp_.OnLatencyJump(now);
   }
-  pool_->Release(std::exchange(aExchange->connection_, nullptr));
+  sender_.Release(std::exchange(aExchange->connection_, nullptr));
   End(aExchange, Ending::Answered);
 }
 
@@ -318,23 +292,17 @@
     return;
   }
   aExchange->connection_.reset();
-  const bool noResponse = aFailure.closedByServer_ && !aFailure.responseStarted_;
-  const bool resends = aFailure.wrote_ && noResponse && aFailure.reused_ &&
-                       aExchange->start_.idempotent_ && aExchange->start_.last_ &&
-                       !aExchange->resent_ && !aExchange->detached_ && !aExchange->trial_ &&
-                       !stopped_;
-  CountFailed(*aExchange, aFailure, resends);
-  if (!aFailure.wrote_ && !aExchange->resent_) {
+  CountFailed(*aExchange, aFailure);
+  if (!aFailure.wrote_) {
     if (aFailure.refused_) {
       ProbeForCrash();
     }
     RefuseNotRun(aExchange, ErrorCode::BackendFailed, "connect_failed");
     return;
   }
-  if (resends) {
-    aExchange->resent_ = true;
-    Dispatch(aExchange, true);
-    return;
+  if (aFailure.closedByServer_ && aFailure.reused_ && aExchange->start_.idempotent_) {
+    // The request may come back; the server may have closed other idle connections as well.
+    sender_.UseNewConnectionFor(aExchange->start_.requestId_, aExchange->start_.deadline_);
   }
   if (aFailure.closedByServer_) {
     // The failure is reported only once it is known whether the server crashed, so that a request
--- a/src/backend/BackendHealth.cpp
+++ b/src/backend/BackendHealth.cpp
@@ -68,7 +68,7 @@
       nextSweep_ = now + kSweepInterval;
       entries_.Expire(now);
       quarantine_.Expire(now);
-      std::erase_if(refusedIds_, [&](const auto& aItem) { return aItem.second < now; });
+      sender_.Expire(now);
       ForgetUnexplained(now);
     }
     ExpireRequests(now);
@@ -91,7 +91,8 @@
   // time left; only requests with less than that are removed from the queue.
   const int divisor = settings_.enforcesTargetTimes_ ? 2 : std::numeric_limits<int>::max();
   for (const auto& item : queue_.TakeExpired(Duration::zero(), aNow, divisor)) {
-    RefuseLate(ExchangePtr(exchanges_[item.key_]), item.serviceTime_ / divisor);
+    const ExchangePtr exchange = exchanges_[item.key_];
+    RefuseNotRun(exchange, CodeOfLate(exchange->start_, item.serviceTime_ / divisor));
   }
   std::vector<ExchangePtr> late;
   for (const auto& [key, exchange] : exchanges_) {
@@ -261,8 +262,8 @@
     connections = service.connections_ == 0 ? kDefaultConnections : service.connections_;
   }
   // At least one connection remains for requests, however small the limit is.
-  pool_->SetTarget(announcement_->address_,
-                   std::max(1U, connections - std::min(connections, kControlConnections)));
+  sender_.SetTarget(announcement_->address_,
+                    std::max(1U, connections - std::min(connections, kControlConnections)));
 }
 
 void
@@ -272,7 +273,7 @@
   statedRate_.Reset();
   ramp_.Begin(aNow);
   estimator_.Reset();
-  pool_->Clear();
+  sender_.Clear();
   down_ = true;
   lastHealthy_ = aNow;
   nextPoll_ = aNow + kHealthInterval;
@@ -334,7 +335,7 @@
     LogLine(LogLevel::Info, "backend_up").With("service", announcement_->service_);
     ramp_.Begin(now);
     // Connects in advance, so that the first requests need not wait for a connection.
-    pool_->Warm(std::min(announcement_->slots_, settings_.warmConnections_));
+    sender_.Warm(std::min(announcement_->slots_, settings_.warmConnections_));
   }
   PublishStatus();
   Pump();
@@ -355,7 +356,7 @@
 {
   down_ = true;
   LogLine(LogLevel::Warning, "backend_down").With("reason", aReason);
-  pool_->Clear();
+  sender_.Clear();
   while (const auto item = queue_.Pop()) {
     RefuseNotRun(ExchangePtr(exchanges_[item->key_]), ErrorCode::NoBackendServer);
   }
--- a/src/backend/BackendRollouts.cpp
+++ b/src/backend/BackendRollouts.cpp
@@ -70,20 +70,19 @@
 bool
 BackendService::RefusedByRollout(const ExchangePtr& aExchange, std::size_t aWaiting, TimePoint aNow)
 {
-  const RolloutAnswer answer = AskRollout(aWaiting, aNow);
-  if (answer == RolloutAnswer::Open) {
-    return false;
+  const auto refusal = RolloutRefusal(AskRollout(aWaiting, aNow));
+  if (refusal) {
+    RefuseNotRun(aExchange, refusal->code_, refusal->detail_);
   }
-  RefuseForRollout(aExchange, answer);
-  return true;
+  return refusal.has_value();
 }
 
-void
-BackendService::RefuseForRollout(const ExchangePtr& aExchange, RolloutAnswer aAnswer)
+std::optional<SendRefusal>
+BackendService::RolloutRefusal(RolloutAnswer aAnswer)
 {
   switch (aAnswer) {
     case RolloutAnswer::Open:
-      return;
+      return std::nullopt;
     case RolloutAnswer::NoPermission:
       rolloutUnpermitted_.Add();
       break;
@@ -94,12 +93,7 @@
       rolloutClosed_.Add();
       break;
   }
-  if (aExchange->resent_) {
-    // The server may have run the first copy of the request.
-    FailUnknown(aExchange, NameOf(aAnswer));
-  } else {
-    RefuseNotRun(aExchange, ErrorCode::Draining, NameOf(aAnswer));
-  }
+  return SendRefusal{ ErrorCode::Draining, NameOf(aAnswer) };
 }
 
 void
@@ -120,7 +114,8 @@
     return;
   }
   while (const auto item = queue_.Pop()) {
-    RefuseForRollout(ExchangePtr(exchanges_[item->key_]), answer);
+    const auto refusal = RolloutRefusal(answer);
+    RefuseNotRun(ExchangePtr(exchanges_[item->key_]), refusal->code_, refusal->detail_);
   }
 }
 
@@ -174,7 +169,7 @@
 }
 
 void
-BackendService::CountFailed(ServedExchange& aExchange, const HttpFailure& aFailure, bool aResent)
+BackendService::CountFailed(ServedExchange& aExchange, const HttpFailure& aFailure)
 {
   const auto server = std::exchange(aExchange.countedServer_, std::nullopt);
   if (!server) {
@@ -182,7 +177,7 @@
   }
   if (!aFailure.wrote_) {
     routeCounter_.OnNotSent(*server);
-  } else if (!aResent && !aExchange.uncounted_ && !aExchange.leaseLost_ && !stopped_) {
+  } else if (!aExchange.uncounted_ && !aExchange.leaseLost_ && !stopped_) {
     routeCounter_.OnBroken(*server, aExchange.start_.class_, aExchange.answerCounted_);
   }
 }
--- a/src/backend/BackendService.cpp
+++ b/src/backend/BackendService.cpp
@@ -18,6 +18,14 @@
 /// Bound of the waiting time told to other instances, in service times.
 constexpr double kMostRounds = 100;
 
+std::shared_ptr<ConnectionPool>
+MakePool(asio::io_context& aContext, const Clock& aClock, const BackendSettings& aSettings)
+{
+  auto pool = std::make_shared<ConnectionPool>(aContext, aClock);
+  pool->SetBounds(aSettings.maxServerConnections_, aSettings.socketBufferBytes_);
+  return pool;
+}
+
 } // namespace
 
 BackendService::BackendService(asio::io_context& aContext,
@@ -36,7 +44,12 @@
   , mailbox_(settings_.mailboxCapacity_)
   , timer_(aContext)
   , largeTimer_(aContext)
-  , pool_(std::make_shared<ConnectionPool>(aContext, aClock))
+  , sender_(MakePool(aContext, aClock, settings_),
+            aClock,
+            settings_.protocol_,
+            [this](const ServedExchange& aExchange, TimePoint aNow) {
+              return CheckSend(aExchange, aNow);
+            })
   , queue_(settings_.queueCapacity_)
   , coldRate_(aClock.Now())
   , entries_(settings_.idempotency_)
@@ -63,7 +76,6 @@
   if (settings_.linkBitsPerSecond_ > 0) {
     large_ = std::make_unique<LargeResponses>(settings_.linkBitsPerSecond_, aCounters);
   }
-  pool_->SetBounds(settings_.maxServerConnections_, settings_.socketBufferBytes_);
   mailbox_.SetWake([this] { asio::post(context_, [this] { Drain(); }); });
   if (settings_.serverReportsState_) {
     monitor_ = std::make_unique<AnnouncedServer>(aContext);
@@ -102,7 +114,7 @@
     stopped_ = true;
     timer_.cancel();
     largeTimer_.cancel();
-    pool_->Clear();
+    sender_.Clear();
     for (const auto& [key, exchange] : std::unordered_map(exchanges_)) {
       if (exchange->connection_) {
         exchange->connection_->Close();
--- a/src/backend/BackendService.hpp
+++ b/src/backend/BackendService.hpp
@@ -8,13 +8,13 @@
 #include "admission/SlotLimiter.hpp"
 #include "admission/StatedRateLimit.hpp"
 #include "backend/BackendTypes.hpp"
-#include "backend/ConnectionPool.hpp"
 #include "backend/LoadMetrics.hpp"
 #include "backend/RefusalLog.hpp"
 #include "backend/RequestChecks.hpp"
 #include "backend/ServedExchange.hpp"
 #include "backend/ServerControl.hpp"
 #include "backend/ServerLoad.hpp"
+#include "backend/ServerSender.hpp"
 #include "capacity/LargeResponses.hpp"
 #include "core/Clock.hpp"
 #include "core/Counters.hpp"
@@ -166,12 +166,19 @@
   bool IsLeaving(const RequestStart& aStart, TimePoint aNow) const;
   /// Returns the latest time at which an answer can reach the caller.
   TimePoint AnswerBy(const RequestStart& aStart) const;
-  /// Refuses a request that would be answered too late because it still takes aNeeded.
-  void RefuseLate(const ExchangePtr& aExchange, Duration aNeeded, std::string_view aDetail = {});
+  /// Returns the error code for a request that would be answered too late because it still takes
+  /// aNeeded.
+  ErrorCode CodeOfLate(const RequestStart& aStart, Duration aNeeded) const;
   bool ApplyVerdict(const ExchangePtr& aExchange, IdempotencyVerdict aVerdict);
   bool CheckExistingEntry(const ExchangePtr& aExchange, TimePoint aNow);
   void Pump();
   void Prepare(const ExchangePtr& aExchange);
+  /// Returns why the request may not run at the server now, whatever was found earlier; nothing if
+  /// it may.
+  std::optional<SendRefusal> CheckRun(const ServedExchange& aExchange, TimePoint aNow);
+  /// Returns why the request may not be written to the server now, after CheckQuarantine and
+  /// CheckOwnership have admitted it earlier; nothing if it may.
+  std::optional<SendRefusal> CheckSend(const ServedExchange& aExchange, TimePoint aNow);
   bool CheckQuarantine(const ExchangePtr& aExchange, TimePoint aNow);
   bool CheckOwnership(const ExchangePtr& aExchange, TimePoint aNow);
   void BeginEntry(const ExchangePtr& aExchange, TimePoint aNow);
@@ -184,7 +191,10 @@
               std::optional<std::uint32_t> aRetryAfterMs = {});
 
   // Dispatch and responses, implemented in BackendExchanges.cpp.
-  void Dispatch(const ExchangePtr& aExchange, bool aNewConnection);
+  /// Passes the request to the sender, or refuses it.
+  void Dispatch(const ExchangePtr& aExchange);
+  /// Accounts for a request that is about to be written.
+  void OnSending(ServedExchange& aExchange, HttpRequest& aRequest);
   void OnBody(RequestBody&& aEvent);
   void OnCancel(const ExchangePtr& aExchange);
   void OnRecall(const ExchangePtr& aExchange);
@@ -239,14 +249,15 @@
   RolloutAnswer AskRollout(std::size_t aWaiting, TimePoint aNow);
   /// Refuses the request and returns true if the server may not get it.
   bool RefusedByRollout(const ExchangePtr& aExchange, std::size_t aWaiting, TimePoint aNow);
-  void RefuseForRollout(const ExchangePtr& aExchange, RolloutAnswer aAnswer);
+  /// Returns the refusal for aAnswer and counts it; nothing if aAnswer is Open.
+  std::optional<SendRefusal> RolloutRefusal(RolloutAnswer aAnswer);
   /// Refuses the queued requests if the server may get none.
   void CheckRollout(TimePoint aNow);
   bool IsColdStart(TimePoint aNow);
   void CountSent(ServedExchange& aExchange);
   void CountAnswer(ServedExchange& aExchange, const HttpHead& aHead, bool aFault);
   void CountDetached(ServedExchange& aExchange, ErrorCode aCode);
-  void CountFailed(ServedExchange& aExchange, const HttpFailure& aFailure, bool aResent);
+  void CountFailed(ServedExchange& aExchange, const HttpFailure& aFailure);
 
   // Crashes, implemented in BackendCrashes.cpp.
   void ProbeForCrash();
@@ -292,7 +303,7 @@
   Mailbox<RequestEvent> mailbox_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer largeTimer_;
-  std::shared_ptr<ConnectionPool> pool_;
+  ServerSender sender_;
   std::unique_ptr<ServerControl> monitor_;
   SlotLimiter limiter_;
   FairQueue queue_;
@@ -320,9 +331,6 @@
   Counter& recordsFull_;
   QuarantineRegistry quarantine_;
   std::unordered_map<ExchangeKey, ExchangePtr, ExchangeKeyHash> exchanges_;
-  /// Ids of requests of shards that the server refused, and the requests' deadlines. They may come
-  /// back under the same id, by which a late copy of the refusal could not be told from the answer.
-  std::unordered_map<std::string, TimePoint> refusedIds_;
   std::optional<BackendAnnouncement> announcement_;
   TimePoint announcedAt_{};
   /// When the present run of the server was announced.
--- a/src/backend/BackendStated.cpp
+++ b/src/backend/BackendStated.cpp
@@ -190,16 +190,13 @@
   }
   const auto connection = std::exchange(aExchange->connection_, nullptr);
   if (aLast) {
-    pool_->Release(connection);
+    sender_.Release(connection);
   }
   aExchange->reachedServer_ = true;
   if (aExchange->start_.shard_ && settings_.protocol_.serverEchoesId_) {
-    refusedIds_[aExchange->start_.requestId_] = aExchange->start_.deadline_;
+    sender_.UseNewConnectionFor(aExchange->start_.requestId_, aExchange->start_.deadline_);
   }
-  if (aExchange->resent_) {
-    // The server may have run the first copy of the request.
-    FailUnknown(aExchange, "shed_when_resent");
-  } else if (misdirected) {
+  if (misdirected) {
     RefuseNotRun(aExchange, ErrorCode::NotOwner, "misdirected");
   } else {
     RefuseNotRun(aExchange, ErrorCode::Overloaded, "shed");
--- a/src/backend/ServedExchange.hpp
+++ b/src/backend/ServedExchange.hpp
@@ -66,7 +66,6 @@
   bool ownsEntry_ = false;
   /// Runs as the single trial of a request suspected of crashing servers.
   bool trial_ = false;
-  bool resent_ = false;
   /// The server received the request and reported that it did not run it.
   bool reachedServer_ = false;
   /// The response is large and was admitted to the link.
--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -120,12 +120,19 @@
   void SendAttempt(const char* aReason);
   /// Ends the exchange and returns false if its caller has left or its deadline has passed.
   bool MaySend();
+  /// Returns whether the retry budget has room for an attempt that is charged.
+  bool HasRetry() const;
+  /// Takes an attempt that is charged from the retry budget; ends the exchange if there is none.
+  bool TakeRetry();
   bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
   void OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal);
+  /// Passes on a refusal after which no attempt follows.
+  void RefuseFinally(Refusal&& aRefusal);
   bool RetryAfter(const Attempt& aAttempt, const Refusal& aRefusal);
-  bool CountsAsRetry(const Refusal& aRefusal) const;
+  /// Returns whether an attempt after aRefusal is taken from the retry budget.
+  bool IsCharged(const Refusal& aRefusal) const;
   bool RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal);
   bool RetryPooled(const Attempt& aAttempt, const Refusal& aRefusal);
   void RetryLater();
@@ -206,6 +213,11 @@
   std::string ownerHint_;
   TimePoint firstSent_{};
   std::uint32_t attemptCount_ = 0;
+  /// The next attempt is taken from the retry budget, because the request may have reached a
+  /// backend server before.
+  bool charged_ = false;
+  /// The refusal after which the next attempt is sent.
+  std::optional<Refusal> lastRefusal_;
   /// The present attempt follows the refusal of an overloaded member.
   bool afterOverload_ = false;
   /// Attempts after which it is not known whether the request ran.
--- a/src/intake/ExchangeAttempts.cpp
+++ b/src/intake/ExchangeAttempts.cpp
@@ -52,7 +52,7 @@
 Exchange::SendAttempt(const char* aReason)
 {
   Attempt attempt{ 0, {}, nullptr, false, {} };
-  if (!MaySend() || !ChooseTarget(attempt.instanceId_, attempt.load_)) {
+  if (!MaySend() || !ChooseTarget(attempt.instanceId_, attempt.load_) || !TakeRetry()) {
     return;
   }
   const TimePoint now = core_.Now();
@@ -121,6 +121,25 @@
   return true;
 }
 
+bool
+Exchange::HasRetry() const
+{
+  return core_.Retries().HasRoom(WorkspaceId(), ServiceId());
+}
+
+bool
+Exchange::TakeRetry()
+{
+  if (!std::exchange(charged_, false) || core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
+    return true;
+  }
+  if (attempts_.empty()) {
+    // Other requests have used the budget since this attempt was decided on.
+    RefuseFinally(std::move(*lastRefusal_));
+  }
+  return false;
+}
+
 bool
 Exchange::KeyStillValid() const
 {
@@ -251,6 +270,12 @@
     RefuseStopping();
     return;
   }
+  RefuseFinally(std::move(aRefusal));
+}
+
+void
+Exchange::RefuseFinally(Refusal&& aRefusal)
+{
   Refuse(aRefusal.code_,
          std::move(aRefusal.detail_),
          unknownCount_ > 0 ? Outcome::Unknown : aRefusal.outcome_,
@@ -264,18 +289,29 @@
     const std::uint32_t mostRuns = std::min(kMaxPossibleRuns, entry_->route_->maxAttempts_);
     const bool repeatable =
       start_.idempotent_ && unknownCount_ < mostRuns && ConcernsOwnership(aRefusal.code_);
-    if (!repeatable || !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
+    if (!repeatable) {
       return false;
     }
   }
+  const bool charged = IsCharged(aRefusal);
+  if (charged && !HasRetry()) {
+    return false;
+  }
+  charged_ = charged_ || charged;
+  lastRefusal_ = aRefusal;
   return start_.shard_ ? RetryKeyed(aAttempt, aRefusal) : RetryPooled(aAttempt, aRefusal);
 }
 
 bool
-Exchange::CountsAsRetry(const Refusal& aRefusal) const
+Exchange::IsCharged(const Refusal& aRefusal) const
 {
+  if (aRefusal.outcome_ == Outcome::Unknown) {
+    return true;
+  }
   // With a budget for the whole service only requests that reach its backend servers count.
-  return aRefusal.reachedServer_ || core_.Settings().retryBudget_.perWorkspace_;
+  const bool perWorkspace = core_.Settings().retryBudget_.perWorkspace_;
+  return start_.shard_ ? aRefusal.reachedServer_ && !perWorkspace
+                       : aRefusal.reachedServer_ || perWorkspace;
 }
 
 bool
@@ -284,11 +320,10 @@
   if (!ConcernsOwnership(aRefusal.code_)) {
     return false;
   }
-  if (aRefusal.reachedServer_ && !core_.Settings().retryBudget_.perWorkspace_ &&
-      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
-    return false;
-  }
-  lastFailed_ = aAttempt.instanceId_;
+  // After a lost response the instance may still own the shard.
+  const bool lostResponse =
+    aRefusal.outcome_ == Outcome::Unknown && aRefusal.code_ == ErrorCode::BackendFailed;
+  lastFailed_ = lostResponse ? std::string() : aAttempt.instanceId_;
   core_.RetryCounter().Add();
   const bool hinted = aRefusal.code_ == ErrorCode::NotOwner && !aRefusal.ownerHint_.empty() &&
                       aRefusal.ownerHint_ != lastFailed_;
@@ -315,11 +350,16 @@
   excluded_.push_back(aAttempt.instanceId_);
   core_.RefreshView();
   if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
-    return false;
-  }
-  if (aRefusal.outcome_ == Outcome::NotRun && CountsAsRetry(aRefusal) &&
-      !core_.Retries().TryTake(WorkspaceId(), ServiceId())) {
-    return false;
+    // The connection to the only server may have ended by itself.
+    const bool again = aRefusal.outcome_ == Outcome::Unknown &&
+                       aRefusal.code_ == ErrorCode::BackendFailed && excluded_.size() == 1;
+    if (!again) {
+      return false;
+    }
+    excluded_.clear();
+    if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr) {
+      return false;
+    }
   }
   afterOverload_ =
     aRefusal.code_ == ErrorCode::Overloaded || aRefusal.code_ == ErrorCode::QueueFull;
@@ -492,12 +532,13 @@
   }
   excluded_.push_back(attempts_.front().instanceId_);
   core_.RefreshView();
-  if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr ||
+  if (core_.Selector().Choose(*entry_->route_, excluded_) == nullptr || !HasRetry() ||
       !core_.HedgesOf(ServiceId()).TryTake()) {
     excluded_.pop_back();
     return;
   }
   core_.HedgeCounter().Add();
+  charged_ = true;
   SendAttempt("hedge");
 }
 
--- a/src/routing/RetryBudget.cpp
+++ b/src/routing/RetryBudget.cpp
@@ -22,11 +22,10 @@
 bool
 RetryBudget::TryTake(std::string_view aWorkspace, std::string_view aService)
 {
-  double& tokens = Tokens(aWorkspace, aService);
-  if (tokens < 1.0) {
+  if (!HasRoom(aWorkspace, aService)) {
     return false;
   }
-  tokens -= 1.0;
+  Tokens(aWorkspace, aService) -= 1.0;
   return true;
 }
 
--- a/src/routing/RetryBudget.hpp
+++ b/src/routing/RetryBudget.hpp
@@ -32,6 +32,14 @@
   /// Preconditions: none. Thread safety: not thread-safe.
   void OnRequest(std::string_view aWorkspace, std::string_view aService);
 
+  /// Returns whether TryTake would succeed.
+  ///
+  /// Preconditions: none. Thread safety: not thread-safe.
+  bool HasRoom(std::string_view aWorkspace, std::string_view aService)
+  {
+    return Tokens(aWorkspace, aService) >= 1.0;
+  }
+
   /// Takes one retry if the budget has one.
   ///
   /// Preconditions: none. Thread safety: not thread-safe.
--- a/tests/unit/backend/RepeatedRefusalsTest.cpp
+++ b/tests/unit/backend/RepeatedRefusalsTest.cpp
@@ -215,8 +215,9 @@
   ExpectAnswer(bench.Run(make(2)), "body of r1");
 }
 
-// Guards against a promise that a request did not run after its first copy may have run.
-BOOST_AUTO_TEST_CASE(RefusalOfAResentRequestIsUnknown)
+// Guards against a promise that a request did not run after its first copy may have run: the lost
+// response is reported as unknown, and the refusal of a second attempt tells of that attempt alone.
+BOOST_AUTO_TEST_CASE(ALostResponseIsUnknownAndALaterRefusalIsNot)
 {
   int requests = 0;
   Bench bench(
@@ -238,6 +239,10 @@
   start.idempotent_ = true;
   const auto refusal = ExpectRefusal(bench.Run(std::move(start)));
   BOOST_TEST((refusal.outcome_ == Outcome::Unknown));
+  BOOST_TEST(requests == 2);
+  auto again = bench.Make(3);
+  again.requestId_ = "r2";
+  BOOST_TEST((ExpectRefusal(bench.Run(std::move(again))).outcome_ == Outcome::NotRun));
   BOOST_TEST(requests == 3);
 }
 
--- a/tests/unit/backend/RolloutServingTest.cpp
+++ b/tests/unit/backend/RolloutServingTest.cpp
@@ -122,8 +122,9 @@
   BOOST_TEST(serving.bench_.serverRequests_.Size() == 4U);
 }
 
-// Guards against a resend that exceeds the permission after the server closed its connection.
-BOOST_AUTO_TEST_CASE(AResendNeedsAPermission)
+// Guards against a second attempt that exceeds the permission after the server closed its
+// connection.
+BOOST_AUTO_TEST_CASE(ASecondAttemptNeedsAPermission)
 {
   std::atomic<int> requests{ 0 };
   ServingFixture serving([&](const FakeRequest& aRequest) {
@@ -135,6 +136,9 @@
   start.idempotent_ = true;
   const ResponseEvent event = serving.bench_.Run(std::move(start));
   BOOST_CHECK(ExpectRefusal(event).outcome_ == Outcome::Unknown);
+  RequestStart again = serving.bench_.Make(3);
+  again.idempotent_ = true;
+  BOOST_CHECK(ExpectRefusal(serving.bench_.Run(std::move(again))).code_ == ErrorCode::Draining);
   BOOST_TEST(requests == 2);
 }
 
--- a/tests/unit/intake/IntakeFixture.hpp
+++ b/tests/unit/intake/IntakeFixture.hpp
@@ -59,7 +59,7 @@
     auto view = std::make_shared<RoutingView>();
     view->configuration_ = revision;
     view->configurationCurrent_ = aCurrent;
-    for (const char* id : { "a", "b" }) {
+    for (const char* id : members_) {
       Member member;
       member.ref_ = { id, 1 };
       member.service_ = "plant";
@@ -176,6 +176,7 @@
   CallerLimits callerLimits_;
   MemoryBudget* memoryBudget_ = nullptr;
   std::uint64_t revisionNumber_ = 0;
+  std::vector<const char*> members_ = { "a", "b" };
   std::string owner_ = "a";
   std::string successor_ = "b";
   bool accept_ = true;
--- a/tests/unit/intake/IntakeRetryTest.cpp
+++ b/tests/unit/intake/IntakeRetryTest.cpp
@@ -140,6 +140,54 @@
   BOOST_TEST(sent_.size() == 2U);
 }
 
+// Guards against an idempotent request that fails because the connection to the only server of its
+// service, or to the owner of its shard, ended without a response; and against a third attempt.
+BOOST_AUTO_TEST_CASE(ALostResponseIsAskedForAgainAtTheOnlyServer)
+{
+  members_ = { "a" };
+  Publish();
+  for (const char* line : { "GET /plant/1", "GET /lookup/42" }) {
+    for (const bool answered : { true, false }) {
+      const std::size_t before = sent_.size();
+      Caller caller(*this);
+      caller.Request(line);
+      Refuse(NextSent(), ErrorCode::BackendFailed, Outcome::Unknown);
+      const RequestStart second = NextSent();
+      BOOST_TEST(sent_.back().instance_ == "a");
+      if (answered) {
+        Answer(second, "done");
+        caller.ReadPast("done");
+      } else {
+        Refuse(second, ErrorCode::BackendFailed, Outcome::Unknown);
+        BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Outcome: unknown"));
+      }
+      BOOST_TEST(sent_.size() == before + 2);
+    }
+  }
+}
+
+// Guards against attempts beyond the retry budget: those that follow a lost response, wait for an
+// owner or hedge are charged when they are sent.
+BOOST_AUTO_TEST_CASE(EveryFurtherAttemptIsTakenFromTheRetryBudget)
+{
+  settings_.retryBudget_ = { 0.0, 2.0, false };
+  for (const char* line : { "GET /plant/1", "GET /lookup/42" }) {
+    for (int i = 0; i < 4; ++i) {
+      const std::size_t before = sent_.size();
+      Caller caller(*this);
+      caller.Request(line);
+      Refuse(NextSent(), ErrorCode::BackendFailed, Outcome::Unknown);
+      if (i < 2) {
+        Answer(NextSent(), "done");
+        caller.ReadPast("done");
+      } else {
+        BOOST_TEST(Has(caller.ReadPast("}\n"), "Redwing-Outcome: unknown"));
+      }
+      BOOST_TEST(sent_.size() == before + (i < 2 ? 2 : 1));
+    }
+  }
+}
+
 // Guards against "not run" for a request whose earlier attempt may have run.
 BOOST_AUTO_TEST_CASE(NotRunAfterAnUnknownAttemptIsUnknown)
 {
