--- a/src/intake/Exchange.hpp
+++ b/src/intake/Exchange.hpp
@@ -120,13 +120,19 @@
   void SendAttempt(const char* aReason);
   /// Ends the exchange and returns false if its caller has left or its deadline has passed.
   bool MaySend();
-  /// Returns whether the retry budget has room for an attempt that is charged.
-  bool HasRetry() const;
-  /// Takes an attempt that is charged from the retry budget; ends the exchange if there is none.
-  bool TakeRetry();
   bool KeyStillValid() const;
   bool ChooseTarget(std::string& aInstanceId, MemberLoad*& aLoad);
   void LogAttempt(const Attempt& aAttempt, const char* aReason);
+  bool CanReplay() const;
+  void SendToAttempt(const Attempt& aAttempt, RequestEvent&& aEvent);
+  void CancelAttempts(std::uint64_t aExceptId);
+  void EndAttempt(const Attempt& aAttempt, AttemptEnd aEnd);
+  void OnDeadline();
+  void OnHedgeTimer();
+  bool MayHedge() const;
+  void ArmHedge();
+
+  // Refusals and retries, in ExchangeRetries.cpp
   void OnRefusal(Attempt&& aAttempt, Refusal&& aRefusal);
   /// Passes on a refusal after which no attempt follows.
   void RefuseFinally(Refusal&& aRefusal);
@@ -136,14 +142,10 @@
   bool RetryKeyed(const Attempt& aAttempt, const Refusal& aRefusal);
   bool RetryPooled(const Attempt& aAttempt, const Refusal& aRefusal);
   void RetryLater();
-  bool CanReplay() const;
-  void SendToAttempt(const Attempt& aAttempt, RequestEvent&& aEvent);
-  void CancelAttempts(std::uint64_t aExceptId);
-  void EndAttempt(const Attempt& aAttempt, AttemptEnd aEnd);
-  void OnDeadline();
-  void OnHedgeTimer();
-  bool MayHedge() const;
-  void ArmHedge();
+  /// Returns whether the retry budget has room for an attempt that is charged.
+  bool HasRetry() const;
+  /// Takes an attempt that is charged from the retry budget; ends the exchange if there is none.
+  bool TakeRetry();
 
   // The end of the instance, in ExchangeShutdown.cpp
   void RefuseStopping();
