--- a/tests/integration/owner/OwnerSoak.cpp
+++ b/tests/integration/owner/OwnerSoak.cpp
@@ -207,7 +207,11 @@
       if (aAt >= storeBusy_) {
         storeBusy_ = aAt + 7001ms;
         add(aAt, "down", [](PlatformStore& aStore) { aStore.SetTrouble(StoreTrouble::Reset); });
-        add(aAt + 7s, "up", [](PlatformStore& aStore) { aStore.SetTrouble(StoreTrouble::None); });
+        add(aAt + 7s, "up and slow", [](PlatformStore& aStore) {
+          aStore.SetTrouble(StoreTrouble::None);
+          aStore.SetDelay(500ms);
+        });
+        add(aAt + 14s, "fast", [](PlatformStore& aStore) { aStore.SetDelay(0ms); });
       }
     } else if (kind == 4) {
       add(aAt, "ends leases", [](PlatformStore& aStore) { aStore.EndLeases(); });
