Leave the requests of one link alone when another one ends

Cause: the loss of a link was taken for the loss of the instance. The attempts of the lost link fail by themselves.

Change: an instance is reported as down when no link to it is established.

--- a/src/peer/PeerExchanges.cpp
+++ b/src/peer/PeerExchanges.cpp
@@ -3,6 +3,7 @@
 #include "core/Log.hpp"
 #include "peer/PeerService.hpp"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <type_traits>
 #include <utility>
@@ -191,13 +192,25 @@
   if (!aLink->Inbound()) {
     FailAttempts(aLink);
     FailCalls(aLink);
-    if (!aLink->ExpectedId().empty() && !stopped_ && hooks_.onPeerDown_) {
+    // The attempts of this link have failed; those of another one go on.
+    if (!aLink->ExpectedId().empty() && !IsLinkedTo(aLink->ExpectedId()) && !stopped_ &&
+        hooks_.onPeerDown_) {
       hooks_.onPeerDown_(aLink->ExpectedId());
     }
   }
   OnWritten();
 }
 
+bool
+PeerService::IsLinkedTo(const std::string& aInstanceId) const
+{
+  const auto open = outbound_.find(aInstanceId);
+  return open != outbound_.end() &&
+         std::any_of(open->second.begin(), open->second.end(), [](const auto& aLink) {
+           return aLink->State() == LinkState::Established;
+         });
+}
+
 void
 PeerService::OnReplaced(const Link& aLink)
 {
--- a/src/peer/PeerService.hpp
+++ b/src/peer/PeerService.hpp
@@ -71,6 +71,7 @@
   SendRequestEvent sendRequest_;
   /// Events for our own attempts; key_.linkId_ is kLocalLink.
   SendResponseEvent sendResponse_;
+  /// Called when the last established link to an instance was lost, after its attempts have failed.
   std::function<void(const std::string& aInstanceId)> onPeerDown_;
   /// Control calls; the reply may be called later, once, from any thread.
   std::function<void(const InstanceRef& aFrom, std::string aPayload, CallReplyHook aReply)> onCall_;
@@ -217,6 +218,8 @@
   /// which is known as aInstanceId.
   bool IsReplaced(const std::string& aInstanceId, const Member& aMember) const;
   void OnReplaced(const Link& aLink);
+  /// Returns whether a link that this instance opened to aInstanceId is established.
+  bool IsLinkedTo(const std::string& aInstanceId) const;
   std::shared_ptr<Link> OpenLink(const Address& aAddress, const std::string& aInstanceId);
   void FailAttempts(const std::shared_ptr<Link>& aLink);
   void FailCalls(const std::shared_ptr<Link>& aLink);
--- a/tests/unit/peer/PeerServiceTest.cpp
+++ b/tests/unit/peer/PeerServiceTest.cpp
@@ -173,6 +173,29 @@
 
 } // namespace
 
+// Guards against the loss of all requests at an instance when one of two links to it ends, such as
+// a second one that the instance has no room for.
+BOOST_AUTO_TEST_CASE(TheEndOfOneLinkLeavesTheRequestsOfAnother)
+{
+  constexpr std::uint64_t kOnFirstLink = 64;
+  Node a("a", "k");
+  Node b("b", "k", kNoStall, 1);
+  a.Knows("b", b.service_.Port());
+  for (std::uint64_t id = 1; id <= kOnFirstLink; ++id) {
+    BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(id)));
+  }
+  b.requests_.Await(kOnFirstLink);
+  BOOST_REQUIRE(a.service_.TryStart("b", MakeStart(kOnFirstLink + 1)));
+  const auto refused = a.responses_.Await(1).front();
+  BOOST_REQUIRE(std::holds_alternative<Refusal>(refused));
+  BOOST_CHECK(std::get<Refusal>(refused).outcome_ == Outcome::NotRun);
+  for (const RequestStart& request : b.requests_.Await(kOnFirstLink)) {
+    b.service_.Respond(MakeResponse(request));
+  }
+  a.responses_.Await(kOnFirstLink + 1);
+  BOOST_TEST(a.down_.Size() == 0U);
+}
+
 // Guards against dropping the last response of an instance that stops once all requests have ended.
 BOOST_AUTO_TEST_CASE(TheLastResponseIsWrittenBeforeTheEventLoopStops)
 {
